--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo test lint bench format
+
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --no-deps -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(READY)
+
+demo: $(READY)
+	sh demo/run.sh $(BIN)
+
+test: $(READY)
+	$(BIN)/python -m tests
+
+lint: $(READY)
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(READY)
+	$(BIN)/python -m bench
--- /dev/null
+++ b/src/sesamearch/__main__.py
@@ -0,0 +1,7 @@
+"""``python -m sesamearch``."""
+
+import sys
+
+from sesamearch.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/sesamearch/client.py
@@ -0,0 +1,189 @@
+"""A caller's client: streams an answer and goes on by cursor after a loss."""
+
+import itertools
+import time
+
+import msgspec
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from sesamearch.errors import ErrorKind, Problem
+from sesamearch.http import FrameReceiver, make_http_client
+
+__all__ = ["Answer", "Asker"]
+
+RECONNECT_INTERVAL_S = 0.2
+MAX_RECONNECTS = 50
+_DELIMITER = b"\n\n"
+
+
+class Answer(msgspec.Struct):
+    """A whole answer and how it came.
+
+    Parameters
+    ----------
+    text : str
+    tokens : int
+        Number of events that carried text.
+    version : str
+    finish_reason : str
+    reconnects : int
+        How often the client went to another router.
+    longest_gap_s : float
+        Longest time between two tokens.
+    """
+
+    text: str = ""
+    tokens: int = 0
+    version: str = ""
+    finish_reason: str = ""
+    reconnects: int = 0
+    longest_gap_s: float = 0.0
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice]
+    system_fingerprint: str = ""
+
+
+class _Delivered(msgspec.Struct):
+    delivered: str
+
+
+class _Body(msgspec.Struct, omit_defaults=True):
+    model: str
+    messages: list
+    stream: bool
+    max_tokens: int | None = None
+    seed: int | None = None
+    sesamearch: _Delivered | None = None
+
+
+class Asker:
+    """Ask routers for an answer, as their balancer would be asked.
+
+    Parameters
+    ----------
+    reactor : twisted.internet.interfaces.IReactorTime
+    addresses : list of str
+        Routers, each tried in turn.
+    api_key : str
+    on_token : callable or None
+        Called with each text and the :class:`Answer` so far.
+    """
+
+    def __init__(self, reactor, addresses, api_key, on_token=None):
+        self._reactor = reactor
+        self._addresses = itertools.cycle(addresses)
+        self._api_key = api_key
+        self._on_token = on_token
+        self._http = make_http_client(reactor, persistent=False)
+        self._answer = Answer()
+        self._cursor = b""
+        self._last_token_s = None
+        self._problem = None
+        self._connection_done = None
+
+    def ask(self, model, messages, max_tokens=None, seed=None):
+        """Ask and wait for the whole answer.
+
+        Parameters
+        ----------
+        model : str
+        messages : list of dict
+            As in the OpenAI-compatible body.
+        max_tokens, seed : int or None
+
+        Returns
+        -------
+        Deferred of result.Result[Answer, Problem]
+        """
+        body = _Body(model, messages, True, max_tokens, seed)
+        return Deferred.fromCoroutine(self._ask(body))
+
+    async def _ask(self, body):
+        for _ in range(MAX_RECONNECTS):
+            self._problem = Problem(ErrorKind.UNREACHABLE, "no router answered")
+            await self._connect(body)
+            if self._answer.finish_reason:
+                return Ok(self._answer)
+            if not self._can_go_on():
+                return Err(self._problem)
+            self._answer.reconnects += 1
+            wait_s = self._problem.retry_after_s
+            wait_s = RECONNECT_INTERVAL_S if wait_s is None else wait_s
+            await deferLater(self._reactor, wait_s)
+        return Err(self._problem)
+
+    def _can_go_on(self):
+        if self._problem.kind in (ErrorKind.UNREACHABLE, ErrorKind.HAND_OVER):
+            return True
+        return self._problem.answer.status in (429, 503)
+
+    async def _connect(self, body):
+        headers = {
+            "Content-Type": "application/json",
+            "Authorization": f"Bearer {self._api_key}",
+        }
+        if self._cursor:
+            headers["Last-Event-ID"] = self._cursor.decode()
+            delivered = _Delivered(self._answer.text)
+            body = msgspec.structs.replace(body, sesamearch=delivered)
+        url = f"http://{next(self._addresses)}/v1/chat/completions"
+        try:
+            response = await self._http.post(
+                url, data=msgspec.json.encode(body), headers=headers, unbuffered=True
+            )
+            if response.code != 200:
+                self._problem = Problem.from_json(await response.content())
+                return
+        except Exception as error:
+            # Any transport failure means that another router is to be asked.
+            self._problem = Problem(ErrorKind.UNREACHABLE, str(error))
+            return
+        self._connection_done = Deferred()
+        response.deliverBody(FrameReceiver(_DELIMITER, self._take, self._lost))
+        await self._connection_done
+
+    def _lost(self):
+        done, self._connection_done = self._connection_done, None
+        if done is not None:
+            done.callback(None)
+
+    def _take(self, frame):
+        fields = dict(line.partition(b": ")[::2] for line in frame.split(b"\n"))
+        data = fields.get(b"data", b"")
+        if fields.get(b"event") == b"error":
+            self._problem = Problem.from_json(data)
+            return
+        if not data or data == b"[DONE]":
+            return
+        chunk = msgspec.json.decode(data, type=_Chunk)
+        choice = chunk.choices[0]
+        self._cursor = fields[b"id"]
+        self._answer.version = chunk.system_fingerprint
+        if choice.finish_reason is not None:
+            self._answer.finish_reason = choice.finish_reason
+        elif choice.delta.content:
+            self._take_text(choice.delta.content)
+
+    def _take_text(self, text):
+        now_s = time.monotonic()
+        if self._last_token_s is not None:
+            gap_s = now_s - self._last_token_s
+            self._answer.longest_gap_s = max(self._answer.longest_gap_s, gap_s)
+        self._last_token_s = now_s
+        self._answer.text += text
+        self._answer.tokens += 1
+        if self._on_token is not None:
+            self._on_token(text, self._answer)
--- /dev/null
+++ b/src/sesamearch/completion.py
@@ -0,0 +1,259 @@
+"""The OpenAI-compatible wire form of requests and answers."""
+
+import hashlib
+import time
+
+import msgspec
+from result import Err, Ok
+
+from sesamearch.errors import ErrorKind, Problem
+from sesamearch.generation import AnswerSink
+
+__all__ = ["CompletionBody", "EventSink", "WholeSink", "parse_body", "send_problem"]
+
+DIGEST_BYTES = 16
+MAX_SEED = 1 << 31
+_UNSUPPORTED = ("tools", "tool_choice", "functions", "logprobs", "top_logprobs")
+_OWN_MEMBER = "sesamearch"
+_encode = msgspec.json.encode
+
+
+class _Extension(msgspec.Struct):
+    delivered: str | None = None
+
+
+class CompletionBody(msgspec.Struct):
+    """The members of a request body that the system itself reads.
+
+    Parameters
+    ----------
+    model : str
+    messages : msgspec.Raw
+        Passed through unread.
+    stream : bool
+    max_tokens, max_completion_tokens, seed, n : int or None
+    sesamearch : _Extension
+        What a returning caller brings besides its cursor.
+    """
+
+    model: str
+    messages: msgspec.Raw
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    seed: int | None = None
+    n: int | None = None
+    sesamearch: _Extension = msgspec.field(default_factory=_Extension)
+
+    def token_limit(self, service_limit):
+        """Return the bound on the answer's length."""
+        asked = self.max_completion_tokens or self.max_tokens or service_limit
+        return min(asked, service_limit)
+
+
+class ParsedBody(msgspec.Struct, frozen=True):
+    """A request body, read and passed through."""
+
+    body: CompletionBody
+    parameters: dict[str, msgspec.Raw]
+    digest: bytes
+
+
+def parse_body(content):
+    """Read a request body.
+
+    Parameters
+    ----------
+    content : bytes
+
+    Returns
+    -------
+    result.Result[ParsedBody, Problem]
+    """
+    try:
+        body = msgspec.json.decode(content, type=CompletionBody)
+        parameters = msgspec.json.decode(content, type=dict[str, msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(Problem(ErrorKind.BAD_REQUEST, str(error)))
+    unsupported = [name for name in _UNSUPPORTED if name in parameters]
+    if unsupported or (body.n or 1) != 1:
+        names = ", ".join(unsupported) or "n"
+        return Err(Problem(ErrorKind.BAD_REQUEST, f"not supported: {names}"))
+    if (body.token_limit(1)) < 1 or not 0 <= (body.seed or 0) < MAX_SEED:
+        return Err(Problem(ErrorKind.BAD_REQUEST, "max_tokens or seed out of range"))
+    parameters.pop(_OWN_MEMBER, None)
+    return Ok(ParsedBody(body, parameters, _digest(parameters)))
+
+
+def _digest(parameters):
+    hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for name in sorted(parameters):
+        hasher.update(_encode(name))
+        hasher.update(bytes(parameters[name]))
+    return hasher.digest()
+
+
+def send_problem(request, problem):
+    """Write a problem as the whole response.
+
+    Parameters
+    ----------
+    request : twisted.web.iweb.IRequest
+        Nothing may have been written to it.
+    problem : Problem
+    """
+    request.setResponseCode(problem.answer.status)
+    request.setHeader("Content-Type", "application/problem+json")
+    if problem.come_back_s is not None:
+        request.setHeader("Retry-After", str(max(0, round(problem.come_back_s))))
+    if problem.ask_again:
+        request.setHeader("Location", problem.ask_again)
+    request.write(problem.to_json())
+
+
+class _SinkBase(AnswerSink):
+    def __init__(self, request, request_id, model, done):
+        self._request = request
+        self._done = done
+        self._id = f"chatcmpl-{request_id}"
+        self._created = int(time.time())
+        self._model = model
+        self._version = ""
+
+    def begin(self, version):
+        """Take the version of the answer."""
+        self._version = version
+
+    def _finish_response(self):
+        if not self._done.called:
+            self._done.callback(None)
+
+
+class _Delta(msgspec.Struct, omit_defaults=True):
+    content: str | None = None
+    role: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta
+    index: int = 0
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    id: str
+    created: int
+    model: str
+    system_fingerprint: str
+    choices: list[_Choice]
+    object: str = "chat.completion.chunk"
+
+
+class EventSink(_SinkBase):
+    """Stream an answer as server-sent events whose ids are cursors.
+
+    Parameters
+    ----------
+    request : twisted.web.iweb.IRequest
+    request_id, model : str
+    done : twisted.internet.defer.Deferred
+        Fired when the response is complete.
+    """
+
+    def __init__(self, request, request_id, model, done):
+        super().__init__(request, request_id, model, done)
+        self._head = b""
+        self._tail = b""
+
+    def begin(self, version):
+        """Prepare the parts that all events share."""
+        super().begin(version)
+        self._request.setHeader("Content-Type", "text/event-stream")
+        self._request.setHeader("Cache-Control", "no-store")
+        mark = "\0"
+        chunk = self._chunk(_Choice(_Delta(content=mark, role="assistant")))
+        self._head, self._tail = _encode(chunk).split(_encode(mark))
+        self._head = b"\ndata: " + self._head
+        self._tail += b"\n\n"
+
+    def _chunk(self, choice):
+        return _Chunk(self._id, self._created, self._model, self._version, [choice])
+
+    def token(self, event_id, text):
+        """Write one event."""
+        event = b"id: " + event_id + self._head + _encode(text) + self._tail
+        self._request.write(event)
+
+    def finish(self, event_id, finish_reason, tokens):
+        """Write the final events."""
+        chunk = self._chunk(_Choice(_Delta(), finish_reason=finish_reason))
+        self._request.write(
+            b"id: " + event_id + b"\ndata: " + _encode(chunk) + b"\n\ndata: [DONE]\n\n"
+        )
+        self._finish_response()
+
+    def fail(self, problem):
+        """Write the problem, as an event if the answer has begun."""
+        if self._head:
+            body = problem.to_json()
+            self._request.write(b"event: error\ndata: " + body + b"\n\n")
+        else:
+            send_problem(self._request, problem)
+        self._finish_response()
+
+
+class _Message(msgspec.Struct):
+    content: str
+    role: str = "assistant"
+
+
+class _WholeChoice(msgspec.Struct):
+    message: _Message
+    finish_reason: str
+    index: int = 0
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int
+
+
+class _Completion(msgspec.Struct):
+    id: str
+    created: int
+    model: str
+    system_fingerprint: str
+    choices: list[_WholeChoice]
+    usage: _Usage
+    object: str = "chat.completion"
+
+
+class WholeSink(_SinkBase):
+    """Collect an answer and write it in one piece."""
+
+    def __init__(self, request, request_id, model, done):
+        super().__init__(request, request_id, model, done)
+        self._text = []
+
+    def token(self, event_id, text):
+        """Keep the text."""
+        self._text.append(text)
+
+    def finish(self, event_id, finish_reason, tokens):
+        """Write the answer."""
+        choice = _WholeChoice(_Message("".join(self._text)), finish_reason)
+        completion = _Completion(
+            self._id,
+            self._created,
+            self._model,
+            self._version,
+            [choice],
+            _Usage(tokens),
+        )
+        self._request.setHeader("Content-Type", "application/json")
+        self._request.write(_encode(completion))
+        self._finish_response()
+
+    def fail(self, problem):
+        """Write the problem."""
+        send_problem(self._request, problem)
+        self._finish_response()
--- /dev/null
+++ b/src/sesamearch/directory.py
@@ -0,0 +1,75 @@
+"""Look-ups in the configuration in force."""
+
+import hashlib
+
+from result import Err, Ok
+
+from sesamearch.errors import ErrorKind, Problem
+
+__all__ = ["Directory"]
+
+_SCHEME = "Bearer "
+
+
+class Directory:
+    """Find organisations and services, indexed anew with each configuration.
+
+    Parameters
+    ----------
+    board : Blackboard
+    """
+
+    __slots__ = ("_board", "_organisations")
+
+    def __init__(self, board):
+        self._board = board
+        self._organisations = {}
+        board.configuration.listen(self._index)
+        self._index(board.configuration.value)
+
+    def _index(self, configuration):
+        self._organisations = {
+            key: organisation.name
+            for organisation in configuration.organisations
+            for key in organisation.key_sha256
+        }
+
+    def organisation(self, authorization):
+        """Return the name of the organisation with an API key.
+
+        Parameters
+        ----------
+        authorization : str or None
+            Value of the ``Authorization`` header.
+
+        Returns
+        -------
+        result.Result[str, Problem]
+        """
+        if self._board.configuration.value.revision == 0:
+            return Err(Problem(ErrorKind.CONFIGURATION_MISSING))
+        if authorization and authorization.startswith(_SCHEME):
+            key = authorization.removeprefix(_SCHEME).strip().encode()
+            name = self._organisations.get(hashlib.sha256(key).hexdigest())
+            if name is not None:
+                return Ok(name)
+        return Err(Problem(ErrorKind.UNKNOWN_ORGANISATION))
+
+    def engine_service(self, model):
+        """Return ``Result[EngineService, Problem]`` for a model name."""
+        service = self._board.configuration.value.engine_service(model)
+        if service is None:
+            return Err(Problem(ErrorKind.UNKNOWN_MODEL, model[:100]))
+        return Ok(service)
+
+    def plain_service(self, name):
+        """Return ``Result[PlainService, Problem]`` for a service name."""
+        service = self._board.configuration.value.plain_service(name)
+        if service is None:
+            return Err(Problem(ErrorKind.UNKNOWN_SERVICE, name[:100]))
+        return Ok(service)
+
+    def models(self):
+        """Return the model names in the published order."""
+        services = self._board.configuration.value.services
+        return [service.model for service in services if hasattr(service, "model")]
--- /dev/null
+++ b/src/sesamearch/etcd.py
@@ -0,0 +1,260 @@
+"""The platform's store over the etcd v3 JSON gateway."""
+
+import base64
+import itertools
+
+import msgspec
+from result import Err, Ok
+from twisted.internet.defer import CancelledError, Deferred
+
+from sesamearch.errors import ErrorKind
+from sesamearch.http import FrameReceiver, make_http_client
+from sesamearch.store import KeyValue, Put, RangeReply, Store, TxnReply, Watch
+
+__all__ = ["EtcdStore", "prefix_end"]
+
+_JSON_HEADERS = {"Content-Type": "application/json"}
+_FRAME_DELIMITER = b"\n"
+
+
+class _Header(msgspec.Struct):
+    revision: str = "0"
+
+
+class _Item(msgspec.Struct):
+    key: str = ""
+    value: str = ""
+    mod_revision: str = "0"
+    lease: str = "0"
+
+    def to_key_value(self):
+        """Return the decoded :class:`KeyValue`."""
+        return KeyValue(
+            base64.b64decode(self.key),
+            base64.b64decode(self.value),
+            int(self.mod_revision),
+            int(self.lease),
+        )
+
+
+class _Range(msgspec.Struct):
+    header: _Header = msgspec.field(default_factory=_Header)
+    kvs: list[_Item] = []
+
+
+class _TxnPart(msgspec.Struct):
+    response_range: _Range = msgspec.field(default_factory=_Range)
+
+
+class _Txn(msgspec.Struct):
+    header: _Header = msgspec.field(default_factory=_Header)
+    succeeded: bool = False
+    responses: list[_TxnPart] = []
+
+
+class _Lease(msgspec.Struct):
+    ID: str = "0"
+    TTL: str = "0"
+
+
+class _KeepAlive(msgspec.Struct):
+    result: _Lease
+
+
+class _Event(msgspec.Struct):
+    kv: _Item
+    type: str = "PUT"
+
+
+class _WatchResult(msgspec.Struct):
+    header: _Header = msgspec.field(default_factory=_Header)
+    events: list[_Event] = []
+    canceled: bool = False
+
+
+class _WatchFrame(msgspec.Struct):
+    result: _WatchResult
+
+
+def _text(value):
+    return base64.b64encode(value).decode()
+
+
+def prefix_end(prefix):
+    """Return the first key after all keys with `prefix`, as etcd wants it."""
+    return prefix[:-1] + bytes([prefix[-1] + 1])
+
+
+def _put_json(put):
+    if put.value is None:
+        return {"request_delete_range": {"key": _text(put.key)}}
+    body = {"key": _text(put.key), "value": _text(put.value), "lease": str(put.lease)}
+    return {"request_put": body}
+
+
+def _txn_json(comparisons, puts):
+    compare = [
+        {
+            "key": _text(comparison.key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(comparison.mod_revision),
+        }
+        for comparison in comparisons
+    ]
+    failure = [{"request_range": {"key": _text(c.key)}} for c in comparisons]
+    success = [_put_json(put) for put in puts]
+    return {"compare": compare, "success": success, "failure": failure}
+
+
+class _EtcdWatch(Watch):
+    __slots__ = ("_body", "_receiver", "_request", "_revision")
+
+    def __init__(self, receiver, revision):
+        self._receiver = receiver
+        self._revision = revision
+        self._body = None
+        self._request = None
+
+    def begin(self, request):
+        """Wait for the response to `request`, a Deferred."""
+        self._request = request
+        request.addCallback(self._take_response)
+        request.addErrback(self._take_failure)
+
+    def _take_response(self, response):
+        self._request = None
+        if response.code != 200:
+            self._end()
+        elif self._receiver is not None:
+            self._body = FrameReceiver(_FRAME_DELIMITER, self._take_frame, self._end)
+            response.deliverBody(self._body)
+
+    def _take_failure(self, failure):
+        self._request = None
+        if not failure.check(CancelledError):
+            self._end()
+
+    def _take_frame(self, frame):
+        if self._receiver is None:
+            return
+        try:
+            result = msgspec.json.decode(frame, type=_WatchFrame).result
+        except msgspec.DecodeError:
+            self._end()
+            return
+        if result.canceled:
+            self._end()
+            return
+        revision = int(result.header.revision)
+        puts = [self._to_put(event) for event in result.events]
+        if puts:
+            self._receiver.changed(puts, revision)
+
+    @staticmethod
+    def _to_put(event):
+        item = event.kv.to_key_value()
+        value = None if event.type == "DELETE" else item.value
+        return Put(item.key, value, item.lease)
+
+    def _end(self):
+        receiver = self._receiver
+        self.cancel()
+        if receiver is not None:
+            receiver.ended()
+
+    def cancel(self):
+        self._receiver = None
+        if self._request is not None:
+            request, self._request = self._request, None
+            request.cancel()
+        if self._body is not None and self._body.transport is not None:
+            self._body.transport.loseConnection()
+        self._body = None
+
+
+class EtcdStore(Store):
+    """Talk to the platform's store; another address is tried after a failure.
+
+    Parameters
+    ----------
+    reactor : twisted.internet.interfaces.IReactorCore
+    settings : StoreSettings
+    """
+
+    __slots__ = ("_addresses", "_address", "_http", "_timeout_s")
+
+    def __init__(self, reactor, settings):
+        self._addresses = itertools.cycle(settings.addresses)
+        self._address = next(self._addresses)
+        self._timeout_s = settings.timeout_s
+        self._http = make_http_client(reactor, settings.timeout_s)
+
+    def _post(self, path, body, reply_type):
+        return Deferred.fromCoroutine(self._call(path, body, reply_type))
+
+    async def _call(self, path, body, reply_type):
+        url = f"http://{self._address}/v3/{path}"
+        data = msgspec.json.encode(body)
+        try:
+            response = await self._http.post(
+                url, data=data, headers=_JSON_HEADERS, timeout=self._timeout_s
+            )
+            content = await response.content()
+            if response.code == 200:
+                return Ok(msgspec.json.decode(content, type=reply_type))
+        except Exception:
+            # Whatever the transport raises means the same: no answer came.
+            pass
+        self._address = next(self._addresses)
+        return Err(ErrorKind.STORE_UNAVAILABLE)
+
+    def range(self, prefix):
+        """Read all keys with a prefix."""
+        body = {"key": _text(prefix), "range_end": _text(prefix_end(prefix))}
+        request = self._post("kv/range", body, _Range)
+        return request.addCallback(lambda result: result.map(_range_reply))
+
+    def txn(self, comparisons, puts):
+        """Write `puts` if all `comparisons` hold."""
+        request = self._post("kv/txn", _txn_json(comparisons, puts), _Txn)
+        return request.addCallback(lambda result: result.map(_txn_reply))
+
+    def grant_lease(self, ttl_s):
+        """Make a lease."""
+        request = self._post("lease/grant", {"TTL": str(ttl_s)}, _Lease)
+        return request.addCallback(lambda result: result.map(lambda r: int(r.ID)))
+
+    def keep_lease(self, lease):
+        """Renew a lease."""
+        request = self._post("lease/keepalive", {"ID": str(lease)}, _KeepAlive)
+        return request.addCallback(
+            lambda result: result.map(lambda reply: int(reply.result.TTL) > 0)
+        )
+
+    def watch(self, prefix, revision, receiver):
+        """Watch a prefix from after `revision`."""
+        create = {
+            "key": _text(prefix),
+            "range_end": _text(prefix_end(prefix)),
+            "start_revision": str(revision + 1),
+        }
+        data = msgspec.json.encode({"create_request": create})
+        watch = _EtcdWatch(receiver, revision)
+        url = f"http://{self._address}/v3/watch"
+        watch.begin(
+            self._http.post(url, data=data, headers=_JSON_HEADERS, unbuffered=True)
+        )
+        return watch
+
+
+def _range_reply(reply):
+    items = [item.to_key_value() for item in reply.kvs]
+    return RangeReply(int(reply.header.revision), items)
+
+
+def _txn_reply(reply):
+    found = [
+        i.to_key_value() for part in reply.responses for i in part.response_range.kvs
+    ]
+    return TxnReply(reply.succeeded, int(reply.header.revision), found)
--- /dev/null
+++ b/src/sesamearch/follower.py
@@ -0,0 +1,163 @@
+"""Followers: keep a section of the blackboard equal to keys in the store."""
+
+import msgspec
+
+from sesamearch.blackboard import Endpoint
+from sesamearch.configuration import Configuration
+from sesamearch.log import logger
+from sesamearch.store import WatchReceiver
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "VM_PREFIX",
+    "ConfigurationFollower",
+    "EndpointFollower",
+    "Follower",
+    "VmEntry",
+]
+
+CONFIGURATION_KEY = b"/sesamearch/configuration"
+VM_PREFIX = b"/platform/vms/"
+RETRY_FIRST_S = 0.5
+RETRY_LONGEST_S = 8.0
+
+
+class VmEntry(msgspec.Struct, frozen=True):
+    """One VM in the platform's list.
+
+    Parameters
+    ----------
+    name, address, data_centre : str
+    service, version : str
+        What it runs.
+    state : str
+        ``live`` or ``leaving``.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    service: str
+    version: str
+    state: str = "live"
+
+
+class Follower(WatchReceiver):
+    """Read a prefix, then watch it; start over whenever the watch breaks.
+
+    Subclasses implement :meth:`take`. In an outage they keep what they have.
+
+    Parameters
+    ----------
+    store : Store
+    prefix : bytes
+    clock : twisted.internet.interfaces.IReactorTime
+    """
+
+    def __init__(self, store, prefix, clock):
+        self._store = store
+        self._prefix = prefix
+        self._clock = clock
+        self._items = {}
+        self._watch = None
+        self._retry = None
+        self._retry_s = RETRY_FIRST_S
+        self.is_current = False
+
+    def start(self):
+        """Begin to follow."""
+        self._retry = None
+        self._store.range(self._prefix).addCallback(self._take_range)
+
+    def stop(self):
+        """Stop following."""
+        if self._watch is not None:
+            self._watch.cancel()
+        if self._retry is not None:
+            self._retry.cancel()
+        self._watch = self._retry = None
+
+    def _take_range(self, result):
+        if result.is_err():
+            self.ended()
+            return
+        reply = result.unwrap()
+        self._retry_s = RETRY_FIRST_S
+        self._set_current(True)
+        self._items = {item.key: item.value for item in reply.items}
+        self.take(self._items)
+        self._watch = self._store.watch(self._prefix, reply.revision, self)
+
+    def changed(self, puts, revision):
+        """Take changes from the watch."""
+        for put in puts:
+            if put.value is None:
+                self._items.pop(put.key, None)
+            else:
+                self._items[put.key] = put.value
+        self.take(self._items)
+
+    def ended(self):
+        """Start over after a while."""
+        self._watch = None
+        self._set_current(False)
+        self._retry = self._clock.callLater(self._retry_s, self.start)
+        self._retry_s = min(self._retry_s * 2, RETRY_LONGEST_S)
+
+    def _set_current(self, is_current):
+        if is_current != self.is_current:
+            self.is_current = is_current
+            state = "following" if is_current else "lost"
+            logger.info("store {} prefix={}", state, self._prefix.decode())
+
+    def take(self, items):
+        """Take all present items, a dict from bytes to bytes."""
+        raise NotImplementedError
+
+
+class ConfigurationFollower(Follower):
+    """Keeps the blackboard's configuration at the newest accepted one."""
+
+    def __init__(self, store, board, clock):
+        super().__init__(store, CONFIGURATION_KEY, clock)
+        self._board = board
+
+    def take(self, items):
+        """Put a newer configuration in force."""
+        value = items.get(CONFIGURATION_KEY)
+        if value is None:
+            return
+        try:
+            configuration = Configuration.from_json(value)
+        except msgspec.DecodeError as error:
+            logger.error("configuration unreadable, keeping the old one: {}", error)
+            return
+        if self._board.accept_configuration(configuration):
+            logger.info("configuration in force revision={}", configuration.revision)
+
+
+class EndpointFollower(Follower):
+    """Keeps the blackboard's endpoints equal to the platform's list."""
+
+    def __init__(self, store, board, clock):
+        super().__init__(store, VM_PREFIX, clock)
+        self._board = board
+
+    def take(self, items):
+        """Write the endpoints; an unreadable entry is left out."""
+        endpoints = {}
+        for value in items.values():
+            try:
+                entry = msgspec.json.decode(value, type=VmEntry)
+            except msgspec.DecodeError as error:
+                logger.warning("VM entry unreadable: {}", error)
+                continue
+            endpoints[entry.name] = Endpoint(
+                entry.name,
+                entry.address,
+                entry.data_centre,
+                entry.service,
+                entry.version,
+                entry.state != "live",
+            )
+        self._board.endpoints.write(endpoints)
--- /dev/null
+++ b/src/sesamearch/gateway.py
@@ -0,0 +1,282 @@
+"""What callers reach: completions, models and calls of plain services."""
+
+import secrets
+
+import msgspec
+from klein import Klein
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
+
+from sesamearch.completion import (
+    MAX_SEED,
+    EventSink,
+    WholeSink,
+    parse_body,
+    send_problem,
+)
+from sesamearch.errors import ErrorKind, Problem
+from sesamearch.generation import Generation, GenerationRequest
+from sesamearch.http_plain import HOP_BY_HOP_HEADERS
+from sesamearch.placement import choose_version
+from sesamearch.plain import PlainRequest
+
+__all__ = ["Gateway"]
+
+SWEEP_INTERVAL_S = 0.05
+REQUEST_ID_BYTES = 12
+_OWN_HEADERS = frozenset(("authorization", "host", "sesame-timeout-s"))
+
+
+@implementer(IPushProducer)
+class _Backpressure:
+    """Pauses a generation while its caller's connection is full."""
+
+    def __init__(self, generation):
+        self._generation = generation
+
+    def pauseProducing(self):
+        self._generation.pause()
+
+    def resumeProducing(self):
+        self._generation.resume()
+
+    def stopProducing(self):
+        self._generation.caller_left()
+
+
+class Gateway:
+    """Serve callers.
+
+    Parameters
+    ----------
+    board : Blackboard
+    directory : Directory
+    tools : GenerationTools
+    calls : CallRunner
+    limits : LimitSettings
+    """
+
+    app = Klein()
+
+    def __init__(self, board, directory, tools, calls, limits):
+        self._board = board
+        self._directory = directory
+        self._tools = tools
+        self._calls = calls
+        self._limits = limits
+        self._operations = 0
+        self.generations = set()
+
+    @property
+    def in_flight(self):
+        """Number of requests that have no final answer yet."""
+        return len(self.generations) + self._operations
+
+    def sweep(self):
+        """Let each generation find its stalls; called regularly."""
+        now_s = self._tools.clock.seconds()
+        for generation in list(self.generations):
+            generation.check(now_s)
+
+    def hand_over(self):
+        """End every generation on its cursor."""
+        for generation in list(self.generations):
+            generation.hand_over()
+
+    def _refuse(self, request, problem):
+        self._board.counters.refusals += 1
+        send_problem(request, problem)
+
+    def _admit(self, request, in_flight, limit):
+        """Return the organisation, or None after refusing."""
+        self._board.counters.requests += 1
+        if self._board.drain.value.refusing:
+            self._refuse(request, Problem(ErrorKind.DRAINING))
+            return None
+        found = self._directory.organisation(request.getHeader("Authorization"))
+        if found.is_err():
+            self._refuse(request, found.unwrap_err())
+            return None
+        if in_flight >= limit:
+            self._refuse(request, Problem(ErrorKind.OVERLOADED, "router is full"))
+            return None
+        return found.unwrap()
+
+    def _deadline_s(self, request, service):
+        now_s = self._tools.clock.seconds()
+        try:
+            asked_s = float(request.getHeader("Sesame-Timeout-S"))
+        except (TypeError, ValueError):
+            return now_s + service.timeout_s
+        return now_s + min(max(asked_s, 0), service.timeout_s)
+
+    @app.route("/v1/models", methods=["GET"])
+    def models(self, request):
+        """List the models."""
+        organisation = self._admit(request, 0, 1)
+        if organisation is None:
+            return None
+        request.setHeader("Content-Type", "application/json")
+        return _encode_models(self._directory.models())
+
+    # Generations
+
+    @app.route("/v1/chat/completions", methods=["POST"])
+    def complete(self, request):
+        """Start a generation, or go on with one by its cursor."""
+        limit = self._limits.generations
+        organisation = self._admit(request, len(self.generations), limit)
+        if organisation is None:
+            return None
+        parsed = parse_body(request.content.read())
+        if parsed.is_err():
+            return self._refuse(request, parsed.unwrap_err())
+        found = self._directory.engine_service(parsed.unwrap().body.model)
+        if found.is_err():
+            return self._refuse(request, found.unwrap_err())
+        return self._generate(request, organisation, parsed.unwrap(), found.unwrap())
+
+    def _generate(self, request, organisation, parsed, service):
+        position = self._position(request, organisation, parsed, service)
+        if position.is_err():
+            return self._refuse(request, position.unwrap_err())
+        position = position.unwrap()
+        order = self._order(request, organisation, parsed, service, position)
+        done = Deferred()
+        sink_type = EventSink if parsed.body.stream else WholeSink
+        sink = sink_type(request, order.request_id, parsed.body.model, done)
+        generation = Generation(order, self._tools, sink, self._ended)
+        self.generations.add(generation)
+        request.notifyFinish().addErrback(lambda _: generation.caller_left())
+        if parsed.body.stream:
+            request.registerProducer(_Backpressure(generation), True)
+            done.addCallback(lambda _: request.unregisterProducer())
+        if position is None:
+            generation.start()
+        else:
+            generation.go_on(position, parsed.body.sesamearch.delivered)
+        return done
+
+    def _position(self, request, organisation, parsed, service):
+        """Return ``Result[Position | None, Problem]``."""
+        event_id = request.getHeader("Last-Event-ID")
+        if not event_id:
+            return _NO_POSITION
+        if not parsed.body.stream:
+            return Err(Problem(ErrorKind.BAD_CURSOR, "only a stream can go on"))
+        read = self._tools.signer.read(event_id.encode(), organisation)
+        return read.and_then(lambda position: _matching(position, parsed, service))
+
+    def _order(self, request, organisation, parsed, service, position):
+        if position is None:
+            request_id = secrets.token_hex(REQUEST_ID_BYTES)
+            seed = parsed.body.seed
+            if seed is None:
+                seed = secrets.randbelow(MAX_SEED)
+        else:
+            request_id, seed = position.cursor.request_id, position.cursor.seed
+        return GenerationRequest(
+            request_id,
+            organisation,
+            service,
+            choose_version(service, request_id),
+            parsed.parameters,
+            parsed.digest,
+            seed,
+            parsed.body.token_limit(service.max_tokens),
+            self._deadline_s(request, service),
+            request.getHeader("traceparent") or "",
+        )
+
+    def _ended(self, generation):
+        self.generations.discard(generation)
+
+    # Plain services
+
+    @app.route(
+        "/services/<service>/<path:path>",
+        methods=["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"],
+    )
+    def call(self, request, service, path):
+        """Route a call of a plain service."""
+        limit = self._limits.operations
+        organisation = self._admit(request, self._operations, limit)
+        if organisation is None:
+            return None
+        found = self._directory.plain_service(service)
+        if found.is_err():
+            return self._refuse(request, found.unwrap_err())
+        method = request.method.decode()
+        call = found.unwrap().find_call(method, f"/{path}")
+        if call is None:
+            problem = Problem(ErrorKind.UNKNOWN_CALL, f"{method} /{path}"[:200])
+            return self._refuse(request, problem)
+        self._operations += 1
+        # The caller's leaving cancels what is returned here, never the call.
+        answered = Deferred()
+        outcome = self._start_call(request, found.unwrap(), call)
+        outcome.addCallback(self._answer_call, request, answered)
+        return answered
+
+    def _start_call(self, request, service, call):
+        outgoing = _to_plain_request(request)
+        version = choose_version(service, secrets.token_hex(REQUEST_ID_BYTES))
+        deadline_s = self._deadline_s(request, service)
+        if call.retry == "idempotent":
+            return self._calls.run_idempotent(service, version, outgoing, deadline_s)
+        return self._calls.run_once(service, version, outgoing, deadline_s)
+
+    def _answer_call(self, outcome, request, answered):
+        self._operations -= 1
+        if not answered.called:
+            self._write_answer(outcome, request)
+            answered.callback(None)
+
+    def _write_answer(self, outcome, request):
+        if outcome.is_err():
+            self._refuse(request, outcome.unwrap_err())
+            return
+        reply = outcome.unwrap()
+        request.setResponseCode(reply.status)
+        for name, value in reply.headers:
+            request.responseHeaders.addRawHeader(name, value)
+        request.write(reply.body)
+
+
+def _matching(position, parsed, service):
+    cursor = position.cursor
+    if cursor.body_digest != parsed.digest or cursor.service != service.service:
+        return Err(Problem(ErrorKind.BAD_CURSOR, "it belongs to another request"))
+    return Ok(position)
+
+
+def _to_plain_request(request):
+    headers = [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, values in request.requestHeaders.getAllRawHeaders()
+        for value in values
+        if name.lower().decode("latin-1") not in HOP_BY_HOP_HEADERS | _OWN_HEADERS
+    ]
+    # The path as it came, so that nothing is decoded and encoded again.
+    path = b"/" + request.uri.split(b"/", 3)[3]
+    method = request.method.decode()
+    return PlainRequest(method, path.decode("ascii"), headers, request.content.read())
+
+
+class _Model(msgspec.Struct):
+    id: str
+    object: str = "model"
+
+
+class _ModelList(msgspec.Struct):
+    data: list[_Model]
+    object: str = "list"
+
+
+def _encode_models(names):
+    return msgspec.json.encode(_ModelList([_Model(name) for name in names]))
+
+
+_NO_POSITION = Ok(None)
--- /dev/null
+++ b/src/sesamearch/http.py
@@ -0,0 +1,58 @@
+"""The HTTP client that every outgoing adapter shares."""
+
+from http.cookiejar import CookieJar, DefaultCookiePolicy
+
+from treq.client import HTTPClient
+from twisted.protocols.basic import LineOnlyReceiver
+from twisted.web.client import Agent, HTTPConnectionPool
+
+__all__ = ["FrameReceiver", "make_http_client"]
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTIONS_PER_HOST = 64
+MAX_FRAME_BYTES = 4 << 20
+
+
+def make_http_client(reactor, connect_timeout_s=CONNECT_TIMEOUT_S, persistent=True):
+    """Return a ``treq`` client.
+
+    Parameters
+    ----------
+    reactor : twisted.internet.interfaces.IReactorCore
+    connect_timeout_s : float
+    persistent : bool
+        Whether idle connections are kept. Requests that may run at most once
+        need fresh ones: a kept connection's retry rules are the library's.
+    """
+    pool = HTTPConnectionPool(reactor, persistent=persistent)
+    pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_HOST
+    pool.retryAutomatically = False
+    agent = Agent(reactor, connectTimeout=connect_timeout_s, pool=pool)
+    # The client would otherwise send one caller's cookies with another's call.
+    no_cookies = CookieJar(policy=DefaultCookiePolicy(allowed_domains=[]))
+    return HTTPClient(agent, cookiejar=no_cookies)
+
+
+class FrameReceiver(LineOnlyReceiver):
+    """Split a streamed body at a delimiter.
+
+    Parameters
+    ----------
+    delimiter : bytes
+        What ends a frame.
+    take_frame : callable
+        Called with each frame, as bytes.
+    take_end : callable
+        Called once when the body ends, whole or not.
+    """
+
+    MAX_LENGTH = MAX_FRAME_BYTES
+
+    def __init__(self, delimiter, take_frame, take_end):
+        self.delimiter = delimiter
+        self.lineReceived = take_frame
+        self._take_end = take_end
+
+    def connectionLost(self, reason):
+        """Tell that the body ended."""
+        self._take_end()
--- /dev/null
+++ b/src/sesamearch/http_engine.py
@@ -0,0 +1,201 @@
+"""Engines over the OpenAI-compatible protocol, streamed as events."""
+
+import msgspec
+from twisted.internet.defer import CancelledError
+
+from sesamearch.engine import EngineClient, EngineStream, StreamEnd, StreamEvent
+from sesamearch.http import FrameReceiver, make_http_client
+
+__all__ = ["HttpEngineClient"]
+
+STATUS_GONE = (404, 410)
+STATUS_INVALID = (400, 413, 422)
+STATUS_REFUSED = (429, 503)
+MAX_DETAIL_BYTES = 2000
+_EVENT_DELIMITER = b"\n\n"
+_JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice]
+    system_fingerprint: str = ""
+    token_count: int = 1
+
+
+class _Continuation(msgspec.Struct):
+    """Extension member of the request that engines which resume understand."""
+
+    request_id: str
+    stream_id: str
+    prefix: str
+    prefix_tokens: int
+
+
+_decode_chunk = msgspec.json.Decoder(_Chunk).decode
+_encode = msgspec.json.encode
+
+
+def _encode_order(order):
+    body = dict(order.parameters)
+    body["stream"] = True
+    body["seed"] = order.seed
+    body["max_tokens"] = order.max_tokens
+    body["sesamearch"] = _Continuation(
+        order.request_id, order.stream_id, order.prefix, order.prefix_tokens
+    )
+    return _encode(body)
+
+
+class _HttpEngineStream(EngineStream):
+    """One attempt's response, from its request on."""
+
+    __slots__ = ("_body", "_is_paused", "_receiver", "_request")
+
+    def __init__(self, receiver):
+        self._receiver = receiver
+        self._body = None
+        self._request = None
+        self._is_paused = False
+
+    def begin(self, request):
+        """Wait for the response to `request`, a Deferred."""
+        self._request = request
+        request.addCallbacks(self._take_response, self._take_failure)
+        request.addErrback(self._take_failure)
+
+    def _take_response(self, response):
+        self._request = None
+        if self._receiver is None:
+            return None
+        if response.code == 200:
+            self._body = FrameReceiver(
+                _EVENT_DELIMITER, self._take_frame, self._take_body_end
+            )
+            response.deliverBody(self._body)
+            if self._is_paused:
+                self.pause()
+            return None
+        return response.text().addCallback(self._take_error, response.code)
+
+    def _take_error(self, detail, status):
+        if status in STATUS_INVALID:
+            self._finish(StreamEnd.INVALID, detail[:MAX_DETAIL_BYTES])
+        elif status in STATUS_GONE:
+            self._finish(StreamEnd.GONE, detail[:MAX_DETAIL_BYTES])
+        elif status in STATUS_REFUSED:
+            self._finish(StreamEnd.REFUSED, detail[:MAX_DETAIL_BYTES])
+        else:
+            self._finish(StreamEnd.LOST, f"status {status}")
+
+    def _take_failure(self, failure):
+        self._request = None
+        if not failure.check(CancelledError):
+            self._finish(StreamEnd.LOST, failure.getErrorMessage())
+
+    def _take_frame(self, frame):
+        if self._receiver is None:
+            return
+        try:
+            event = _parse_event(frame)
+        except (ValueError, msgspec.DecodeError):
+            self._finish(StreamEnd.LOST, "malformed event")
+            return
+        if event is not None:
+            self._receiver.event(event)
+
+    def _take_body_end(self):
+        self._finish(StreamEnd.LOST, "stream ended early")
+
+    def _finish(self, reason, detail):
+        receiver = self._receiver
+        self.detach()
+        if receiver is not None:
+            receiver.ended(reason, detail)
+
+    def pause(self):
+        self._is_paused = True
+        if self._body is not None and self._body.transport is not None:
+            self._body.transport.pauseProducing()
+
+    def resume(self):
+        self._is_paused = False
+        if self._body is not None and self._body.transport is not None:
+            self._body.transport.resumeProducing()
+
+    def detach(self):
+        self._receiver = None
+        if self._request is not None:
+            request, self._request = self._request, None
+            request.cancel()
+        if self._body is not None:
+            body, self._body = self._body, None
+            if body.transport is not None:
+                body.transport.loseConnection()
+
+
+def _parse_event(frame):
+    """Return the :class:`StreamEvent` of one server-sent event, or None."""
+    index, data = 0, b""
+    for line in frame.split(b"\n"):
+        field, _, value = line.partition(b": ")
+        if field == b"id":
+            index = int(value)
+        elif field == b"data":
+            data = value
+    if not data or data == b"[DONE]":
+        return None
+    chunk = _decode_chunk(data)
+    choice = chunk.choices[0]
+    if choice.finish_reason is not None:
+        version = chunk.system_fingerprint
+        return StreamEvent(index, 0, "", version, choice.finish_reason)
+    text = choice.delta.content
+    if not text:
+        return None
+    return StreamEvent(index, chunk.token_count, text, chunk.system_fingerprint)
+
+
+class HttpEngineClient(EngineClient):
+    """Talk to engines over HTTP.
+
+    Parameters
+    ----------
+    reactor : twisted.internet.interfaces.IReactorCore
+    connect_timeout_s : float
+    """
+
+    __slots__ = ("_http",)
+
+    def __init__(self, reactor, connect_timeout_s=1.0):
+        self._http = make_http_client(reactor, connect_timeout_s, persistent=False)
+
+    def open(self, endpoint, order, receiver):
+        """Start an attempt."""
+        url = f"http://{endpoint.address}/v1/chat/completions"
+        stream = _HttpEngineStream(receiver)
+        body, headers = _encode_order(order), dict(_JSON_HEADERS)
+        if order.traceparent:
+            headers["traceparent"] = order.traceparent
+        stream.begin(self._http.post(url, data=body, headers=headers, unbuffered=True))
+        return stream
+
+    def attach(self, endpoint, stream_id, index, receiver):
+        """Re-attach to a live attempt."""
+        url = f"http://{endpoint.address}/v1/streams/{stream_id}?from={index}"
+        stream = _HttpEngineStream(receiver)
+        stream.begin(self._http.get(url, unbuffered=True))
+        return stream
+
+    def cancel(self, endpoint, stream_id):
+        """Ask the engine to stop an attempt."""
+        url = f"http://{endpoint.address}/v1/streams/{stream_id}"
+        self._http.delete(url).addErrback(lambda failure: None)
--- /dev/null
+++ b/src/sesamearch/operators_port.py
@@ -0,0 +1,127 @@
+"""What operators and the platform's balancer reach: health, status, metrics."""
+
+import msgspec
+from klein import Klein
+
+__all__ = ["OperatorsPort", "RouterStatus"]
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """Another router, as this one sees it."""
+
+    name: str
+    data_centre: str
+    configuration_revision: int
+    draining: bool
+    silent_s: float
+
+
+class RouterStatus(msgspec.Struct, frozen=True):
+    """State of one router, as ``sesamearch status`` shows it.
+
+    Parameters
+    ----------
+    name, data_centre : str
+    configuration_revision : int
+    store_is_current : bool
+        Whether the store is being followed; without it the last known state
+        stays in force.
+    draining : bool
+    in_flight : int
+        Requests without a final answer.
+    endpoints_live, endpoints_leaving : int
+    members : list of MemberStatus
+    counters : dict from str to int
+    """
+
+    name: str
+    data_centre: str
+    configuration_revision: int
+    store_is_current: bool
+    draining: bool
+    in_flight: int
+    endpoints_live: int
+    endpoints_leaving: int
+    members: list[MemberStatus]
+    counters: dict[str, int]
+
+
+class OperatorsPort:
+    """Serve health, readiness, status and metrics.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+    board : Blackboard
+    gateway : Gateway
+    follower : Follower
+        Tells whether the store is being followed.
+    metrics : MetricsExport
+    clock : object with ``seconds()``
+    """
+
+    app = Klein()
+
+    def __init__(self, settings, board, gateway, follower, metrics, clock):
+        self._settings = settings
+        self._board = board
+        self._gateway = gateway
+        self._follower = follower
+        self._metrics = metrics
+        self._clock = clock
+
+    @app.route("/healthz", methods=["GET"])
+    def health(self, request):
+        """Answer while the process works."""
+        return "ok\n"
+
+    @app.route("/readyz", methods=["GET"])
+    def ready(self, request):
+        """Answer 200 while the balancer should send requests."""
+        if self._board.drain.value.draining:
+            request.setResponseCode(503)
+            return "draining\n"
+        if self._board.configuration.value.revision == 0:
+            request.setResponseCode(503)
+            return "no configuration\n"
+        return "ready\n"
+
+    @app.route("/metrics", methods=["GET"])
+    def metrics(self, request):
+        """Give the Prometheus text."""
+        request.setHeader("Content-Type", "text/plain; version=0.0.4")
+        return self._metrics.render()
+
+    @app.route("/status", methods=["GET"])
+    def status(self, request):
+        """Give the :class:`RouterStatus`."""
+        request.setHeader("Content-Type", "application/json")
+        return msgspec.json.encode(self._status())
+
+    def _status(self):
+        board, now_s = self._board, self._clock.seconds()
+        endpoints = board.endpoints.value.values()
+        leaving = sum(endpoint.leaving for endpoint in endpoints)
+        members = [
+            MemberStatus(
+                member.name,
+                member.data_centre,
+                member.configuration_revision,
+                member.draining,
+                round(now_s - member.heard_s, 3),
+            )
+            for member in board.members.value.values()
+        ]
+        counters = board.counters
+        return RouterStatus(
+            self._settings.name,
+            self._settings.data_centre,
+            board.configuration.value.revision,
+            self._follower.is_current,
+            board.drain.value.draining,
+            self._gateway.in_flight,
+            len(endpoints) - leaving,
+            leaving,
+            members,
+            {name: getattr(counters, name) for name in counters.__slots__},
+        )
--- /dev/null
+++ b/src/sesamearch/peer.py
@@ -0,0 +1,318 @@
+"""The link between routers: heartbeats and the configuration, over CURVE."""
+
+import time
+
+import msgspec
+import zmq
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReadDescriptor
+from twisted.internet.task import LoopingCall
+from zmq.auth.base import Authenticator
+from zope.interface import implementer
+
+from sesamearch.blackboard import Member
+from sesamearch.configuration import Configuration
+from sesamearch.log import logger
+
+__all__ = ["ConfigurationNews", "ConfigurationWanted", "Heartbeat", "PeerLink"]
+
+MEMBER_TIMEOUT_S = 5.0
+SEND_QUEUE_MESSAGES = 100
+SCHEMA_VERSION = 1
+_ZAP_DOMAIN = "sesamearch"
+
+
+class Heartbeat(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """A router's own state, sent at each interval and at each change.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; others are dropped.
+    name, data_centre, address : str
+    incarnation : int
+        Start time of the process in ns: a restarted VM is not its predecessor.
+    configuration_revision : int
+    draining : bool
+    known : list of str
+        Peer addresses that the sender knows.
+    """
+
+    schema_version: int
+    name: str
+    data_centre: str
+    address: str
+    incarnation: int
+    configuration_revision: int
+    draining: bool
+    known: list[str]
+
+
+class ConfigurationWanted(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Asks for a configuration newer than `revision`."""
+
+    schema_version: int
+    address: str
+    revision: int
+
+
+class ConfigurationNews(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Carries a configuration in its stored form."""
+
+    schema_version: int
+    value: bytes
+
+
+_Message = Heartbeat | ConfigurationWanted | ConfigurationNews
+_decode = msgspec.msgpack.Decoder(_Message).decode
+
+
+class _TrustedKeys:
+    """Tells the library's authenticator which public keys may connect."""
+
+    def __init__(self, keys):
+        self._keys = frozenset(keys)
+        self.refused = 0
+
+    def callback(self, domain, key):
+        """Return whether a connection with this Z85 `key` is let in."""
+        is_known = zmq.utils.z85.encode(key).decode() in self._keys
+        self.refused += not is_known
+        return is_known
+
+
+@implementer(IReadDescriptor)
+class _SocketReader:
+    """Reads a socket of the library from the reactor."""
+
+    def __init__(self, reactor, socket, take):
+        self._reactor = reactor
+        self._socket = socket
+        self._take = take
+        reactor.addReader(self)
+
+    def fileno(self):
+        """Return the descriptor that becomes readable on any event."""
+        return self._socket.getsockopt(zmq.FD)
+
+    def logPrefix(self):
+        """Return the name used in the reactor's logs."""
+        return "zmq"
+
+    def doRead(self):
+        """Read all there is: the descriptor only tells of new events."""
+        while self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            self._take(self._socket.recv_multipart(zmq.NOBLOCK))
+
+    def connectionLost(self, reason):
+        """Do nothing: the link closes its sockets itself."""
+
+    def stop(self):
+        """Stop reading."""
+        self._reactor.removeReader(self)
+
+
+class PeerLink:
+    """Exchange heartbeats and configurations with the other routers.
+
+    Parameters
+    ----------
+    reactor : twisted.internet.interfaces.IReactorCore
+    settings : RouterSettings
+        Its ``peer`` section is set.
+    keys : PeerKeys
+    board : Blackboard
+    """
+
+    def __init__(self, reactor, settings, keys, board):
+        self._reactor = reactor
+        self._settings = settings
+        self._peer = settings.peer
+        self._keys = keys
+        self._board = board
+        self._incarnation = time.time_ns()
+        self._context = zmq.Context()
+        self._sockets = {}
+        self._trusted = _TrustedKeys(keys.trusted)
+        self._ticker = LoopingCall(self._tick)
+        self._ticker.clock = reactor
+        self._readers = []
+        self._authenticator = None
+        self._inbox = None
+
+    def start(self):
+        """Listen, connect to the seeds and begin to send heartbeats."""
+        self._start_authenticator()
+        self._inbox = self._make_socket(zmq.PULL)
+        self._inbox.curve_server = True
+        self._inbox.zap_domain = _ZAP_DOMAIN.encode()
+        self._inbox.bind(f"tcp://{self._peer.listen}")
+        self._read(self._inbox, self._take)
+        self._board.configuration.listen(lambda _: self._send_heartbeats())
+        self._board.drain.listen(lambda _: self._send_heartbeats())
+        for address in self._peer.seeds:
+            self._connect(address)
+        self._ticker.start(self._peer.heartbeat_interval_s)
+
+    def _start_authenticator(self):
+        self._authenticator = Authenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(_ZAP_DOMAIN, self._trusted)
+        self._read(self._authenticator.zap_socket, self._authenticate)
+
+    def _authenticate(self, parts):
+        handled = self._authenticator.handle_zap_message(parts)
+        Deferred.fromCoroutine(handled).addErrback(
+            lambda failure: logger.error("peer check failed: {}", failure.value)
+        )
+
+    def _read(self, socket, take):
+        reader = _SocketReader(self._reactor, socket, take)
+        self._readers.append(reader)
+        # What arrived before the reader was added raises no new event.
+        self._reactor.callLater(0, reader.doRead)
+
+    def _make_socket(self, kind):
+        socket = self._context.socket(kind)
+        socket.linger = 0
+        socket.sndhwm = socket.rcvhwm = SEND_QUEUE_MESSAGES
+        socket.curve_publickey = self._keys.public_key.encode()
+        socket.curve_secretkey = self._keys.secret_key.encode()
+        return socket
+
+    def _connect(self, address):
+        if address in self._sockets or address == self._peer.listen:
+            return
+        socket = self._make_socket(zmq.PUSH)
+        socket.curve_serverkey = self._keys.public_key.encode()
+        socket.immediate = 1
+        socket.connect(f"tcp://{address}")
+        self._sockets[address] = socket
+
+    def _disconnect(self, address):
+        self._sockets.pop(address).close()
+
+    def _tick(self):
+        for reader in self._readers:
+            reader.doRead()
+        self._forget_silent()
+        self._send_heartbeats()
+
+    def _forget_silent(self):
+        now_s = self._reactor.seconds()
+        members = self._board.members.value
+        heard = {
+            name: member
+            for name, member in members.items()
+            if now_s - member.heard_s < MEMBER_TIMEOUT_S
+        }
+        if len(heard) == len(members):
+            return
+        for name in members.keys() - heard.keys():
+            logger.info("member silent name={}", name)
+            address = members[name].address
+            if address not in self._peer.seeds and address in self._sockets:
+                self._disconnect(address)
+        self._board.members.write(heard)
+
+    def _heartbeat(self):
+        return Heartbeat(
+            SCHEMA_VERSION,
+            self._settings.name,
+            self._settings.data_centre,
+            self._peer.listen,
+            self._incarnation,
+            self._board.configuration.value.revision,
+            self._board.drain.value.draining,
+            [member.address for member in self._board.members.value.values()],
+        )
+
+    def _send_heartbeats(self):
+        message = self._heartbeat()
+        for address in list(self._sockets):
+            self._send(address, message)
+
+    def _send(self, address, message):
+        socket = self._sockets.get(address)
+        if socket is None:
+            return
+        try:
+            socket.send(msgspec.msgpack.encode(message), zmq.NOBLOCK)
+        except zmq.Again:
+            # A peer that cannot be reached gets the next heartbeat instead.
+            pass
+
+    def _take(self, parts):
+        try:
+            message = _decode(parts[0])
+        except msgspec.DecodeError:
+            logger.warning("peer message unreadable")
+            return
+        if message.schema_version != SCHEMA_VERSION:
+            return
+        if isinstance(message, Heartbeat):
+            self._take_heartbeat(message)
+        elif isinstance(message, ConfigurationWanted):
+            self._take_wanted(message)
+        else:
+            self._take_news(message)
+
+    def _take_heartbeat(self, message):
+        members = self._board.members.value
+        known = members.get(message.name)
+        if known is not None and known.incarnation > message.incarnation:
+            return
+        if known is None or known.incarnation < message.incarnation:
+            logger.info("member joined name={}", message.name)
+        member = Member(
+            message.name,
+            message.data_centre,
+            message.address,
+            message.incarnation,
+            message.configuration_revision,
+            message.draining,
+            self._reactor.seconds(),
+        )
+        self._board.members.write({**members, message.name: member})
+        self._connect(message.address)
+        for address in message.known:
+            self._connect(address)
+        own_revision = self._board.configuration.value.revision
+        if message.configuration_revision > own_revision:
+            wanted = ConfigurationWanted(
+                SCHEMA_VERSION, self._peer.listen, own_revision
+            )
+            self._send(message.address, wanted)
+
+    def _take_wanted(self, message):
+        configuration = self._board.configuration.value
+        if configuration.revision > message.revision:
+            news = ConfigurationNews(SCHEMA_VERSION, configuration.to_json())
+            self._send(message.address, news)
+
+    def _take_news(self, message):
+        try:
+            configuration = Configuration.from_json(message.value)
+        except msgspec.DecodeError:
+            logger.warning("configuration from a peer unreadable")
+            return
+        if self._board.accept_configuration(configuration):
+            revision = configuration.revision
+            logger.info("configuration in force revision={} from=peer", revision)
+
+    @property
+    def refused(self):
+        """Int : connections refused because their key is not trusted."""
+        return self._trusted.refused
+
+    def stop(self):
+        """Close the link."""
+        if self._ticker.running:
+            self._ticker.stop()
+        for reader in self._readers:
+            reader.stop()
+        for socket in self._sockets.values():
+            socket.close()
+        self._inbox.close()
+        self._authenticator.stop()
+        self._context.destroy(linger=0)
--- /dev/null
+++ b/src/sesamearch/placement.py
@@ -0,0 +1,136 @@
+"""Choice of the endpoint for an attempt or a call."""
+
+import hashlib
+
+__all__ = ["Placement", "choose_version"]
+
+AVOID_FIRST_S = 1.0
+AVOID_LONGEST_S = 8.0
+_HASH_SPAN = 1 << 64
+
+
+def choose_version(service, request_id):
+    """Choose the version for a request, the same wherever it is asked.
+
+    Parameters
+    ----------
+    service : EngineService or PlainService
+    request_id : str
+
+    Returns
+    -------
+    str
+        Name of a version, by the published shares.
+    """
+    digest = hashlib.blake2b(request_id.encode(), digest_size=8).digest()
+    point_ratio = int.from_bytes(digest, "big") / _HASH_SPAN
+    for version in service.versions:
+        point_ratio -= version.share_ratio
+        if point_ratio < 0:
+            return version.name
+    return max(service.versions, key=lambda version: version.share_ratio).name
+
+
+class _Record:
+    __slots__ = ("avoid_s", "avoid_until_s", "in_flight")
+
+    def __init__(self):
+        self.in_flight = 0
+        self.avoid_s = 0.0
+        self.avoid_until_s = 0.0
+
+
+class Placement:
+    """Choose endpoints by this router's own in-flight counts.
+
+    Endpoints in the router's data centre go first; one that just failed is
+    avoided for a while that doubles with each failure, unless nothing else is
+    left.
+
+    Parameters
+    ----------
+    board : Blackboard
+    data_centre : str
+        The router's own.
+    clock : object with ``seconds()``
+    """
+
+    __slots__ = ("_board", "_by_service", "_clock", "_data_centre", "_records")
+
+    def __init__(self, board, data_centre, clock):
+        self._board = board
+        self._data_centre = data_centre
+        self._clock = clock
+        self._records = {}
+        self._by_service = {}
+        board.endpoints.listen(self._index)
+        self._index(board.endpoints.value)
+
+    def _index(self, endpoints):
+        self._records = {
+            name: self._records.get(name) or _Record() for name in endpoints
+        }
+        self._by_service = {}
+        for endpoint in endpoints.values():
+            key = (endpoint.service, endpoint.version)
+            self._by_service.setdefault(key, []).append(endpoint)
+
+    def choose(self, service_name, version, excluded):
+        """Choose an endpoint of one version.
+
+        Parameters
+        ----------
+        service_name, version : str
+        excluded : set of str
+            Endpoint names not to choose.
+
+        Returns
+        -------
+        Endpoint or None
+        """
+        now_s = self._clock.seconds()
+        candidates = [
+            endpoint
+            for endpoint in self._by_service.get((service_name, version), ())
+            if not endpoint.leaving and endpoint.name not in excluded
+        ]
+        if not candidates:
+            return None
+        return min(candidates, key=lambda endpoint: self._rank(endpoint, now_s))
+
+    def _rank(self, endpoint, now_s):
+        record = self._records[endpoint.name]
+        avoided = record.avoid_until_s > now_s
+        remote = endpoint.data_centre != self._data_centre
+        return avoided, remote, record.in_flight, endpoint.name
+
+    def find(self, name):
+        """Return the :class:`Endpoint` of that name, or None."""
+        return self._board.endpoints.value.get(name)
+
+    def started(self, endpoint):
+        """Count an attempt or call that began."""
+        record = self._records.get(endpoint.name)
+        if record:
+            record.in_flight += 1
+
+    def ended(self, endpoint):
+        """Count an attempt or call that ended."""
+        record = self._records.get(endpoint.name)
+        if record and record.in_flight:
+            record.in_flight -= 1
+
+    def failed(self, endpoint):
+        """Avoid an endpoint for a while."""
+        record = self._records.get(endpoint.name)
+        if record:
+            record.avoid_s = min(
+                max(record.avoid_s * 2, AVOID_FIRST_S), AVOID_LONGEST_S
+            )
+            record.avoid_until_s = self._clock.seconds() + record.avoid_s
+
+    def worked(self, endpoint):
+        """Forget the failures of an endpoint that answered."""
+        record = self._records.get(endpoint.name)
+        if record and record.avoid_s:
+            record.avoid_s = record.avoid_until_s = 0.0
--- /dev/null
+++ b/src/sesamearch/router.py
@@ -0,0 +1,171 @@
+"""The router daemon: puts the parts together and runs until told to stop."""
+
+import signal
+from pathlib import Path
+
+from result import Err, Ok
+from twisted.internet.error import CannotListenError
+from twisted.internet.task import LoopingCall
+
+from sesamearch.blackboard import Blackboard
+from sesamearch.cursor import CursorSigner
+from sesamearch.directory import Directory
+from sesamearch.drain import Drain
+from sesamearch.errors import ErrorKind, Problem
+from sesamearch.etcd import EtcdStore
+from sesamearch.follower import ConfigurationFollower, EndpointFollower
+from sesamearch.gateway import SWEEP_INTERVAL_S, Gateway
+from sesamearch.generation import GenerationTools
+from sesamearch.http_engine import HttpEngineClient
+from sesamearch.http_plain import HttpPlainClient
+from sesamearch.keys import load_peer_keys
+from sesamearch.log import logger
+from sesamearch.metrics import MetricsExport
+from sesamearch.operation import CallRunner
+from sesamearch.operators_port import OperatorsPort
+from sesamearch.peer import PeerLink
+from sesamearch.placement import Placement
+from sesamearch.site import LimitedSite
+
+__all__ = ["Router"]
+
+FLUSH_S = 0.3
+LISTEN_BACKLOG = 1024
+
+
+class Router:
+    """One router process.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : RouterSettings
+    """
+
+    def __init__(self, reactor, settings):
+        self._reactor = reactor
+        self._settings = settings
+        self.board = Blackboard()
+        self._store = EtcdStore(reactor, settings.store)
+        placement = Placement(self.board, settings.data_centre, reactor)
+        secret = Path(settings.cursor_key_file).read_bytes().strip()
+        tools = GenerationTools(
+            HttpEngineClient(reactor),
+            placement,
+            CursorSigner(secret),
+            reactor,
+            self.board.counters,
+        )
+        calls = CallRunner(HttpPlainClient(reactor), placement, reactor)
+        directory = Directory(self.board)
+        self.gateway = Gateway(self.board, directory, tools, calls, settings.limits)
+        self._followers = [
+            ConfigurationFollower(self._store, self.board, reactor),
+            EndpointFollower(self._store, self.board, reactor),
+        ]
+        self._metrics = MetricsExport(self.board, settings.metrics)
+        self._drain = Drain(
+            self.board,
+            self.gateway,
+            settings.drain,
+            reactor,
+            self._stop_listening,
+            self._stop,
+        )
+        self._peers = None
+        self._listeners = []
+        self._sweeper = LoopingCall(self.gateway.sweep)
+
+    def start(self):
+        """Listen and begin to work.
+
+        Returns
+        -------
+        result.Result[None, Problem]
+            ``UNREACHABLE`` if an address cannot be listened on.
+        """
+        if self._settings.peer:
+            keys = load_peer_keys(self._settings.peer.key_file)
+            if keys.is_err():
+                detail = "; ".join(fault.show() for fault in keys.unwrap_err())
+                return Err(Problem(ErrorKind.CONFIGURATION_INVALID, detail))
+            self._peers = PeerLink(
+                self._reactor, self._settings, keys.unwrap(), self.board
+            )
+            self._peers.start()
+        try:
+            self._listen_for_operators()
+            self._listen_for_callers()
+        except CannotListenError as error:
+            return Err(Problem(ErrorKind.UNREACHABLE, str(error)))
+        for follower in self._followers:
+            follower.start()
+        self._sweeper.start(SWEEP_INTERVAL_S)
+        logger.info(
+            "router started name={} listen={}",
+            self._settings.name,
+            self._settings.listen,
+        )
+        return Ok(None)
+
+    def _listen_for_operators(self):
+        port = OperatorsPort(
+            self._settings,
+            self.board,
+            self.gateway,
+            self._followers[0],
+            self._metrics,
+            self._reactor,
+        )
+        site = LimitedSite(port.app.resource(), self._settings.limits, self._reactor)
+        host, number = _split(self._settings.operators_listen)
+        self._reactor.listenTCP(number, site, interface=host)
+
+    def _listen_for_callers(self):
+        resource = self.gateway.app.resource()
+        site = LimitedSite(resource, self._settings.limits, self._reactor)
+        host, number = _split(self._settings.listen)
+        tls = self._settings.tls
+        if tls is None:
+            listener = self._reactor.listenTCP(
+                number, site, backlog=LISTEN_BACKLOG, interface=host
+            )
+        else:
+            # TLS costs memory that a router without it should not pay.
+            from twisted.internet import ssl
+
+            context = ssl.DefaultOpenSSLContextFactory(
+                tls.private_key_file, tls.certificate_file
+            )
+            listener = self._reactor.listenSSL(
+                number, site, context, backlog=LISTEN_BACKLOG, interface=host
+            )
+        self._listeners.append(listener)
+
+    def handle_signals(self):
+        """Drain on SIGTERM and SIGINT, hand over at once on the second."""
+
+        def ask(number, frame):
+            self._reactor.callFromThread(self._drain.ask)
+
+        signal.signal(signal.SIGTERM, ask)
+        signal.signal(signal.SIGINT, ask)
+
+    def _stop_listening(self):
+        for listener in self._listeners:
+            listener.stopListening()
+
+    def _stop(self):
+        for follower in self._followers:
+            follower.stop()
+        self._sweeper.stop()
+        if self._peers is not None:
+            self._peers.stop()
+        self._metrics.stop()
+        # Responses that are complete here still lie in the transports' buffers.
+        self._reactor.callLater(FLUSH_S, self._reactor.stop)
+
+
+def _split(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/sesamearch/settings.py
@@ -0,0 +1,181 @@
+"""Settings of one router process, read once at start."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from result import Err, Ok
+
+from sesamearch.schema import Fault, check, load_yaml
+
+__all__ = [
+    "DrainSettings",
+    "LimitSettings",
+    "PeerSettings",
+    "RouterSettings",
+    "StoreSettings",
+    "TlsSettings",
+    "load_settings",
+]
+
+MIN_SECRET_BYTES = 32
+
+Address = Annotated[str, msgspec.Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$")]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _Section(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Base of every settings section: unknown keys are errors."""
+
+
+class StoreSettings(_Section):
+    """Where the platform's key-value service answers."""
+
+    addresses: Annotated[list[Address], msgspec.Meta(min_length=1)]
+    timeout_s: Positive = 2.0
+
+
+class PeerSettings(_Section):
+    """The link between the routers of the system.
+
+    Parameters
+    ----------
+    listen : str
+        Address for other routers.
+    seeds : list of str
+        Addresses of routers to contact first.
+    key_file : str
+        File made by ``sesamearch keys new``.
+    heartbeat_interval_s : float
+        Time between two heartbeats.
+    """
+
+    listen: Address
+    key_file: str
+    seeds: list[Address] = []
+    heartbeat_interval_s: Positive = 1.0
+
+
+class TlsSettings(_Section):
+    """Certificate shown to callers."""
+
+    certificate_file: str
+    private_key_file: str
+
+
+class LimitSettings(_Section):
+    """What one caller may ask of a router."""
+
+    body_bytes: Annotated[int, msgspec.Meta(gt=0)] = 1 << 20
+    receive_timeout_s: Positive = 10.0
+    generations: Annotated[int, msgspec.Meta(gt=0)] = 2000
+    operations: Annotated[int, msgspec.Meta(gt=0)] = 500
+
+
+class DrainSettings(_Section):
+    """How a router leaves.
+
+    Parameters
+    ----------
+    balancer_grace_s : float
+        Time from "not ready" until new connections are refused.
+    timeout_s : float
+        Time from the signal until generations are handed over by cursor.
+    """
+
+    balancer_grace_s: NotNegative = 3.0
+    timeout_s: Positive = 600.0
+
+
+class RouterSettings(_Section):
+    """Settings of a router.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        Who this router is, and where.
+    listen, operators_listen : str
+        Addresses for callers and for operators.
+    store : StoreSettings
+        The platform's key-value service.
+    cursor_key_file : str
+        File with the secret that signs cursors, the same on every router.
+    peer : PeerSettings or None
+        Link to the other routers.
+    tls : TlsSettings or None
+        Certificate for callers; plain HTTP without it.
+    metrics : str
+        ``prometheus`` or an OTLP/HTTP address.
+    """
+
+    name: Name
+    data_centre: Name
+    listen: Address
+    operators_listen: Address
+    store: StoreSettings
+    cursor_key_file: str
+    peer: PeerSettings | None = None
+    tls: TlsSettings | None = None
+    limits: LimitSettings = LimitSettings()
+    drain: DrainSettings = DrainSettings()
+    metrics: Annotated[
+        str, msgspec.Meta(pattern=r"^(prometheus|none|https?://.*)$")
+    ] = "prometheus"
+    log_level: Annotated[str, msgspec.Meta(pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")] = (
+        "INFO"
+    )
+
+
+def load_settings(path):
+    """Read and check the settings of a router.
+
+    Parameters
+    ----------
+    path : str or pathlib.Path
+        YAML file; files that it names are relative to its folder.
+
+    Returns
+    -------
+    result.Result[RouterSettings, list of Fault]
+    """
+    loaded = load_yaml(path)
+    if loaded.is_err():
+        return loaded
+    checked = check(loaded.unwrap(), RouterSettings, str(path))
+    if checked.is_err():
+        return checked
+    settings = _with_absolute_files(checked.unwrap(), Path(path).resolve().parent)
+    faults = [
+        Fault(str(path), key, "a readable file", name)
+        for key, name in _named_files(settings)
+        if not Path(name).is_file()
+    ]
+    if not faults and Path(settings.cursor_key_file).stat().st_size < MIN_SECRET_BYTES:
+        expected = f"a secret of at least {MIN_SECRET_BYTES} bytes"
+        faults = [Fault(str(path), "$.cursor_key_file", expected, "a shorter one")]
+    return Err(faults) if faults else Ok(settings)
+
+
+def _named_files(settings):
+    yield "$.cursor_key_file", settings.cursor_key_file
+    if settings.peer:
+        yield "$.peer.key_file", settings.peer.key_file
+    if settings.tls:
+        yield "$.tls.certificate_file", settings.tls.certificate_file
+        yield "$.tls.private_key_file", settings.tls.private_key_file
+
+
+def _with_absolute_files(settings, folder):
+    def absolute(section, *fields):
+        if section is None:
+            return None
+        paths = {name: str(folder / getattr(section, name)) for name in fields}
+        return msgspec.structs.replace(section, **paths)
+
+    return msgspec.structs.replace(
+        absolute(settings, "cursor_key_file"),
+        peer=absolute(settings.peer, "key_file"),
+        tls=absolute(settings.tls, "certificate_file", "private_key_file"),
+    )
--- /dev/null
+++ b/src/sesamearch/site.py
@@ -0,0 +1,95 @@
+"""HTTP listeners that cost no other caller anything when one misbehaves."""
+
+from twisted.web.server import Request, Site
+
+from sesamearch.errors import ErrorKind, Problem
+
+__all__ = ["LimitedSite"]
+
+IDLE_TIMEOUT_S = 120.0
+_CRLF = b"\r\n"
+
+
+class _LimitedRequest(Request):
+    """A request whose body must arrive within a size and a time."""
+
+    _timer = None
+    _received_bytes = 0
+    _is_refused = False
+
+    def gotLength(self, length):
+        """Begin to receive; refuse a body that is announced too large."""
+        limits = self.channel.site.limits
+        self._timer = self.channel.site.reactor.callLater(
+            limits.receive_timeout_s, self._refuse, ErrorKind.SLOW_SENDER
+        )
+        if length is not None and length > limits.body_bytes:
+            self._refuse(ErrorKind.BODY_TOO_LARGE)
+            length = 0
+        super().gotLength(length)
+
+    def handleContentChunk(self, data):
+        """Take a piece of the body; refuse one that grows too large."""
+        if self._is_refused:
+            return
+        self._received_bytes += len(data)
+        if self._received_bytes > self.channel.site.limits.body_bytes:
+            self._refuse(ErrorKind.BODY_TOO_LARGE)
+            return
+        super().handleContentChunk(data)
+
+    def _stop_timer(self):
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _refuse(self, kind):
+        if self._is_refused:
+            return
+        self._is_refused = True
+        self._stop_timer()
+        problem = Problem(kind)
+        body = problem.to_json()
+        head = [
+            b"HTTP/1.1 %d %s" % (problem.answer.status, problem.answer.title.encode()),
+            b"Content-Type: application/problem+json",
+            b"Content-Length: %d" % len(body),
+            b"Connection: close",
+        ]
+        if problem.come_back_s is not None:
+            head.append(b"Retry-After: %d" % problem.come_back_s)
+        self.channel.transport.write(_CRLF.join(head) + _CRLF * 2 + body)
+        self.channel.loseConnection()
+
+    def requestReceived(self, command, path, version):
+        """Handle the request, now that it is whole."""
+        self._stop_timer()
+        if not self._is_refused:
+            super().requestReceived(command, path, version)
+
+    def connectionLost(self, reason):
+        """Forget a request whose sender left."""
+        self._stop_timer()
+        super().connectionLost(reason)
+
+
+class LimitedSite(Site):
+    """A site with bounds on the size and duration of a request.
+
+    Parameters
+    ----------
+    resource : twisted.web.resource.Resource
+    limits : LimitSettings
+    reactor : twisted.internet.interfaces.IReactorTime
+    """
+
+    def __init__(self, resource, limits, reactor):
+        super().__init__(
+            resource, requestFactory=_LimitedRequest, timeout=IDLE_TIMEOUT_S
+        )
+        self.displayTracebacks = False
+        self.limits = limits
+        self.reactor = reactor
+
+    def log(self, request):
+        """Write no access log: requests are counted."""
--- /dev/null
+++ b/src/sesamearch/standin_store.py
@@ -0,0 +1,172 @@
+"""Stand-in for the platform's key-value service: etcd's JSON gateway subset."""
+
+import base64
+import json
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from sesamearch.store import Comparison, MemoryStore, Put, WatchReceiver
+
+__all__ = ["StandinStore"]
+
+
+def _bytes(text):
+    return base64.b64decode(text or "")
+
+
+def _text(value):
+    return base64.b64encode(value).decode()
+
+
+def _header(revision):
+    return {"revision": str(revision)}
+
+
+def _kv_json(item):
+    return {
+        "key": _text(item.key),
+        "value": _text(item.value),
+        "mod_revision": str(item.mod_revision),
+        "lease": str(item.lease),
+    }
+
+
+class _WatchWriter(WatchReceiver):
+    """Writes the changes of one watch to its response."""
+
+    def __init__(self, request):
+        self._request = request
+
+    def changed(self, puts, revision):
+        events = []
+        for put in puts:
+            kv = {"key": _text(put.key), "mod_revision": str(revision)}
+            if put.value is None:
+                events.append({"type": "DELETE", "kv": kv})
+            else:
+                kv["value"] = _text(put.value)
+                events.append({"kv": kv})
+        self.write({"header": _header(revision), "events": events})
+
+    def write(self, result):
+        """Write one frame."""
+        self._request.write(json.dumps({"result": result}).encode() + b"\n")
+
+    def ended(self):
+        self._request.finish()
+
+
+class StandinStore:
+    """Serve a :class:`MemoryStore` over HTTP, with switchable faults.
+
+    ``POST /standin/outage`` with ``true`` or ``false`` makes every call fail;
+    ``POST /standin/lost-answers`` with a number makes that many writes take
+    effect while their answer is an error.
+
+    Parameters
+    ----------
+    reactor : twisted.internet.interfaces.IReactorTime
+    items : dict from bytes to bytes
+        Initial content.
+    """
+
+    app = Klein()
+
+    def __init__(self, reactor, items):
+        self.state = MemoryStore(reactor)
+        self.state.txn([], [Put(key, value) for key, value in items.items()])
+        self.calls = 0
+        self._outage = False
+        self._lost_answers = 0
+
+    def _answer(self, request, body):
+        self.calls += 1
+        if self._outage:
+            return self._unavailable(request)
+        request.setHeader("Content-Type", "application/json")
+        return json.dumps(body)
+
+    def _unavailable(self, request):
+        request.setResponseCode(503)
+        return json.dumps({"error": "unavailable", "code": 14})
+
+    @app.route("/v3/kv/range", methods=["POST"])
+    def range(self, request):
+        """Read a prefix."""
+        body = json.load(request.content)
+        reply = self.state.range(_bytes(body["key"]))
+        kvs = [_kv_json(item) for item in reply.items]
+        header = _header(reply.revision)
+        return self._answer(request, {"header": header, "kvs": kvs})
+
+    @app.route("/v3/kv/txn", methods=["POST"])
+    def txn(self, request):
+        """Compare and write."""
+        if self._outage:
+            return self._unavailable(request)
+        body = json.load(request.content)
+        comparisons = [
+            Comparison(_bytes(c["key"]), int(c.get("mod_revision", 0)))
+            for c in body.get("compare", ())
+        ]
+        puts = [self._put(operation) for operation in body.get("success", ())]
+        reply = self.state.txn(comparisons, puts)
+        if self._lost_answers:
+            self._lost_answers -= 1
+            return self._unavailable(request)
+        parts = [{"response_range": {"kvs": [_kv_json(item)]}} for item in reply.found]
+        answer = {"header": _header(reply.revision), "responses": parts}
+        answer["succeeded"] = reply.succeeded
+        return self._answer(request, answer)
+
+    @staticmethod
+    def _put(operation):
+        if "request_delete_range" in operation:
+            return Put(_bytes(operation["request_delete_range"]["key"]), None)
+        put = operation["request_put"]
+        lease = int(put.get("lease", 0))
+        return Put(_bytes(put["key"]), _bytes(put["value"]), lease)
+
+    @app.route("/v3/lease/grant", methods=["POST"])
+    def grant_lease(self, request):
+        """Make a lease."""
+        ttl_s = int(json.load(request.content)["TTL"])
+        lease = self.state.grant_lease(ttl_s)
+        return self._answer(request, {"ID": str(lease), "TTL": str(ttl_s)})
+
+    @app.route("/v3/lease/keepalive", methods=["POST"])
+    def keep_lease(self, request):
+        """Renew a lease."""
+        lease = int(json.load(request.content)["ID"])
+        ttl = "1" if self.state.keep_lease(lease) else "0"
+        return self._answer(request, {"result": {"ID": str(lease), "TTL": ttl}})
+
+    @app.route("/v3/watch", methods=["POST"])
+    def watch(self, request):
+        """Stream changes of a prefix, a JSON frame a line."""
+        if self._outage:
+            return self._unavailable(request)
+        self.calls += 1
+        create = json.load(request.content)["create_request"]
+        writer = _WatchWriter(request)
+        revision = int(create.get("start_revision", self.state.revision + 1)) - 1
+        writer.write({"header": _header(self.state.revision), "created": True})
+        watch = self.state.watch(_bytes(create["key"]), revision, writer)
+        request.notifyFinish().addBoth(lambda _: watch.cancel())
+        return Deferred()
+
+    @app.route("/standin/outage", methods=["POST"])
+    def set_outage(self, request):
+        """Switch the outage on or off."""
+        self._outage = bool(json.load(request.content))
+        if self._outage:
+            for watch in list(self.state.watches):
+                watch.receiver.ended()
+        return "{}"
+
+    @app.route("/standin/lost-answers", methods=["POST"])
+    def set_lost_answers(self, request):
+        """Lose the answers of the next writes."""
+        self._lost_answers = int(json.load(request.content))
+        return "{}"
