Connect by number, so that a refused connection is known at once

Cause: resume after a killed engine took 305 ms in make demo. A probe of a dead port through the client took 305 ms to be refused: the library's hostname endpoint looks at failures only when its 0.3 s timer for a second address has run out. Ruled out: the kernel's teardown (a raw socket was reset at once). Change: TCP endpoints by IP number, which is all that the system ever uses.

--- a/src/sesamearch/http.py
+++ b/src/sesamearch/http.py
@@ -3,8 +3,11 @@
 from http.cookiejar import CookieJar, DefaultCookiePolicy
 
 from treq.client import HTTPClient
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 __all__ = ["FrameReceiver", "make_http_client"]
 
@@ -13,6 +16,24 @@
 MAX_FRAME_BYTES = 4 << 20
 
 
+@implementer(IAgentEndpointFactory)
+class _NumericEndpoints:
+    """Connects to addresses given by number.
+
+    The library's default resolves names and tells of a refused connection only
+    when its timer for a second address has run out, 0.3 s later.
+    """
+
+    def __init__(self, reactor, timeout_s):
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+
+    def endpointForURI(self, uri):
+        """Return the endpoint to connect to."""
+        host = uri.host.decode("ascii")
+        return TCP4ClientEndpoint(self._reactor, host, uri.port, self._timeout_s)
+
+
 def make_http_client(reactor, connect_timeout_s=CONNECT_TIMEOUT_S, persistent=True):
     """Return a ``treq`` client.
 
@@ -27,7 +48,8 @@
     pool = HTTPConnectionPool(reactor, persistent=persistent)
     pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_HOST
     pool.retryAutomatically = False
-    agent = Agent(reactor, connectTimeout=connect_timeout_s, pool=pool)
+    endpoints = _NumericEndpoints(reactor, connect_timeout_s)
+    agent = Agent.usingEndpointFactory(reactor, endpoints, pool)
     # The client would otherwise send one caller's cookies with another's call.
     no_cookies = CookieJar(policy=DefaultCookiePolicy(allowed_domains=[]))
     return HTTPClient(agent, cookiejar=no_cookies)
