Run operations at most once by claims in the platform's store

Cause: plain calls were sent once by one router, but a second router knew nothing of the first; a caller's retry ran a receipt twice. Weighed: shard owners by lease (a paused holder may still send), one key per router incarnation (a dead router then blocks its keys), and create-if-absent claims that are never taken over while their holder may have sent. The last needs neither lease nor clock for safety. Change: claims gathered into one transaction, found again by claim id after a lost answer, outcomes written over their own revision only, replies kept for a repeat. Not yet: tests of faults, writes per operation against load.

--- a/src/sesamearch/errors.py
+++ b/src/sesamearch/errors.py
@@ -47,6 +47,8 @@
     KEY_REUSED = "idempotency-key-reused"
     OPERATION_RUNNING = "operation-running"
     OPERATION_UNKNOWN = "operation-unknown"
+    OPERATION_RAN = "operation-ran"
+    OPERATION_NOT_RUN = "operation-not-run"
     OPERATION_NOT_FOUND = "operation-not-found"
     ENDPOINT_LOST = "endpoint-lost"
     STORE_UNAVAILABLE = "store-unavailable"
@@ -107,6 +109,8 @@
     ),
     ErrorKind.OPERATION_RUNNING: Answer(409, "Still running", Ran.UNKNOWN, 6, 1),
     ErrorKind.OPERATION_UNKNOWN: Answer(502, "Outcome unknown", Ran.UNKNOWN, 6, 2),
+    ErrorKind.OPERATION_RAN: Answer(409, "Already ran", Ran.RAN, 6),
+    ErrorKind.OPERATION_NOT_RUN: Answer(409, "Has not run", Ran.NOT_RUN, 5, 0),
     ErrorKind.OPERATION_NOT_FOUND: Answer(404, "No such operation", Ran.UNKNOWN, 3),
     ErrorKind.ENDPOINT_LOST: Answer(502, "Endpoint lost", Ran.UNKNOWN, 5, 1),
     ErrorKind.STORE_UNAVAILABLE: Answer(503, "Store unavailable", Ran.NOT_RUN, 5, 2),
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -1,6 +1,8 @@
 """What callers reach: completions, models and calls of plain services."""
 
+import hashlib
 import secrets
+import time
 
 import msgspec
 from klein import Klein
@@ -19,6 +21,7 @@
 from sesamearch.errors import ErrorKind, Problem
 from sesamearch.generation import Generation, GenerationRequest
 from sesamearch.http_plain import HOP_BY_HOP_HEADERS
+from sesamearch.operation import OperationRequest, check_key
 from sesamearch.placement import choose_version
 from sesamearch.plain import PlainRequest
 
@@ -26,6 +29,7 @@
 
 SWEEP_INTERVAL_S = 0.05
 REQUEST_ID_BYTES = 12
+FINGERPRINT_BYTES = 16
 _OWN_HEADERS = frozenset(("authorization", "host", "sesame-timeout-s"))
 
 
@@ -55,24 +59,26 @@
     directory : Directory
     tools : GenerationTools
     calls : CallRunner
+    operations : OperationRunner
     limits : LimitSettings
     """
 
     app = Klein()
 
-    def __init__(self, board, directory, tools, calls, limits):
+    def __init__(self, board, directory, tools, calls, operations, limits):
         self._board = board
         self._directory = directory
         self._tools = tools
         self._calls = calls
+        self._operations = operations
         self._limits = limits
-        self._operations = 0
+        self._calls_in_flight = 0
         self.generations = set()
 
     @property
     def in_flight(self):
         """Number of requests that have no final answer yet."""
-        return len(self.generations) + self._operations
+        return len(self.generations) + self._calls_in_flight
 
     def sweep(self):
         """Let each generation find its stalls; called regularly."""
@@ -202,7 +208,7 @@
     def call(self, request, service, path):
         """Route a call of a plain service."""
         limit = self._limits.operations
-        organisation = self._admit(request, self._operations, limit)
+        organisation = self._admit(request, self._calls_in_flight, limit)
         if organisation is None:
             return None
         found = self._directory.plain_service(service)
@@ -213,23 +219,57 @@
         if call is None:
             problem = Problem(ErrorKind.UNKNOWN_CALL, f"{method} /{path}"[:200])
             return self._refuse(request, problem)
-        self._operations += 1
+        if call.retry == "idempotent":
+            outgoing = _to_plain_request(request)
+            version = choose_version(
+                found.unwrap(), secrets.token_hex(REQUEST_ID_BYTES)
+            )
+            deadline_s = self._deadline_s(request, found.unwrap())
+            started = self._calls.run(found.unwrap(), version, outgoing, deadline_s)
+            return self._answer_later(request, started)
+        return self._operate(request, organisation, found.unwrap())
+
+    def _operate(self, request, organisation, service):
+        key = check_key(service, request.getHeader("Idempotency-Key"), time.time())
+        if key.is_err():
+            return self._refuse(request, key.unwrap_err())
+        outgoing = _to_plain_request(request)
+        operation = OperationRequest(
+            service,
+            choose_version(service, key.unwrap()),
+            organisation,
+            key.unwrap(),
+            outgoing,
+            _fingerprint(outgoing),
+            self._deadline_s(request, service),
+        )
+        return self._answer_later(request, self._operations.run(operation))
+
+    @app.route("/operations/<service>", methods=["GET"])
+    def look_up(self, request, service):
+        """Tell what became of the operation with an idempotency key."""
+        limit = self._limits.operations
+        organisation = self._admit(request, self._calls_in_flight, limit)
+        if organisation is None:
+            return None
+        found = self._directory.plain_service(service)
+        if found.is_err():
+            return self._refuse(request, found.unwrap_err())
+        key = request.getHeader("Idempotency-Key")
+        if not key:
+            return self._refuse(request, Problem(ErrorKind.KEY_REQUIRED))
+        looked_up = self._operations.look_up(found.unwrap(), organisation, key)
+        return self._answer_later(request, looked_up)
+
+    def _answer_later(self, request, outcome):
         # The caller's leaving cancels what is returned here, never the call.
+        self._calls_in_flight += 1
         answered = Deferred()
-        outcome = self._start_call(request, found.unwrap(), call)
         outcome.addCallback(self._answer_call, request, answered)
         return answered
 
-    def _start_call(self, request, service, call):
-        outgoing = _to_plain_request(request)
-        version = choose_version(service, secrets.token_hex(REQUEST_ID_BYTES))
-        deadline_s = self._deadline_s(request, service)
-        if call.retry == "idempotent":
-            return self._calls.run_idempotent(service, version, outgoing, deadline_s)
-        return self._calls.run_once(service, version, outgoing, deadline_s)
-
     def _answer_call(self, outcome, request, answered):
-        self._operations -= 1
+        self._calls_in_flight -= 1
         if not answered.called:
             self._write_answer(outcome, request)
             answered.callback(None)
@@ -265,6 +305,13 @@
     return PlainRequest(method, path.decode("ascii"), headers, request.content.read())
 
 
+def _fingerprint(outgoing):
+    hasher = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (outgoing.method.encode(), outgoing.path.encode(), outgoing.body):
+        hasher.update(b"%d:" % len(part) + part)
+    return hasher.hexdigest()
+
+
 class _Model(msgspec.Struct):
     id: str
     object: str = "model"
--- a/src/sesamearch/router.py
+++ b/src/sesamearch/router.py
@@ -8,6 +8,8 @@
 from twisted.internet.task import LoopingCall
 
 from sesamearch.blackboard import Blackboard
+from sesamearch.call import CallRunner
+from sesamearch.claim import ClaimWriter
 from sesamearch.cursor import CursorSigner
 from sesamearch.directory import Directory
 from sesamearch.drain import Drain
@@ -21,7 +23,7 @@
 from sesamearch.keys import load_peer_keys
 from sesamearch.log import logger
 from sesamearch.metrics import MetricsExport
-from sesamearch.operation import CallRunner
+from sesamearch.operation import OperationRunner, OperationTools
 from sesamearch.operators_port import OperatorsPort
 from sesamearch.peer import PeerLink
 from sesamearch.placement import Placement
@@ -56,9 +58,23 @@
             reactor,
             self.board.counters,
         )
-        calls = CallRunner(HttpPlainClient(reactor), placement, reactor)
-        directory = Directory(self.board)
-        self.gateway = Gateway(self.board, directory, tools, calls, settings.limits)
+        plain_client = HttpPlainClient(reactor)
+        operation_tools = OperationTools(
+            plain_client,
+            placement,
+            ClaimWriter(self._store, reactor, self.board.counters),
+            reactor,
+            self.board.counters,
+            settings.name,
+        )
+        self.gateway = Gateway(
+            self.board,
+            Directory(self.board),
+            tools,
+            CallRunner(plain_client, placement, reactor),
+            OperationRunner(operation_tools, self._store),
+            settings.limits,
+        )
         self._followers = [
             ConfigurationFollower(self._store, self.board, reactor),
             EndpointFollower(self._store, self.board, reactor),
