Let peers in: the library gives keys to the callback already encoded

Ruled out: the reactor integration (the check ran). Change: compare as given; Prometheus text without scope labels.

--- a/src/sesamearch/http_plain.py
+++ b/src/sesamearch/http_plain.py
@@ -12,7 +12,7 @@
 
 HOP_BY_HOP_HEADERS = frozenset(
     "connection keep-alive proxy-authenticate proxy-authorization te trailer "
-    "transfer-encoding upgrade content-length content-encoding".split()
+    "transfer-encoding upgrade content-length content-encoding date server".split()
 )
 RAN_HEADER = "Sesame-Ran"
 _NOT_CONNECTED = (ConnectError, DNSLookupError, TimeoutError)
--- a/src/sesamearch/metrics.py
+++ b/src/sesamearch/metrics.py
@@ -36,7 +36,7 @@
             from prometheus_client import generate_latest
 
             self._render = generate_latest
-            return PrometheusMetricReader()
+            return PrometheusMetricReader(True, scope_info_enabled=False)
         from opentelemetry.exporter.otlp.proto.http import metric_exporter
         from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
 
--- a/src/sesamearch/peer.py
+++ b/src/sesamearch/peer.py
@@ -71,12 +71,12 @@
     """Tells the library's authenticator which public keys may connect."""
 
     def __init__(self, keys):
-        self._keys = frozenset(keys)
+        self._keys = frozenset(key.encode() for key in keys)
         self.refused = 0
 
     def callback(self, domain, key):
-        """Return whether a connection with this Z85 `key` is let in."""
-        is_known = zmq.utils.z85.encode(key).decode() in self._keys
+        """Return whether a connection with this key, Z85 as bytes, is let in."""
+        is_known = key in self._keys
         self.refused += not is_known
         return is_known
 
