--- a/src/sesamearch/cli.py
+++ b/src/sesamearch/cli.py
@@ -43,6 +43,7 @@
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     _add_router(commands)
     _add_standin(commands)
+    _add_replay(commands)
     _add_check(commands)
     _add_publish(commands)
     _add_status(commands)
@@ -190,6 +191,42 @@
     return standin.make_store(reactor, options.vms)
 
 
+# Replay
+
+
+def _add_replay(commands):
+    parser = _add(
+        commands,
+        "replay",
+        _run_replay,
+        "Replay a recorded trace through the decision code on a virtual clock. "
+        "Exit status 0 only without violations.",
+        "sesamearch replay traces/engine-killed.jsonl --policy naive --format json",
+    )
+    parser.add_argument("trace", metavar="TRACE")
+    parser.add_argument("--policy", choices=("default", "naive"), default="default")
+    parser.add_argument("--seed", type=int, default=0)
+    _add_format(parser)
+
+
+def _run_replay(options):
+    from sesamearch.replay import replay
+    from sesamearch.trace import load_trace
+
+    loaded = load_trace(options.trace)
+    if loaded.is_err():
+        problem = Problem(ErrorKind.BAD_REQUEST, loaded.unwrap_err())
+        return _show_problem(problem, options.format)
+    report = replay(loaded.unwrap(), options.policy, options.seed)
+    if options.format == "text":
+        for finding in report.findings:
+            print(finding)
+    print(msgspec.json.encode(report).decode())
+    return Problem(ErrorKind.INCOMPLETE_ANSWER).answer.exit_code * (
+        report.violations.total > 0
+    )
+
+
 # Operators
 
 
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import secrets
-import time
 
 import msgspec
 from klein import Klein
@@ -230,7 +229,9 @@
         return self._operate(request, organisation, found.unwrap())
 
     def _operate(self, request, organisation, service):
-        key = check_key(service, request.getHeader("Idempotency-Key"), time.time())
+        key = check_key(
+            service, request.getHeader("Idempotency-Key"), self._tools.clock.seconds()
+        )
         if key.is_err():
             return self._refuse(request, key.unwrap_err())
         outgoing = _to_plain_request(request)
--- a/src/sesamearch/operation.py
+++ b/src/sesamearch/operation.py
@@ -1,6 +1,5 @@
 """Operations: calls of plain services that run at most once."""
 
-import time
 import uuid
 from typing import Protocol
 
@@ -63,6 +62,7 @@
     placement : Placement
     claims : ClaimWriter
     clock : twisted.internet.interfaces.IReactorTime
+        Reads Unix time, as the reactor's does.
     counters : Counters
     router : str
         Name written into claims.
@@ -157,13 +157,12 @@
     async def run(self):
         """Return ``Result[PlainReply, Problem]``."""
         request, claims = self._request, self._tools.claims
-        left_s = request.deadline_s - self._tools.clock.seconds()
         claim = Claim(
             new_claim_id(),
             self._tools.router,
             request.fingerprint,
             ClaimState.CLAIMED,
-            int((time.time() + left_s) * _MS),
+            int(request.deadline_s * _MS),
         )
         retention_s = request.service.key_retention_s
         outcome = await claims.claim(request.key, claim, retention_s)
@@ -180,7 +179,8 @@
             return Err(Problem(ErrorKind.STORE_UNAVAILABLE, "no claim without it"))
         if existing.fingerprint not in ("", self._request.fingerprint):
             return Err(Problem(ErrorKind.KEY_REUSED))
-        return answer_from_claim(existing, self._request.service.service)
+        now_s = self._tools.clock.seconds()
+        return answer_from_claim(existing, self._request.service.service, now_s)
 
     async def _send_until_proved(self, hold):
         """Send, and again elsewhere only while it is proved not to have run."""
@@ -246,9 +246,16 @@
     )
 
 
-def answer_from_claim(claim, service_name):
+def answer_from_claim(claim, service_name, now_s):
     """Return what a claim says about its operation.
 
+    Parameters
+    ----------
+    claim : Claim
+    service_name : str
+    now_s : float
+        Unix time.
+
     Returns
     -------
     result.Result[PlainReply, Problem]
@@ -263,7 +270,7 @@
         return Ok(msgspec.structs.replace(reply, headers=headers))
     if claim.state is ClaimState.NOT_RUN:
         return Err(Problem(ErrorKind.OPERATION_NOT_RUN, retry_after_s=0))
-    if time.time() < claim.expires_ms / _MS + UNKNOWN_AFTER_S:
+    if now_s < claim.expires_ms / _MS + UNKNOWN_AFTER_S:
         again = ask_again_path(service_name)
         return Err(Problem(ErrorKind.OPERATION_RUNNING, ask_again=again))
     return Err(unknown_outcome(service_name))
@@ -336,5 +343,7 @@
             return Err(Problem(ErrorKind.UNREACHABLE, "the store gives no answer"))
         for item in result.unwrap().items:
             if item.key == key:
-                return answer_from_claim(Claim.from_json(item.value), service.service)
+                claim = Claim.from_json(item.value)
+                now_s = self._tools.clock.seconds()
+                return answer_from_claim(claim, service.service, now_s)
         return Err(Problem(ErrorKind.OPERATION_NOT_FOUND))
--- /dev/null
+++ b/src/sesamearch/replay.py
@@ -0,0 +1,429 @@
+"""Replay of a recorded trace: the real decision code on a virtual clock."""
+
+import collections
+import random
+
+import msgspec
+from twisted.internet.task import Clock
+
+from sesamearch.blackboard import Blackboard
+from sesamearch.claim import ClaimWriter
+from sesamearch.configuration import Configuration
+from sesamearch.cursor import CursorSigner
+from sesamearch.drain import Drain
+from sesamearch.fake import (
+    FakeEngine,
+    FakeEngineClient,
+    FakePlainClient,
+    FakeService,
+    FakeStore,
+    Links,
+    Process,
+    StoreFaults,
+)
+from sesamearch.follower import (
+    CONFIGURATION_KEY,
+    VM_PREFIX,
+    ConfigurationFollower,
+    EndpointFollower,
+    VmEntry,
+)
+from sesamearch.gateway import SWEEP_INTERVAL_S
+from sesamearch.generation import Generation, GenerationTools
+from sesamearch.naive import NaiveGeneration, NaiveOperationRunner, NaivePlacement
+from sesamearch.operation import OperationRunner, OperationTools
+from sesamearch.placement import Placement
+from sesamearch.replay_caller import CallCaller, GenerationCaller
+from sesamearch.settings import DrainSettings
+from sesamearch.store import Put
+from sesamearch.trace import CallArrival, Generate
+from sesamearch.verdict import IN_FORCE_BOUND_S, Report, Verdict
+
+__all__ = ["Replay", "replay"]
+
+HEALTH_INTERVAL_S = 1.0
+START_UNIX_S = 1_800_000_000.0
+_SECRET = b"replay" * 8
+_DRAIN = DrainSettings(balancer_grace_s=1.5, timeout_s=20.0)
+
+
+class ReplayRouter:
+    """A router whose adapters are fakes.
+
+    Parameters
+    ----------
+    world : Replay
+    name, data_centre : str
+    """
+
+    def __init__(self, world, name, data_centre):
+        self.world = world
+        self.name = name
+        self.data_centre = data_centre
+        self.process = Process(world.clock, name)
+        self.board = Blackboard()
+        self.generations = set()
+        self.calls = 0
+        self.revisions = []
+        self.board.configuration.listen(self._note_revision)
+        is_naive = world.is_naive
+        self.placement = (
+            NaivePlacement(self.board)
+            if is_naive
+            else Placement(self.board, data_centre, self.process)
+        )
+        self.signer = CursorSigner(_SECRET)
+        self.tools = GenerationTools(
+            FakeEngineClient(self.process, world.links, world.engines),
+            self.placement,
+            self.signer,
+            self.process,
+            self.board.counters,
+        )
+        store = FakeStore(self.process, world.store, world.header.store_latency_s)
+        self.operations = self._make_operations(store)
+        self.followers = [
+            ConfigurationFollower(store, self.board, self.process),
+            EndpointFollower(store, self.board, self.process),
+        ]
+        self.drain = Drain(
+            self.board, self, _DRAIN, self.process, lambda: None, self._stopped
+        )
+
+    def _make_operations(self, store):
+        tools = OperationTools(
+            FakePlainClient(self.process, self.world.links, self.world.services),
+            self.placement,
+            ClaimWriter(store, self.process, self.board.counters),
+            self.process,
+            self.board.counters,
+            self.name,
+        )
+        if self.world.is_naive:
+            return NaiveOperationRunner(tools)
+        return OperationRunner(tools, store)
+
+    def start(self):
+        """Begin to follow the store and to look for stalls."""
+        for follower in self.followers:
+            follower.start()
+        self._sweep()
+
+    def _sweep(self):
+        now_s = self.process.seconds()
+        for generation in list(self.generations):
+            generation.check(now_s)
+        self.process.callLater(SWEEP_INTERVAL_S, self._sweep)
+
+    def _note_revision(self, configuration):
+        self.revisions.append(configuration.revision)
+        self.world.verdict.note_revisions(self.revisions)
+
+    @property
+    def is_ready(self):
+        """Whether the balancer would find it ready."""
+        process = self.process
+        is_well = process.is_alive and not process.is_paused
+        has_configuration = self.board.configuration.value.revision > 0
+        return is_well and has_configuration and not self.board.drain.value.draining
+
+    @property
+    def in_flight(self):
+        """Requests without a final answer."""
+        return len(self.generations) + self.calls
+
+    def hand_over(self):
+        """End every generation on its cursor."""
+        for generation in list(self.generations):
+            generation.hand_over()
+
+    def ask_to_stop(self):
+        """Take SIGTERM; the baseline just ends."""
+        if self.world.is_naive:
+            self._stopped()
+        else:
+            self.drain.ask()
+
+    def _stopped(self):
+        self.world.verdict.note_cut(self.in_flight)
+        self.process.kill(silent=False)
+
+    def generate(self, request, sink, position, delivered):
+        """Start or go on with a generation; return it."""
+        make = NaiveGeneration if self.world.is_naive else Generation
+        generation = make(request, self.tools, sink, self._ended)
+        self.generations.add(generation)
+        if position is None:
+            generation.start()
+        else:
+            generation.go_on(position, delivered)
+        return generation
+
+    def _ended(self, generation):
+        self.generations.discard(generation)
+        self.world.verdict.resume_latency_s += generation.resume_latency_s
+
+    def operate(self, request):
+        """Run an operation."""
+        self.calls += 1
+        return self.operations.run(request).addBoth(self._operated)
+
+    def _operated(self, outcome):
+        self.calls -= 1
+        return outcome
+
+
+class Replay:
+    """One run of a trace.
+
+    Parameters
+    ----------
+    trace : Trace
+    policy : str
+        ``default`` or ``naive``.
+    seed : int
+        Seeds the callers' choices.
+    """
+
+    def __init__(self, trace, policy="default", seed=0):
+        self.header = trace.header
+        self.events = trace.events
+        self.is_naive = policy == "naive"
+        self.random = random.Random(seed)
+        self.clock = Clock()
+        self.clock.rightNow = START_UNIX_S
+        self.links = Links(self.clock, self.header.link_latency_s)
+        self.store = StoreFaults(self.clock)
+        self.verdict = Verdict()
+        self.engines, self.services = {}, {}
+        self.callers = []
+        self.attempts = collections.defaultdict(set)
+        self.routers = {}
+        self.ready = []
+        self._turn = 0
+        self._published = []
+        self._left_s = {}
+        self.configuration = Configuration(services=self.header.services)
+        self._add_endpoints()
+        self._publish()
+        for router in self.header.routers:
+            self._start_router(router.name, router.data_centre)
+
+    # Setting up
+
+    def _add_endpoints(self):
+        engine_services = {s.service for s in self.header.services if _is_engine(s)}
+        for endpoint in self.header.endpoints:
+            process = Process(self.clock, endpoint.name)
+            if endpoint.service in engine_services:
+                engine = FakeEngine(
+                    process,
+                    self.links,
+                    endpoint.version,
+                    endpoint.token_interval_s,
+                    endpoint.prefill_s,
+                    self.note_attempt,
+                )
+                self.engines[endpoint.name] = engine
+            else:
+                service = FakeService(process, endpoint.version, endpoint.work_s)
+                self.services[endpoint.name] = service
+            self._list_vm(endpoint, "live")
+
+    def _list_vm(self, endpoint, state):
+        entry = VmEntry(
+            endpoint.name,
+            endpoint.name,
+            endpoint.data_centre,
+            endpoint.service,
+            endpoint.version,
+            state,
+        )
+        key = VM_PREFIX + endpoint.name.encode()
+        self.store.state.txn([], [Put(key, msgspec.json.encode(entry))])
+
+    def _publish(self):
+        revision = len(self._published) + 1
+        published = msgspec.structs.replace(self.configuration, revision=revision)
+        self._published.append(published)
+        self.store.state.txn([], [Put(CONFIGURATION_KEY, published.to_json())])
+        self.clock.callLater(IN_FORCE_BOUND_S, self._check_in_force, revision)
+
+    def _check_in_force(self, revision):
+        if self.store.is_out:
+            return
+        for router in self.routers.values():
+            if router.is_ready and router.started_s + IN_FORCE_BOUND_S <= self.now_s:
+                in_force = router.board.configuration.value.revision
+                self.verdict.note_in_force(in_force, revision)
+
+    def _start_router(self, name, data_centre):
+        router = ReplayRouter(self, name, data_centre)
+        router.started_s = self.now_s
+        self.routers[name] = router
+        router.start()
+
+    # Running
+
+    @property
+    def now_s(self):
+        """Float : virtual time, a Unix time."""
+        return self.clock.seconds()
+
+    def run(self):
+        """Run to the end and return the :class:`~sesamearch.verdict.Report`."""
+        self._check_health()
+        for event in self.events:
+            self.clock.callLater(event.at_s, self._take, event)
+        end_s = START_UNIX_S + self.header.duration_s
+        while self.now_s < end_s:
+            calls = self.clock.getDelayedCalls()
+            next_s = min((call.getTime() for call in calls), default=end_s)
+            self.clock.advance(max(0.0, min(next_s, end_s) - self.now_s))
+        return self._report()
+
+    def _check_health(self):
+        self.ready = [r for r in self.routers.values() if r.is_ready]
+        self.clock.callLater(HEALTH_INTERVAL_S, self._check_health)
+
+    def new_caller_process(self, name):
+        """Return the process of a caller."""
+        return Process(self.clock, f"caller-{name}")
+
+    def note_attempt(self, version, order):
+        """Note which answers an engine may have given to a request."""
+        caller = order.request_id.rpartition("-")[0]
+        self.attempts[caller].add((version, order.seed))
+
+    def pick_router(self, excluded=None):
+        """Return the balancer's next router, another than `excluded` if it can."""
+        choices = [r for r in self.ready if r is not excluded] or self.ready
+        choices = choices or list(self.routers.values())
+        self._turn += 1
+        return choices[self._turn % len(choices)]
+
+    def _take(self, event):
+        if isinstance(event, Generate):
+            self.callers.append(GenerationCaller(self, event))
+            self.callers[-1].start()
+        elif isinstance(event, CallArrival):
+            self.callers.append(CallCaller(self, event))
+            self.callers[-1].start()
+        else:
+            self.verdict.note_fault(event.what)
+            getattr(self, "_fault_" + event.what.replace("-", "_"))(event)
+
+    def _back_end(self, name):
+        return self.engines.get(name) or self.services.get(name)
+
+    def _process(self, name):
+        if name in self.routers:
+            return self.routers[name].process
+        return self._back_end(name).process
+
+    # Faults
+
+    def _fault_kill(self, event):
+        engine = self.engines.get(event.target)
+        if engine is not None:
+            engine.reset_connections()
+        self._process(event.target).kill(silent=False)
+
+    def _fault_vanish(self, event):
+        self._process(event.target).kill(silent=True)
+
+    def _fault_pause(self, event):
+        self._process(event.target).pause()
+
+    def _fault_return(self, event):
+        self._process(event.target).resume()
+
+    def _fault_cut(self, event):
+        self.links.cut(event.target, event.other)
+
+    def _fault_heal(self, event):
+        self.links.heal(event.target, event.other)
+
+    def _fault_slow(self, event):
+        back_end = self._back_end(event.target)
+        if event.target in self.engines:
+            back_end.token_interval_s *= event.amount
+            back_end.prefill_s *= event.amount
+        else:
+            back_end.work_s *= event.amount
+
+    def _fault_refuse(self, event):
+        self._back_end(event.target).is_refusing = True
+
+    def _fault_leave(self, event):
+        self._left_s[event.target] = self.now_s
+        entry = next(e for e in self.header.endpoints if e.name == event.target)
+        self.clock.callLater(self.header.list_lag_s, self._list_vm, entry, "leaving")
+
+    def _fault_stop(self, event):
+        router = self.routers[event.target]
+        router.process.run(router.ask_to_stop)
+
+    def _fault_start(self, event):
+        old = self.routers[event.target]
+        old.process.kill(silent=False)
+        self._start_router(event.target, old.data_centre)
+
+    def _fault_outage(self, event):
+        self.store.set_out(True)
+
+    def _fault_outage_end(self, event):
+        self.store.set_out(False)
+
+    def _fault_lose_answers(self, event):
+        holder = self.store if event.target == "store" else self._back_end(event.target)
+        holder.lost_answers += int(event.amount)
+
+    def _fault_publish(self, event):
+        self._publish()
+
+    def _fault_stale(self, event):
+        router = self.routers[event.target]
+        stale = self._published[int(event.amount) - 1]
+        if self.is_naive:
+            router.process.run(router.board.configuration.write, stale)
+        else:
+            items = {CONFIGURATION_KEY: stale.to_json()}
+            router.process.run(router.followers[0].take, items)
+
+    # Reporting
+
+    def _report(self):
+        verdict = self.verdict
+        for caller in self.callers:
+            caller.judge(verdict)
+        for name, left_s in self._left_s.items():
+            verdict.note_leaving(left_s, self._back_end(name).starts_s)
+        runs = [key for service in self.services.values() for key in service.runs]
+        verdict.note_runs(runs)
+        generated = sum(engine.generated_tokens for engine in self.engines.values())
+        prefilled = sum(engine.prefilled_tokens for engine in self.engines.values())
+        verdict.note_work(generated + prefilled)
+        return Report.of(self.header.name, len(self.callers), verdict)
+
+
+def _is_engine(service):
+    return hasattr(service, "model")
+
+
+def replay(trace, policy="default", seed=0):
+    """Replay a trace.
+
+    Parameters
+    ----------
+    trace : Trace
+    policy : str
+        ``default``, or ``naive`` for the baseline.
+    seed : int
+
+    Returns
+    -------
+    Report
+        The same for the same arguments.
+    """
+    return Replay(trace, policy, seed).run()
