Test configuration, settings, store, publishing, peers, drain and command line

Found: the engine's and callers' HTTP clients shared one option for kept connections that a store could not close; the pool is now given by whoever keeps connections.

--- a/src/sesamearch/cli.py
+++ b/src/sesamearch/cli.py
@@ -328,7 +328,7 @@
     async def work(reactor):
         from sesamearch.http import make_http_client
 
-        http = make_http_client(reactor, persistent=False)
+        http = make_http_client(reactor)
         asked = [_ask_status(http, address) for address in options.addresses]
         return await gatherResults([Deferred.fromCoroutine(one) for one in asked])
 
--- a/src/sesamearch/client.py
+++ b/src/sesamearch/client.py
@@ -87,7 +87,7 @@
         self._addresses = itertools.cycle(addresses)
         self._api_key = api_key
         self._on_token = on_token
-        self._http = make_http_client(reactor, persistent=False)
+        self._http = make_http_client(reactor)
         self._answer = Answer()
         self._cursor = b""
         self._last_token_s = None
--- a/src/sesamearch/etcd.py
+++ b/src/sesamearch/etcd.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.web.client import HTTPConnectionPool
 
 from sesamearch.errors import ErrorKind
 from sesamearch.http import FrameReceiver, make_http_client
@@ -182,13 +183,14 @@
     settings : StoreSettings
     """
 
-    __slots__ = ("_addresses", "_address", "_http", "_timeout_s")
+    __slots__ = ("_addresses", "_address", "_http", "_pool", "_timeout_s")
 
     def __init__(self, reactor, settings):
         self._addresses = itertools.cycle(settings.addresses)
         self._address = next(self._addresses)
         self._timeout_s = settings.timeout_s
-        self._http = make_http_client(reactor, settings.timeout_s)
+        self._pool = HTTPConnectionPool(reactor)
+        self._http = make_http_client(reactor, settings.timeout_s, self._pool)
 
     def _post(self, path, body, reply_type):
         return Deferred.fromCoroutine(self._call(path, body, reply_type))
@@ -232,6 +234,10 @@
             lambda result: result.map(lambda reply: int(reply.result.TTL) > 0)
         )
 
+    def close(self):
+        """Close idle connections; give a Deferred that fires when they are."""
+        return self._pool.closeCachedConnections()
+
     def watch(self, prefix, revision, receiver):
         """Watch a prefix from after `revision`."""
         create = {
--- a/src/sesamearch/http.py
+++ b/src/sesamearch/http.py
@@ -34,18 +34,19 @@
         return TCP4ClientEndpoint(self._reactor, host, uri.port, self._timeout_s)
 
 
-def make_http_client(reactor, connect_timeout_s=CONNECT_TIMEOUT_S, persistent=True):
+def make_http_client(reactor, connect_timeout_s=CONNECT_TIMEOUT_S, pool=None):
     """Return a ``treq`` client.
 
     Parameters
     ----------
     reactor : twisted.internet.interfaces.IReactorCore
     connect_timeout_s : float
-    persistent : bool
-        Whether idle connections are kept. Requests that may run at most once
-        need fresh ones: a kept connection's retry rules are the library's.
+    pool : twisted.web.client.HTTPConnectionPool or None
+        Keeps idle connections. Without it each request gets a fresh one, as
+        requests must that may run at most once: a kept connection's retry rules
+        are the library's.
     """
-    pool = HTTPConnectionPool(reactor, persistent=persistent)
+    pool = pool or HTTPConnectionPool(reactor, persistent=False)
     pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_HOST
     pool.retryAutomatically = False
     endpoints = _NumericEndpoints(reactor, connect_timeout_s)
--- a/src/sesamearch/http_engine.py
+++ b/src/sesamearch/http_engine.py
@@ -176,7 +176,7 @@
     __slots__ = ("_http",)
 
     def __init__(self, reactor, connect_timeout_s=1.0):
-        self._http = make_http_client(reactor, connect_timeout_s, persistent=False)
+        self._http = make_http_client(reactor, connect_timeout_s)
 
     def open(self, endpoint, order, receiver):
         """Start an attempt."""
--- a/src/sesamearch/http_plain.py
+++ b/src/sesamearch/http_plain.py
@@ -33,7 +33,7 @@
 
     def __init__(self, reactor):
         self._reactor = reactor
-        self._http = make_http_client(reactor, persistent=False)
+        self._http = make_http_client(reactor)
 
     def call(self, endpoint, request, timeout_s):
         """Send once."""
--- a/src/sesamearch/peer.py
+++ b/src/sesamearch/peer.py
@@ -122,9 +122,15 @@
         Its ``peer`` section is set.
     keys : PeerKeys
     board : Blackboard
+
+    Attributes
+    ----------
+    server_key : str
+        Public key that the other routers must show.
     """
 
     def __init__(self, reactor, settings, keys, board):
+        self.server_key = keys.public_key
         self._reactor = reactor
         self._settings = settings
         self._peer = settings.peer
@@ -184,11 +190,16 @@
         if address in self._sockets or address == self._peer.listen:
             return
         socket = self._make_socket(zmq.PUSH)
-        socket.curve_serverkey = self._keys.public_key.encode()
+        socket.curve_serverkey = self.server_key.encode()
         socket.immediate = 1
         socket.connect(f"tcp://{address}")
         self._sockets[address] = socket
 
+    def reconnect(self, address):
+        """Connect anew, with the present server key."""
+        self._disconnect(address)
+        self._connect(address)
+
     def _disconnect(self, address):
         self._sockets.pop(address).close()
 
--- a/src/sesamearch/standin_store.py
+++ b/src/sesamearch/standin_store.py
@@ -157,16 +157,24 @@
         return Deferred()
 
     @app.route("/standin/outage", methods=["POST"])
-    def set_outage(self, request):
+    def switch_outage(self, request):
         """Switch the outage on or off."""
-        self._outage = bool(json.load(request.content))
-        if self._outage:
+        self.set_out(bool(json.load(request.content)))
+        return "{}"
+
+    def set_out(self, is_out):
+        """Begin or end an outage; watches break at its beginning."""
+        self._outage = is_out
+        if is_out:
             for watch in list(self.state.watches):
                 watch.receiver.ended()
-        return "{}"
+
+    def lose_answers(self, count):
+        """Lose the answers of the next `count` writes."""
+        self._lost_answers = count
 
     @app.route("/standin/lost-answers", methods=["POST"])
-    def set_lost_answers(self, request):
+    def switch_lost_answers(self, request):
         """Lose the answers of the next writes."""
-        self._lost_answers = int(json.load(request.content))
+        self.lose_answers(int(json.load(request.content)))
         return "{}"
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,69 @@
+import unittest
+
+from twisted.internet.task import Clock
+
+from sesamearch.blackboard import Blackboard
+from sesamearch.drain import Drain
+from sesamearch.settings import DrainSettings
+
+SETTINGS = DrainSettings(balancer_grace_s=3, timeout_s=60)
+
+
+class BusyGateway:
+    def __init__(self):
+        self.in_flight = 2
+        self.handed_over = 0
+
+    def hand_over(self):
+        self.handed_over += 1
+
+
+class DrainTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.board = Blackboard()
+        self.gateway = BusyGateway()
+        self.events = []
+        self.drain = Drain(
+            self.board,
+            self.gateway,
+            SETTINGS,
+            self.clock,
+            lambda: self.events.append("refuse"),
+            lambda: self.events.append("stop"),
+        )
+
+    def pass_time(self, seconds):
+        self.clock.pump([0.1] * int(seconds * 10 + 1))
+
+    def test_balancer_gets_its_grace(self):
+        self.drain.ask()
+        self.assertTrue(self.board.drain.value.draining)
+        self.pass_time(2.5)
+        self.assertEqual(self.events, [])
+        self.pass_time(1)
+        self.assertEqual(self.events, ["refuse"])
+
+    def test_running_requests_are_waited_for(self):
+        self.drain.ask()
+        self.pass_time(30)
+        self.assertEqual((self.events, self.gateway.handed_over), (["refuse"], 0))
+        self.gateway.in_flight = 0
+        self.pass_time(1)
+        self.assertEqual(self.events, ["refuse", "stop"])
+
+    def test_second_signal_hands_over_at_once(self):
+        self.drain.ask()
+        self.drain.ask()
+        self.drain.ask()
+        self.assertEqual((self.events, self.gateway.handed_over), (["refuse"], 1))
+        self.pass_time(10)
+        self.assertEqual(self.events, ["refuse"])
+        self.gateway.in_flight = 0
+        self.pass_time(1)
+        self.assertEqual(self.events, ["refuse", "stop"])
+
+    def test_timeout_hands_over(self):
+        self.drain.ask()
+        self.pass_time(SETTINGS.timeout_s + 1)
+        self.assertEqual(self.gateway.handed_over, 1)
--- /dev/null
+++ b/tests/test_etcd.py
@@ -0,0 +1,103 @@
+"""The store's binding against the stand-in, over real connections on loopback."""
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.trial.unittest import TestCase
+from twisted.web.server import Site
+
+from sesamearch.configuration import Configuration
+from sesamearch.errors import ErrorKind
+from sesamearch.etcd import EtcdStore
+from sesamearch.follower import CONFIGURATION_KEY
+from sesamearch.publisher import publish, read_configuration
+from sesamearch.settings import StoreSettings
+from sesamearch.standin_store import StandinStore
+from sesamearch.store import Comparison, Put, WatchReceiver
+
+
+class OneChange(WatchReceiver):
+    def __init__(self):
+        self.puts = Deferred()
+
+    def changed(self, puts, revision):
+        self.puts.callback(puts)
+
+    def ended(self):
+        pass
+
+
+class StoreCase(TestCase):
+    def setUp(self):
+        self.standin = StandinStore(reactor, {b"/a/1": b"one"})
+        self.port = reactor.listenTCP(
+            0, Site(self.standin.app.resource()), interface="127.0.0.1"
+        )
+        address = f"127.0.0.1:{self.port.getHost().port}"
+        self.store = EtcdStore(reactor, StoreSettings([address]))
+        self.addCleanup(self.port.stopListening)
+        self.addCleanup(self.store.close)
+
+
+class EtcdStoreTest(StoreCase):
+    async def test_range_txn_and_comparison(self):
+        reply = (await self.store.range(b"/a/")).unwrap()
+        self.assertEqual([item.value for item in reply.items], [b"one"])
+        stale = [Comparison(b"/a/1", 0)]
+        refused = (await self.store.txn(stale, [Put(b"/a/1", b"two")])).unwrap()
+        self.assertFalse(refused.succeeded)
+        self.assertEqual(refused.found[0].value, b"one")
+        fresh = [Comparison(b"/a/1", refused.found[0].mod_revision)]
+        done = (await self.store.txn(fresh, [Put(b"/a/1", None)])).unwrap()
+        self.assertTrue(done.succeeded)
+        self.assertEqual((await self.store.range(b"/a/")).unwrap().items, [])
+
+    async def test_lease(self):
+        lease = (await self.store.grant_lease(60)).unwrap()
+        self.assertTrue((await self.store.keep_lease(lease)).unwrap())
+        self.assertFalse((await self.store.keep_lease(lease + 1)).unwrap())
+
+    async def test_watch_tells_of_changes_after_its_revision(self):
+        reply = (await self.store.range(b"/a/")).unwrap()
+        receiver = OneChange()
+        watch = self.store.watch(b"/a/", reply.revision, receiver)
+        await self.store.txn([], [Put(b"/b/1", b"x"), Put(b"/a/2", b"two")])
+        puts = await receiver.puts
+        self.assertEqual([(put.key, put.value) for put in puts], [(b"/a/2", b"two")])
+        watch.cancel()
+
+    async def test_outage_is_one_error(self):
+        self.standin.set_out(True)
+        result = await self.store.range(b"/a/")
+        self.assertIs(result.unwrap_err(), ErrorKind.STORE_UNAVAILABLE)
+
+
+class PublishTest(StoreCase):
+    async def test_revisions_rise(self):
+        for revision in (1, 2):
+            accepted = await publish(self.store, Configuration(), "ana")
+            self.assertEqual(accepted.unwrap().revision, revision)
+
+    async def test_other_revision_than_expected_is_a_conflict(self):
+        await publish(self.store, Configuration(), "ana")
+        refused = await publish(self.store, Configuration(), "ben", 0)
+        problem = refused.unwrap_err()
+        self.assertIs(problem.kind, ErrorKind.CONFIGURATION_CONFLICT)
+        self.assertIn("revision 1 by ana", problem.detail)
+
+    async def test_lost_answer_is_read_back(self):
+        self.standin.lose_answers(1)
+        accepted = await publish(self.store, Configuration(), "ana")
+        self.assertEqual(accepted.unwrap().revision, 1)
+        stored = (await read_configuration(self.store)).unwrap()
+        self.assertEqual(stored.configuration.published_by, "ana")
+
+    async def test_operators_who_race_are_told(self):
+        results = [
+            publish(self.store, Configuration(), operator)
+            for operator in ("ana", "ben")
+        ]
+        kinds = [(await result).is_ok() for result in results]
+        self.assertIn(True, kinds)
+        revision = self.standin.state.items[CONFIGURATION_KEY].value
+        count = Configuration.from_json(revision).revision
+        self.assertEqual(count, kinds.count(True))
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,76 @@
+"""Routers find each other over CURVE; unknown keys are kept out."""
+
+import socket
+
+import zmq
+from twisted.internet import reactor
+from twisted.internet.task import deferLater
+from twisted.trial.unittest import TestCase
+
+from sesamearch.blackboard import Blackboard
+from sesamearch.configuration import Configuration
+from sesamearch.keys import PeerKeys
+from sesamearch.peer import PeerLink
+from sesamearch.settings import PeerSettings, RouterSettings, StoreSettings
+
+TRIES = 400
+TRY_INTERVAL_S = 0.02
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def make_keys():
+    public, secret = (key.decode() for key in zmq.curve_keypair())
+    return PeerKeys(public, secret, [public])
+
+
+async def until(condition):
+    for _ in range(TRIES):
+        if condition():
+            return
+        await deferLater(reactor, TRY_INTERVAL_S)
+    raise AssertionError("condition never held")
+
+
+class PeerLinkTest(TestCase):
+    def setUp(self):
+        self.addresses = [free_address(), free_address()]
+        self.keys = make_keys()
+
+    def make(self, number, keys=None):
+        peer = PeerSettings(
+            self.addresses[number], "", [self.addresses[0]], heartbeat_interval_s=0.05
+        )
+        settings = RouterSettings(
+            f"r{number}", "a", "", "", StoreSettings(["127.0.0.1:1"]), "", peer
+        )
+        board = Blackboard()
+        link = PeerLink(reactor, settings, keys or self.keys, board)
+        link.start()
+        self.addCleanup(link.stop)
+        return board, link
+
+    async def test_routers_find_each_other_and_share_the_configuration(self):
+        first, _ = self.make(0)
+        second, _ = self.make(1)
+        await until(lambda: "r1" in first.members.value and second.members.value)
+        first.accept_configuration(Configuration(3, "ana"))
+        await until(lambda: second.configuration.value.revision == 3)
+        self.assertEqual(second.configuration.value.published_by, "ana")
+        second.accept_configuration(Configuration(4))
+        await until(lambda: first.configuration.value.revision == 4)
+
+    async def test_unknown_key_is_refused(self):
+        first, link = self.make(0)
+        stranger = make_keys()
+        # It knows the server's public key, and still is not trusted.
+        keys = PeerKeys(stranger.public_key, stranger.secret_key, [])
+        second, other = self.make(1, keys)
+        other.server_key = self.keys.public_key
+        other.reconnect(self.addresses[0])
+        await until(lambda: link.refused > 0)
+        self.assertEqual(first.members.value, {})
