--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,183 @@
+"""A small deployment of real processes on loopback, for live failure tests."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import treq
+import yaml
+from twisted.internet import reactor
+from twisted.internet.task import deferLater
+
+from sesamearch.client import Asker
+from sesamearch.configuration import collect
+from sesamearch.etcd import EtcdStore
+from sesamearch.keys import new_cursor_key
+from sesamearch.publisher import publish
+from sesamearch.settings import StoreSettings
+from sesamearch.standin_engine import expected_token, prompt_digest
+
+SERVICES = Path(__file__).parent.parent / "demo" / "services"
+MESSAGES = [{"role": "user", "content": "Assess watch 4711."}]
+TRIES = 300
+TRY_INTERVAL_S = 0.1
+API_KEY = "demo-key"
+
+
+def free_addresses(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
+    for one in sockets:
+        one.close()
+    return addresses
+
+
+async def answers(url):
+    try:
+        response = await treq.get(url, timeout=2, persistent=False)
+        await response.content()
+    except Exception:
+        return False
+    return response.code == 200
+
+
+async def until(condition):
+    for _ in range(TRIES):
+        if await condition():
+            return
+        await deferLater(reactor, TRY_INTERVAL_S)
+    raise AssertionError("condition never held")
+
+
+class Deployment:
+    """Two routers, two engines, a service and the store."""
+
+    def __init__(self):
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        self.processes = {}
+        names = ["store", "e1", "e2", "s1", "r1", "r2", "r1-ops", "r2-ops"]
+        self.addresses = dict(zip(names, free_addresses(len(names)), strict=True))
+        self.routers = [self.addresses["r1"], self.addresses["r2"]]
+
+    async def start(self):
+        new_cursor_key(self.folder / "cursor.key")
+        self._write_vms()
+        store = self.addresses["store"]
+        vms = str(self.folder / "vms.yaml")
+        self._spawn("store", "standin", "store", "--listen", store, "--vms", vms)
+        for name, what in (("e1", "engine"), ("e2", "engine"), ("s1", "service")):
+            self._spawn(name, "standin", what, "--listen", self.addresses[name])
+        for name in ("r1", "r2"):
+            self._spawn(name, "router", "--settings", self._write_settings(name))
+        await until(lambda: answers(f"http://{self.addresses['e1']}/v1/load"))
+        await until(lambda: answers(f"http://{self.addresses['e2']}/v1/load"))
+        await until(lambda: answers(f"http://{self.addresses['s1']}/standin/runs"))
+        await until(self._published)
+        for name in ("r1", "r2"):
+            url = f"http://{self.addresses[name + '-ops']}/readyz"
+            await until(lambda url=url: answers(url))
+
+    async def _published(self):
+        store = EtcdStore(reactor, StoreSettings([self.addresses["store"]]))
+        result = await publish(store, collect(SERVICES).unwrap(), "test")
+        await store.close()
+        return result.is_ok()
+
+    def _write_vms(self):
+        vms = [
+            {
+                "name": name,
+                "address": self.addresses[name],
+                "data_centre": "a",
+                "service": service,
+                "version": "v1",
+            }
+            for name, service in (
+                ("e1", "drafting"),
+                ("e2", "drafting"),
+                ("s1", "ticketing"),
+            )
+        ]
+        (self.folder / "vms.yaml").write_text(yaml.safe_dump({"vms": vms}))
+
+    def _write_settings(self, name):
+        settings = {
+            "name": name,
+            "data_centre": "a",
+            "listen": self.addresses[name],
+            "operators_listen": self.addresses[name + "-ops"],
+            "store": {"addresses": [self.addresses["store"]], "timeout_s": 1},
+            "cursor_key_file": "cursor.key",
+            "drain": {"balancer_grace_s": 0.3, "timeout_s": 60},
+        }
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return str(path)
+
+    def _spawn(self, name, *arguments):
+        log = open(self.folder / f"{name}.log", "wb")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "sesamearch", *arguments], stdout=log, stderr=log
+        )
+        log.close()
+
+    def signal(self, name, number):
+        os.kill(self.processes[name].pid, number)
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        self._folder.cleanup()
+
+    async def busy_engine(self):
+        for name in ("e1", "e2"):
+            if self.processes[name].poll() is not None:
+                continue
+            url = f"http://{self.addresses[name]}/v1/load"
+            response = await treq.get(url, timeout=2, persistent=False)
+            if (await response.json())["running"]:
+                return name
+        raise AssertionError("no engine is busy")
+
+    def ask(self, tokens, at=None, act=None):
+        """Ask for an answer; call `act` when token number `at` came."""
+
+        def on_token(text, answer):
+            if answer.tokens == at:
+                act()
+
+        asker = Asker(reactor, self.routers, API_KEY, on_token)
+        return asker.ask("bench-draft", MESSAGES, tokens, 7)
+
+    async def post_receipt(self, router, key):
+        url = f"http://{self.addresses[router]}/services/ticketing/receipts"
+        headers = {"Authorization": f"Bearer {API_KEY}", "Idempotency-Key": key}
+        response = await treq.post(
+            url, data=b"{}", headers=headers, timeout=15, persistent=False
+        )
+        return response.code, await response.text()
+
+    async def runs(self):
+        url = f"http://{self.addresses['s1']}/standin/runs"
+        response = await treq.get(url, timeout=5, persistent=False)
+        return await response.json()
+
+    async def switch(self, name, path, value):
+        url = f"http://{self.addresses[name]}/standin/{path}"
+        await treq.post(url, json=value, timeout=5, persistent=False)
+
+
+def whole(tokens):
+    """Return the text of a whole answer."""
+    digest = prompt_digest(MESSAGES)
+    return "".join(expected_token("v1", 7, digest, index) for index in range(tokens))
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.trial.unittest import TestCase
+from twisted.trial import unittest
 from twisted.web.server import Site
 
 from sesamearch.configuration import Configuration
@@ -26,7 +26,7 @@
         pass
 
 
-class StoreCase(TestCase):
+class StoreCase:
     def setUp(self):
         self.standin = StandinStore(reactor, {b"/a/1": b"one"})
         self.port = reactor.listenTCP(
@@ -38,7 +38,7 @@
         self.addCleanup(self.store.close)
 
 
-class EtcdStoreTest(StoreCase):
+class EtcdStoreTest(StoreCase, unittest.TestCase):
     async def test_range_txn_and_comparison(self):
         reply = (await self.store.range(b"/a/")).unwrap()
         self.assertEqual([item.value for item in reply.items], [b"one"])
@@ -71,7 +71,7 @@
         self.assertIs(result.unwrap_err(), ErrorKind.STORE_UNAVAILABLE)
 
 
-class PublishTest(StoreCase):
+class PublishTest(StoreCase, unittest.TestCase):
     async def test_revisions_rise(self):
         for revision in (1, 2):
             accepted = await publish(self.store, Configuration(), "ana")
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -5,7 +5,7 @@
 import zmq
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
-from twisted.trial.unittest import TestCase
+from twisted.trial import unittest
 
 from sesamearch.blackboard import Blackboard
 from sesamearch.configuration import Configuration
@@ -36,7 +36,7 @@
     raise AssertionError("condition never held")
 
 
-class PeerLinkTest(TestCase):
+class PeerLinkTest(unittest.TestCase):
     def setUp(self):
         self.addresses = [free_address(), free_address()]
         self.keys = make_keys()
