--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: figures that CI does not judge."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,168 @@
+"""Run the benchmarks, one JSON line a figure: ``python -m bench [NAME ...]``."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from pathlib import Path
+
+import yaml
+from tests.deployment import SERVICES, free_addresses
+
+from bench import micro
+
+FLOOD_STREAMS = 20
+PACED_STREAMS = 200
+PACE_MS = 35
+RUN_S = 8
+START_S = 20
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def show(name, value, unit, target="", **more):
+    """Print one figure."""
+    line = {"figure": name, "value": value, "unit": unit, "target": target, **more}
+    print(json.dumps(line), flush=True)
+
+
+def cpu_s(pid):
+    """Return the processor time of a process so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mb(pid):
+    """Return the resident memory of a process."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.partition("VmRSS:")[2].split()[0]) / 1024
+
+
+class Bench:
+    """A source, a bare relay and a router, as processes."""
+
+    def __init__(self, pace_ms):
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        names = ["source", "relay", "store", "router", "ops"]
+        self.addresses = dict(zip(names, free_addresses(len(names)), strict=True))
+        self.processes = {}
+        self._start(pace_ms)
+
+    def _spawn(self, name, *arguments):
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", *arguments], stderr=subprocess.DEVNULL
+        )
+
+    def _start(self, pace_ms):
+        at = self.addresses
+        self._spawn("source", "bench.source", at["source"], str(pace_ms))
+        self._spawn("relay", "bench.relay", at["relay"], at["source"])
+        vm = {"name": "e1", "address": at["source"], "data_centre": "a"}
+        vm.update(service="drafting", version="v1")
+        (self.folder / "vms.yaml").write_text(yaml.safe_dump({"vms": [vm]}))
+        vms = str(self.folder / "vms.yaml")
+        store = ("standin", "store", "--listen", at["store"], "--vms", vms)
+        self._spawn("store", "sesamearch", *store)
+        (self.folder / "cursor.key").write_text("k" * 64)
+        settings = {
+            "name": "r1",
+            "data_centre": "a",
+            "listen": at["router"],
+            "operators_listen": at["ops"],
+            "store": {"addresses": [at["store"]]},
+            "cursor_key_file": "cursor.key",
+        }
+        path = self.folder / "router.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        self._spawn("router", "sesamearch", "router", "--settings", str(path))
+        publish = [sys.executable, "-m", "sesamearch", "publish", str(SERVICES)]
+        publish += ["--store", at["store"]]
+        self._until(lambda: subprocess.run(publish, capture_output=True).returncode)
+        self._until(lambda: not self._is_ready())
+
+    @staticmethod
+    def _until(failing):
+        deadline_s = time.monotonic() + START_S
+        while failing():
+            if time.monotonic() > deadline_s:
+                raise SystemExit("bench: a process did not start")
+            time.sleep(0.2)
+
+    def _is_ready(self):
+        try:
+            url = f"http://{self.addresses['ops']}/readyz"
+            return urllib.request.urlopen(url, timeout=1).status == 200
+        except OSError:
+            return False
+
+    def run(self, name, streams):
+        """Load a process; return its figures with processor time for an event."""
+        command = [sys.executable, "-m", "bench.load", self.addresses[name]]
+        load = subprocess.Popen(
+            [*command, str(streams), str(RUN_S)], stdout=subprocess.PIPE, text=True
+        )
+        pid = self.processes[name].pid
+        load.stdout.readline()
+        before_s = cpu_s(pid)
+        figures = json.loads(load.stdout.readline())
+        figures["cpu_us"] = (cpu_s(pid) - before_s) / figures["events"] * 1e6
+        figures["rate"] = figures["events"] / figures["seconds"]
+        load.wait()
+        return figures
+
+    def stop(self):
+        """End the processes."""
+        for process in self.processes.values():
+            process.terminate()
+        for process in self.processes.values():
+            process.wait()
+        self._folder.cleanup()
+
+
+def bench_flood():
+    """Tokens a second where many events arrive in one read."""
+    bench = Bench(0)
+    try:
+        memory_mb = resident_mb(bench.processes["router"].pid)
+        show("idle_router_resident", round(memory_mb, 1), "MB", "<= 64")
+        relay = bench.run("relay", FLOOD_STREAMS)
+        router = bench.run("router", FLOOD_STREAMS)
+    finally:
+        bench.stop()
+    show("flood_relay", round(relay["rate"]), "tokens/s")
+    show("flood_router", round(router["rate"]), "tokens/s")
+    ratio = router["rate"] / relay["rate"]
+    show("flood_router_to_relay", round(ratio, 3), "ratio", ">= 0.8")
+
+
+def bench_paced():
+    """Processor time for a token where each arrives alone."""
+    bench = Bench(PACE_MS)
+    try:
+        relay = bench.run("relay", PACED_STREAMS)
+        router = bench.run("router", PACED_STREAMS)
+        memory_mb = resident_mb(bench.processes["router"].pid)
+    finally:
+        bench.stop()
+    for name, figures in (("relay", relay), ("router", router)):
+        us = round(figures["cpu_us"], 1)
+        show(f"paced_{name}_cpu", us, "us/token", streams=figures["streams"])
+    ratio = relay["cpu_us"] / router["cpu_us"]
+    show("paced_router_to_relay", round(ratio, 3), "ratio", ">= 0.8")
+    added_ms = (router["first_event_p50_s"] - relay["first_event_p50_s"]) * 1000
+    show("added_first_token_p50", round(added_ms, 2), "ms")
+    show("resident_with_200_streams", round(memory_mb, 1), "MB")
+
+
+BENCHES = {"flood": bench_flood, "paced": bench_paced, **micro.BENCHES}
+
+
+def main(names):
+    for name in names or BENCHES:
+        BENCHES[name]()
+
+
+main(sys.argv[1:])
--- /dev/null
+++ b/bench/micro.py
@@ -0,0 +1,79 @@
+"""Benchmarks inside one process: claims, placement, cursors, heartbeats."""
+
+import json
+import time
+
+from twisted.internet.task import Clock
+
+from sesamearch.blackboard import Blackboard, Counters, Endpoint
+from sesamearch.claim import Claim, ClaimState, ClaimWriter, claim_key, new_claim_id
+from sesamearch.fake import FakeStore, Process, StoreFaults
+from sesamearch.placement import Placement
+
+STORE_LATENCY_S = 0.004
+STEP_S = 0.001
+
+
+def show(name, value, unit, target="", **more):
+    """Print one figure."""
+    line = {"figure": name, "value": value, "unit": unit, "target": target, **more}
+    print(json.dumps(line), flush=True)
+
+
+def bench_claims():
+    """Store writes for an operation, and added latency, against load."""
+    for rate in (1, 10, 100, 1000, 5000):
+        clock = Clock()
+        counters = Counters()
+        store = FakeStore(Process(clock, "r1"), StoreFaults(clock), STORE_LATENCY_S)
+        writer = ClaimWriter(store, clock, counters)
+        count = max(5, rate)
+        latencies_s = []
+
+        def claim(number, clock=clock, writer=writer, latencies_s=latencies_s):
+            begun_s = clock.seconds()
+            claim = Claim(new_claim_id(), "r1", "f", ClaimState.CLAIMED, 0)
+
+            def won(outcome):
+                latencies_s.append(clock.seconds() - begun_s)
+                writer.settle(outcome.hold, ClaimState.DONE)
+
+            key = claim_key("s", "o", str(number))
+            writer.claim(key, claim, 3600.0).addCallback(won)
+
+        for number in range(count):
+            clock.callLater(number / rate, claim, number)
+        begun_s = time.process_time()
+        clock.pump([STEP_S] * int((count / rate + 1) / STEP_S))
+        cpu_us = (time.process_time() - begun_s) / count * 1e6
+        latencies_s.sort()
+        show(
+            "claim_writes_per_operation",
+            round(counters.claim_writes / count, 3),
+            "writes/operation",
+            rate_per_s=rate,
+            latency_p95_ms=round(latencies_s[int(count * 0.95)] * 1000, 1),
+            cpu_us_with_fake_store=round(cpu_us),
+        )
+
+
+def bench_placement():
+    """Time of one choice against the number of workers."""
+    for workers in (7, 700, 6900):
+        board = Blackboard()
+        placement = Placement(board, "dc0", Clock())
+        board.endpoints.write(
+            {
+                f"e{n}": Endpoint(f"e{n}", "a", f"dc{n % 8}", f"m{n % 4}", "v1")
+                for n in range(workers)
+            }
+        )
+        rounds = 200
+        begun_s = time.perf_counter()
+        for _ in range(rounds):
+            placement.choose("m1", "v1", set())
+        us = (time.perf_counter() - begun_s) / rounds * 1e6
+        show("placement", round(us, 1), "us/choice", "flat", workers=workers)
+
+
+BENCHES = {"claims": bench_claims, "placement": bench_placement}
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,55 @@
+"""The bare relay: klein and treq, finding each event and nothing else.
+
+``python -m bench.relay IP:PORT SOURCE_IP:PORT``.
+"""
+
+import sys
+
+from klein import Klein
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.web.server import Site
+
+from sesamearch.http import FrameReceiver, make_http_client
+
+
+class Relay:
+    """Passes events on."""
+
+    app = Klein()
+
+    def __init__(self, source):
+        self._url = f"http://{source}/v1/chat/completions"
+        self._http = make_http_client(reactor)
+
+    @app.route("/v1/chat/completions", methods=["POST"])
+    def complete(self, request):
+        """Relay one stream."""
+        done = Deferred()
+        request.setHeader("Content-Type", "text/event-stream")
+
+        def take(frame):
+            request.write(frame + b"\n\n")
+
+        def answered(response):
+            receiver = FrameReceiver(b"\n\n", take, lambda: done.callback(None))
+            response.deliverBody(receiver)
+            request.notifyFinish().addErrback(
+                lambda _: receiver.transport.loseConnection()
+            )
+
+        body = request.content.read()
+        self._http.post(self._url, data=body, unbuffered=True).addCallback(answered)
+        return done
+
+
+def main(address, source):
+    host, _, port = address.rpartition(":")
+    site = Site(Relay(source).app.resource())
+    site.log = lambda request: None
+    reactor.listenTCP(int(port), site, interface=host, backlog=1000)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
