Write what came for a caller in one turn of the reactor at once

A profile showed 18 us (profiled) a token in the transport's writeSequence: the source sends a chunk for each event, so each event became one write. Ruled out: parsing and decisions (2 us of 18). Change: a flusher writes each caller's events once at the end of a reactor turn.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -28,8 +28,9 @@
         done = Deferred()
         request.setHeader("Content-Type", "text/event-stream")
 
-        def take(frame):
-            request.write(frame + b"\n\n")
+        def take(frames):
+            for frame in frames:
+                request.write(frame + b"\n\n")
 
         def answered(response):
             receiver = FrameReceiver(b"\n\n", take, lambda: done.callback(None))
--- a/src/sesamearch/client.py
+++ b/src/sesamearch/client.py
@@ -152,7 +152,7 @@
             self._problem = Problem(ErrorKind.UNREACHABLE, str(error))
             return
         self._connection_done = Deferred()
-        response.deliverBody(FrameReceiver(_DELIMITER, self._take, self._lost))
+        response.deliverBody(FrameReceiver(_DELIMITER, self._take_all, self._lost))
         await self._connection_done
 
     def _lost(self):
@@ -160,6 +160,10 @@
         if done is not None:
             done.callback(None)
 
+    def _take_all(self, frames):
+        for frame in frames:
+            self._take(frame)
+
     def _take(self, frame):
         fields = dict(line.partition(b": ")[::2] for line in frame.split(b"\n"))
         data = fields.get(b"data", b"")
--- a/src/sesamearch/completion.py
+++ b/src/sesamearch/completion.py
@@ -9,7 +9,14 @@
 from sesamearch.errors import ErrorKind, Problem
 from sesamearch.generation import AnswerSink
 
-__all__ = ["CompletionBody", "EventSink", "WholeSink", "parse_body", "send_problem"]
+__all__ = [
+    "CompletionBody",
+    "EventSink",
+    "Flusher",
+    "WholeSink",
+    "parse_body",
+    "send_problem",
+]
 
 DIGEST_BYTES = 16
 MAX_SEED = 1 << 31
@@ -149,6 +156,32 @@
     object: str = "chat.completion.chunk"
 
 
+class Flusher:
+    """Write what came for each caller in one turn of the reactor at once.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+    """
+
+    __slots__ = ("_clock", "_sinks")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._sinks = []
+
+    def add(self, sink):
+        """Write what `sink` holds at the end of this turn."""
+        if not self._sinks:
+            self._clock.callLater(0, self._write)
+        self._sinks.append(sink)
+
+    def _write(self):
+        sinks, self._sinks = self._sinks, []
+        for sink in sinks:
+            sink.write()
+
+
 class EventSink(_SinkBase):
     """Stream an answer as server-sent events whose ids are cursors.
 
@@ -158,12 +191,16 @@
     request_id, model : str
     done : twisted.internet.defer.Deferred
         Fired when the response is complete.
+    flusher : Flusher
     """
 
-    def __init__(self, request, request_id, model, done):
+    def __init__(self, request, request_id, model, done, flusher):
         super().__init__(request, request_id, model, done)
+        self._flusher = flusher
+        self._is_waiting = False
         self._head = b""
         self._tail = b""
+        self._unwritten = []
 
     def begin(self, version):
         """Prepare the parts that all events share."""
@@ -180,13 +217,26 @@
         return _Chunk(self._id, self._created, self._model, self._version, [choice])
 
     def token(self, event_id, text):
-        """Write one event."""
-        event = b"id: " + event_id + self._head + _encode(text) + self._tail
-        self._request.write(event)
+        """Add one event to what is to be written."""
+        self._unwritten += (b"id: ", event_id, self._head, _encode(text), self._tail)
+
+    def flush(self):
+        """Write with whatever else comes in this turn of the reactor."""
+        if not self._is_waiting:
+            self._is_waiting = True
+            self._flusher.add(self)
+
+    def write(self):
+        """Write what is held, unless the caller has left."""
+        self._is_waiting = False
+        unwritten, self._unwritten = self._unwritten, []
+        if unwritten and not self._done.called:
+            self._request.write(b"".join(unwritten))
 
     def finish(self, event_id, finish_reason, tokens):
         """Write the final events."""
         chunk = self._chunk(_Choice(_Delta(), finish_reason=finish_reason))
+        self.write()
         self._request.write(
             b"id: " + event_id + b"\ndata: " + _encode(chunk) + b"\n\ndata: [DONE]\n\n"
         )
@@ -194,6 +244,7 @@
 
     def fail(self, problem):
         """Write the problem, as an event if the answer has begun."""
+        self.write()
         if self._head:
             body = problem.to_json()
             self._request.write(b"event: error\ndata: " + body + b"\n\n")
@@ -238,6 +289,9 @@
         """Keep the text."""
         self._text.append(text)
 
+    def flush(self):
+        """Write nothing before the answer is whole."""
+
     def finish(self, event_id, finish_reason, tokens):
         """Write the answer."""
         choice = _WholeChoice(_Message("".join(self._text)), finish_reason)
--- a/src/sesamearch/engine.py
+++ b/src/sesamearch/engine.py
@@ -80,8 +80,8 @@
     """Where the events of one attempt go."""
 
     @abc.abstractmethod
-    def event(self, event):
-        """Take a :class:`StreamEvent`."""
+    def events(self, events):
+        """Take the :class:`StreamEvent` objects that arrived together, a list."""
 
     @abc.abstractmethod
     def ended(self, reason, detail):
--- a/src/sesamearch/etcd.py
+++ b/src/sesamearch/etcd.py
@@ -128,7 +128,7 @@
         if response.code != 200:
             self._end()
         elif self._receiver is not None:
-            self._body = FrameReceiver(_FRAME_DELIMITER, self._take_frame, self._end)
+            self._body = FrameReceiver(_FRAME_DELIMITER, self._take_frames, self._end)
             response.deliverBody(self._body)
 
     def _take_failure(self, failure):
@@ -136,6 +136,10 @@
         if not failure.check(CancelledError):
             self._end()
 
+    def _take_frames(self, frames):
+        for frame in frames:
+            self._take_frame(frame)
+
     def _take_frame(self, frame):
         if self._receiver is None:
             return
--- a/src/sesamearch/fake.py
+++ b/src/sesamearch/fake.py
@@ -285,7 +285,7 @@
         if self._is_paused:
             self._held.append(event)
         elif self._receiver is not None:
-            self._receiver.event(event)
+            self._receiver.events([event])
 
     def end(self, reason):
         receiver, self._receiver = self._receiver, None
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -13,6 +13,7 @@
 from sesamearch.completion import (
     MAX_SEED,
     EventSink,
+    Flusher,
     WholeSink,
     parse_body,
     send_problem,
@@ -72,6 +73,7 @@
         self._operations = operations
         self._limits = limits
         self._calls_in_flight = 0
+        self._flusher = Flusher(tools.clock)
         self.generations = set()
 
     @property
@@ -150,8 +152,11 @@
         position = position.unwrap()
         order = self._order(request, organisation, parsed, service, position)
         done = Deferred()
-        sink_type = EventSink if parsed.body.stream else WholeSink
-        sink = sink_type(request, order.request_id, parsed.body.model, done)
+        shown = (request, order.request_id, parsed.body.model, done)
+        if parsed.body.stream:
+            sink = EventSink(*shown, self._flusher)
+        else:
+            sink = WholeSink(*shown)
         generation = Generation(order, self._tools, sink, self._ended)
         self.generations.add(generation)
         request.notifyFinish().addErrback(lambda _: generation.caller_left())
--- a/src/sesamearch/generation.py
+++ b/src/sesamearch/generation.py
@@ -88,6 +88,10 @@
     def token(self, event_id, text):
         """Take delivered text; `event_id` is the cursor after it, as bytes."""
 
+    @abc.abstractmethod
+    def flush(self):
+        """Write the tokens taken so far; more may follow."""
+
     @abc.abstractmethod
     def finish(self, event_id, finish_reason, tokens):
         """Take the end of a whole answer of `tokens` tokens."""
@@ -116,8 +120,8 @@
         self._generation = generation
         self._attempt = attempt
 
-    def event(self, event):
-        self._generation.take_event(self._attempt, event)
+    def events(self, events):
+        self._generation.take_events(self._attempt, events)
 
     def ended(self, reason, detail):
         self._generation.take_end(self._attempt, reason, detail)
@@ -278,27 +282,30 @@
 
     # Events of the current attempt
 
-    def take_event(self, attempt, event):
-        """Take a :class:`StreamEvent` of attempt number `attempt`."""
-        if attempt != self.attempt or self.is_over:
-            self._tools.counters.tokens_late += event.tokens
-            return
-        if event.version != self.version or event.index > self.offset_tokens:
-            self._lose(Loss.MISMATCH)
-            return
-        if event.finish_reason is not None:
-            self._take_finish(event)
-        elif event.index == self.offset_tokens:
-            self._deliver(event)
+    def take_events(self, attempt, events):
+        """Take events of attempt number `attempt` that arrived together."""
+        begun_tokens = self.offset_tokens
+        for event in events:
+            if attempt != self.attempt or self.is_over:
+                self._tools.counters.tokens_late += event.tokens
+            elif event.version != self.version or event.index > self.offset_tokens:
+                self._lose(Loss.MISMATCH)
+            elif event.finish_reason is not None:
+                self._take_finish(event)
+            elif event.index == self.offset_tokens:
+                self._deliver(event)
+        if self.offset_tokens > begun_tokens:
+            self._tools.counters.tokens_delivered += self.offset_tokens - begun_tokens
+            if not self.is_over:
+                self._sink.flush()
 
     def _deliver(self, event):
+        self._begin_answer()
         self.offset_tokens += event.tokens
         self.crc = checksum(event.text, self.crc)
         if self._text is not None:
             self._text.append(event.text)
         self._note_pace()
-        self._tools.counters.tokens_delivered += event.tokens
-        self._begin_answer()
         self._sink.token(self._event_id(), event.text)
 
     def _begin_answer(self):
--- a/src/sesamearch/http.py
+++ b/src/sesamearch/http.py
@@ -59,23 +59,38 @@
 class FrameReceiver(LineOnlyReceiver):
     """Split a streamed body at a delimiter.
 
+    Frames that arrive together are handed on together, so that whatever is
+    written because of them can be written at once.
+
     Parameters
     ----------
     delimiter : bytes
         What ends a frame.
-    take_frame : callable
-        Called with each frame, as bytes.
+    take_frames : callable
+        Called with a list of frames, as bytes.
     take_end : callable
         Called once when the body ends, whole or not.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
 
-    def __init__(self, delimiter, take_frame, take_end):
+    def __init__(self, delimiter, take_frames, take_end):
         self.delimiter = delimiter
-        self.lineReceived = take_frame
+        self._frames = []
+        self._take_frames = take_frames
         self._take_end = take_end
 
+    def dataReceived(self, data):
+        """Split what arrived and hand on the whole frames."""
+        super().dataReceived(data)
+        if self._frames:
+            frames, self._frames = self._frames, []
+            self._take_frames(frames)
+
+    def lineReceived(self, line):
+        """Keep a frame until all that arrived is split."""
+        self._frames.append(line)
+
     def connectionLost(self, reason):
         """Tell that the body ended."""
         self._take_end()
--- a/src/sesamearch/http_engine.py
+++ b/src/sesamearch/http_engine.py
@@ -78,7 +78,7 @@
             return None
         if response.code == 200:
             self._body = FrameReceiver(
-                _EVENT_DELIMITER, self._take_frame, self._take_body_end
+                _EVENT_DELIMITER, self._take_frames, self._take_body_end
             )
             response.deliverBody(self._body)
             if self._is_paused:
@@ -101,16 +101,15 @@
         if not failure.check(CancelledError):
             self._finish(StreamEnd.LOST, failure.getErrorMessage())
 
-    def _take_frame(self, frame):
+    def _take_frames(self, frames):
         if self._receiver is None:
             return
         try:
-            event = _parse_event(frame)
-        except (ValueError, msgspec.DecodeError):
+            parsed = [_parse_event(frame) for frame in frames]
+        except (ValueError, IndexError, msgspec.DecodeError):
             self._finish(StreamEnd.LOST, "malformed event")
             return
-        if event is not None:
-            self._receiver.event(event)
+        self._receiver.events([event for event in parsed if event is not None])
 
     def _take_body_end(self):
         self._finish(StreamEnd.LOST, "stream ended early")
--- a/src/sesamearch/naive.py
+++ b/src/sesamearch/naive.py
@@ -99,8 +99,12 @@
         """Know no cursors: start over."""
         self.start()
 
-    def event(self, event):
-        """Pass an event on, from whichever attempt."""
+    def events(self, events):
+        """Pass events on, from whichever attempt."""
+        for event in events:
+            self._pass_on(event)
+
+    def _pass_on(self, event):
         if self.is_over:
             return
         now_s = self._tools.clock.seconds()
--- a/src/sesamearch/replay_caller.py
+++ b/src/sesamearch/replay_caller.py
@@ -46,6 +46,9 @@
     def token(self, event_id, text):
         self._send(self.caller.take_token, event_id, text)
 
+    def flush(self):
+        """Send nothing more: each token is sent by itself."""
+
     def finish(self, event_id, finish_reason, tokens):
         self._send(self.caller.take_finish)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -61,6 +61,8 @@
 
     @property
     def received(self):
+        # What came in this turn of the reactor is written at its end.
+        self.protocol.site.reactor.advance(0)
         return self.transport.value()
 
     @property
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -31,11 +31,12 @@
         self.is_paused = False
 
     def send(self, *indexes, version="v1"):
-        for index in indexes:
-            self.receiver.event(StreamEvent(index, 1, f" t{index}", version))
+        self.receiver.events(
+            [StreamEvent(index, 1, f" t{index}", version) for index in indexes]
+        )
 
     def finish(self, index, version="v1"):
-        self.receiver.event(StreamEvent(index, 0, "", version, "stop"))
+        self.receiver.events([StreamEvent(index, 0, "", version, "stop")])
 
     def end(self, reason):
         self.receiver.ended(reason, reason.value)
@@ -82,6 +83,9 @@
         self.cursor = event_id
         self.text += text
 
+    def flush(self):
+        pass
+
     def finish(self, event_id, finish_reason, tokens):
         self.finished = tokens
 
