Gather the claims of a data centre in the writes of one router

Cause: each router wrote its own claims: at 1,300 routers with two operations a second each, two writes an operation, some 5,000 writes a second against a few hundred. Weighed: shard owners by lease (more store state, and a lapse to wait for), one writer by hashing the known members (nothing depends on all choosing the same one). Change: claims and outcomes go to that member under their own claim ids; without an answer in 0.4 s, or when it cannot be reached, the router writes them itself. A pace for each writer shares 200 writes a second among the data centres. A router that leaves writes its outcomes first (5 s at most).

--- a/bench/micro.py
+++ b/bench/micro.py
@@ -3,6 +3,7 @@
 import json
 import time
 
+from tests.test_claim_relay import RelayWorld
 from twisted.internet.task import Clock
 
 from sesamearch.blackboard import Blackboard, Counters, Endpoint
@@ -57,6 +58,25 @@
         )
 
 
+def bench_claim_relay():
+    """Store writes of a data centre against its routers, at one rate for all."""
+    rate, seconds = 330, 3
+    for routers in (1, 9, 40, 160):
+        world = RelayWorld(routers, data_centres=8)
+        for number in range(rate * seconds):
+            name = world.names[number % routers]
+            world.clock.callLater(number / rate, world.claim, name, str(number))
+        world.settle_down(seconds + 1)
+        show(
+            "claim_writes_of_a_data_centre",
+            round(world.writes / seconds, 1),
+            "writes/s",
+            "<= 25",
+            routers=routers,
+            operations_per_s=rate,
+        )
+
+
 def bench_placement():
     """Time of one choice against the number of workers."""
     for workers in (7, 700, 6900):
@@ -76,4 +96,8 @@
         show("placement", round(us, 1), "us/choice", "flat", workers=workers)
 
 
-BENCHES = {"claims": bench_claims, "placement": bench_placement}
+BENCHES = {
+    "claims": bench_claims,
+    "claim-relay": bench_claim_relay,
+    "placement": bench_placement,
+}
--- a/src/sesamearch/claim.py
+++ b/src/sesamearch/claim.py
@@ -15,6 +15,7 @@
 from sesamearch.store import Comparison, Put
 
 __all__ = [
+    "NO_REPLY",
     "Claim",
     "ClaimOutcome",
     "ClaimState",
@@ -33,7 +34,7 @@
 LEASE_MARGIN_S = 900.0
 _CLAIM_PREFIX = "/sesamearch/claims"
 _CLAIM_ID_BYTES = 12
-_NO_REPLY = msgspec.Raw(b"null")
+NO_REPLY = msgspec.Raw(b"null")
 
 
 class ClaimState(enum.Enum):
@@ -70,7 +71,7 @@
     fingerprint: str
     state: ClaimState
     expires_ms: int
-    reply: msgspec.Raw = _NO_REPLY
+    reply: msgspec.Raw = NO_REPLY
 
     def to_json(self):
         """Return the stored form as bytes."""
@@ -156,6 +157,13 @@
             self.done.callback(outcome)
 
 
+class _Settlement(msgspec.Struct, eq=False):
+    """An outcome that the store has not taken yet."""
+
+    hold: Hold
+    stored: Deferred
+
+
 class ClaimWriter:
     """Write claims and outcomes, many to a store call.
 
@@ -170,12 +178,18 @@
     counters : Counters
     gather_s : float
         Time that the first of a batch waits for others.
+
+    Attributes
+    ----------
+    interval_s : float
+        Least time between two batches, which bounds the store's writes.
     """
 
     __slots__ = (
         "_clock",
         "_counters",
         "_failing",
+        "_flushed_s",
         "_gather_s",
         "_is_writing",
         "_leases",
@@ -183,6 +197,7 @@
         "_scheduled",
         "_settlements",
         "_store",
+        "interval_s",
     )
 
     def __init__(self, store, clock, counters, gather_s=GATHER_S):
@@ -190,6 +205,8 @@
         self._clock = clock
         self._counters = counters
         self._gather_s = gather_s
+        self._flushed_s = float("-inf")
+        self.interval_s = 0.0
         self._pending = []
         self._settlements = {}
         self._leases = {}
@@ -232,7 +249,7 @@
         self._schedule(self._gather_s)
         return pending.done
 
-    def settle(self, hold, state, reply=_NO_REPLY):
+    def settle(self, hold, state, reply=NO_REPLY):
         """Write the outcome of a held claim; retried until the store takes it.
 
         Parameters
@@ -241,18 +258,28 @@
         state : ClaimState
         reply : msgspec.Raw
             The endpoint's reply, if there is one.
+
+        Returns
+        -------
+        Deferred of None
+            Fires when the store has it, or when a newer claim stands there.
         """
         claim = msgspec.structs.replace(hold.claim, state=state, reply=reply)
-        self._settlements[hold.key] = msgspec.structs.replace(hold, claim=claim)
+        settled = msgspec.structs.replace(hold, claim=claim)
+        settlement = self._settlements[hold.key] = _Settlement(settled, Deferred())
         self._schedule(self._gather_s)
+        return settlement.stored
 
     def _schedule(self, delay_s):
         if self._scheduled is None and not self._is_writing:
+            next_s = self._flushed_s + self.interval_s
+            delay_s = max(delay_s, next_s - self._clock.seconds())
             self._scheduled = self._clock.callLater(delay_s, self._flush)
 
     def _flush(self):
         self._scheduled = None
         self._is_writing = True
+        self._flushed_s = self._clock.seconds()
         Deferred.fromCoroutine(self._write()).addBoth(self._written)
 
     def _written(self, outcome):
@@ -269,19 +296,22 @@
         batch = list(self._settlements.values())[:MAX_CLAIMS_PER_WRITE]
         if not batch:
             return
+        holds = [settlement.hold for settlement in batch]
         reply = await self._txn(
-            [Comparison(hold.key, hold.mod_revision) for hold in batch],
-            [Put(hold.key, hold.claim.to_json(), hold.lease) for hold in batch],
+            [Comparison(hold.key, hold.mod_revision) for hold in holds],
+            [Put(hold.key, hold.claim.to_json(), hold.lease) for hold in holds],
         )
         if reply is None:
             return
         kept = set()
         if not reply.succeeded:
             present = {item.key: item.mod_revision for item in reply.found}
-            kept = {h.key for h in batch if present.get(h.key) == h.mod_revision}
-        for hold in batch:
-            if hold.key not in kept and self._settlements.get(hold.key) is hold:
-                del self._settlements[hold.key]
+            kept = {h.key for h in holds if present.get(h.key) == h.mod_revision}
+        for settlement in batch:
+            key = settlement.hold.key
+            if key not in kept and self._settlements.get(key) is settlement:
+                del self._settlements[key]
+                settlement.stored.callback(None)
 
     async def _write_claims(self):
         # A transaction may write a key once only; the second claim of a key waits.
--- a/src/sesamearch/cli.py
+++ b/src/sesamearch/cli.py
@@ -128,9 +128,13 @@
     set_up_logging(settings.log_level)
     from twisted.internet import reactor
 
+    from sesamearch.keys import load_peer_keys
     from sesamearch.router import Router
 
-    router = Router(reactor, settings)
+    peer_keys = load_peer_keys(settings.peer.key_file) if settings.peer else Ok(None)
+    if peer_keys.is_err():
+        return _show_faults(peer_keys.unwrap_err())
+    router = Router(reactor, settings, peer_keys.unwrap())
     started = router.start()
     if started.is_err():
         return _show_problem(started.unwrap_err())
--- a/src/sesamearch/drain.py
+++ b/src/sesamearch/drain.py
@@ -10,6 +10,7 @@
 __all__ = ["Drain"]
 
 POLL_INTERVAL_S = 0.1
+SETTLE_TIMEOUT_S = 5.0
 
 
 class _Inputs(Protocol):
@@ -73,7 +74,7 @@
     Parameters
     ----------
     board : Blackboard
-    gateway : object with ``in_flight`` and ``hand_over()``
+    gateway : object with ``in_flight``, ``unsettled`` and ``hand_over()``
     settings : DrainSettings
     clock : twisted.internet.interfaces.IReactorTime
     on_refuse, on_stop : callable
@@ -89,6 +90,7 @@
         "_on_refuse",
         "_on_stop",
         "_settings",
+        "_settle_until_s",
     )
 
     def __init__(self, board, gateway, settings, clock, on_refuse, on_stop):
@@ -98,6 +100,7 @@
         self._clock = clock
         self._on_refuse = on_refuse
         self._on_stop = on_stop
+        self._settle_until_s = None
         self._life = _machine(self)
 
     def ask(self):
@@ -129,13 +132,22 @@
         logger.info("drain handing over in_flight={}", self._gateway.in_flight)
 
     def _poll(self):
-        if self._gateway.in_flight == 0:
+        if self._gateway.in_flight == 0 and self._is_settled():
             self._life.emptied()
             return
         if self._clock.seconds() >= self._board.drain.value.hand_over_s:
             self._life.timed_out()
         self._clock.callLater(POLL_INTERVAL_S, self._poll)
 
+    def _is_settled(self):
+        """Return whether no outcome waits for the store, or has waited enough."""
+        if self._gateway.unsettled == 0:
+            return True
+        now_s = self._clock.seconds()
+        if self._settle_until_s is None:
+            self._settle_until_s = now_s + SETTLE_TIMEOUT_S
+        return now_s >= self._settle_until_s
+
     def _stop(self):
         logger.info("drain stopped")
         self._on_stop()
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -81,6 +81,11 @@
         """Number of requests that have no final answer yet."""
         return len(self.generations) + self._calls_in_flight
 
+    @property
+    def unsettled(self):
+        """Number of claims and outcomes that the store has not taken yet."""
+        return self._operations.unsettled
+
     def sweep(self):
         """Let each generation find its stalls; called regularly."""
         now_s = self._tools.clock.seconds()
--- a/src/sesamearch/operation.py
+++ b/src/sesamearch/operation.py
@@ -300,6 +300,11 @@
         self._store = store
         self._running = {}
 
+    @property
+    def unsettled(self):
+        """Int : claims and outcomes that the store has not taken yet."""
+        return self._tools.claims.unsettled
+
     def run(self, request):
         """Run an operation, or join the same one that is already running here.
 
--- a/src/sesamearch/peer.py
+++ b/src/sesamearch/peer.py
@@ -11,6 +11,7 @@
 from zope.interface import implementer
 
 from sesamearch.blackboard import Member
+from sesamearch.claim import Claim
 from sesamearch.configuration import Configuration
 from sesamearch.log import logger
 
@@ -63,7 +64,63 @@
     value: bytes
 
 
-_Message = Heartbeat | ConfigurationWanted | ConfigurationNews
+class WantedClaim(msgspec.Struct, frozen=True, array_like=True):
+    """A claim that another router is to write."""
+
+    key: bytes
+    claim: Claim
+    retention_s: float
+
+
+class WantedSettlement(msgspec.Struct, frozen=True, array_like=True):
+    """An outcome that another router is to write."""
+
+    key: bytes
+    claim: Claim
+    mod_revision: int
+    lease: int
+
+
+class TakenClaim(msgspec.Struct, frozen=True, array_like=True):
+    """What became of a wanted claim; a revision of zero means that it was not won."""
+
+    mod_revision: int
+    lease: int
+    existing: Claim | None = None
+
+
+class ClaimsWanted(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Asks the data centre's writer to write claims and outcomes.
+
+    Parameters
+    ----------
+    schema_version : int
+    name : str
+        Who asks.
+    number : int
+        Given back in the answer.
+    claims : list of WantedClaim
+    settlements : list of WantedSettlement
+    """
+
+    schema_version: int
+    name: str
+    number: int
+    claims: list[WantedClaim]
+    settlements: list[WantedSettlement]
+
+
+class ClaimsTaken(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Answers :class:`ClaimsWanted`; outcomes are in the order of its claims."""
+
+    schema_version: int
+    number: int
+    outcomes: list[TakenClaim]
+
+
+_Message = (
+    Heartbeat | ConfigurationWanted | ConfigurationNews | ClaimsWanted | ClaimsTaken
+)
 _decode = msgspec.msgpack.Decoder(_Message).decode
 
 
@@ -143,6 +200,11 @@
         self._ticker = LoopingCall(self._tick)
         self._ticker.clock = reactor
         self._readers = []
+        self._handlers = {
+            Heartbeat: self._take_heartbeat,
+            ConfigurationWanted: self._take_wanted,
+            ConfigurationNews: self._take_news,
+        }
         self._authenticator = None
         self._inbox = None
 
@@ -246,12 +308,28 @@
     def _send(self, address, message):
         socket = self._sockets.get(address)
         if socket is None:
-            return
+            return False
         try:
             socket.send(msgspec.msgpack.encode(message), zmq.NOBLOCK)
         except zmq.Again:
             # A peer that cannot be reached gets the next heartbeat instead.
-            pass
+            return False
+        return True
+
+    def handle(self, message_type, handler):
+        """Call `handler` with each message of a type."""
+        self._handlers[message_type] = handler
+
+    def send_to(self, name, message):
+        """Send a message to a member.
+
+        Returns
+        -------
+        bool
+            False if it cannot have left; a message that left may still be lost.
+        """
+        member = self._board.members.value.get(name)
+        return member is not None and self._send(member.address, message)
 
     def _take(self, parts):
         try:
@@ -261,12 +339,9 @@
             return
         if message.schema_version != SCHEMA_VERSION:
             return
-        if isinstance(message, Heartbeat):
-            self._take_heartbeat(message)
-        elif isinstance(message, ConfigurationWanted):
-            self._take_wanted(message)
-        else:
-            self._take_news(message)
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
 
     def _take_heartbeat(self, message):
         members = self._board.members.value
--- a/src/sesamearch/replay.py
+++ b/src/sesamearch/replay.py
@@ -132,6 +132,11 @@
         """Requests without a final answer."""
         return len(self.generations) + self.calls
 
+    @property
+    def unsettled(self):
+        """Claims and outcomes that the store has not taken yet."""
+        return getattr(self.operations, "unsettled", 0)
+
     def hand_over(self):
         """End every generation on its cursor."""
         for generation in list(self.generations):
--- a/src/sesamearch/router.py
+++ b/src/sesamearch/router.py
@@ -10,6 +10,7 @@
 from sesamearch.blackboard import Blackboard
 from sesamearch.call import CallRunner
 from sesamearch.claim import ClaimWriter
+from sesamearch.claim_relay import ClaimRelay
 from sesamearch.cursor import CursorSigner
 from sesamearch.directory import Directory
 from sesamearch.drain import Drain
@@ -20,7 +21,6 @@
 from sesamearch.generation import GenerationTools
 from sesamearch.http_engine import HttpEngineClient
 from sesamearch.http_plain import HttpPlainClient
-from sesamearch.keys import load_peer_keys
 from sesamearch.listener import LISTEN_BACKLOG, listen_directly
 from sesamearch.log import logger
 from sesamearch.metrics import MetricsExport
@@ -42,9 +42,11 @@
     ----------
     reactor : twisted reactor
     settings : RouterSettings
+    peer_keys : PeerKeys or None
+        For the link to the other routers, if there is one.
     """
 
-    def __init__(self, reactor, settings):
+    def __init__(self, reactor, settings, peer_keys):
         self._reactor = reactor
         self._settings = settings
         self.board = Blackboard()
@@ -59,10 +61,11 @@
             self.board.counters,
         )
         plain_client = HttpPlainClient(reactor)
+        self._peers = self._make_peers(peer_keys)
         operation_tools = OperationTools(
             plain_client,
             placement,
-            ClaimWriter(self._store, reactor, self.board.counters),
+            self._make_claims(),
             reactor,
             self.board.counters,
             settings.name,
@@ -88,10 +91,22 @@
             self._stop_listening,
             self._stop,
         )
-        self._peers = None
         self._listeners = []
         self._sweeper = LoopingCall(self.gateway.sweep)
 
+    def _make_peers(self, keys):
+        if keys is None:
+            return None
+        return PeerLink(self._reactor, self._settings, keys, self.board)
+
+    def _make_claims(self):
+        writer = ClaimWriter(self._store, self._reactor, self.board.counters)
+        if self._peers is None:
+            return writer
+        return ClaimRelay(
+            self._settings, self.board, writer, self._peers, self._reactor
+        )
+
     def start(self):
         """Listen and begin to work.
 
@@ -100,14 +115,7 @@
         result.Result[None, Problem]
             ``UNREACHABLE`` if an address cannot be listened on.
         """
-        if self._settings.peer:
-            keys = load_peer_keys(self._settings.peer.key_file)
-            if keys.is_err():
-                detail = "; ".join(fault.show() for fault in keys.unwrap_err())
-                return Err(Problem(ErrorKind.CONFIGURATION_INVALID, detail))
-            self._peers = PeerLink(
-                self._reactor, self._settings, keys.unwrap(), self.board
-            )
+        if self._peers is not None:
             self._peers.start()
         try:
             self._listen_for_operators()
--- a/src/sesamearch/settings.py
+++ b/src/sesamearch/settings.py
@@ -31,10 +31,20 @@
 
 
 class StoreSettings(_Section):
-    """Where the platform's key-value service answers."""
+    """Where the platform's key-value service answers.
+
+    Parameters
+    ----------
+    addresses : list of str
+    timeout_s : float
+        Time for one call.
+    claim_writes_per_s : float
+        Share of the service's writes that all routers together spend on claims.
+    """
 
     addresses: Annotated[list[Address], msgspec.Meta(min_length=1)]
     timeout_s: Positive = 2.0
+    claim_writes_per_s: Positive = 200.0
 
 
 class PeerSettings(_Section):
--- /dev/null
+++ b/tests/test_claim_relay.py
@@ -0,0 +1,165 @@
+"""Claims of many routers in the writes of one, and without it."""
+
+import unittest
+
+from twisted.internet.task import Clock
+
+from sesamearch.blackboard import Blackboard, Endpoint, Member
+from sesamearch.claim import Claim, ClaimState, ClaimWriter, claim_key, new_claim_id
+from sesamearch.claim_relay import ANSWER_TIMEOUT_S, ClaimRelay, choose_writer
+from sesamearch.fake import FakeStore, Process, StoreFaults
+from sesamearch.settings import RouterSettings, StoreSettings
+
+LINK_S = 0.001
+
+
+class PeerBus:
+    """Carries messages between relays in one process."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.handlers = {}
+        self.silent = set()
+        self.unreachable = set()
+
+    def port(self, name):
+        handlers = self.handlers[name] = {}
+        return _Port(self, name, handlers)
+
+    def send(self, source, target, message):
+        if source not in self.silent:
+            self._clock.callLater(LINK_S, self._arrive, target, message)
+        return target not in self.unreachable
+
+    def _arrive(self, target, message):
+        if target not in self.silent:
+            self.handlers[target][type(message)](message)
+
+
+class _Port:
+    def __init__(self, bus, name, handlers):
+        self._bus = bus
+        self._name = name
+        self._handlers = handlers
+
+    def handle(self, message_type, handler):
+        self._handlers[message_type] = handler
+
+    def send_to(self, name, message):
+        return self._bus.send(self._name, name, message)
+
+
+class RelayWorld:
+    """Routers of one data centre with fakes around them."""
+
+    def __init__(self, count, data_centres=1):
+        self.clock = Clock()
+        self.faults = StoreFaults(self.clock)
+        self.bus = PeerBus(self.clock)
+        self.names = [f"r{number}" for number in range(count)]
+        self.boards = {name: Blackboard() for name in self.names}
+        self.relays = {name: self._make(name) for name in self.names}
+        endpoints = {
+            f"s{n}": Endpoint(f"s{n}", "", f"dc{n}", "ticketing", "v1")
+            for n in range(data_centres)
+        }
+        for name, board in self.boards.items():
+            others = [other for other in self.names if other != name]
+            members = {o: Member(o, "dc0", o, 1, 1, False, 0.0) for o in others}
+            board.members.write(members)
+            board.endpoints.write(endpoints)
+        self.writer_name = choose_writer(
+            self.names[0], "dc0", self.boards[self.names[0]].members.value.values()
+        )
+
+    def _make(self, name):
+        store = FakeStore(Process(self.clock, name), self.faults, 0.004)
+        board = self.boards[name]
+        writer = ClaimWriter(store, self.clock, board.counters)
+        settings = RouterSettings(name, "dc0", "", "", StoreSettings([""]), "")
+        return ClaimRelay(settings, board, writer, self.bus.port(name), self.clock)
+
+    def claim(self, name, key):
+        outcomes = []
+        claim = Claim(new_claim_id(), name, "f", ClaimState.CLAIMED, 0)
+        store_key = claim_key("ticketing", "clerks", key)
+        self.relays[name].claim(store_key, claim, 60.0).addCallback(outcomes.append)
+        return outcomes
+
+    def settle_down(self, seconds=1.0):
+        self.clock.pump([0.001] * int(seconds / 0.001))
+
+    @property
+    def writes(self):
+        return sum(board.counters.claim_writes for board in self.boards.values())
+
+    def stored(self, key):
+        item = self.faults.state.items[claim_key("ticketing", "clerks", key)]
+        return Claim.from_json(item.value)
+
+
+class ClaimRelayTest(unittest.TestCase):
+    def setUp(self):
+        self.world = RelayWorld(5)
+        self.other = next(n for n in self.world.names if n != self.world.writer_name)
+
+    def test_all_routers_choose_the_same_writer(self):
+        chosen = {
+            choose_writer(name, "dc0", board.members.value.values())
+            for name, board in self.world.boards.items()
+        }
+        self.assertEqual(chosen, {self.world.writer_name})
+
+    def test_claims_of_many_routers_share_a_write(self):
+        outcomes = [
+            self.world.claim(name, f"{name}-{n}")
+            for name in self.world.names
+            for n in range(10)
+        ]
+        self.world.settle_down()
+        self.assertTrue(all(outcome[0].hold for outcome in outcomes))
+        self.assertLessEqual(self.world.writes, 3)
+
+    def test_one_of_two_routers_wins(self):
+        outcomes = [self.world.claim(name, "k") for name in self.world.names]
+        self.world.settle_down()
+        self.assertEqual(sum(o[0].hold is not None for o in outcomes), 1)
+
+    def test_outcome_reaches_the_store(self):
+        outcomes = self.world.claim(self.other, "k")
+        self.world.settle_down()
+        self.world.relays[self.other].settle(outcomes[0].hold, ClaimState.DONE)
+        self.world.settle_down()
+        self.assertIs(self.world.stored("k").state, ClaimState.DONE)
+
+    def test_silent_writer_is_done_without(self):
+        self.world.bus.silent.add(self.world.writer_name)
+        outcomes = self.world.claim(self.other, "k")
+        self.world.settle_down()
+        self.assertIsNotNone(outcomes[0].hold)
+        self.world.relays[self.other].settle(outcomes[0].hold, ClaimState.DONE)
+        self.world.settle_down()
+        self.assertIs(self.world.stored("k").state, ClaimState.DONE)
+
+    def test_unreachable_writer_costs_no_waiting(self):
+        self.world.bus.silent.add(self.world.writer_name)
+        self.world.bus.unreachable.add(self.world.writer_name)
+        outcomes = self.world.claim(self.other, "k")
+        self.world.settle_down(ANSWER_TIMEOUT_S / 2)
+        self.assertIsNotNone(outcomes[0].hold)
+
+    def test_lost_answer_of_the_writer_does_not_lose_the_claim(self):
+        # The writer has written it under the same claim id when the router does.
+        outcomes = self.world.claim(self.other, "k")
+        self.world.clock.pump([0.001] * 6)
+        self.world.bus.silent.add(self.world.writer_name)
+        self.world.settle_down()
+        self.assertIsNotNone(outcomes[0].hold)
+
+    def test_writes_are_shared_among_the_data_centres(self):
+        world = RelayWorld(3, data_centres=8)
+        for number in range(200):
+            world.clock.callLater(number / 100, world.claim, "r0", str(number))
+        world.settle_down(3)
+        budget = StoreSettings([""]).claim_writes_per_s / 8
+        self.assertLessEqual(world.writes, budget * 3)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -3,7 +3,7 @@
 from twisted.internet.task import Clock
 
 from sesamearch.blackboard import Blackboard
-from sesamearch.drain import Drain
+from sesamearch.drain import SETTLE_TIMEOUT_S, Drain
 from sesamearch.settings import DrainSettings
 
 SETTINGS = DrainSettings(balancer_grace_s=3, timeout_s=60)
@@ -12,6 +12,7 @@
 class BusyGateway:
     def __init__(self):
         self.in_flight = 2
+        self.unsettled = 0
         self.handed_over = 0
 
     def hand_over(self):
@@ -63,6 +64,14 @@
         self.pass_time(1)
         self.assertEqual(self.events, ["refuse", "stop"])
 
+    def test_outcomes_are_written_before_the_end_but_not_for_ever(self):
+        self.drain.ask()
+        self.gateway.in_flight, self.gateway.unsettled = 0, 1
+        self.pass_time(SETTINGS.balancer_grace_s + SETTLE_TIMEOUT_S - 1)
+        self.assertEqual(self.events, ["refuse"])
+        self.pass_time(2)
+        self.assertEqual(self.events, ["refuse", "stop"])
+
     def test_timeout_hands_over(self):
         self.drain.ask()
         self.pass_time(SETTINGS.timeout_s + 1)
