--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test lint bench format
+.PHONY: demo test lint bench format study-resume
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -27,3 +27,6 @@
 
 bench: $(READY)
 	$(BIN)/python -m bench
+
+study-resume: $(READY)
+	$(BIN)/python -m bench.resume
