Keep a stalled attempt on standby while the next one starts

Change: attempts are objects; up to two stalled ones stay on standby, the first to bring the next token goes on alone, the rest are cancelled; an attempt that continues an answer gets 1 s to its first token.

--- a/src/sesamearch/configuration.py
+++ b/src/sesamearch/configuration.py
@@ -51,7 +51,9 @@
     Parameters
     ----------
     first_token_timeout_s : float
-        Time to the first token of an attempt.
+        Time to the first token of a new answer.
+    resume_first_token_timeout_s : float
+        Time to the first token of an attempt that continues one.
     stall_floor_s : float
         Least time without a token that counts as a stall.
     stall_gap_ratio : float
@@ -63,6 +65,7 @@
     """
 
     first_token_timeout_s: Positive = 3.0
+    resume_first_token_timeout_s: Positive = 1.0
     stall_floor_s: Positive = 0.4
     stall_gap_ratio: Positive = 8.0
     reattach_timeout_s: Positive = 0.25
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -10,6 +10,7 @@
 from twisted.internet.interfaces import IPushProducer
 from zope.interface import implementer
 
+from sesamearch.attempt import GenerationRequest
 from sesamearch.completion import (
     MAX_SEED,
     EventSink,
@@ -19,7 +20,7 @@
     send_problem,
 )
 from sesamearch.errors import ErrorKind, Problem
-from sesamearch.generation import Generation, GenerationRequest
+from sesamearch.generation import Generation
 from sesamearch.http_plain import HOP_BY_HOP_HEADERS
 from sesamearch.operation import OperationRequest, check_key
 from sesamearch.placement import choose_version
--- a/src/sesamearch/replay.py
+++ b/src/sesamearch/replay.py
@@ -6,6 +6,7 @@
 import msgspec
 from twisted.internet.task import Clock
 
+from sesamearch.attempt import GenerationTools
 from sesamearch.blackboard import Blackboard
 from sesamearch.claim import ClaimWriter
 from sesamearch.configuration import Configuration
@@ -29,7 +30,7 @@
     VmEntry,
 )
 from sesamearch.gateway import SWEEP_INTERVAL_S
-from sesamearch.generation import Generation, GenerationTools
+from sesamearch.generation import Generation
 from sesamearch.naive import NaiveGeneration, NaiveOperationRunner, NaivePlacement
 from sesamearch.operation import OperationRunner, OperationTools
 from sesamearch.placement import Placement
--- a/src/sesamearch/replay_caller.py
+++ b/src/sesamearch/replay_caller.py
@@ -5,8 +5,8 @@
 import msgspec
 from result import Err
 
+from sesamearch.attempt import AnswerSink, GenerationRequest
 from sesamearch.errors import ErrorKind, Problem, Ran
-from sesamearch.generation import AnswerSink, GenerationRequest
 from sesamearch.operation import OperationRequest
 from sesamearch.placement import choose_version
 from sesamearch.plain import PlainRequest
--- a/src/sesamearch/router.py
+++ b/src/sesamearch/router.py
@@ -7,6 +7,7 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
+from sesamearch.attempt import GenerationTools
 from sesamearch.blackboard import Blackboard
 from sesamearch.call import CallRunner
 from sesamearch.claim import ClaimWriter
@@ -18,7 +19,6 @@
 from sesamearch.etcd import EtcdStore
 from sesamearch.follower import ConfigurationFollower, EndpointFollower
 from sesamearch.gateway import SWEEP_INTERVAL_S, Gateway
-from sesamearch.generation import GenerationTools
 from sesamearch.http_engine import HttpEngineClient
 from sesamearch.http_plain import HttpPlainClient
 from sesamearch.listener import LISTEN_BACKLOG, listen_directly
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,6 +11,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from sesamearch.attempt import GenerationTools
 from sesamearch.blackboard import Blackboard, DrainPhase, Endpoint
 from sesamearch.call import CallRunner
 from sesamearch.claim import ClaimWriter
@@ -20,7 +21,6 @@
 from sesamearch.engine import StreamEnd
 from sesamearch.fake import FakeStore, Process, StoreFaults
 from sesamearch.gateway import Gateway
-from sesamearch.generation import GenerationTools
 from sesamearch.operation import OperationRunner, OperationTools
 from sesamearch.placement import Placement
 from sesamearch.plain import CallLoss, PlainClient, PlainReply
