--- a/src/sesamearch/follower.py
+++ b/src/sesamearch/follower.py
@@ -62,6 +62,7 @@
         self._watch = None
         self._retry = None
         self._retry_s = RETRY_FIRST_S
+        self._is_stopped = False
         self.is_current = False
 
     def start(self):
@@ -76,8 +77,11 @@
         if self._retry is not None:
             self._retry.cancel()
         self._watch = self._retry = None
+        self._is_stopped = True
 
     def _take_range(self, result):
+        if self._is_stopped:
+            return
         if result.is_err():
             self.ended()
             return
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IPushProducer
+from werkzeug.exceptions import HTTPException
 from zope.interface import implementer
 
 from sesamearch.attempt import GenerationRequest
@@ -22,6 +23,7 @@
 from sesamearch.errors import ErrorKind, Problem
 from sesamearch.generation import Generation
 from sesamearch.http_plain import HOP_BY_HOP_HEADERS
+from sesamearch.log import logger
 from sesamearch.operation import OperationRequest, check_key
 from sesamearch.placement import choose_version
 from sesamearch.plain import PlainRequest
@@ -125,6 +127,17 @@
             return now_s + service.timeout_s
         return now_s + min(max(asked_s, 0), service.timeout_s)
 
+    @app.handle_errors(HTTPException)
+    def refuse_path(self, request, failure):
+        """Answer a path or method that does not exist."""
+        self._refuse(request, Problem(ErrorKind.UNKNOWN_CALL, failure.value.name))
+
+    @app.handle_errors
+    def report_bug(self, request, failure):
+        """Answer a request that met a bug, and log it."""
+        logger.error("bug path={} {}", request.path.decode(), failure.getTraceback())
+        self._refuse(request, Problem(ErrorKind.INTERNAL))
+
     @app.route("/v1/models", methods=["GET"])
     def models(self, request):
         """List the models."""
--- a/src/sesamearch/router.py
+++ b/src/sesamearch/router.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from result import Err, Ok
+from twisted.internet.defer import gatherResults, maybeDeferred
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
@@ -92,6 +93,7 @@
             self._stop,
         )
         self._listeners = []
+        self._operators = []
         self._sweeper = LoopingCall(self.gateway.sweep)
 
     def _make_peers(self, keys):
@@ -143,7 +145,8 @@
         )
         site = LimitedSite(port.app.resource(), self._settings.limits, self._reactor)
         host, number = _split(self._settings.operators_listen)
-        self._reactor.listenTCP(number, site, interface=host)
+        listener = self._reactor.listenTCP(number, site, interface=host)
+        self._operators.append(listener)
 
     def _listen_for_callers(self):
         resource = self.gateway.app.resource()
@@ -174,16 +177,26 @@
         signal.signal(signal.SIGINT, ask)
 
     def _stop_listening(self):
-        for listener in self._listeners:
-            listener.stopListening()
+        listeners, self._listeners = self._listeners, []
+        return gatherResults(
+            [maybeDeferred(listener.stopListening) for listener in listeners]
+        )
 
-    def _stop(self):
+    def close(self):
+        """Stop at once; give a Deferred that fires when all ports are closed."""
         for follower in self._followers:
             follower.stop()
-        self._sweeper.stop()
+        if self._sweeper.running:
+            self._sweeper.stop()
         if self._peers is not None:
             self._peers.stop()
         self._metrics.stop()
+        operators, self._operators = self._operators, []
+        self._listeners += operators
+        return gatherResults([self._stop_listening(), self._store.close()])
+
+    def _stop(self):
+        self.close()
         # Responses that are complete here still lie in the transports' buffers.
         self._reactor.callLater(FLUSH_S, self._reactor.stop)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -253,6 +253,22 @@
         self.assert_problem(self.ask(), 503, "configuration-missing", "not_run")
 
 
+class OtherPathTest(GatewayCase):
+    def test_unknown_path_and_method(self):
+        for method, path in ((b"GET", b"/nothing"), (b"DELETE", b"/v1/models")):
+            connection = Connection(self.site).send(method, path)
+            self.assert_problem(connection, 404, "unknown-call", "not_run")
+
+    def test_models(self):
+        connection = Connection(self.site).send(b"GET", b"/v1/models")
+        self.assertIn(b'"id":"draft"', connection.body)
+
+    def test_bug_is_an_unknown_outcome(self):
+        self.gateway.generations = None
+        connection = self.ask()
+        self.assert_problem(connection, 500, "internal", "unknown")
+
+
 class CursorRequestTest(GatewayCase):
     def cursor(self):
         connection = self.ask(stream=True)
