Add moves between versions: evidence, sequential test, plan, leader

Change: outcomes of attempts and calls are counted in the router, pooled at a leader that holds a lease; its writes compare its epoch; a router vetoes what its own evidence calls bad and tells its peers. Not yet: command line, tests, replay of moves.

--- a/src/sesamearch/attempt.py
+++ b/src/sesamearch/attempt.py
@@ -7,6 +7,7 @@
 
 from sesamearch.cursor import Cursor
 from sesamearch.engine import GenerationOrder, StreamReceiver
+from sesamearch.evidence import Outcome, load_level
 
 __all__ = ["AnswerSink", "Attempt", "GenerationRequest", "GenerationTools"]
 
@@ -55,6 +56,8 @@
     signer : CursorSigner
     clock : twisted.internet.interfaces.IReactorTime
     counters : Counters
+    outcomes : object with ``note(outcome)``
+        Takes the :class:`~sesamearch.evidence.Outcome` of each attempt.
     """
 
     engines: object
@@ -62,6 +65,7 @@
     signer: object
     clock: object
     counters: object
+    outcomes: object
 
 
 class AnswerSink(abc.ABC):
@@ -105,6 +109,9 @@
     """
 
     __slots__ = (
+        "_begun_s",
+        "_first_event_s",
+        "_load",
         "_owner",
         "_request",
         "_stream",
@@ -127,6 +134,9 @@
         self._tools = tools
         self._owner = owner
         self._stream = None
+        self._begun_s = 0.0
+        self._first_event_s = None
+        self._load = 0
         self.cursor_prefix = tools.signer.sign(self._cursor())
 
     def _cursor(self):
@@ -171,11 +181,38 @@
         )
 
     def _started(self):
+        self._begun_s = self._tools.clock.seconds()
+        self._load = load_level(self._tools.placement.in_flight(self.endpoint))
         self._tools.counters.attempts += 1
         self._tools.placement.started(self.endpoint)
 
+    def report(self, is_whole, gap_s):
+        """Tell how the attempt went, for the evidence on its version.
+
+        Parameters
+        ----------
+        is_whole : bool
+            Whether it brought the answer to its end.
+        gap_s : float
+            Mean time between its tokens.
+        """
+        first_s = self._first_event_s
+        outcome = Outcome(
+            self._request.service.service,
+            self.version,
+            self._request.service.model,
+            self._load,
+            is_error=not is_whole and first_s is None,
+            is_cut_off=not is_whole and first_s is not None,
+            first_token_s=None if first_s is None else first_s - self._begun_s,
+            gap_s=gap_s or None,
+        )
+        self._tools.outcomes.note(outcome)
+
     def events(self, events):
         """Hand on events with the attempt that they belong to."""
+        if self._first_event_s is None:
+            self._first_event_s = self._tools.clock.seconds()
         self._owner.take_events(self, events)
 
     def ended(self, reason, detail):
--- a/src/sesamearch/blackboard.py
+++ b/src/sesamearch/blackboard.py
@@ -156,16 +156,30 @@
     members : Section of dict from str to Member
         Other routers by name.
     drain : Section of DrainPhase
+    moves : Section of dict from str to MoveRecord
+        By service.
+    vetoes : Section of frozenset of str
+        Moves whose new version was called bad here or by a peer.
     counters : Counters
     """
 
-    __slots__ = ("configuration", "counters", "drain", "endpoints", "members")
+    __slots__ = (
+        "configuration",
+        "counters",
+        "drain",
+        "endpoints",
+        "members",
+        "moves",
+        "vetoes",
+    )
 
     def __init__(self):
         self.configuration = Section(Configuration())
         self.endpoints = Section({})
         self.members = Section({})
         self.drain = Section(DrainPhase())
+        self.moves = Section({})
+        self.vetoes = Section(frozenset())
         self.counters = Counters()
 
     def accept_configuration(self, configuration):
--- a/src/sesamearch/call.py
+++ b/src/sesamearch/call.py
@@ -1,17 +1,20 @@
 """Idempotent calls of plain services: repeated within a deadline and a budget."""
 
+import msgspec
 from result import Err
 from twisted.internet.defer import Deferred
 
 from sesamearch.errors import ErrorKind, Problem
+from sesamearch.evidence import Outcome, load_level
 from sesamearch.plain import CallLoss
 
-__all__ = ["CallRunner", "RetryBudget", "send_call"]
+__all__ = ["CallRunner", "CallTools", "RetryBudget", "send_call"]
 
 MAX_TRIES = 3
 TRY_SHARE_RATIO = 0.5
 RETRY_RATIO = 0.1
 RETRY_BURST = 10.0
+SERVER_ERROR_STATUS = 500
 
 
 class RetryBudget:
@@ -44,20 +47,60 @@
         return True
 
 
-async def send_call(client, placement, endpoint, request, timeout_s):
-    """Send one call once and keep the placement's counts.
+class CallTools(msgspec.Struct, frozen=True):
+    """What every call of a router works with.
+
+    Parameters
+    ----------
+    client : PlainClient
+    placement : Placement
+    clock : twisted.internet.interfaces.IReactorTime
+        Reads Unix time, as the reactor's does.
+    outcomes : object with ``note(outcome)``
+        Takes the :class:`~sesamearch.evidence.Outcome` of each call sent.
+    """
+
+    client: object
+    placement: object
+    clock: object
+    outcomes: object
+
+
+async def send_call(tools, endpoint, request, timeout_s):
+    """Send one call once, and keep the placement's counts and the evidence.
+
+    Parameters
+    ----------
+    tools : CallTools
+    endpoint : Endpoint
+    request : PlainRequest
+    timeout_s : float
 
     Returns
     -------
     result.Result[PlainReply, CallLoss]
     """
+    placement, begun_s = tools.placement, tools.clock.seconds()
+    load = load_level(placement.in_flight(endpoint))
     placement.started(endpoint)
-    result = await client.call(endpoint, request, timeout_s)
+    result = await tools.client.call(endpoint, request, timeout_s)
     placement.ended(endpoint)
     if result.is_err():
         placement.failed(endpoint)
     else:
         placement.worked(endpoint)
+    if result.err() is not CallLoss.REFUSED:
+        is_error = result.is_err() or result.unwrap().status >= SERVER_ERROR_STATUS
+        taken_s = None if is_error else tools.clock.seconds() - begun_s
+        outcome = Outcome(
+            endpoint.service,
+            endpoint.version,
+            request.route,
+            load,
+            is_error,
+            first_token_s=taken_s,
+        )
+        tools.outcomes.note(outcome)
     return result
 
 
@@ -66,18 +109,14 @@
 
     Parameters
     ----------
-    client : PlainClient
-    placement : Placement
-    clock : twisted.internet.interfaces.IReactorTime
+    tools : CallTools
     """
 
-    __slots__ = ("_budget", "_client", "_clock", "_placement")
+    __slots__ = ("_budget", "_tools")
 
-    def __init__(self, client, placement, clock):
+    def __init__(self, tools):
         self._budget = RetryBudget()
-        self._client = client
-        self._clock = clock
-        self._placement = placement
+        self._tools = tools
 
     def run(self, service, version, request, deadline_s):
         """Run a call, repeating it elsewhere while time and budget last.
@@ -100,8 +139,8 @@
         self._budget.earn()
         tried, problem = set(), Problem(ErrorKind.NO_ENDPOINT, service.service)
         for number in range(MAX_TRIES):
-            left_s = deadline_s - self._clock.seconds()
-            endpoint = self._placement.choose(service.service, version, tried)
+            left_s = deadline_s - self._tools.clock.seconds()
+            endpoint = self._tools.placement.choose(service.service, version, tried)
             if left_s <= 0 or endpoint is None:
                 break
             if number and not self._budget.spend():
@@ -110,9 +149,7 @@
             # Each try leaves half of what remains for the next one.
             is_last = number == MAX_TRIES - 1
             timeout_s = left_s if is_last else left_s * TRY_SHARE_RATIO
-            result = await send_call(
-                self._client, self._placement, endpoint, request, timeout_s
-            )
+            result = await send_call(self._tools, endpoint, request, timeout_s)
             if result.is_ok():
                 return result
             if result.unwrap_err() is CallLoss.LOST:
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -25,8 +25,8 @@
 from sesamearch.http_plain import HOP_BY_HOP_HEADERS
 from sesamearch.log import logger
 from sesamearch.operation import OperationRequest, check_key
-from sesamearch.placement import choose_version
 from sesamearch.plain import PlainRequest
+from sesamearch.version import VersionChooser
 
 __all__ = ["Gateway"]
 
@@ -77,6 +77,7 @@
         self._limits = limits
         self._calls_in_flight = 0
         self._flusher = Flusher(tools.clock)
+        self._versions = VersionChooser(board)
         self.generations = set()
 
     @property
@@ -210,7 +211,7 @@
             request_id,
             organisation,
             service,
-            choose_version(service, request_id),
+            self._versions.choose(service, request_id),
             parsed.parameters,
             parsed.digest,
             seed,
@@ -243,25 +244,25 @@
             problem = Problem(ErrorKind.UNKNOWN_CALL, f"{method} /{path}"[:200])
             return self._refuse(request, problem)
         if call.retry == "idempotent":
-            outgoing = _to_plain_request(request)
-            version = choose_version(
+            outgoing = _to_plain_request(request, call)
+            version = self._versions.choose(
                 found.unwrap(), secrets.token_hex(REQUEST_ID_BYTES)
             )
             deadline_s = self._deadline_s(request, found.unwrap())
             started = self._calls.run(found.unwrap(), version, outgoing, deadline_s)
             return self._answer_later(request, started)
-        return self._operate(request, organisation, found.unwrap())
+        return self._operate(request, organisation, found.unwrap(), call)
 
-    def _operate(self, request, organisation, service):
+    def _operate(self, request, organisation, service, call):
         key = check_key(
             service, request.getHeader("Idempotency-Key"), self._tools.clock.seconds()
         )
         if key.is_err():
             return self._refuse(request, key.unwrap_err())
-        outgoing = _to_plain_request(request)
+        outgoing = _to_plain_request(request, call)
         operation = OperationRequest(
             service,
-            choose_version(service, key.unwrap()),
+            self._versions.choose(service, key.unwrap()),
             organisation,
             key.unwrap(),
             outgoing,
@@ -317,7 +318,7 @@
     return Ok(position)
 
 
-def _to_plain_request(request):
+def _to_plain_request(request, call):
     headers = [
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, values in request.requestHeaders.getAllRawHeaders()
@@ -327,7 +328,8 @@
     # The path as it came, so that nothing is decoded and encoded again.
     path = b"/" + request.uri.split(b"/", 3)[3]
     method = request.method.decode()
-    return PlainRequest(method, path.decode("ascii"), headers, request.content.read())
+    body, route = request.content.read(), f"{call.method} {call.path}"
+    return PlainRequest(method, path.decode("ascii"), headers, body, route)
 
 
 def _fingerprint(outgoing):
--- a/src/sesamearch/generation.py
+++ b/src/sesamearch/generation.py
@@ -264,6 +264,7 @@
         if event.index != self.offset_tokens:
             return
         self._note_pace()
+        self._current.report(is_whole=True, gap_s=self._gap_s)
         self._current.close(cancel=False)
         self._end()
         if not self._has_begun:
@@ -309,6 +310,8 @@
             self._resume_deadline_s = now_s + self._policy.resume_timeout_s
         if loss is Loss.REFUSED:
             self._unrefused -= 1
+        elif loss is not Loss.GONE:
+            self._current.report(is_whole=False, gap_s=self._gap_s)
         endpoint = self._current.endpoint
         if loss is Loss.CONNECTION and self.offset_tokens and not self._reattached:
             self._attach(endpoint, self._current.stream_id)
--- a/src/sesamearch/naive.py
+++ b/src/sesamearch/naive.py
@@ -40,6 +40,10 @@
         self._turn += 1
         return candidates[self._turn % len(candidates)]
 
+    def in_flight(self, endpoint):
+        """Keep no counts."""
+        return 0
+
     def started(self, endpoint):
         """Keep no counts."""
 
@@ -169,15 +173,17 @@
     async def _run(self, request):
         tools, tried = self._tools, set()
         for _ in range(MAX_TRIES):
-            endpoint = tools.placement.choose(request.service.service, "", tried)
+            endpoint = tools.calls.placement.choose(request.service.service, "", tried)
             if endpoint is None:
                 tried.clear()
-                endpoint = tools.placement.choose(request.service.service, "", tried)
+                endpoint = tools.calls.placement.choose(
+                    request.service.service, "", tried
+                )
             if endpoint is None:
                 break
             tried.add(endpoint.name)
             result = await send_call(
-                tools.client, tools.placement, endpoint, request.request, TRY_TIMEOUT_S
+                tools.calls, endpoint, request.request, TRY_TIMEOUT_S
             )
             if result.is_ok():
                 return result
--- a/src/sesamearch/operation.py
+++ b/src/sesamearch/operation.py
@@ -58,20 +58,15 @@
 
     Parameters
     ----------
-    client : PlainClient
-    placement : Placement
-    claims : ClaimWriter
-    clock : twisted.internet.interfaces.IReactorTime
-        Reads Unix time, as the reactor's does.
+    calls : CallTools
+    claims : ClaimWriter or ClaimRelay
     counters : Counters
     router : str
         Name written into claims.
     """
 
-    client: object
-    placement: object
+    calls: object
     claims: object
-    clock: object
     counters: object
     router: str
 
@@ -179,14 +174,14 @@
             return Err(Problem(ErrorKind.STORE_UNAVAILABLE, "no claim without it"))
         if existing.fingerprint not in ("", self._request.fingerprint):
             return Err(Problem(ErrorKind.KEY_REUSED))
-        now_s = self._tools.clock.seconds()
+        now_s = self._tools.calls.clock.seconds()
         return answer_from_claim(existing, self._request.service.service, now_s)
 
     async def _send_until_proved(self, hold):
         """Send, and again elsewhere only while it is proved not to have run."""
         claims, problem = self._tools.claims, None
         for _ in range(MAX_SENDS):
-            left_s = self._request.deadline_s - self._tools.clock.seconds()
+            left_s = self._request.deadline_s - self._tools.calls.clock.seconds()
             endpoint = self._choose()
             if left_s <= 0:
                 problem = Problem(ErrorKind.DEADLINE_PASSED)
@@ -205,7 +200,7 @@
 
     def _choose(self):
         request = self._request
-        endpoint = self._tools.placement.choose(
+        endpoint = self._tools.calls.placement.choose(
             request.service.service, request.version, self._tried
         )
         if endpoint is not None:
@@ -215,11 +210,7 @@
     async def _send(self, endpoint, timeout_s):
         self._life.sent()
         return await send_call(
-            self._tools.client,
-            self._tools.placement,
-            endpoint,
-            self._request.request,
-            timeout_s,
+            self._tools.calls, endpoint, self._request.request, timeout_s
         )
 
 
@@ -349,6 +340,6 @@
         for item in result.unwrap().items:
             if item.key == key:
                 claim = Claim.from_json(item.value)
-                now_s = self._tools.clock.seconds()
+                now_s = self._tools.calls.clock.seconds()
                 return answer_from_claim(claim, service.service, now_s)
         return Err(Problem(ErrorKind.OPERATION_NOT_FOUND))
--- a/src/sesamearch/peer.py
+++ b/src/sesamearch/peer.py
@@ -14,6 +14,7 @@
 from sesamearch.blackboard import Member
 from sesamearch.claim import Claim
 from sesamearch.configuration import Configuration
+from sesamearch.evidence import CellCounts
 from sesamearch.log import logger
 
 __all__ = ["ConfigurationNews", "ConfigurationWanted", "Heartbeat", "PeerLink"]
@@ -120,8 +121,30 @@
     outcomes: list[TakenClaim]
 
 
+class EvidenceReport(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Tells the leader what a router saw of a move in one window."""
+
+    schema_version: int
+    move_id: str
+    cells: list[CellCounts]
+
+
+class Veto(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Tells that a router has called the new version of a move bad."""
+
+    schema_version: int
+    move_id: str
+    reason: str
+
+
 _Message = (
-    Heartbeat | ConfigurationWanted | ConfigurationNews | ClaimsWanted | ClaimsTaken
+    Heartbeat
+    | ConfigurationWanted
+    | ConfigurationNews
+    | ClaimsWanted
+    | ClaimsTaken
+    | EvidenceReport
+    | Veto
 )
 _decode = msgspec.msgpack.Decoder(_Message).decode
 
@@ -343,6 +366,11 @@
         member = self._board.members.value.get(name)
         return member is not None and self._send(member.address, message)
 
+    def send_to_all(self, message):
+        """Send a message to every router that a link leads to."""
+        for address in list(self._sockets):
+            self._send(address, message)
+
     def _take(self, parts):
         try:
             message = _decode(parts[0])
--- a/src/sesamearch/placement.py
+++ b/src/sesamearch/placement.py
@@ -1,36 +1,12 @@
 """Choice of the endpoint for an attempt or a call."""
 
-import hashlib
 import random
 
-__all__ = ["Placement", "choose_version"]
+__all__ = ["Placement"]
 
 AVOID_FIRST_S = 1.0
 AVOID_LONGEST_S = 8.0
 DRAWS = 8
-_HASH_SPAN = 1 << 64
-
-
-def choose_version(service, request_id):
-    """Choose the version for a request, the same wherever it is asked.
-
-    Parameters
-    ----------
-    service : EngineService or PlainService
-    request_id : str
-
-    Returns
-    -------
-    str
-        Name of a version, by the published shares.
-    """
-    digest = hashlib.blake2b(request_id.encode(), digest_size=8).digest()
-    point_ratio = int.from_bytes(digest, "big") / _HASH_SPAN
-    for version in service.versions:
-        point_ratio -= version.share_ratio
-        if point_ratio < 0:
-            return version.name
-    return max(service.versions, key=lambda version: version.share_ratio).name
 
 
 class _Record:
@@ -151,6 +127,11 @@
         """Return the :class:`Endpoint` of that name, or None."""
         return self._board.endpoints.value.get(name)
 
+    def in_flight(self, endpoint):
+        """Return the number of attempts and calls of this router there."""
+        record = self._records.get(endpoint.name)
+        return record.in_flight if record else 0
+
     def started(self, endpoint):
         """Count an attempt or call that began."""
         record = self._records.get(endpoint.name)
--- a/src/sesamearch/plain.py
+++ b/src/sesamearch/plain.py
@@ -18,12 +18,15 @@
     headers : list of tuple of str
         End-to-end headers, name and value.
     body : bytes
+    route : str
+        Method and path of the published call that it matched.
     """
 
     method: str
     path: str
     headers: list[tuple[str, str]]
     body: bytes
+    route: str = ""
 
 
 class PlainReply(msgspec.Struct, frozen=True):
--- a/src/sesamearch/replay.py
+++ b/src/sesamearch/replay.py
@@ -8,6 +8,7 @@
 
 from sesamearch.attempt import GenerationTools
 from sesamearch.blackboard import Blackboard
+from sesamearch.call import CallTools
 from sesamearch.claim import ClaimWriter
 from sesamearch.configuration import Configuration
 from sesamearch.cursor import CursorSigner
@@ -39,6 +40,7 @@
 from sesamearch.store import Put
 from sesamearch.trace import CallArrival, Generate
 from sesamearch.verdict import IN_FORCE_BOUND_S, Report, Verdict
+from sesamearch.version import VersionChooser
 
 __all__ = ["Replay", "replay"]
 
@@ -48,6 +50,13 @@
 _DRAIN = DrainSettings(balancer_grace_s=1.5, timeout_s=20.0)
 
 
+class _NoEvidence:
+    """Drops outcomes: moves are not part of a replay yet."""
+
+    def note(self, outcome):
+        """Drop it."""
+
+
 class ReplayRouter:
     """A router whose adapters are fakes.
 
@@ -80,7 +89,9 @@
             self.signer,
             self.process,
             self.board.counters,
+            _NoEvidence(),
         )
+        self.versions = VersionChooser(self.board)
         store = FakeStore(self.process, world.store, world.header.store_latency_s)
         self.operations = self._make_operations(store)
         self.followers = [
@@ -92,11 +103,15 @@
         )
 
     def _make_operations(self, store):
-        tools = OperationTools(
+        calls = CallTools(
             FakePlainClient(self.process, self.world.links, self.world.services),
             self.placement,
-            ClaimWriter(store, self.process, self.board.counters),
             self.process,
+            _NoEvidence(),
+        )
+        tools = OperationTools(
+            calls,
+            ClaimWriter(store, self.process, self.board.counters),
             self.board.counters,
             self.name,
         )
--- a/src/sesamearch/replay_caller.py
+++ b/src/sesamearch/replay_caller.py
@@ -8,7 +8,6 @@
 from sesamearch.attempt import AnswerSink, GenerationRequest
 from sesamearch.errors import ErrorKind, Problem, Ran
 from sesamearch.operation import OperationRequest
-from sesamearch.placement import choose_version
 from sesamearch.plain import PlainRequest
 from sesamearch.standin_engine import expected_token, prompt_digest
 
@@ -162,7 +161,7 @@
             request_id,
             self.event.organisation,
             service,
-            choose_version(service, request_id),
+            router.versions.choose(service, request_id),
             {"messages": msgspec.Raw(msgspec.json.encode(self._messages))},
             self._digest,
             seed,
@@ -291,7 +290,7 @@
         headers = [("Idempotency-Key", self.key)]
         request = OperationRequest(
             service,
-            choose_version(service, self.key),
+            router.versions.choose(service, self.key),
             self.event.organisation,
             self.key,
             PlainRequest(self.event.method, self.event.path, headers, b""),
--- a/src/sesamearch/router.py
+++ b/src/sesamearch/router.py
@@ -10,9 +10,9 @@
 
 from sesamearch.attempt import GenerationTools
 from sesamearch.blackboard import Blackboard
-from sesamearch.call import CallRunner
+from sesamearch.call import CallRunner, CallTools
 from sesamearch.claim import ClaimWriter
-from sesamearch.claim_relay import ClaimRelay
+from sesamearch.claim_relay import ClaimRelay, choose_writer
 from sesamearch.cursor import CursorSigner
 from sesamearch.directory import Directory
 from sesamearch.drain import Drain
@@ -22,9 +22,11 @@
 from sesamearch.gateway import SWEEP_INTERVAL_S, Gateway
 from sesamearch.http_engine import HttpEngineClient
 from sesamearch.http_plain import HttpPlainClient
+from sesamearch.leadership import Leadership
 from sesamearch.listener import LISTEN_BACKLOG, listen_directly
 from sesamearch.log import logger
 from sesamearch.metrics import MetricsExport
+from sesamearch.mover import MoveFollower, Mover
 from sesamearch.operation import OperationRunner, OperationTools
 from sesamearch.operators_port import OperatorsPort
 from sesamearch.peer import PeerLink
@@ -53,6 +55,8 @@
         self.board = Blackboard()
         self._store = EtcdStore(reactor, settings.store)
         placement = Placement(self.board, settings.data_centre, reactor)
+        self._peers = self._make_peers(peer_keys)
+        self._mover = self._make_mover()
         secret = Path(settings.cursor_key_file).read_bytes().strip()
         tools = GenerationTools(
             HttpEngineClient(reactor),
@@ -60,14 +64,12 @@
             CursorSigner(secret),
             reactor,
             self.board.counters,
+            self._mover,
         )
-        plain_client = HttpPlainClient(reactor)
-        self._peers = self._make_peers(peer_keys)
+        calls = CallTools(HttpPlainClient(reactor), placement, reactor, self._mover)
         operation_tools = OperationTools(
-            plain_client,
-            placement,
+            calls,
             self._make_claims(),
-            reactor,
             self.board.counters,
             settings.name,
         )
@@ -75,13 +77,14 @@
             self.board,
             Directory(self.board),
             tools,
-            CallRunner(plain_client, placement, reactor),
+            CallRunner(calls),
             OperationRunner(operation_tools, self._store),
             settings.limits,
         )
         self._followers = [
             ConfigurationFollower(self._store, self.board, reactor),
             EndpointFollower(self._store, self.board, reactor),
+            self._move_follower,
         ]
         self._metrics = MetricsExport(self.board, settings.metrics)
         self._drain = Drain(
@@ -101,6 +104,26 @@
             return None
         return PeerLink(self._reactor, self._settings, keys, self.board)
 
+    def _make_mover(self):
+        name, data_centre = self._settings.name, self._settings.data_centre
+        self._move_follower = MoveFollower(self._store, self.board, self._reactor)
+
+        def is_candidate():
+            members = self.board.members.value.values()
+            is_leaving = self.board.drain.value.draining
+            return not is_leaving and choose_writer(name, data_centre, members) == name
+
+        return Mover(
+            name,
+            self.board,
+            self._store,
+            Leadership(self._store, name, self._reactor),
+            self._move_follower,
+            self._peers,
+            self._reactor,
+            is_candidate,
+        )
+
     def _make_claims(self):
         writer = ClaimWriter(self._store, self._reactor, self.board.counters)
         if self._peers is None:
@@ -127,6 +150,7 @@
         for follower in self._followers:
             follower.start()
         self._sweeper.start(SWEEP_INTERVAL_S)
+        self._mover.start()
         logger.info(
             "router started name={} listen={}",
             self._settings.name,
@@ -188,6 +212,7 @@
             follower.stop()
         if self._sweeper.running:
             self._sweeper.stop()
+        self._mover.stop()
         if self._peers is not None:
             self._peers.stop()
         self._metrics.stop()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,7 +4,7 @@
 
 from sesamearch.blackboard import Blackboard
 from sesamearch.configuration import Configuration, collect
-from sesamearch.placement import choose_version
+from sesamearch.version import choose_by_share
 from tests.support import TICKETING
 
 ROOT = Path(__file__).parent.parent
@@ -75,7 +75,7 @@
 
         shares = [VersionShare("v1", 0.9), VersionShare("v2", 0.1)]
         service = msgspec.structs.replace(TICKETING, versions=shares)
-        chosen = [choose_version(service, f"r{n}") for n in range(5000)]
-        again = [choose_version(service, f"r{n}") for n in range(5000)]
+        chosen = [choose_by_share(service, f"r{n}") for n in range(5000)]
+        again = [choose_by_share(service, f"r{n}") for n in range(5000)]
         self.assertEqual(chosen, again)
         self.assertTrue(400 < chosen.count("v2") < 600)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,7 +13,7 @@
 
 from sesamearch.attempt import GenerationTools
 from sesamearch.blackboard import Blackboard, DrainPhase, Endpoint
-from sesamearch.call import CallRunner
+from sesamearch.call import CallRunner, CallTools
 from sesamearch.claim import ClaimWriter
 from sesamearch.configuration import Configuration, Organisation, hash_api_key
 from sesamearch.cursor import CursorSigner
@@ -27,7 +27,7 @@
 from sesamearch.settings import LimitSettings
 from sesamearch.site import LimitedSite
 from tests.support import DRAFTING, TICKETING
-from tests.test_generation import RecordingEngines
+from tests.test_generation import Outcomes, RecordingEngines
 
 LIMITS = LimitSettings(body_bytes=2000, receive_timeout_s=5, generations=2)
 CLERK = b"Authorization: Bearer clerk-key\r\n"
@@ -91,9 +91,9 @@
         counters = self.board.counters
         placement = Placement(self.board, "a", self.clock)
         claims = ClaimWriter(store, self.clock, counters)
-        operation_tools = OperationTools(
-            self.plain, placement, claims, self.clock, counters, "r1"
-        )
+        self.outcomes = Outcomes()
+        calls = CallTools(self.plain, placement, self.clock, self.outcomes)
+        operation_tools = OperationTools(calls, claims, counters, "r1")
         self.gateway = Gateway(
             self.board,
             Directory(self.board),
@@ -103,8 +103,9 @@
                 CursorSigner(b"s" * 32),
                 self.clock,
                 counters,
+                self.outcomes,
             ),
-            CallRunner(self.plain, placement, self.clock),
+            CallRunner(calls),
             OperationRunner(operation_tools, store),
             LIMITS,
         )
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -65,6 +65,10 @@
         self.cancelled.append(endpoint.name)
 
 
+class Outcomes(list):
+    note = list.append
+
+
 class RecordingSink(AnswerSink):
     def __init__(self):
         self.text = ""
@@ -97,8 +101,14 @@
         self.signer = CursorSigner(b"s" * 32)
         self.place("e1", "e2")
         placement = Placement(self.board, "a", self.clock)
+        self.outcomes = Outcomes()
         self.tools = GenerationTools(
-            self.engines, placement, self.signer, self.clock, self.board.counters
+            self.engines,
+            placement,
+            self.signer,
+            self.clock,
+            self.board.counters,
+            self.outcomes,
         )
         self.sink = RecordingSink()
         self.generation = self.make()
