--- a/src/sesamearch/cli.py
+++ b/src/sesamearch/cli.py
@@ -3,7 +3,9 @@
 import argparse
 import getpass
 import os
+import secrets
 import sys
+import time
 from importlib.metadata import version
 
 import msgspec
@@ -46,6 +48,7 @@
     _add_replay(commands)
     _add_check(commands)
     _add_publish(commands)
+    _add_move(commands)
     _add_status(commands)
     _add_ask(commands)
     _add_keys(commands)
@@ -310,6 +313,104 @@
     return 0
 
 
+def _add_move(commands):
+    parser = _add(
+        commands,
+        "move",
+        _run_move,
+        "Move a service to another version, look at moves, or take one back.",
+        "sesamearch move start drafting --from v1 --to v2 --deadline-in-s 3600 "
+        "--store 127.0.0.1:2379",
+    )
+    parser.add_argument("action", choices=("start", "status", "abort"))
+    parser.add_argument("service", nargs="?", metavar="SERVICE")
+    parser.add_argument("--from", dest="old_version", metavar="VERSION")
+    parser.add_argument("--to", dest="new_version", metavar="VERSION")
+    parser.add_argument("--deadline-in-s", type=float, metavar="SECONDS")
+    parser.add_argument(
+        "--if-thin",
+        choices=("finish", "take_back"),
+        default="take_back",
+        help="what to do with too little evidence at the deadline",
+    )
+    parser.add_argument("--operator", default=getpass.getuser(), metavar="NAME")
+    parser.add_argument("--yes", action="store_true", help="do it; else only say it")
+    _add_store(parser)
+    _add_format(parser)
+
+
+def _run_move(options):
+    from sesamearch.move import plan_lines
+
+    wanted = {"start": ("old_version", "new_version", "deadline_in_s"), "abort": ()}
+    missing = [
+        name
+        for name in ("service", *wanted.get(options.action, ()))
+        if options.action != "status" and getattr(options, name) is None
+    ]
+    if missing:
+        detail = "missing: " + ", ".join(missing)
+        return _show_problem(Problem(ErrorKind.BAD_REQUEST, detail), options.format)
+    if options.action == "start":
+        record = _new_move(options)
+        if not options.yes:
+            print("\n".join(plan_lines(record)))
+            print("nothing was done; add --yes to start")
+            return 0
+        return _finish_move(
+            options, lambda mover, store: mover.start_move(store, record)
+        )
+    if options.action == "abort" and not options.yes:
+        print(f"all new requests of {options.service} go back to the old version")
+        print("nothing was done; add --yes to take it back")
+        return 0
+    if options.action == "abort":
+        return _finish_move(
+            options,
+            lambda mover, store: mover.abort_move(
+                store, options.service, options.operator
+            ),
+        )
+    return _finish_move(options, lambda mover, store: mover.read_moves(store))
+
+
+def _new_move(options):
+    from sesamearch.move import MoveRecord, MoveState
+
+    now_s = time.time()
+    return MoveRecord(
+        secrets.token_hex(6),
+        options.service,
+        options.old_version,
+        options.new_version,
+        options.operator,
+        MoveState.PROPOSED,
+        0.0,
+        now_s,
+        now_s + options.deadline_in_s,
+        options.if_thin,
+    )
+
+
+def _finish_move(options, act):
+    async def work(reactor):
+        from sesamearch import mover
+        from sesamearch.etcd import EtcdStore
+
+        return await act(mover, EtcdStore(reactor, StoreSettings(options.store)))
+
+    result = _run(work)
+    if result.is_err():
+        return _show_problem(result.unwrap_err(), options.format)
+    records = result.unwrap()
+    records = records if isinstance(records, list) else [records]
+    if options.format == "json":
+        print(msgspec.json.encode(records).decode())
+    for record in records if options.format == "text" else ():
+        print(record.show())
+    return 0
+
+
 def _add_status(commands):
     parser = _add(
         commands,
--- a/src/sesamearch/move.py
+++ b/src/sesamearch/move.py
@@ -6,7 +6,14 @@
 import msgspec
 from automat import TypeMachineBuilder
 
-__all__ = ["MoveDecision", "MovePlan", "MoveRecord", "MoveState", "choose_by_move"]
+__all__ = [
+    "MoveDecision",
+    "MovePlan",
+    "MoveRecord",
+    "MoveState",
+    "choose_by_move",
+    "plan_lines",
+]
 
 CANARY_SHARE_RATIO = 0.05
 MIN_REQUESTS = 50
@@ -62,6 +69,13 @@
     if_thin: Literal["finish", "take_back"] = "take_back"
     reason: str = ""
 
+    def show(self):
+        """Return the move as one line."""
+        share = f"{self.share_ratio:.0%} of new requests"
+        move = f"{self.service}: {self.old_version} -> {self.new_version}"
+        reason = f" ({self.reason})" if self.reason else ""
+        return f"{move}  {self.state.value}  {share}  by {self.operator}{reason}"
+
     def is_over(self, now_s):
         """Return whether it is final and no longer watched."""
         if self.state is MoveState.FINISHED:
@@ -241,6 +255,22 @@
         )
 
 
+def plan_lines(record):
+    """Return what a move will do, as lines for an operator."""
+    span_s = record.deadline_s - record.started_s
+    steps = [(0.0, CANARY_SHARE_RATIO), *STEPS]
+    lines = [f"{record.service}: {record.old_version} -> {record.new_version}"]
+    lines += [
+        f"  after {at_ratio * span_s:.0f} s: {share_ratio:.0%} of new requests"
+        for at_ratio, share_ratio in steps
+    ]
+    lines.append(f"  after {FINISH_AT_RATIO * span_s:.0f} s: finished")
+    lines.append("taken back at once when the evidence calls the new version bad;")
+    thin = record.if_thin.replace("_", " ")
+    lines.append(f"with under {MIN_REQUESTS} requests by then: {thin}")
+    return lines
+
+
 def choose_by_move(record, point_ratio, is_vetoed):
     """Choose a version for a request while a move runs or after it.
 
