Replay moves, and forgive a new version the slowness of fewer endpoints

Cause: a good version was taken back in a live run by hand (one engine of v2 in another data centre beside three of v1, with a study running on the same machine): first tokens slow in 132 of 562 requests beside 219 of 1,971. The test was right that v2 was slower; it had no notion of by how much a new version may be. Change: slow is a tenth beyond the old version's limit, and the new version may be slow twice as often; errors have no tolerance. Moves are part of the replay, with the ninth promise judged; two traces.

--- a/src/sesamearch/detector.py
+++ b/src/sesamearch/detector.py
@@ -2,17 +2,20 @@
 
 For each kind of bad event, route and load level the test compares, among the bad
 events of a window, the new version's part with its part of the requests. If the new
-version is no worse, each factor below has a mean of at most one, so the sum of
-restarted products (Shiryaev-Roberts) grows by at most one a window on average, and the
-chance that it ever passes ``windows / false_alarm_ratio`` within that many windows is
-at most ``false_alarm_ratio``. Restarting keeps a fault that begins late as visible as
-one that is there at once.
+version is no worse (wrong no more often, slow no more than twice as often), each
+factor below has a mean of at most one, so the sum of restarted products
+(Shiryaev-Roberts) grows by at most one a window on average, and the chance that it
+ever passes ``windows / false_alarm_ratio`` within that many windows is at most
+``false_alarm_ratio``. Restarting keeps a fault that begins late as visible as one that
+is there at once.
 """
 
 import math
 
 import msgspec
 
+from sesamearch.evidence import BadEvent
+
 __all__ = ["Call", "Detector"]
 
 FALSE_ALARM_RATIO = 0.004
@@ -22,6 +25,10 @@
 PAST_RISKS = (2.0, 5.0)
 MIN_PAST_REQUESTS = 200
 MAX_RATE = 0.95
+# How many times as often as the old version the new one may be slow: its endpoints
+# are other ones, perhaps fewer and farther away. An error has no such excuse.
+SLOW_TOLERANCE_RATIO = 2.0
+_SLOW = (BadEvent.SLOW_FIRST_TOKEN, BadEvent.SLOW_GAP)
 
 
 class Call(msgspec.Struct, frozen=True):
@@ -53,9 +60,10 @@
 class _Cell:
     """Sums of one kind of event on one route at one load level."""
 
-    __slots__ = ("beside", "counts", "past")
+    __slots__ = ("_tolerance", "beside", "counts", "past")
 
-    def __init__(self):
+    def __init__(self, event):
+        self._tolerance = SLOW_TOLERANCE_RATIO if event in _SLOW else 1.0
         self.beside = [0.0] * len(RISKS)
         self.past = [0.0] * len(PAST_RISKS)
         self.counts = [0, 0, 0, 0]
@@ -65,7 +73,8 @@
         new, new_bad = cell.new_requests, cell.new_bad
         old, old_bad = cell.old_requests, cell.old_bad
         if new and old:
-            self._compare_beside(new / (new + old), new_bad, new_bad + old_bad)
+            allowed = new * self._tolerance
+            self._compare_beside(allowed / (allowed + old), new_bad, new_bad + old_bad)
         elif new:
             self._compare_with_past(new, new_bad)
         for place, count in enumerate((new, new_bad, old, old_bad)):
@@ -143,7 +152,7 @@
         """
         for counts in window:
             key = (counts.event, counts.route, counts.load)
-            self._cells.setdefault(key, _Cell()).add(counts)
+            self._cells.setdefault(key, _Cell(counts.event)).add(counts)
         total = sum(cell.total for cell in self._cells.values()) * self._weight
         return self._explain() if total >= self._limit else None
 
--- a/src/sesamearch/evidence.py
+++ b/src/sesamearch/evidence.py
@@ -11,6 +11,8 @@
 PACE_SAMPLES = 400
 MIN_PACE_SAMPLES = 30
 SLOW_PERCENT = 90
+# How far beyond the limit counts: equal versions may differ by nothing but noise.
+SLOW_TOLERANCE_RATIO = 1.1
 LOAD_BOUNDS = (4, 16)
 
 
@@ -150,7 +152,7 @@
             if is_old:
                 pace.add(value_s)
             if pace.limit_s is not None:
-                yield event, value_s > pace.limit_s
+                yield event, value_s > pace.limit_s * SLOW_TOLERANCE_RATIO
 
     def close_window(self):
         """Return the window's list of :class:`CellCounts` and begin the next."""
--- a/src/sesamearch/replay.py
+++ b/src/sesamearch/replay.py
@@ -32,29 +32,60 @@
 )
 from sesamearch.gateway import SWEEP_INTERVAL_S
 from sesamearch.generation import Generation
+from sesamearch.leadership import Leadership
+from sesamearch.move import MoveRecord, MoveState
+from sesamearch.mover import MoveFollower, Mover, record_key
 from sesamearch.naive import NaiveGeneration, NaiveOperationRunner, NaivePlacement
 from sesamearch.operation import OperationRunner, OperationTools
 from sesamearch.placement import Placement
 from sesamearch.replay_caller import CallCaller, GenerationCaller
+from sesamearch.replay_move import MoveJudge
 from sesamearch.settings import DrainSettings
 from sesamearch.store import Put
-from sesamearch.trace import CallArrival, Generate
+from sesamearch.trace import CallArrival, Generate, TraceMove
 from sesamearch.verdict import IN_FORCE_BOUND_S, Report, Verdict
 from sesamearch.version import VersionChooser
 
 __all__ = ["Replay", "replay"]
 
 HEALTH_INTERVAL_S = 1.0
+NAIVE_SHARE_RATIO = 0.5
 START_UNIX_S = 1_800_000_000.0
 _SECRET = b"replay" * 8
 _DRAIN = DrainSettings(balancer_grace_s=1.5, timeout_s=20.0)
 
 
-class _NoEvidence:
-    """Drops outcomes: moves are not part of a replay yet."""
+class ReplayPeers:
+    """Carries messages from one router to the others over links.
 
-    def note(self, outcome):
-        """Drop it."""
+    Parameters
+    ----------
+    router : ReplayRouter
+    """
+
+    def __init__(self, router):
+        self._router = router
+        self.handlers = {}
+
+    def handle(self, message_type, handler):
+        """Call `handler` with each message of a type."""
+        self.handlers[message_type] = handler
+
+    def send_to(self, name, message):
+        """Send a message to one router."""
+        other = self._router.world.routers.get(name)
+        if other is None:
+            return False
+        handler = other.peers.handlers[type(message)]
+        links = self._router.world.links
+        links.send(self._router.process, other.process, handler, message)
+        return True
+
+    def send_to_all(self, message):
+        """Send a message to all other routers."""
+        for name in self._router.world.routers:
+            if name != self._router.name:
+                self.send_to(name, message)
 
 
 class ReplayRouter:
@@ -83,31 +114,47 @@
             else Placement(self.board, data_centre, self.process, world.seed)
         )
         self.signer = CursorSigner(_SECRET)
+        store = FakeStore(self.process, world.store, world.header.store_latency_s)
+        self.move_follower = MoveFollower(store, self.board, self.process)
+        self.peers = ReplayPeers(self)
+        self.mover = self._make_mover(store)
         self.tools = GenerationTools(
             FakeEngineClient(self.process, world.links, world.engines),
             self.placement,
             self.signer,
             self.process,
             self.board.counters,
-            _NoEvidence(),
+            self.mover,
         )
         self.versions = VersionChooser(self.board)
-        store = FakeStore(self.process, world.store, world.header.store_latency_s)
         self.operations = self._make_operations(store)
         self.followers = [
             ConfigurationFollower(store, self.board, self.process),
             EndpointFollower(store, self.board, self.process),
+            self.move_follower,
         ]
         self.drain = Drain(
             self.board, self, _DRAIN, self.process, lambda: None, self._stopped
         )
 
+    def _make_mover(self, store):
+        return Mover(
+            self.name,
+            self.board,
+            store,
+            Leadership(store, self.name, self.process),
+            self.move_follower,
+            self.peers,
+            self.process,
+            lambda: not self.world.is_naive,
+        )
+
     def _make_operations(self, store):
         calls = CallTools(
             FakePlainClient(self.process, self.world.links, self.world.services),
             self.placement,
             self.process,
-            _NoEvidence(),
+            self.mover,
         )
         tools = OperationTools(
             calls,
@@ -124,6 +171,7 @@
         for follower in self.followers:
             follower.start()
         self._sweep()
+        self.mover.start()
 
     def _sweep(self):
         now_s = self.process.seconds()
@@ -212,6 +260,7 @@
         self.is_naive = policy == "naive"
         self.seed = seed
         self.random = random.Random(seed)
+        self._faults = random.Random(seed)
         self.clock = Clock()
         self.clock.rightNow = START_UNIX_S
         self.links = Links(self.clock, self.header.link_latency_s)
@@ -219,6 +268,7 @@
         self.verdict = Verdict()
         self.engines, self.services = {}, {}
         self.callers = []
+        self.moves = []
         self.attempts = collections.defaultdict(set)
         self.routers = {}
         self.ready = []
@@ -245,13 +295,26 @@
                     endpoint.token_interval_s,
                     endpoint.prefill_s,
                     self.note_attempt,
+                    self._make_fails(endpoint),
                 )
                 self.engines[endpoint.name] = engine
             else:
-                service = FakeService(process, endpoint.version, endpoint.work_s)
+                service = FakeService(
+                    process,
+                    endpoint.version,
+                    endpoint.work_s,
+                    self._make_fails(endpoint),
+                )
                 self.services[endpoint.name] = service
             self._list_vm(endpoint, "live")
 
+    def _make_fails(self, endpoint):
+        def fails():
+            is_bad = self.now_s >= START_UNIX_S + endpoint.bad_from_s
+            return is_bad and self._faults.random() < endpoint.error_ratio
+
+        return fails
+
     def _list_vm(self, endpoint, state):
         entry = VmEntry(
             endpoint.name,
@@ -317,6 +380,15 @@
         caller = order.request_id.rpartition("-")[0]
         self.attempts[caller].add((version, order.seed))
 
+    @property
+    def begun_s(self):
+        """Float : Unix time of the trace's beginning."""
+        return START_UNIX_S
+
+    def starts_of(self, name):
+        """Return when an endpoint was given work, a list of Unix times."""
+        return self._back_end(name).starts_s
+
     def pick_router(self, excluded=None):
         """Return the balancer's next router, another than `excluded` if it can."""
         choices = [r for r in self.ready if r is not excluded] or self.ready
@@ -328,6 +400,8 @@
         if isinstance(event, Generate):
             self.callers.append(GenerationCaller(self, event))
             self.callers[-1].start()
+        elif isinstance(event, TraceMove):
+            self._start_move(event)
         elif isinstance(event, CallArrival):
             self.callers.append(CallCaller(self, event))
             self.callers[-1].start()
@@ -335,6 +409,28 @@
             self.verdict.note_fault(event.what)
             getattr(self, "_fault_" + event.what.replace("-", "_"))(event)
 
+    def _start_move(self, event):
+        record = MoveRecord(
+            f"move-{event.service}-{event.new_version}",
+            event.service,
+            event.old_version,
+            event.new_version,
+            "trace",
+            MoveState.PROPOSED,
+            0.0,
+            self.now_s,
+            self.now_s + event.deadline_in_s,
+        )
+        if self.is_naive:
+            # A plain proxy is told to split the traffic and leaves it at that.
+            record = msgspec.structs.replace(
+                record, state=MoveState.WIDENING, share_ratio=NAIVE_SHARE_RATIO
+            )
+        self.moves.append(MoveJudge(self, event, record))
+        self.moves[-1].watch()
+        put = Put(record_key(event.service), record.to_json())
+        self.store.state.txn([], [put])
+
     def _back_end(self, name):
         return self.engines.get(name) or self.services.get(name)
 
@@ -417,8 +513,8 @@
 
     def _report(self):
         verdict = self.verdict
-        for caller in self.callers:
-            caller.judge(verdict)
+        for judge in [*self.callers, *self.moves]:
+            judge.judge(verdict)
         for name, left_s in self._left_s.items():
             verdict.note_leaving(left_s, self._back_end(name).starts_s)
         runs = [key for service in self.services.values() for key in service.runs]
--- a/src/sesamearch/trace.py
+++ b/src/sesamearch/trace.py
@@ -14,6 +14,7 @@
     "Trace",
     "TraceEndpoint",
     "TraceFault",
+    "TraceMove",
     "TraceRouter",
     "load_trace",
 ]
@@ -45,6 +46,10 @@
         Pace of an engine.
     work_s : float
         Time of a call at a plain service.
+    error_ratio : float
+        Part of its attempts or calls that fail; above zero it is a bad version.
+    bad_from_s : float
+        When that begins.
     """
 
     name: str
@@ -54,6 +59,8 @@
     token_interval_s: Annotated[float, msgspec.Meta(gt=0)] = 0.035
     prefill_s: Seconds = 0.05
     work_s: Seconds = 0.005
+    error_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    bad_from_s: Seconds = 0.0
 
 
 class Header(_Record, tag="trace"):
@@ -138,6 +145,26 @@
     outcome: Literal["ran", "not_run", "unknown", "any"] = "ran"
 
 
+class TraceMove(_Record, tag="move"):
+    """An operator moves a service to another version.
+
+    Parameters
+    ----------
+    at_s : float
+    service, old_version, new_version : str
+    deadline_in_s : float
+    outcome : str
+        ``finished``, ``taken_back`` or ``any``.
+    """
+
+    at_s: Seconds
+    service: str
+    old_version: str
+    new_version: str
+    deadline_in_s: Annotated[float, msgspec.Meta(gt=0)]
+    outcome: Literal["finished", "taken_back", "any"] = "any"
+
+
 class TraceFault(_Record, tag="fault"):
     """Something fails, or an operator or the platform acts.
 
@@ -185,7 +212,10 @@
     """A whole trace, its events in the order of their times."""
 
     header: Header
-    events: list[Generate | CallArrival | TraceFault]
+    events: list[Generate | CallArrival | TraceMove | TraceFault]
+
+
+_Event = Generate | CallArrival | TraceMove | TraceFault
 
 
 def load_trace(path):
@@ -207,7 +237,7 @@
         return Err(f"{path}: {error.strerror}")
     records = []
     for number, line in lines:
-        kind = Generate | CallArrival | TraceFault if records else Header
+        kind = _Event if records else Header
         try:
             records.append(msgspec.json.decode(line, type=kind))
         except msgspec.DecodeError as error:
@@ -235,6 +265,10 @@
             if unknown:
                 return f"line {number}: no router or endpoint {min(unknown)}"
             continue
+        if isinstance(event, TraceMove):
+            if event.service not in services:
+                return f"line {number}: no service {event.service}"
+            continue
         if event.id in ids:
             return f"line {number}: id {event.id} stands twice"
         ids.add(event.id)
--- a/src/sesamearch/verdict.py
+++ b/src/sesamearch/verdict.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from sesamearch.move import MoveState
+
 __all__ = ["IN_FORCE_BOUND_S", "Measures", "Report", "Verdict", "Violations"]
 
 IN_FORCE_BOUND_S = 3.0
@@ -61,7 +63,7 @@
     extra_work_ratio : float or None
         Tokens generated or prefilled again for each token delivered.
     good_moves_in_time, bad_moves_taken_back : int or None
-        None while moves are not part of the replay.
+        None if the trace has no move.
     """
 
     resumes: int = 0
@@ -84,7 +86,7 @@
         What the trace caused, by kind.
     violations : Violations
     not_exercised : list of str
-        Promises that nothing in a replay can break yet.
+        Promises that nothing in this trace can break.
     measures : Measures
     findings : list of str
         A line for each violation.
@@ -106,7 +108,7 @@
             requests,
             dict(verdict.faults),
             verdict.violations,
-            ["bad_version_share"],
+            [] if verdict.moves else ["bad_version_share"],
             verdict.measures(),
             verdict.findings,
         )
@@ -124,6 +126,7 @@
         self.not_run_keys = set()
         self.answered_keys = collections.defaultdict(set)
         self._work_tokens = 0
+        self.moves = self.bad_taken_back = self.good_in_time = 0
 
     def violate(self, promise, finding):
         """Count a violation of a promise."""
@@ -170,6 +173,12 @@
             if self.answered_keys.get(key) == {"not_run"}:
                 self.violate("false_not_run", f"{key} ran")
 
+    def note_move(self, is_bad, state, is_in_time):
+        """Note how a move ended."""
+        self.moves += 1
+        self.bad_taken_back += is_bad and state is MoveState.TAKEN_BACK
+        self.good_in_time += not is_bad and is_in_time
+
     def note_work(self, tokens):
         """Note the tokens that engines generated or prefilled again."""
         self._work_tokens = tokens
@@ -181,6 +190,9 @@
             for percent in _PERCENTILES:
                 value = _percentile(self.resume_latency_s, percent)
                 setattr(measures, f"resume_latency_p{percent}_s", round(value, 4))
+        if self.moves:
+            measures.good_moves_in_time = self.good_in_time
+            measures.bad_moves_taken_back = self.bad_taken_back
         if self.delivered_tokens:
             extra = self._work_tokens - self.delivered_tokens
             measures.extra_work_ratio = round(extra / self.delivered_tokens, 4)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -12,6 +12,8 @@
 TRACES = Path(__file__).parent.parent / "traces"
 RESUME_TARGET_S = 1.0
 NAIVE_BREAKS = {
+    "bad-version": {"bad_version_share"},
+    "good-version": {"bad_version_share"},
     "booking-answers-lost": {"ran_twice"},
     "booking-router-lost": {"ran_twice"},
     "configuration-stale": {"configuration_reverted"},
