--- a/src/sesamearch/replay.py
+++ b/src/sesamearch/replay.py
@@ -256,7 +256,7 @@
 
     def __init__(self, trace, policy="default", seed=0):
         self.header = trace.header
-        self.events = trace.events
+        self.events = list(trace.events)
         self.is_naive = policy == "naive"
         self.seed = seed
         self.random = random.Random(seed)
@@ -358,15 +358,27 @@
     def run(self):
         """Run to the end and return the :class:`~sesamearch.verdict.Report`."""
         self._check_health()
-        for event in self.events:
-            self.clock.callLater(event.at_s, self._take, event)
+        self._take_due()
         end_s = START_UNIX_S + self.header.duration_s
         while self.now_s < end_s:
             calls = self.clock.getDelayedCalls()
-            next_s = min((call.getTime() for call in calls), default=end_s)
+            next_s = calls[0].getTime() if calls else end_s
             self.clock.advance(max(0.0, min(next_s, end_s) - self.now_s))
         return self._report()
 
+    def _take_due(self):
+        """Take the events that are due, and come back for the next.
+
+        The clock sorts all its calls at each step, so they are not given to it
+        all at once.
+        """
+        while self.events:
+            wait_s = START_UNIX_S + self.events[0].at_s - self.now_s
+            if wait_s > 0:
+                self.clock.callLater(wait_s, self._take_due)
+                return
+            self._take(self.events.pop(0))
+
     def _check_health(self):
         self.ready = [r for r in self.routers.values() if r.is_ready]
         self.clock.callLater(HEALTH_INTERVAL_S, self._check_health)
