--- a/bench/micro.py
+++ b/bench/micro.py
@@ -14,7 +14,8 @@
 from bench import peers
 from sesamearch.blackboard import Blackboard, Counters, Endpoint
 from sesamearch.claim import Claim, ClaimState, ClaimWriter, claim_key, new_claim_id
-from sesamearch.fake import FakeStore, Process, StoreFaults
+from sesamearch.fake_process import Process
+from sesamearch.fake_store import FakeStore, StoreFaults
 from sesamearch.placement import Placement
 
 STORE_LATENCY_S = 0.004
--- a/src/sesamearch/claim.py
+++ b/src/sesamearch/claim.py
@@ -12,7 +12,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from sesamearch.store import Comparison, Put
+from sesamearch.store import Comparison, Put, StoredValue
 
 __all__ = [
     "NO_REPLY",
@@ -48,7 +48,7 @@
     DONE = "done"
 
 
-class Claim(msgspec.Struct, frozen=True):
+class Claim(StoredValue, frozen=True):
     """Stored record of one operation.
 
     Parameters
@@ -73,21 +73,6 @@
     expires_ms: int
     reply: msgspec.Raw = NO_REPLY
 
-    def to_json(self):
-        """Return the stored form as bytes."""
-        return msgspec.json.encode(self)
-
-    @classmethod
-    def from_json(cls, value):
-        """Rebuild from the stored form.
-
-        Raises
-        ------
-        msgspec.DecodeError
-            If `value` is no claim.
-        """
-        return msgspec.json.decode(value, type=cls)
-
 
 class ClaimOutcome(msgspec.Struct, frozen=True):
     """What became of an attempt to claim.
--- a/src/sesamearch/claim_relay.py
+++ b/src/sesamearch/claim_relay.py
@@ -13,7 +13,7 @@
 from twisted.internet.defer import Deferred
 
 from sesamearch.claim import NO_REPLY, ClaimOutcome, Hold
-from sesamearch.peer import (
+from sesamearch.message import (
     SCHEMA_VERSION,
     ClaimsTaken,
     ClaimsWanted,
--- /dev/null
+++ b/src/sesamearch/cli_operator.py
@@ -0,0 +1,333 @@
+"""The operators' commands: check, publish, move and status."""
+
+import getpass
+import secrets
+import time
+
+import msgspec
+from twisted.internet.defer import Deferred, gatherResults
+
+from sesamearch.configuration import collect
+from sesamearch.errors import ErrorKind, Problem
+from sesamearch.settings import StoreSettings, load_settings
+from sesamearch.terminal import (
+    add_command,
+    add_format,
+    run_reactor,
+    show_faults,
+    show_problem,
+)
+
+__all__ = ["add_check", "add_history", "add_move", "add_publish", "add_status"]
+
+
+def add_check(commands):
+    """Add the ``check`` command to the sub-parsers `commands`."""
+    parser = add_command(
+        commands,
+        "check",
+        _run_check,
+        "Check the service files below a folder, or a router's settings.",
+        "sesamearch check services/",
+    )
+    parser.add_argument("folder", nargs="?", metavar="DIR")
+    parser.add_argument("--settings", metavar="FILE")
+    add_format(parser)
+
+
+def _run_check(options):
+    if options.settings:
+        checked = load_settings(options.settings)
+    else:
+        checked = collect(options.folder or ".")
+    if checked.is_err():
+        return show_faults(checked.unwrap_err(), options.format)
+    print("[]" if options.format == "json" else "valid")
+    return 0
+
+
+def _add_store(parser):
+    parser.add_argument(
+        "--store",
+        action="append",
+        required=True,
+        metavar="IP:PORT",
+        help="address of the platform's store; may be repeated",
+    )
+
+
+def add_publish(commands):
+    """Add the ``publish`` command to the sub-parsers `commands`."""
+    parser = add_command(
+        commands,
+        "publish",
+        _run_publish,
+        "Collect the service files below a folder and put them in force.",
+        "sesamearch publish services/ --store 127.0.0.1:2379",
+    )
+    parser.add_argument("folder", metavar="DIR")
+    parser.add_argument("--operator", default=getpass.getuser(), metavar="NAME")
+    parser.add_argument(
+        "--expect",
+        type=int,
+        metavar="REVISION",
+        help="refuse if another revision is published",
+    )
+    parser.add_argument(
+        "--dry-run", action="store_true", help="print the difference and do nothing"
+    )
+    _add_store(parser)
+    add_format(parser)
+
+
+def _run_publish(options):
+    collected = collect(options.folder)
+    if collected.is_err():
+        return show_faults(collected.unwrap_err(), options.format)
+    if options.dry_run:
+        return _show_difference(options, collected.unwrap())
+
+    async def work(reactor):
+        from sesamearch.etcd import EtcdStore
+        from sesamearch.publisher import publish
+
+        store = EtcdStore(reactor, _store_settings(options))
+        configuration = collected.unwrap()
+        return await publish(store, configuration, options.operator, options.expect)
+
+    result = run_reactor(work)
+    if result.is_err():
+        return show_problem(result.unwrap_err(), options.format)
+    revision = result.unwrap().revision
+    is_json = options.format == "json"
+    print(f'{{"revision":{revision}}}' if is_json else f"revision {revision} accepted")
+    return 0
+
+
+def _show_difference(options, configuration):
+    async def work(reactor):
+        from sesamearch.etcd import EtcdStore
+        from sesamearch.publisher import read_configuration
+
+        return await read_configuration(EtcdStore(reactor, _store_settings(options)))
+
+    result = run_reactor(work)
+    if result.is_err():
+        return show_problem(result.unwrap_err(), options.format)
+    from sesamearch.publisher import difference
+
+    lines = difference(result.unwrap().configuration, configuration)
+    if options.format == "json":
+        print(msgspec.json.encode(lines).decode())
+    else:
+        print("\n".join(lines) or "nothing would change")
+    return 0
+
+
+def add_history(commands):
+    """Add the ``history`` command to the sub-parsers `commands`."""
+    parser = add_command(
+        commands,
+        "history",
+        _run_history,
+        "Show who published which revision, the newest last.",
+        "sesamearch history --store 127.0.0.1:2379",
+    )
+    _add_store(parser)
+    add_format(parser)
+
+
+def _run_history(options):
+    async def work(reactor):
+        from sesamearch.etcd import EtcdStore
+        from sesamearch.publisher import read_history
+
+        return await read_history(EtcdStore(reactor, _store_settings(options)))
+
+    result = run_reactor(work)
+    if result.is_err():
+        return show_problem(result.unwrap_err(), options.format)
+    if options.format == "json":
+        print(msgspec.json.encode(result.unwrap()).decode())
+        return 0
+    for entry in result.unwrap():
+        at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(entry.published_s))
+        services = " ".join(entry.services)
+        print(f"{entry.revision}  {at}  {entry.operator}  {services}")
+    return 0
+
+
+def _store_settings(options):
+    return StoreSettings(options.store)
+
+
+def add_move(commands):
+    """Add the ``move`` command to the sub-parsers `commands`."""
+    parser = add_command(
+        commands,
+        "move",
+        _run_move,
+        "Move a service to another version, look at moves, or take one back.",
+        "sesamearch move start drafting --from v1 --to v2 --deadline-in-s 3600 "
+        "--store 127.0.0.1:2379",
+    )
+    parser.add_argument("action", choices=("start", "status", "abort"))
+    parser.add_argument("service", nargs="?", metavar="SERVICE")
+    parser.add_argument("--from", dest="old_version", metavar="VERSION")
+    parser.add_argument("--to", dest="new_version", metavar="VERSION")
+    parser.add_argument("--deadline-in-s", type=float, metavar="SECONDS")
+    parser.add_argument(
+        "--if-thin",
+        choices=("finish", "take_back"),
+        default="take_back",
+        help="what to do with too little evidence at the deadline",
+    )
+    parser.add_argument("--operator", default=getpass.getuser(), metavar="NAME")
+    parser.add_argument("--yes", action="store_true", help="do it; else only say it")
+    _add_store(parser)
+    add_format(parser)
+
+
+def _run_move(options):
+    missing = _missing_options(options)
+    if missing:
+        detail = "missing: " + ", ".join(missing)
+        return show_problem(Problem(ErrorKind.BAD_REQUEST, detail), options.format)
+    if options.action == "status":
+        return _finish_move(options, lambda mover, store: mover.read_moves(store))
+    run = _start_move if options.action == "start" else _abort_move
+    return run(options)
+
+
+def _missing_options(options):
+    needed = {
+        "start": ("service", "old_version", "new_version", "deadline_in_s"),
+        "abort": ("service",),
+        "status": (),
+    }
+    return [name for name in needed[options.action] if getattr(options, name) is None]
+
+
+def _start_move(options):
+    from sesamearch.move import plan_lines
+
+    record = _new_move(options)
+    if options.yes:
+        return _finish_move(
+            options, lambda mover, store: mover.start_move(store, record)
+        )
+    print("\n".join(plan_lines(record)))
+    print("nothing was done; add --yes to start")
+    return 0
+
+
+def _abort_move(options):
+    if options.yes:
+        return _finish_move(
+            options,
+            lambda mover, store: mover.abort_move(
+                store, options.service, options.operator
+            ),
+        )
+    print(f"all new requests of {options.service} go back to the old version")
+    print("nothing was done; add --yes to take it back")
+    return 0
+
+
+def _new_move(options):
+    from sesamearch.move import MoveRecord, MoveState
+
+    now_s = time.time()
+    return MoveRecord(
+        secrets.token_hex(6),
+        options.service,
+        options.old_version,
+        options.new_version,
+        options.operator,
+        MoveState.PROPOSED,
+        0.0,
+        now_s,
+        now_s + options.deadline_in_s,
+        options.if_thin,
+    )
+
+
+def _finish_move(options, act):
+    async def work(reactor):
+        from sesamearch import mover
+        from sesamearch.etcd import EtcdStore
+
+        return await act(mover, EtcdStore(reactor, _store_settings(options)))
+
+    result = run_reactor(work)
+    if result.is_err():
+        return show_problem(result.unwrap_err(), options.format)
+    records = result.unwrap()
+    records = records if isinstance(records, list) else [records]
+    if options.format == "json":
+        print(msgspec.json.encode(records).decode())
+    for record in records if options.format == "text" else ():
+        print(record.show())
+    return 0
+
+
+def add_status(commands):
+    """Add the ``status`` command to the sub-parsers `commands`."""
+    parser = add_command(
+        commands,
+        "status",
+        _run_status,
+        "Show what routers have in force and how they are.",
+        "sesamearch status 127.0.0.1:8201 127.0.0.1:8202",
+    )
+    parser.add_argument("addresses", nargs="+", metavar="IP:PORT")
+    add_format(parser)
+
+
+class _StatusReport(msgspec.Struct):
+    address: str
+    reachable: bool
+    status: msgspec.Raw = msgspec.Raw(b"null")
+
+
+def _run_status(options):
+    async def work(reactor):
+        from sesamearch.http import make_http_client
+
+        http = make_http_client(reactor)
+        asked = [_ask_status(http, address) for address in options.addresses]
+        return await gatherResults([Deferred.fromCoroutine(one) for one in asked])
+
+    reports = run_reactor(work)
+    if options.format == "json":
+        print(msgspec.json.encode(reports).decode())
+    else:
+        for report in reports:
+            print(_status_line(report))
+    is_complete = all(report.reachable for report in reports)
+    return 0 if is_complete else Problem(ErrorKind.UNREACHABLE).answer.exit_code
+
+
+async def _ask_status(http, address):
+    try:
+        response = await http.get(f"http://{address}/status", timeout=2)
+        return _StatusReport(address, True, msgspec.Raw(await response.content()))
+    except Exception:
+        # Whatever the transport raises, the router cannot be reached.
+        return _StatusReport(address, False)
+
+
+def _status_line(report):
+    from sesamearch.operators_port import RouterStatus
+
+    if not report.reachable:
+        return f"{report.address}  unreachable"
+    status = msgspec.json.decode(report.status, type=RouterStatus)
+    state = "draining" if status.draining else "serving"
+    store = "current" if status.store_is_current else "unreachable"
+    return (
+        f"{report.address}  {status.name}  {status.data_centre}  {state}"
+        f"  revision {status.configuration_revision}  store {store}"
+        f"  in flight {status.in_flight}  endpoints {status.endpoints_live}"
+        f" live, {status.endpoints_leaving} leaving  members {len(status.members)}"
+    )
--- a/src/sesamearch/configuration.py
+++ b/src/sesamearch/configuration.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from sesamearch.schema import Fault, check, load_yaml
+from sesamearch.store import StoredValue
 
 __all__ = [
     "Call",
@@ -182,7 +183,7 @@
     organisations: list[Organisation]
 
 
-class Configuration(_Part):
+class Configuration(StoredValue, forbid_unknown_fields=True, frozen=True):
     """One accepted configuration.
 
     Parameters
@@ -214,21 +215,6 @@
                 return service
         return None
 
-    def to_json(self):
-        """Return the stored form as bytes."""
-        return msgspec.json.encode(self)
-
-    @classmethod
-    def from_json(cls, value):
-        """Rebuild from the stored form.
-
-        Raises
-        ------
-        msgspec.DecodeError
-            If `value` is no configuration.
-        """
-        return msgspec.json.decode(value, type=cls)
-
 
 def hash_api_key(key):
     """Return the hash under which an API key is published."""
--- /dev/null
+++ b/src/sesamearch/fake_store.py
@@ -0,0 +1,133 @@
+"""The platform's store on a virtual clock, with its faults."""
+
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+
+from sesamearch.errors import ErrorKind
+from sesamearch.store import MemoryStore, Store, Watch, WatchReceiver
+
+__all__ = ["FakeStore", "StoreFaults"]
+
+
+class StoreFaults:
+    """The platform's store with its faults, shared by all routers.
+
+    Parameters
+    ----------
+    clock : twisted.internet.task.Clock
+
+    Attributes
+    ----------
+    state : MemoryStore
+    is_out : bool
+        Whether every call fails.
+    lost_answers : int
+        How many of the next writes take effect while their answer is lost.
+    calls : int
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.state = MemoryStore(clock)
+        self.is_out = False
+        self.lost_answers = 0
+        self.calls = 0
+
+    def set_out(self, is_out):
+        """Begin or end an outage; watches break at its beginning."""
+        self.is_out = is_out
+        if is_out:
+            watches, self.state.watches = list(self.state.watches), []
+            for watch in watches:
+                watch.receiver.ended()
+
+
+class FakeStore(Store):
+    """One router's way to the platform's store.
+
+    Parameters
+    ----------
+    process : Process
+    faults : StoreFaults
+    latency_s : float
+        Time of a call.
+    """
+
+    def __init__(self, process, faults, latency_s):
+        self._process = process
+        self._faults = faults
+        self._latency_s = latency_s
+
+    def _call(self, function, *arguments):
+        done = Deferred()
+        faults = self._faults
+
+        def work():
+            faults.calls += 1
+            if faults.is_out:
+                outcome = Err(ErrorKind.STORE_UNAVAILABLE)
+            else:
+                outcome = Ok(function(*arguments))
+                if faults.lost_answers and function == faults.state.txn:
+                    faults.lost_answers -= 1
+                    outcome = Err(ErrorKind.STORE_UNAVAILABLE)
+            self._process.callLater(self._latency_s / 2, done.callback, outcome)
+
+        # What was sent reaches the store even if its sender is paused by then.
+        faults.clock.callLater(self._latency_s / 2, work)
+        return done
+
+    def range(self, prefix):
+        """Read a prefix."""
+        return self._call(self._faults.state.range, prefix)
+
+    def txn(self, comparisons, puts):
+        """Compare and write."""
+        return self._call(self._faults.state.txn, comparisons, puts)
+
+    def grant_lease(self, ttl_s):
+        """Make a lease."""
+        return self._call(self._faults.state.grant_lease, ttl_s)
+
+    def keep_lease(self, lease):
+        """Renew a lease."""
+        return self._call(self._faults.state.keep_lease, lease)
+
+    def watch(self, prefix, revision, receiver):
+        """Watch a prefix."""
+        relay = _WatchRelay(self._process, receiver, self._latency_s)
+        if self._faults.is_out:
+            self._process.callLater(self._latency_s, receiver.ended)
+            return relay
+        relay.watch = self._faults.state.watch(prefix, revision, relay)
+        return relay
+
+
+class _WatchRelay(WatchReceiver, Watch):
+    """Carries the changes of a watch to a process."""
+
+    def __init__(self, process, receiver, latency_s):
+        self._process = process
+        self._receiver = receiver
+        self._latency_s = latency_s
+        self.watch = None
+
+    def changed(self, puts, revision):
+        self._process.callLater(self._latency_s, self._changed, puts, revision)
+
+    def _changed(self, puts, revision):
+        if self._receiver is not None:
+            self._receiver.changed(puts, revision)
+
+    def ended(self):
+        self._process.callLater(self._latency_s, self._ended)
+
+    def _ended(self):
+        receiver, self._receiver = self._receiver, None
+        if receiver is not None:
+            receiver.ended()
+
+    def cancel(self):
+        self._receiver = None
+        if self.watch is not None:
+            self.watch.cancel()
--- a/src/sesamearch/move.py
+++ b/src/sesamearch/move.py
@@ -6,6 +6,8 @@
 import msgspec
 from automat import TypeMachineBuilder
 
+from sesamearch.store import StoredValue
+
 __all__ = [
     "MoveDecision",
     "MovePlan",
@@ -40,7 +42,7 @@
         return self in (MoveState.FINISHED, MoveState.TAKEN_BACK)
 
 
-class MoveRecord(msgspec.Struct, frozen=True):
+class MoveRecord(StoredValue, frozen=True):
     """One move as it stands in the store.
 
     Parameters
@@ -82,21 +84,6 @@
             return now_s >= self.deadline_s + WATCH_S
         return self.state is MoveState.TAKEN_BACK
 
-    def to_json(self):
-        """Return the stored form as bytes."""
-        return msgspec.json.encode(self)
-
-    @classmethod
-    def from_json(cls, value):
-        """Rebuild from the stored form.
-
-        Raises
-        ------
-        msgspec.DecodeError
-            If `value` is no move.
-        """
-        return msgspec.json.decode(value, type=cls)
-
 
 class _Inputs(Protocol):
     def began(self) -> None:
--- a/src/sesamearch/mover.py
+++ b/src/sesamearch/mover.py
@@ -13,8 +13,8 @@
 from sesamearch.follower import Follower
 from sesamearch.leadership import LEADER_KEY, RENEW_INTERVAL_S
 from sesamearch.log import logger
+from sesamearch.message import SCHEMA_VERSION, EvidenceReport, Veto
 from sesamearch.move import WATCH_S, MovePlan, MoveRecord, MoveState
-from sesamearch.peer import SCHEMA_VERSION, EvidenceReport, Veto
 from sesamearch.store import Comparison, Put
 
 __all__ = [
--- a/src/sesamearch/publisher.py
+++ b/src/sesamearch/publisher.py
@@ -1,15 +1,98 @@
 """Publishing: one compare-and-swap puts a checked configuration in force."""
 
+import difflib
+import time
+
 import msgspec
+import yaml
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
 from sesamearch.configuration import Configuration
 from sesamearch.errors import ErrorKind, Problem
 from sesamearch.follower import CONFIGURATION_KEY
-from sesamearch.store import Comparison, Put
+from sesamearch.store import Comparison, Put, StoredValue
+
+__all__ = [
+    "PublishedEntry",
+    "difference",
+    "publish",
+    "read_configuration",
+    "read_history",
+]
+
+HISTORY_PREFIX = b"/sesamearch/published/"
+HISTORY_ENTRIES = 100
+
+
+class PublishedEntry(StoredValue, frozen=True):
+    """One accepted revision in the history.
+
+    Parameters
+    ----------
+    revision : int
+    operator : str
+    published_s : float
+        Unix time.
+    services : list of str
+        Names of the services in it.
+    """
+
+    revision: int
+    operator: str
+    published_s: float
+    services: list[str]
+
+
+def _history_key(revision):
+    return HISTORY_PREFIX + b"%010d" % revision
+
+
+def difference(present, wanted):
+    """Return what publishing would change, as lines of a unified difference.
+
+    Parameters
+    ----------
+    present, wanted : Configuration
+
+    Returns
+    -------
+    list of str
+        Empty if nothing would change.
+    """
+    return list(
+        difflib.unified_diff(
+            _to_lines(present), _to_lines(wanted), "in force", "to publish", lineterm=""
+        )
+    )
+
 
-__all__ = ["publish", "read_configuration"]
+def _to_lines(configuration):
+    parts = msgspec.to_builtins(configuration)
+    named = {f"service {part['service']}": part for part in parts["services"]}
+    for part in parts["organisations"]:
+        named[f"organisation {part['name']}"] = part
+    return yaml.safe_dump(named, sort_keys=True).splitlines()
+
+
+def read_history(store):
+    """Read who published what, the newest last.
+
+    Parameters
+    ----------
+    store : Store
+
+    Returns
+    -------
+    Deferred of result.Result[list of PublishedEntry, Problem]
+    """
+    return store.range(HISTORY_PREFIX).addCallback(_to_history)
+
+
+def _to_history(result):
+    if result.is_err():
+        return Err(Problem(result.unwrap_err(), "reading the history"))
+    return Ok([PublishedEntry.from_json(kv.value) for kv in result.unwrap().items])
 
 
 class StoredConfiguration(msgspec.Struct, frozen=True):
@@ -81,7 +164,14 @@
         configuration, revision=present.revision + 1, published_by=operator
     )
     comparisons = [Comparison(CONFIGURATION_KEY, stored.mod_revision)]
-    puts = [Put(CONFIGURATION_KEY, wanted.to_json())]
+    entry = PublishedEntry(
+        wanted.revision, operator, time.time(), [s.service for s in wanted.services]
+    )
+    puts = [
+        Put(CONFIGURATION_KEY, wanted.to_json()),
+        Put(_history_key(wanted.revision), entry.to_json()),
+        Put(_history_key(max(0, wanted.revision - HISTORY_ENTRIES)), None),
+    ]
     written = await store.txn(comparisons, puts)
     if written.is_ok() and written.unwrap().succeeded:
         return Ok(wanted)
--- a/src/sesamearch/replay.py
+++ b/src/sesamearch/replay.py
@@ -6,240 +6,29 @@
 import msgspec
 from twisted.internet.task import Clock
 
-from sesamearch.attempt import GenerationTools
-from sesamearch.blackboard import Blackboard
-from sesamearch.call import CallTools
-from sesamearch.claim import ClaimWriter
 from sesamearch.configuration import Configuration
-from sesamearch.cursor import CursorSigner
-from sesamearch.drain import Drain
-from sesamearch.fake import (
-    FakeEngine,
-    FakeEngineClient,
-    FakePlainClient,
-    FakeService,
-    FakeStore,
-    Links,
-    Process,
-    StoreFaults,
-)
+from sesamearch.fake import FakeEngine, FakeService
+from sesamearch.fake_process import Links, Process
+from sesamearch.fake_store import StoreFaults
 from sesamearch.follower import (
     CONFIGURATION_KEY,
     VM_PREFIX,
-    ConfigurationFollower,
-    EndpointFollower,
     VmEntry,
 )
-from sesamearch.gateway import SWEEP_INTERVAL_S
-from sesamearch.generation import Generation
-from sesamearch.leadership import Leadership
 from sesamearch.move import MoveRecord, MoveState
-from sesamearch.mover import MoveFollower, Mover, record_key
-from sesamearch.naive import NaiveGeneration, NaiveOperationRunner, NaivePlacement
-from sesamearch.operation import OperationRunner, OperationTools
-from sesamearch.placement import Placement
+from sesamearch.mover import record_key
 from sesamearch.replay_caller import CallCaller, GenerationCaller
 from sesamearch.replay_move import MoveJudge
-from sesamearch.settings import DrainSettings
+from sesamearch.replay_router import ReplayRouter
 from sesamearch.store import Put
 from sesamearch.trace import CallArrival, Generate, TraceMove
 from sesamearch.verdict import IN_FORCE_BOUND_S, Report, Verdict
-from sesamearch.version import VersionChooser
 
 __all__ = ["Replay", "replay"]
 
 HEALTH_INTERVAL_S = 1.0
 NAIVE_SHARE_RATIO = 0.5
 START_UNIX_S = 1_800_000_000.0
-_SECRET = b"replay" * 8
-_DRAIN = DrainSettings(balancer_grace_s=1.5, timeout_s=20.0)
-
-
-class ReplayPeers:
-    """Carries messages from one router to the others over links.
-
-    Parameters
-    ----------
-    router : ReplayRouter
-    """
-
-    def __init__(self, router):
-        self._router = router
-        self.handlers = {}
-
-    def handle(self, message_type, handler):
-        """Call `handler` with each message of a type."""
-        self.handlers[message_type] = handler
-
-    def send_to(self, name, message):
-        """Send a message to one router."""
-        other = self._router.world.routers.get(name)
-        if other is None:
-            return False
-        handler = other.peers.handlers[type(message)]
-        links = self._router.world.links
-        links.send(self._router.process, other.process, handler, message)
-        return True
-
-    def send_to_all(self, message):
-        """Send a message to all other routers."""
-        for name in self._router.world.routers:
-            if name != self._router.name:
-                self.send_to(name, message)
-
-
-class ReplayRouter:
-    """A router whose adapters are fakes.
-
-    Parameters
-    ----------
-    world : Replay
-    name, data_centre : str
-    """
-
-    def __init__(self, world, name, data_centre):
-        self.world = world
-        self.name = name
-        self.data_centre = data_centre
-        self.process = Process(world.clock, name)
-        self.board = Blackboard()
-        self.generations = set()
-        self.calls = 0
-        self.revisions = []
-        self.board.configuration.listen(self._note_revision)
-        is_naive = world.is_naive
-        self.placement = (
-            NaivePlacement(self.board)
-            if is_naive
-            else Placement(self.board, data_centre, self.process, world.seed)
-        )
-        self.signer = CursorSigner(_SECRET)
-        store = FakeStore(self.process, world.store, world.header.store_latency_s)
-        self.move_follower = MoveFollower(store, self.board, self.process)
-        self.peers = ReplayPeers(self)
-        self.mover = self._make_mover(store)
-        self.tools = GenerationTools(
-            FakeEngineClient(self.process, world.links, world.engines),
-            self.placement,
-            self.signer,
-            self.process,
-            self.board.counters,
-            self.mover,
-        )
-        self.versions = VersionChooser(self.board)
-        self.operations = self._make_operations(store)
-        self.followers = [
-            ConfigurationFollower(store, self.board, self.process),
-            EndpointFollower(store, self.board, self.process),
-            self.move_follower,
-        ]
-        self.drain = Drain(
-            self.board, self, _DRAIN, self.process, lambda: None, self._stopped
-        )
-
-    def _make_mover(self, store):
-        return Mover(
-            self.name,
-            self.board,
-            store,
-            Leadership(store, self.name, self.process),
-            self.move_follower,
-            self.peers,
-            self.process,
-            lambda: not self.world.is_naive,
-        )
-
-    def _make_operations(self, store):
-        calls = CallTools(
-            FakePlainClient(self.process, self.world.links, self.world.services),
-            self.placement,
-            self.process,
-            self.mover,
-        )
-        tools = OperationTools(
-            calls,
-            ClaimWriter(store, self.process, self.board.counters),
-            self.board.counters,
-            self.name,
-        )
-        if self.world.is_naive:
-            return NaiveOperationRunner(tools)
-        return OperationRunner(tools, store)
-
-    def start(self):
-        """Begin to follow the store and to look for stalls."""
-        for follower in self.followers:
-            follower.start()
-        self._sweep()
-        self.mover.start()
-
-    def _sweep(self):
-        now_s = self.process.seconds()
-        for generation in list(self.generations):
-            generation.check(now_s)
-        self.process.callLater(SWEEP_INTERVAL_S, self._sweep)
-
-    def _note_revision(self, configuration):
-        self.revisions.append(configuration.revision)
-        self.world.verdict.note_revisions(self.revisions)
-
-    @property
-    def is_ready(self):
-        """Whether the balancer would find it ready."""
-        process = self.process
-        is_well = process.is_alive and not process.is_paused
-        has_configuration = self.board.configuration.value.revision > 0
-        return is_well and has_configuration and not self.board.drain.value.draining
-
-    @property
-    def in_flight(self):
-        """Requests without a final answer."""
-        return len(self.generations) + self.calls
-
-    @property
-    def unsettled(self):
-        """Claims and outcomes that the store has not taken yet."""
-        return getattr(self.operations, "unsettled", 0)
-
-    def hand_over(self):
-        """End every generation on its cursor."""
-        for generation in list(self.generations):
-            generation.hand_over()
-
-    def ask_to_stop(self):
-        """Take SIGTERM; the baseline just ends."""
-        if self.world.is_naive:
-            self._stopped()
-        else:
-            self.drain.ask()
-
-    def _stopped(self):
-        self.world.verdict.note_cut(self.in_flight)
-        self.process.kill(silent=False)
-
-    def generate(self, request, sink, position, delivered):
-        """Start or go on with a generation; return it."""
-        make = NaiveGeneration if self.world.is_naive else Generation
-        generation = make(request, self.tools, sink, self._ended)
-        self.generations.add(generation)
-        if position is None:
-            generation.start()
-        else:
-            generation.go_on(position, delivered)
-        return generation
-
-    def _ended(self, generation):
-        self.generations.discard(generation)
-        self.world.verdict.resume_latency_s += generation.resume_latency_s
-
-    def operate(self, request):
-        """Run an operation."""
-        self.calls += 1
-        return self.operations.run(request).addBoth(self._operated)
-
-    def _operated(self, outcome):
-        self.calls -= 1
-        return outcome
 
 
 class Replay:
--- a/src/sesamearch/store.py
+++ b/src/sesamearch/store.py
@@ -11,6 +11,7 @@
     "Put",
     "RangeReply",
     "Store",
+    "StoredValue",
     "TxnReply",
     "Watch",
     "WatchReceiver",
@@ -35,6 +36,25 @@
     lease: int = 0
 
 
+class StoredValue(msgspec.Struct, frozen=True):
+    """A structure that is kept in the store as JSON."""
+
+    def to_json(self):
+        """Return the stored form as bytes."""
+        return msgspec.json.encode(self)
+
+    @classmethod
+    def from_json(cls, value):
+        """Rebuild from the stored form.
+
+        Raises
+        ------
+        msgspec.DecodeError
+            If `value` is none of this kind.
+        """
+        return msgspec.json.decode(value, type=cls)
+
+
 class Comparison(msgspec.Struct, frozen=True):
     """Condition of a transaction: the key's last write was `mod_revision`.
 
--- /dev/null
+++ b/src/sesamearch/terminal.py
@@ -0,0 +1,90 @@
+"""What all commands share: their parsers, and showing what came of them."""
+
+import argparse
+import sys
+
+import msgspec
+from result import Err
+from twisted.internet.defer import Deferred
+
+from sesamearch.errors import ErrorKind, Problem
+
+__all__ = [
+    "EXIT_CODES",
+    "add_command",
+    "add_format",
+    "run_reactor",
+    "show_faults",
+    "show_problem",
+]
+
+EXIT_CODES = """\
+exit codes:
+  0  done            3  refused           5  try again later
+  1  internal error  4  conflict          6  outcome unknown or answer not whole
+  2  bad input
+"""
+
+
+def add_command(commands, name, run, text, example):
+    """Add a sub-command and return its parser.
+
+    Parameters
+    ----------
+    commands : object returned by ``add_subparsers``
+    name, text, example : str
+        The example is shown below the help.
+    run : callable
+        Called with the parsed options; returns the exit code.
+    """
+    parser = commands.add_parser(
+        name,
+        help=text,
+        description=text,
+        epilog=f"example:\n  {example}\n\n{EXIT_CODES}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.set_defaults(run=run)
+    return parser
+
+
+def add_format(parser):
+    """Add ``--format``."""
+    parser.add_argument("--format", choices=("text", "json"), default="text")
+
+
+def show_faults(faults, form="text"):
+    """Show the faults of files, one a line, and return the exit code."""
+    if form == "json":
+        print(msgspec.json.encode(faults).decode())
+    else:
+        for fault in faults:
+            print(fault.show(), file=sys.stderr)
+    return 2
+
+
+def show_problem(problem, form="text"):
+    """Show a problem and return its exit code."""
+    if form == "json":
+        print(problem.to_json().decode())
+    else:
+        print(f"sesamearch: {problem.show()}", file=sys.stderr)
+    return problem.answer.exit_code
+
+
+def run_reactor(work):
+    """Run the reactor until the coroutine `work` returns; give its value."""
+    from twisted.internet import reactor
+
+    outcome = []
+
+    def keep(value):
+        outcome.append(value)
+        if reactor.running:
+            reactor.stop()
+
+    reactor.callWhenRunning(lambda: Deferred.fromCoroutine(work(reactor)).addBoth(keep))
+    reactor.run()
+    if outcome and hasattr(outcome[0], "raiseException"):
+        outcome[0].raiseException()
+    return outcome[0] if outcome else Err(Problem(ErrorKind.INTERNAL, "interrupted"))
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -6,7 +6,8 @@
 
 from sesamearch.blackboard import Counters
 from sesamearch.claim import Claim, ClaimState, ClaimWriter, claim_key, new_claim_id
-from sesamearch.fake import FakeStore, Process, StoreFaults
+from sesamearch.fake_process import Process
+from sesamearch.fake_store import FakeStore, StoreFaults
 
 KEY = claim_key("ticketing", "clerks", "k1")
 RETENTION_S = 3600.0
--- a/tests/test_claim_relay.py
+++ b/tests/test_claim_relay.py
@@ -7,7 +7,8 @@
 from sesamearch.blackboard import Blackboard, Endpoint, Member
 from sesamearch.claim import Claim, ClaimState, ClaimWriter, claim_key, new_claim_id
 from sesamearch.claim_relay import ANSWER_TIMEOUT_S, ClaimRelay, choose_writer
-from sesamearch.fake import FakeStore, Process, StoreFaults
+from sesamearch.fake_process import Process
+from sesamearch.fake_store import FakeStore, StoreFaults
 from sesamearch.settings import RouterSettings, StoreSettings
 
 LINK_S = 0.001
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -53,7 +53,9 @@
         self.assertEqual(run("keys", "new", "peer")[0], 2)
 
     def test_every_command_has_help_with_an_example(self):
-        for name in "router standin check publish move status ask keys replay".split():
+        for (
+            name
+        ) in "router standin check publish history move status ask keys replay".split():
             code, out, _ = run(name, "--help")
             self.assertEqual(code, 0)
             self.assertIn("example:\n  sesamearch " + name, out)
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -1,5 +1,6 @@
 """The store's binding against the stand-in, over real connections on loopback."""
 
+import msgspec
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.trial import unittest
@@ -9,10 +10,17 @@
 from sesamearch.errors import ErrorKind
 from sesamearch.etcd import EtcdStore
 from sesamearch.follower import CONFIGURATION_KEY
-from sesamearch.publisher import publish, read_configuration
+from sesamearch.publisher import (
+    HISTORY_ENTRIES,
+    difference,
+    publish,
+    read_configuration,
+    read_history,
+)
 from sesamearch.settings import StoreSettings
 from sesamearch.standin_store import StandinStore
 from sesamearch.store import Comparison, Put, WatchReceiver
+from tests.support import TICKETING
 
 
 class OneChange(WatchReceiver):
@@ -91,6 +99,22 @@
         stored = (await read_configuration(self.store)).unwrap()
         self.assertEqual(stored.configuration.published_by, "ana")
 
+    async def test_history_tells_who_published_and_is_bounded(self):
+        for number in range(HISTORY_ENTRIES + 5):
+            await publish(self.store, Configuration(), f"operator-{number}")
+        history = (await read_history(self.store)).unwrap()
+        self.assertEqual(len(history), HISTORY_ENTRIES)
+        self.assertEqual(history[-1].operator, f"operator-{HISTORY_ENTRIES + 4}")
+
+    def test_difference_tells_what_would_change(self):
+        present = Configuration(3, "ana", [TICKETING])
+        changed = msgspec.structs.replace(TICKETING, timeout_s=3.0)
+        wanted = Configuration(0, "", [changed])
+        lines = difference(present, wanted)
+        self.assertIn("-  timeout_s: 10.0", lines)
+        self.assertIn("+  timeout_s: 3.0", lines)
+        self.assertEqual(difference(present, present), [])
+
     async def test_operators_who_race_are_told(self):
         results = [
             publish(self.store, Configuration(), operator)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,7 +19,8 @@
 from sesamearch.cursor import CursorSigner
 from sesamearch.directory import Directory
 from sesamearch.engine import StreamEnd
-from sesamearch.fake import FakeStore, Process, StoreFaults
+from sesamearch.fake_process import Process
+from sesamearch.fake_store import FakeStore, StoreFaults
 from sesamearch.gateway import Gateway
 from sesamearch.operation import OperationRunner, OperationTools
 from sesamearch.placement import Placement
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -11,7 +11,8 @@
 from sesamearch.detector import Detector
 from sesamearch.errors import ErrorKind
 from sesamearch.evidence import BadEvent, CellCounts, EvidenceCollector, Outcome
-from sesamearch.fake import FakeStore, Process, StoreFaults
+from sesamearch.fake_process import Process
+from sesamearch.fake_store import FakeStore, StoreFaults
 from sesamearch.leadership import LEADER_KEY, TTL_S, Leadership
 from sesamearch.move import MovePlan, MoveRecord, MoveState, choose_by_move
 from sesamearch.mover import MoveFollower, Mover, abort_move, record_key, start_move
