Bound the asked timeout, drop links to addresses that never answer

Found by reading: a timeout of nan passed every comparison and never ended; a peer's address that others still named after its death kept a link for ever. Tests for both.

--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -1,6 +1,7 @@
 """What callers reach: completions, models and calls of plain services."""
 
 import hashlib
+import math
 import secrets
 
 import msgspec
@@ -126,6 +127,8 @@
             asked_s = float(request.getHeader("Sesame-Timeout-S"))
         except (TypeError, ValueError):
             return now_s + service.timeout_s
+        if math.isnan(asked_s):
+            return now_s + service.timeout_s
         return now_s + min(max(asked_s, 0), service.timeout_s)
 
     @app.handle_errors(HTTPException)
--- a/src/sesamearch/peer.py
+++ b/src/sesamearch/peer.py
@@ -107,6 +107,7 @@
         self._incarnation = time.time_ns()
         self._context = zmq.Context()
         self._sockets = {}
+        self._connected_s = {}
         self.sent_bytes = 0
         self._trusted = _TrustedKeys(keys.trusted)
         self._ticker = LoopingCall(self._tick)
@@ -131,7 +132,7 @@
         self._board.configuration.listen(lambda _: self._send_heartbeats())
         self._board.drain.listen(lambda _: self._send_heartbeats())
         for address in self._peer.seeds:
-            self._connect(address)
+            self.connect(address)
         self._ticker.start(self._peer.heartbeat_interval_s)
 
     def _start_authenticator(self):
@@ -160,7 +161,8 @@
         socket.curve_secretkey = self._keys.secret_key.encode()
         return socket
 
-    def _connect(self, address):
+    def connect(self, address):
+        """Make a link to a router, unless there is one."""
         if address in self._sockets or address == self._peer.listen:
             return
         socket = self._make_socket(zmq.PUSH)
@@ -168,14 +170,16 @@
         socket.immediate = 1
         socket.connect(f"tcp://{address}")
         self._sockets[address] = socket
+        self._connected_s[address] = self._reactor.seconds()
 
     def reconnect(self, address):
         """Connect anew, with the present server key."""
         self._disconnect(address)
-        self._connect(address)
+        self.connect(address)
 
     def _disconnect(self, address):
         self._sockets.pop(address).close()
+        del self._connected_s[address]
 
     def _tick(self):
         for reader in self._readers:
@@ -186,6 +190,7 @@
     def _forget_silent(self):
         now_s = self._reactor.seconds()
         members = self._board.members.value
+        self._drop_strangers(members, now_s)
         heard = {
             name: member
             for name, member in members.items()
@@ -195,11 +200,15 @@
             return
         for name in members.keys() - heard.keys():
             logger.info("member silent name={}", name)
-            address = members[name].address
-            if address not in self._peer.seeds and address in self._sockets:
-                self._disconnect(address)
         self._board.members.write(heard)
 
+    def _drop_strangers(self, members, now_s):
+        """Close links to addresses from which nothing was heard in time."""
+        kept = {member.address for member in members.values()} | set(self._peer.seeds)
+        for address, connected_s in list(self._connected_s.items()):
+            if address not in kept and now_s - connected_s >= MEMBER_TIMEOUT_S:
+                self._disconnect(address)
+
     def _heartbeat(self):
         return Heartbeat(
             SCHEMA_VERSION,
@@ -284,9 +293,9 @@
             self._reactor.seconds(),
         )
         self._board.members.write({**members, message.name: member})
-        self._connect(message.address)
+        self.connect(message.address)
         for address in message.known:
-            self._connect(address)
+            self.connect(address)
         own_revision = self._board.configuration.value.revision
         if message.configuration_revision > own_revision:
             wanted = ConfigurationWanted(
@@ -310,6 +319,11 @@
             revision = configuration.revision
             logger.info("configuration in force revision={} from=peer", revision)
 
+    @property
+    def links(self):
+        """List of str : addresses that a link leads to."""
+        return list(self._sockets)
+
     @property
     def members(self):
         """Dict from str to Member : the other routers that were heard."""
@@ -322,8 +336,9 @@
 
     def stop(self):
         """Close the link."""
-        if self._ticker.running:
-            self._ticker.stop()
+        if self._inbox is None:
+            return
+        self._ticker.stop()
         for reader in self._readers:
             reader.stop()
         for socket in self._sockets.values():
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -198,6 +198,14 @@
             connection = self.ask(**changes)
             self.assert_problem(connection, 400, "bad-request", "not_run")
 
+    def test_asked_timeout_is_kept_within_the_services_own(self):
+        for asked in (b"nan", b"inf", b"-5", b"x", b"1e9"):
+            self.ask(headers=CLERK + b"Sesame-Timeout-S: " + asked + b"\r\n")
+            for generation in list(self.gateway.generations):
+                left_s = generation.request.deadline_s - self.clock.seconds()
+                self.assertTrue(0 <= left_s <= DRAFTING.timeout_s, asked)
+                generation.caller_left()
+
     def test_unknown_model(self):
         connection = self.ask(model="none")
         self.assert_problem(connection, 404, "unknown-model", "not_run")
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -7,6 +7,7 @@
 from twisted.internet.task import deferLater
 from twisted.trial import unittest
 
+import sesamearch.peer as peer_module
 from sesamearch.blackboard import Blackboard
 from sesamearch.configuration import Configuration
 from sesamearch.keys import PeerKeys
@@ -64,6 +65,13 @@
         second.accept_configuration(Configuration(4))
         await until(lambda: first.configuration.value.revision == 4)
 
+    async def test_address_that_never_answers_is_dropped(self):
+        self.patch(peer_module, "MEMBER_TIMEOUT_S", 0.2)
+        _, link = self.make(0)
+        link.connect("127.0.0.1:1")
+        self.assertIn("127.0.0.1:1", link.links)
+        await until(lambda: "127.0.0.1:1" not in link.links)
+
     async def test_unknown_key_is_refused(self):
         first, link = self.make(0)
         stranger = make_keys()
