Refuse paths that an endpoint could resolve to another call

Cause, found by reading: a call was matched by its path as decoded, and forwarded as it came. With a wildcard call that is idempotent, /a/%2e%2e/receipts matched the wildcard, and an endpoint that resolves dots would run a receipt that is retried. Change: dot and empty segments, absolute and non-ASCII URIs are refused as not run. Also: admission of plain calls written once, the claim batch read in order.

--- a/src/sesamearch/claim.py
+++ b/src/sesamearch/claim.py
@@ -299,9 +299,7 @@
                 settlement.stored.callback(None)
 
     async def _write_claims(self):
-        # A transaction may write a key once only; the second claim of a key waits.
-        distinct = {pending.key: pending for pending in reversed(self._pending)}
-        batch = list(distinct.values())[-MAX_CLAIMS_PER_WRITE:]
+        batch = self._next_batch()
         for pending in batch:
             if not pending.lease:
                 pending.lease = await self._lease(pending.retention_s)
@@ -321,6 +319,15 @@
             else:
                 self._look_at(pending, found.get(pending.key))
 
+    def _next_batch(self):
+        """Return the oldest claims, one a key: a transaction writes a key once."""
+        batch = {}
+        for pending in self._pending:
+            if len(batch) == MAX_CLAIMS_PER_WRITE:
+                break
+            batch.setdefault(pending.key, pending)
+        return list(batch.values())
+
     async def _txn(self, comparisons, puts):
         """Return the :class:`TxnReply`, or None if no answer came."""
         self._counters.claim_writes += 1
--- a/src/sesamearch/follower.py
+++ b/src/sesamearch/follower.py
@@ -1,5 +1,7 @@
 """Followers: keep a section of the blackboard equal to keys in the store."""
 
+import abc
+
 import msgspec
 
 from sesamearch.blackboard import Endpoint
@@ -114,9 +116,9 @@
             state = "following" if is_current else "lost"
             logger.info("store {} prefix={}", state, self._prefix.decode())
 
+    @abc.abstractmethod
     def take(self, items):
         """Take all present items, a dict from bytes to bytes."""
-        raise NotImplementedError
 
 
 class ConfigurationFollower(Follower):
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -3,6 +3,7 @@
 import hashlib
 import math
 import secrets
+import urllib.parse
 
 import msgspec
 from klein import Klein
@@ -21,6 +22,7 @@
     parse_body,
     send_problem,
 )
+from sesamearch.configuration import PlainService
 from sesamearch.errors import ErrorKind, Problem
 from sesamearch.generation import Generation
 from sesamearch.http_plain import HOP_BY_HOP_HEADERS
@@ -37,6 +39,13 @@
 _OWN_HEADERS = frozenset(("authorization", "host", "sesame-timeout-s"))
 
 
+class _Admitted(msgspec.Struct, frozen=True):
+    """Who calls which plain service."""
+
+    organisation: str
+    service: PlainService
+
+
 @implementer(IPushProducer)
 class _Backpressure:
     """Pauses a generation while its caller's connection is full."""
@@ -228,45 +237,51 @@
 
     # Plain services
 
+    def _admit_call(self, request, service_name):
+        """Return an :class:`_Admitted`, or None after refusing."""
+        limit = self._limits.operations
+        organisation = self._admit(request, self._calls_in_flight, limit)
+        if organisation is None:
+            return None
+        found = self._directory.plain_service(service_name)
+        if found.is_err():
+            self._refuse(request, found.unwrap_err())
+            return None
+        return _Admitted(organisation, found.unwrap())
+
     @app.route(
         "/services/<service>/<path:path>",
         methods=["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"],
     )
     def call(self, request, service, path):
         """Route a call of a plain service."""
-        limit = self._limits.operations
-        organisation = self._admit(request, self._calls_in_flight, limit)
-        if organisation is None:
+        admitted = self._admit_call(request, service)
+        if admitted is None:
             return None
-        found = self._directory.plain_service(service)
-        if found.is_err():
-            return self._refuse(request, found.unwrap_err())
         method = request.method.decode()
-        call = found.unwrap().find_call(method, f"/{path}")
-        if call is None:
+        call = admitted.service.find_call(method, f"/{path}")
+        forwarded = _forwarded_path(request.uri)
+        if call is None or forwarded is None:
             problem = Problem(ErrorKind.UNKNOWN_CALL, f"{method} /{path}"[:200])
             return self._refuse(request, problem)
-        if call.retry == "idempotent":
-            outgoing = _to_plain_request(request, call)
-            version = self._versions.choose(
-                found.unwrap(), secrets.token_hex(REQUEST_ID_BYTES)
-            )
-            deadline_s = self._deadline_s(request, found.unwrap())
-            started = self._calls.run(found.unwrap(), version, outgoing, deadline_s)
-            return self._answer_later(request, started)
-        return self._operate(request, organisation, found.unwrap(), call)
-
-    def _operate(self, request, organisation, service, call):
-        key = check_key(
-            service, request.getHeader("Idempotency-Key"), self._tools.clock.seconds()
-        )
+        outgoing = _to_plain_request(request, call, forwarded)
+        if call.retry == "at_most_once":
+            return self._operate(request, admitted, outgoing)
+        service = admitted.service
+        version = self._versions.choose(service, secrets.token_hex(REQUEST_ID_BYTES))
+        deadline_s = self._deadline_s(request, service)
+        started = self._calls.run(service, version, outgoing, deadline_s)
+        return self._answer_later(request, started)
+
+    def _operate(self, request, admitted, outgoing):
+        service, now_s = admitted.service, self._tools.clock.seconds()
+        key = check_key(service, request.getHeader("Idempotency-Key"), now_s)
         if key.is_err():
             return self._refuse(request, key.unwrap_err())
-        outgoing = _to_plain_request(request, call)
         operation = OperationRequest(
             service,
             self._versions.choose(service, key.unwrap()),
-            organisation,
+            admitted.organisation,
             key.unwrap(),
             outgoing,
             _fingerprint(outgoing),
@@ -277,17 +292,15 @@
     @app.route("/operations/<service>", methods=["GET"])
     def look_up(self, request, service):
         """Tell what became of the operation with an idempotency key."""
-        limit = self._limits.operations
-        organisation = self._admit(request, self._calls_in_flight, limit)
-        if organisation is None:
+        admitted = self._admit_call(request, service)
+        if admitted is None:
             return None
-        found = self._directory.plain_service(service)
-        if found.is_err():
-            return self._refuse(request, found.unwrap_err())
         key = request.getHeader("Idempotency-Key")
         if not key:
             return self._refuse(request, Problem(ErrorKind.KEY_REQUIRED))
-        looked_up = self._operations.look_up(found.unwrap(), organisation, key)
+        looked_up = self._operations.look_up(
+            admitted.service, admitted.organisation, key
+        )
         return self._answer_later(request, looked_up)
 
     def _answer_later(self, request, outcome):
@@ -321,18 +334,31 @@
     return Ok(position)
 
 
-def _to_plain_request(request, call):
+def _forwarded_path(uri):
+    """Return the path below the service as it came, or None if it is not plain.
+
+    Dot segments and empty ones are refused: an endpoint that resolves them would
+    run another call than the one that was matched, under other retry rules.
+    """
+    head = uri.partition(b"?")[0].split(b"/", 3)
+    if len(head) != 4 or head[:2] != [b"", b"services"] or not uri.isascii():
+        return None
+    decoded = urllib.parse.unquote_to_bytes(head[3]).replace(b"\\", b"/")
+    segments = decoded.split(b"/")
+    if b"." in segments or b".." in segments or b"" in segments[:-1]:
+        return None
+    return "/" + uri.split(b"/", 3)[3].decode("ascii")
+
+
+def _to_plain_request(request, call, path):
     headers = [
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, values in request.requestHeaders.getAllRawHeaders()
         for value in values
         if name.lower().decode("latin-1") not in HOP_BY_HOP_HEADERS | _OWN_HEADERS
     ]
-    # The path as it came, so that nothing is decoded and encoded again.
-    path = b"/" + request.uri.split(b"/", 3)[3]
-    method = request.method.decode()
     body, route = request.content.read(), f"{call.method} {call.path}"
-    return PlainRequest(method, path.decode("ascii"), headers, body, route)
+    return PlainRequest(request.method.decode(), path, headers, body, route)
 
 
 def _fingerprint(outgoing):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -422,6 +422,17 @@
         self.assertIn(b"ticket", connection.body)
         self.assertEqual(self.plain.calls[0][1].path, "/tickets/5?full=1")
 
+    def test_path_that_could_reach_another_call_is_refused(self):
+        # "/*" is idempotent: resolved by an endpoint, these would run the receipt
+        # under its retry rules.
+        for path in (b"a/../receipts", b"a/%2e%2e/receipts", b"./x", b"/x", b"\xff"):
+            connection = Connection(self.site)
+            connection.send(b"GET", b"/services/ticketing/" + path)
+            self.assert_problem(connection, 404, "unknown-call", "not_run")
+        connection = Connection(self.site)
+        connection.send(b"GET", b"http://r/services/ticketing/x")
+        self.assertEqual(self.plain.calls, [])
+
     def test_unknown_call_and_service(self):
         connection = Connection(self.site).send(b"POST", b"/services/ticketing/x")
         self.assert_problem(connection, 404, "unknown-call", "not_run")
