Handle what came for a stream in one turn of the reactor together

Ruled out earlier: garbage collection, list passes. Change: the engine stream gathers its frames until the end of the turn; the caller's side writes when told to. One mechanism in place of two.

--- a/src/sesamearch/completion.py
+++ b/src/sesamearch/completion.py
@@ -12,7 +12,6 @@
 __all__ = [
     "CompletionBody",
     "EventSink",
-    "Flusher",
     "WholeSink",
     "parse_body",
     "send_problem",
@@ -156,32 +155,6 @@
     object: str = "chat.completion.chunk"
 
 
-class Flusher:
-    """Write what came for each caller in one turn of the reactor at once.
-
-    Parameters
-    ----------
-    clock : twisted.internet.interfaces.IReactorTime
-    """
-
-    __slots__ = ("_clock", "_sinks")
-
-    def __init__(self, clock):
-        self._clock = clock
-        self._sinks = []
-
-    def add(self, sink):
-        """Write what `sink` holds at the end of this turn."""
-        if not self._sinks:
-            self._clock.callLater(0, self._write)
-        self._sinks.append(sink)
-
-    def _write(self):
-        sinks, self._sinks = self._sinks, []
-        for sink in sinks:
-            sink.write()
-
-
 class EventSink(_SinkBase):
     """Stream an answer as server-sent events whose ids are cursors.
 
@@ -191,13 +164,10 @@
     request_id, model : str
     done : twisted.internet.defer.Deferred
         Fired when the response is complete.
-    flusher : Flusher
     """
 
-    def __init__(self, request, request_id, model, done, flusher):
+    def __init__(self, request, request_id, model, done):
         super().__init__(request, request_id, model, done)
-        self._flusher = flusher
-        self._is_waiting = False
         self._head = b""
         self._tail = b""
         self._unwritten = []
@@ -222,14 +192,7 @@
         self._unwritten.append(event)
 
     def flush(self):
-        """Write with whatever else comes in this turn of the reactor."""
-        if not self._is_waiting:
-            self._is_waiting = True
-            self._flusher.add(self)
-
-    def write(self):
-        """Write what is held, unless the caller has left."""
-        self._is_waiting = False
+        """Write the events that came together at once, unless the caller has left."""
         unwritten, self._unwritten = self._unwritten, []
         if unwritten and not self._done.called:
             self._request.write(b"".join(unwritten))
@@ -237,7 +200,7 @@
     def finish(self, event_id, finish_reason, tokens):
         """Write the final events."""
         chunk = self._chunk(_Choice(_Delta(), finish_reason=finish_reason))
-        self.write()
+        self.flush()
         self._request.write(
             b"id: " + event_id + b"\ndata: " + _encode(chunk) + b"\n\ndata: [DONE]\n\n"
         )
@@ -245,7 +208,7 @@
 
     def fail(self, problem):
         """Write the problem, as an event if the answer has begun."""
-        self.write()
+        self.flush()
         if self._head:
             body = problem.to_json()
             self._request.write(b"event: error\ndata: " + body + b"\n\n")
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/gateway.py
@@ -17,7 +17,6 @@
 from sesamearch.completion import (
     MAX_SEED,
     EventSink,
-    Flusher,
     WholeSink,
     parse_body,
     send_problem,
@@ -86,7 +85,6 @@
         self._operations = operations
         self._limits = limits
         self._calls_in_flight = 0
-        self._flusher = Flusher(tools.clock)
         self._versions = VersionChooser(board)
         self.generations = set()
 
@@ -184,11 +182,8 @@
         position = position.unwrap()
         order = self._order(request, organisation, parsed, service, position)
         done = Deferred()
-        shown = (request, order.request_id, parsed.body.model, done)
-        if parsed.body.stream:
-            sink = EventSink(*shown, self._flusher)
-        else:
-            sink = WholeSink(*shown)
+        sink_type = EventSink if parsed.body.stream else WholeSink
+        sink = sink_type(request, order.request_id, parsed.body.model, done)
         generation = Generation(order, self._tools, sink, self._ended)
         self.generations.add(generation)
         request.notifyFinish().addErrback(lambda _: generation.caller_left())
--- a/src/sesamearch/http.py
+++ b/src/sesamearch/http.py
@@ -9,7 +9,7 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
-__all__ = ["FrameReceiver", "make_http_client"]
+__all__ = ["FrameReceiver", "TurnEnd", "make_http_client"]
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_PER_HOST = 64
@@ -56,6 +56,32 @@
     return HTTPClient(agent, cookiejar=no_cookies)
 
 
+class TurnEnd:
+    """Calls each of its members once at the end of a turn of the reactor.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+    """
+
+    __slots__ = ("_clock", "_functions")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._functions = []
+
+    def call(self, function):
+        """Call `function` when all that can be read in this turn was read."""
+        if not self._functions:
+            self._clock.callLater(0, self._run)
+        self._functions.append(function)
+
+    def _run(self):
+        functions, self._functions = self._functions, []
+        for function in functions:
+            function()
+
+
 class FrameReceiver(LineOnlyReceiver):
     """Split a streamed body at a delimiter.
 
--- a/src/sesamearch/http_engine.py
+++ b/src/sesamearch/http_engine.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import CancelledError
 
 from sesamearch.engine import EngineClient, EngineStream, StreamEnd, StreamEvent
-from sesamearch.http import FrameReceiver, make_http_client
+from sesamearch.http import FrameReceiver, TurnEnd, make_http_client
 
 __all__ = ["HttpEngineClient"]
 
@@ -58,10 +58,12 @@
 class _HttpEngineStream(EngineStream):
     """One attempt's response, from its request on."""
 
-    __slots__ = ("_body", "_is_paused", "_receiver", "_request")
+    __slots__ = ("_body", "_frames", "_is_paused", "_receiver", "_request", "_turn_end")
 
-    def __init__(self, receiver):
+    def __init__(self, receiver, turn_end):
         self._receiver = receiver
+        self._turn_end = turn_end
+        self._frames = []
         self._body = None
         self._request = None
         self._is_paused = False
@@ -102,7 +104,14 @@
             self._finish(StreamEnd.LOST, failure.getErrorMessage())
 
     def _take_frames(self, frames):
-        if self._receiver is None:
+        if not self._frames:
+            self._turn_end.call(self._deliver)
+        self._frames += frames
+
+    def _deliver(self):
+        """Hand on all events of this turn together."""
+        frames, self._frames = self._frames, []
+        if self._receiver is None or not frames:
             return
         try:
             events = list(filter(None, map(_parse_event, frames)))
@@ -112,6 +121,7 @@
         self._receiver.events(events)
 
     def _take_body_end(self):
+        self._deliver()
         self._finish(StreamEnd.LOST, "stream ended early")
 
     def _finish(self, reason, detail):
@@ -172,15 +182,16 @@
     connect_timeout_s : float
     """
 
-    __slots__ = ("_http",)
+    __slots__ = ("_http", "_turn_end")
 
     def __init__(self, reactor, connect_timeout_s=1.0):
         self._http = make_http_client(reactor, connect_timeout_s)
+        self._turn_end = TurnEnd(reactor)
 
     def open(self, endpoint, order, receiver):
         """Start an attempt."""
         url = f"http://{endpoint.address}/v1/chat/completions"
-        stream = _HttpEngineStream(receiver)
+        stream = _HttpEngineStream(receiver, self._turn_end)
         body, headers = _encode_order(order), dict(_JSON_HEADERS)
         if order.traceparent:
             headers["traceparent"] = order.traceparent
@@ -190,7 +201,7 @@
     def attach(self, endpoint, stream_id, index, receiver):
         """Re-attach to a live attempt."""
         url = f"http://{endpoint.address}/v1/streams/{stream_id}?from={index}"
-        stream = _HttpEngineStream(receiver)
+        stream = _HttpEngineStream(receiver, self._turn_end)
         stream.begin(self._http.get(url, unbuffered=True))
         return stream
 
