--- a/src/sesamearch/claim_relay.py
+++ b/src/sesamearch/claim_relay.py
@@ -119,11 +119,7 @@
             for member in self._board.members.value.values()
             if self._avoid_until_s.get(member.name, 0.0) <= now_s
         ]
-        name = self._settings.name
-        if self._board.drain.value.draining:
-            # A router that leaves is no writer for itself either, if it can help it.
-            members = [m for m in members if not m.draining]
-        return choose_writer(name, self._settings.data_centre, members)
+        return choose_writer(self._settings.name, self._settings.data_centre, members)
 
     def claim(self, key, claim, retention_s):
         """Create a claim; as :meth:`ClaimWriter.claim`."""
