--- a/src/sesamearch/detector.py
+++ b/src/sesamearch/detector.py
@@ -126,15 +126,20 @@
         Number of cells that it can have at most.
     false_alarm_ratio : float
         Bound on the chance to call a good version bad in all its windows.
+
+    Attributes
+    ----------
+    limit : float
+        What the weighted sum must reach for a call.
     """
 
-    __slots__ = ("_cells", "_limit", "_weight")
+    __slots__ = ("_cells", "_weight", "limit")
 
     def __init__(self, windows, cells, false_alarm_ratio=FALSE_ALARM_RATIO):
         self._cells = {}
         self._weight = 1.0 / cells
         # Two sums for each cell: beside the running version, and with its past.
-        self._limit = 2 * windows / false_alarm_ratio
+        self.limit = 2 * windows / false_alarm_ratio
 
     @property
     def new_requests(self):
@@ -154,7 +159,7 @@
             key = (counts.event, counts.route, counts.load)
             self._cells.setdefault(key, _Cell(counts.event)).add(counts)
         total = sum(cell.total for cell in self._cells.values()) * self._weight
-        return self._explain() if total >= self._limit else None
+        return self._explain() if total >= self.limit else None
 
     def _explain(self):
         (event, route, _), cell = max(self._cells.items(), key=lambda kv: kv[1].total)
--- a/src/sesamearch/mover.py
+++ b/src/sesamearch/mover.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from sesamearch.detector import Detector
+from sesamearch.detector import FALSE_ALARM_RATIO, Detector
 from sesamearch.errors import ErrorKind, Problem
 from sesamearch.evidence import EvidenceCollector
 from sesamearch.follower import Follower
@@ -69,16 +69,28 @@
 
 
 class _Weighing:
-    """Evidence on one move: this router's, and all routers' at the leader."""
+    """Evidence on one move: this router's, and all routers' at the leader.
 
-    def __init__(self, record):
+    Any router can stop a move and so can the leader: half of the allowed false
+    alarms is shared among the routers, the other half is the leader's.
+    """
+
+    def __init__(self, record, routers):
         windows = int((record.deadline_s + WATCH_S - record.started_s) / WINDOW_S) + 1
         self.collector = EvidenceCollector(record.new_version, record.old_version)
-        self.own = Detector(windows, MAX_CELLS)
-        self.pooled = Detector(windows, MAX_CELLS)
+        half_ratio = FALSE_ALARM_RATIO / 2
+        self.own = Detector(windows, MAX_CELLS, half_ratio / routers)
+        self.pooled = Detector(windows, MAX_CELLS, half_ratio)
         self.call = None
 
 
+class VetoLimits(msgspec.Struct, frozen=True):
+    """What the evidence must reach for a call, in one router and at the leader."""
+
+    own: float
+    pooled: float
+
+
 class Mover:
     """Collect evidence, veto what this router sees fail, and lead if elected.
 
@@ -136,13 +148,19 @@
         self._leadership.renew(self._is_candidate())
 
     def _take_records(self, records):
+        routers = len(self._board.members.value) + 1
         live = {record.move_id: record for record in records.values()}
         self._weighings = {
-            move_id: self._weighings.get(move_id) or _Weighing(record)
+            move_id: self._weighings.get(move_id) or _Weighing(record, routers)
             for move_id, record in live.items()
         }
         self._board.vetoes.write(self._board.vetoes.value & live.keys())
 
+    def limits(self, move_id):
+        """Return the :class:`VetoLimits` of a move."""
+        weighing = self._weighings[move_id]
+        return VetoLimits(weighing.own.limit, weighing.pooled.limit)
+
     def note(self, outcome):
         """Count an :class:`~sesamearch.evidence.Outcome` of a request."""
         record = self._board.moves.value.get(outcome.service)
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -14,8 +14,16 @@
 from sesamearch.fake_process import Process
 from sesamearch.fake_store import FakeStore, StoreFaults
 from sesamearch.leadership import LEADER_KEY, TTL_S, Leadership
-from sesamearch.move import MovePlan, MoveRecord, MoveState, choose_by_move
-from sesamearch.mover import MoveFollower, Mover, abort_move, record_key, start_move
+from sesamearch.move import WATCH_S, MovePlan, MoveRecord, MoveState, choose_by_move
+from sesamearch.mover import (
+    MAX_CELLS,
+    WINDOW_S,
+    MoveFollower,
+    Mover,
+    abort_move,
+    record_key,
+    start_move,
+)
 from sesamearch.store import Put
 from tests.test_claim_relay import PeerBus
 
@@ -322,6 +330,18 @@
         self.world.settle_down(20)
         self.assertGreater(self.world.record.share_ratio, 0.05)
 
+    def test_false_alarms_are_shared_among_the_routers(self):
+        # Each router once had the whole move's allowance for itself.
+        board, count = Blackboard(), 1299
+        board.members.write({f"r{n}": None for n in range(count)})
+        mover = Mover("r", board, None, None, None, None, self.world.clock, None)
+        board.moves.write({"drafting": self.world.record})
+        limits = mover.limits("m1")
+        self.assertAlmostEqual(limits.own / limits.pooled, count + 1)
+        windows = (SPAN_S + WATCH_S) / WINDOW_S + 1
+        unshared = Detector(int(windows), MAX_CELLS).limit
+        self.assertAlmostEqual(limits.pooled / unshared, 2)
+
     def finish(self, coroutine):
         results = []
         Deferred.fromCoroutine(coroutine).addCallback(results.append)
