--- a/bench/micro.py
+++ b/bench/micro.py
@@ -12,11 +12,17 @@
 from twisted.python.failure import Failure
 
 from bench import peers
-from sesamearch.blackboard import Blackboard, Counters, Endpoint
-from sesamearch.claim import Claim, ClaimState, ClaimWriter, claim_key, new_claim_id
-from sesamearch.fake_process import Process
-from sesamearch.fake_store import FakeStore, StoreFaults
-from sesamearch.placement import Placement
+from sesamearch.configuration.blackboard import Blackboard, Counters, Endpoint
+from sesamearch.operation.claim import (
+    Claim,
+    ClaimState,
+    ClaimWriter,
+    claim_key,
+    new_claim_id,
+)
+from sesamearch.replay.process import Process
+from sesamearch.replay.store import FakeStore, StoreFaults
+from sesamearch.routing.placement import Placement
 
 STORE_LATENCY_S = 0.004
 STEP_S = 0.001
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -11,9 +11,9 @@
 import statistics
 import sys
 
-from sesamearch.detector import Detector
-from sesamearch.evidence import EvidenceCollector, Outcome
-from sesamearch.move import MovePlan, MoveRecord, MoveState
+from sesamearch.rollout.detector import Detector
+from sesamearch.rollout.move import MovePlan, MoveRecord, MoveState
+from sesamearch.routing.evidence import EvidenceCollector, Outcome
 
 WINDOW_S = 2.0
 MOVE_S = 1800.0
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -7,10 +7,14 @@
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
-from sesamearch.blackboard import Blackboard
-from sesamearch.keys import PeerKeys
-from sesamearch.peer import PeerLink
-from sesamearch.settings import PeerSettings, RouterSettings, StoreSettings
+from sesamearch.configuration.blackboard import Blackboard
+from sesamearch.configuration.keys import PeerKeys
+from sesamearch.configuration.settings import (
+    PeerSettings,
+    RouterSettings,
+    StoreSettings,
+)
+from sesamearch.membership.peer import PeerLink
 
 WARM_UP_S = 4
 RUN_S = 4
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Site
 
-from sesamearch.http import FrameReceiver, make_http_client
+from sesamearch.base.http import FrameReceiver, make_http_client
 
 
 class Relay:
--- a/bench/resume.py
+++ b/bench/resume.py
@@ -10,9 +10,9 @@
 import msgspec
 from tests.support import DRAFTING, TICKETING, generates, make_trace
 
-from sesamearch.configuration import ResumePolicy
-from sesamearch.replay import replay
-from sesamearch.trace import TraceEndpoint, TraceFault
+from sesamearch.configuration.configuration import ResumePolicy
+from sesamearch.replay.runner import replay
+from sesamearch.replay.trace import TraceEndpoint, TraceFault
 
 FLOORS_S = (0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 SEEDS = range(3)
--- a/demo/play.py
+++ b/demo/play.py
@@ -9,12 +9,12 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater, react
 
-from sesamearch.client import Asker
-from sesamearch.configuration import collect
-from sesamearch.etcd import EtcdStore
-from sesamearch.publisher import publish
-from sesamearch.settings import StoreSettings
-from sesamearch.standin_engine import expected_token, prompt_digest
+from sesamearch.callers.client import Asker
+from sesamearch.configuration.configuration import collect
+from sesamearch.configuration.publisher import publish
+from sesamearch.configuration.settings import StoreSettings
+from sesamearch.standin.engine import expected_token, prompt_digest
+from sesamearch.store.etcd import EtcdStore
 
 TOKENS = 120
 SEED = 7
--- a/src/sesamearch/__init__.py
+++ b/src/sesamearch/__init__.py
@@ -1,19 +1,15 @@
 """Serving of long generations from engines that fail."""
 
-from sesamearch.blackboard import Blackboard
-from sesamearch.client import Answer, Asker
-from sesamearch.configuration import Configuration, collect
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.settings import RouterSettings, load_settings
+import lazy_loader
 
-__all__ = [
-    "Answer",
-    "Asker",
-    "Blackboard",
-    "Configuration",
-    "ErrorKind",
-    "Problem",
-    "RouterSettings",
-    "collect",
-    "load_settings",
-]
+# Loaded on first use: a router must not pay for the client, nor a client for a router.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "base.errors": ["ErrorKind", "Problem"],
+        "callers.client": ["Answer", "Asker"],
+        "configuration.blackboard": ["Blackboard"],
+        "configuration.configuration": ["Configuration", "collect"],
+        "configuration.settings": ["RouterSettings", "load_settings"],
+    },
+)
--- a/src/sesamearch/__main__.py
+++ b/src/sesamearch/__main__.py
@@ -2,6 +2,6 @@
 
 import sys
 
-from sesamearch.cli import main
+from sesamearch.command.main import main
 
 sys.exit(main())
--- /dev/null
+++ b/src/sesamearch/base/__init__.py
@@ -0,0 +1,14 @@
+"""What every other package rests on: errors, logs, schemas and small transports."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "errors": ["Answer", "ErrorKind", "Problem", "Ran", "answer_for"],
+        "http": ["FrameReceiver", "TurnEnd", "make_http_client"],
+        "listener": ["listen_directly"],
+        "log": ["logger", "set_up_logging"],
+        "schema": ["Fault", "check", "load_yaml"],
+    },
+)
--- a/src/sesamearch/client.py
+++ b/src/sesamearch/callers/client.py
@@ -8,8 +8,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.http import FrameReceiver, make_http_client
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.base.http import FrameReceiver, make_http_client
 
 __all__ = ["Answer", "Asker"]
 
--- a/src/sesamearch/gateway.py
+++ b/src/sesamearch/callers/gateway.py
@@ -13,22 +13,22 @@
 from werkzeug.exceptions import HTTPException
 from zope.interface import implementer
 
-from sesamearch.attempt import GenerationRequest
-from sesamearch.completion import (
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.base.log import logger
+from sesamearch.configuration.configuration import PlainService
+from sesamearch.generation.attempt import GenerationRequest
+from sesamearch.generation.completion import (
     MAX_SEED,
     EventSink,
     WholeSink,
     parse_body,
     send_problem,
 )
-from sesamearch.configuration import PlainService
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.generation import Generation
-from sesamearch.http_plain import HOP_BY_HOP_HEADERS
-from sesamearch.log import logger
-from sesamearch.operation import OperationRequest, check_key
-from sesamearch.plain import PlainRequest
-from sesamearch.version import VersionChooser
+from sesamearch.generation.generation import Generation
+from sesamearch.operation.http_plain import HOP_BY_HOP_HEADERS
+from sesamearch.operation.operation import OperationRequest, check_key
+from sesamearch.operation.plain import PlainRequest
+from sesamearch.rollout.version import VersionChooser
 
 __all__ = ["Gateway"]
 
--- /dev/null
+++ b/src/sesamearch/command/__init__.py
@@ -0,0 +1,24 @@
+"""The command line."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "operator": [
+            "add_check",
+            "add_history",
+            "add_move",
+            "add_publish",
+            "add_status",
+        ],
+        "terminal": [
+            "EXIT_CODES",
+            "add_command",
+            "add_format",
+            "run_reactor",
+            "show_faults",
+            "show_problem",
+        ],
+    },
+)
--- a/src/sesamearch/cli.py
+++ b/src/sesamearch/command/main.py
@@ -7,17 +7,16 @@
 import msgspec
 from result import Err, Ok
 
-from sesamearch.cli_operator import (
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.base.log import set_up_logging
+from sesamearch.command.operator import (
     add_check,
     add_history,
     add_move,
     add_publish,
     add_status,
 )
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.log import set_up_logging
-from sesamearch.settings import load_settings
-from sesamearch.terminal import (
+from sesamearch.command.terminal import (
     EXIT_CODES,
     add_command,
     add_format,
@@ -25,6 +24,7 @@
     show_faults,
     show_problem,
 )
+from sesamearch.configuration.settings import load_settings
 
 __all__ = ["main"]
 
@@ -80,8 +80,8 @@
     set_up_logging(settings.log_level)
     from twisted.internet import reactor
 
-    from sesamearch.keys import load_peer_keys
-    from sesamearch.router import Router
+    from sesamearch.configuration.keys import load_peer_keys
+    from sesamearch.daemon.router import Router
 
     peer_keys = load_peer_keys(settings.peer.key_file) if settings.peer else Ok(None)
     if peer_keys.is_err():
@@ -123,7 +123,7 @@
 def _run_standin(options):
     from twisted.internet import reactor
 
-    from sesamearch import standin
+    from sesamearch.standin import process as standin
 
     try:
         pairs = [switch.split("=", 1) for switch in options.switch]
@@ -166,8 +166,8 @@
 
 
 def _run_replay(options):
-    from sesamearch.replay import replay
-    from sesamearch.trace import load_trace
+    from sesamearch.replay.runner import replay
+    from sesamearch.replay.trace import load_trace
 
     loaded = load_trace(options.trace)
     if loaded.is_err():
@@ -211,7 +211,7 @@
         print(text, end="", flush=True)
 
     async def work(reactor):
-        from sesamearch.client import Asker
+        from sesamearch.callers.client import Asker
 
         on_token = show if options.format == "text" else None
         asker = Asker(reactor, options.addresses, key.unwrap(), on_token)
@@ -255,7 +255,7 @@
 
 
 def _run_keys(options):
-    from sesamearch import keys
+    from sesamearch.configuration import keys
 
     if options.what == "api":
         key, digest = keys.new_api_key()
--- a/src/sesamearch/cli_operator.py
+++ b/src/sesamearch/command/operator.py
@@ -7,16 +7,16 @@
 import msgspec
 from twisted.internet.defer import Deferred, gatherResults
 
-from sesamearch.configuration import collect
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.settings import StoreSettings, load_settings
-from sesamearch.terminal import (
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.command.terminal import (
     add_command,
     add_format,
     run_reactor,
     show_faults,
     show_problem,
 )
+from sesamearch.configuration.configuration import collect
+from sesamearch.configuration.settings import StoreSettings, load_settings
 
 __all__ = ["add_check", "add_history", "add_move", "add_publish", "add_status"]
 
@@ -88,8 +88,8 @@
         return _show_difference(options, collected.unwrap())
 
     async def work(reactor):
-        from sesamearch.etcd import EtcdStore
-        from sesamearch.publisher import publish
+        from sesamearch.configuration.publisher import publish
+        from sesamearch.store.etcd import EtcdStore
 
         store = EtcdStore(reactor, _store_settings(options))
         configuration = collected.unwrap()
@@ -106,15 +106,15 @@
 
 def _show_difference(options, configuration):
     async def work(reactor):
-        from sesamearch.etcd import EtcdStore
-        from sesamearch.publisher import read_configuration
+        from sesamearch.configuration.publisher import read_configuration
+        from sesamearch.store.etcd import EtcdStore
 
         return await read_configuration(EtcdStore(reactor, _store_settings(options)))
 
     result = run_reactor(work)
     if result.is_err():
         return show_problem(result.unwrap_err(), options.format)
-    from sesamearch.publisher import difference
+    from sesamearch.configuration.publisher import difference
 
     lines = difference(result.unwrap().configuration, configuration)
     if options.format == "json":
@@ -139,8 +139,8 @@
 
 def _run_history(options):
     async def work(reactor):
-        from sesamearch.etcd import EtcdStore
-        from sesamearch.publisher import read_history
+        from sesamearch.configuration.publisher import read_history
+        from sesamearch.store.etcd import EtcdStore
 
         return await read_history(EtcdStore(reactor, _store_settings(options)))
 
@@ -209,7 +209,7 @@
 
 
 def _start_move(options):
-    from sesamearch.move import plan_lines
+    from sesamearch.rollout.move import plan_lines
 
     record = _new_move(options)
     if options.yes:
@@ -235,7 +235,7 @@
 
 
 def _new_move(options):
-    from sesamearch.move import MoveRecord, MoveState
+    from sesamearch.rollout.move import MoveRecord, MoveState
 
     now_s = time.time()
     return MoveRecord(
@@ -254,8 +254,8 @@
 
 def _finish_move(options, act):
     async def work(reactor):
-        from sesamearch import mover
-        from sesamearch.etcd import EtcdStore
+        from sesamearch.rollout import mover
+        from sesamearch.store.etcd import EtcdStore
 
         return await act(mover, EtcdStore(reactor, _store_settings(options)))
 
@@ -292,7 +292,7 @@
 
 def _run_status(options):
     async def work(reactor):
-        from sesamearch.http import make_http_client
+        from sesamearch.base.http import make_http_client
 
         http = make_http_client(reactor)
         asked = [_ask_status(http, address) for address in options.addresses]
@@ -318,7 +318,7 @@
 
 
 def _status_line(report):
-    from sesamearch.operators_port import RouterStatus
+    from sesamearch.daemon.operators_port import RouterStatus
 
     if not report.reachable:
         return f"{report.address}  unreachable"
--- a/src/sesamearch/terminal.py
+++ b/src/sesamearch/command/terminal.py
@@ -7,7 +7,7 @@
 from result import Err
 from twisted.internet.defer import Deferred
 
-from sesamearch.errors import ErrorKind, Problem
+from sesamearch.base.errors import ErrorKind, Problem
 
 __all__ = [
     "EXIT_CODES",
--- /dev/null
+++ b/src/sesamearch/configuration/__init__.py
@@ -0,0 +1,62 @@
+"""What operators set, and the blackboard that holds what is in force."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "blackboard": [
+            "Blackboard",
+            "Counters",
+            "DrainPhase",
+            "Endpoint",
+            "Member",
+            "Section",
+        ],
+        "configuration": [
+            "Call",
+            "Configuration",
+            "EngineService",
+            "Organisation",
+            "PlainService",
+            "ResumePolicy",
+            "Retry",
+            "VersionShare",
+            "collect",
+            "hash_api_key",
+        ],
+        "directory": ["Directory"],
+        "follower": [
+            "CONFIGURATION_KEY",
+            "VM_PREFIX",
+            "ConfigurationFollower",
+            "EndpointFollower",
+            "Follower",
+            "VmEntry",
+        ],
+        "keys": [
+            "PeerKeys",
+            "load_peer_keys",
+            "new_api_key",
+            "new_cursor_key",
+            "new_peer_keys",
+        ],
+        "publisher": [
+            "PublishedEntry",
+            "difference",
+            "publish",
+            "read_configuration",
+            "read_history",
+        ],
+        "settings": [
+            "DrainSettings",
+            "LimitSettings",
+            "PeerSettings",
+            "RouterSettings",
+            "StoreSettings",
+            "TlsSettings",
+            "load_settings",
+        ],
+        "site": ["LimitedSite"],
+    },
+)
--- a/src/sesamearch/blackboard.py
+++ b/src/sesamearch/configuration/blackboard.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sesamearch.configuration import Configuration
+from sesamearch.configuration.configuration import Configuration
 
 __all__ = ["Blackboard", "Counters", "DrainPhase", "Endpoint", "Member", "Section"]
 
--- a/src/sesamearch/configuration.py
+++ b/src/sesamearch/configuration/configuration.py
@@ -7,8 +7,8 @@
 import msgspec
 from result import Err, Ok
 
-from sesamearch.schema import Fault, check, load_yaml
-from sesamearch.store import StoredValue
+from sesamearch.base.schema import Fault, check, load_yaml
+from sesamearch.store.store import StoredValue
 
 __all__ = [
     "Call",
--- a/src/sesamearch/directory.py
+++ b/src/sesamearch/configuration/directory.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok
 
-from sesamearch.errors import ErrorKind, Problem
+from sesamearch.base.errors import ErrorKind, Problem
 
 __all__ = ["Directory"]
 
--- a/src/sesamearch/follower.py
+++ b/src/sesamearch/configuration/follower.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from sesamearch.blackboard import Endpoint
-from sesamearch.configuration import Configuration
-from sesamearch.log import logger
-from sesamearch.store import WatchReceiver
+from sesamearch.base.log import logger
+from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.configuration.configuration import Configuration
+from sesamearch.store.store import WatchReceiver
 
 __all__ = [
     "CONFIGURATION_KEY",
--- a/src/sesamearch/keys.py
+++ b/src/sesamearch/configuration/keys.py
@@ -9,8 +9,8 @@
 import zmq
 from result import Err, Ok
 
-from sesamearch.configuration import hash_api_key
-from sesamearch.schema import Fault, check, load_yaml
+from sesamearch.base.schema import Fault, check, load_yaml
+from sesamearch.configuration.configuration import hash_api_key
 
 __all__ = [
     "PeerKeys",
--- a/src/sesamearch/publisher.py
+++ b/src/sesamearch/configuration/publisher.py
@@ -8,10 +8,10 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
-from sesamearch.configuration import Configuration
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.follower import CONFIGURATION_KEY
-from sesamearch.store import Comparison, Put, StoredValue
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.configuration.configuration import Configuration
+from sesamearch.configuration.follower import CONFIGURATION_KEY
+from sesamearch.store.store import Comparison, Put, StoredValue
 
 __all__ = [
     "PublishedEntry",
@@ -135,7 +135,7 @@
     ----------
     store : Store
     configuration : Configuration
-        From :func:`~sesamearch.configuration.collect`.
+        From :func:`~sesamearch.configuration.configuration.collect`.
     operator : str
         Who publishes.
     expected_revision : int or None
--- a/src/sesamearch/settings.py
+++ b/src/sesamearch/configuration/settings.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok
 
-from sesamearch.schema import Fault, check, load_yaml
+from sesamearch.base.schema import Fault, check, load_yaml
 
 __all__ = [
     "DrainSettings",
--- a/src/sesamearch/site.py
+++ b/src/sesamearch/configuration/site.py
@@ -3,7 +3,7 @@
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
-from sesamearch.errors import ErrorKind, Problem
+from sesamearch.base.errors import ErrorKind, Problem
 
 __all__ = ["LimitedSite"]
 
--- /dev/null
+++ b/src/sesamearch/daemon/__init__.py
@@ -0,0 +1,13 @@
+"""The router process: parts put together, metrics, drain."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "drain": ["Drain"],
+        "metrics": ["MetricsExport"],
+        "operators_port": ["OperatorsPort", "RouterStatus"],
+        "router": ["Router"],
+    },
+)
--- a/src/sesamearch/drain.py
+++ b/src/sesamearch/daemon/drain.py
@@ -5,7 +5,7 @@
 import msgspec
 from automat import TypeMachineBuilder
 
-from sesamearch.log import logger
+from sesamearch.base.log import logger
 
 __all__ = ["Drain"]
 
--- a/src/sesamearch/metrics.py
+++ b/src/sesamearch/daemon/metrics.py
@@ -3,7 +3,7 @@
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 
-from sesamearch.blackboard import Counters
+from sesamearch.configuration.blackboard import Counters
 
 __all__ = ["MetricsExport"]
 
--- a/src/sesamearch/router.py
+++ b/src/sesamearch/daemon/router.py
@@ -8,30 +8,30 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
-from sesamearch.attempt import GenerationTools
-from sesamearch.blackboard import Blackboard
-from sesamearch.call import CallRunner, CallTools
-from sesamearch.claim import ClaimWriter
-from sesamearch.claim_relay import ClaimRelay, choose_writer
-from sesamearch.cursor import CursorSigner
-from sesamearch.directory import Directory
-from sesamearch.drain import Drain
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.etcd import EtcdStore
-from sesamearch.follower import ConfigurationFollower, EndpointFollower
-from sesamearch.gateway import SWEEP_INTERVAL_S, Gateway
-from sesamearch.http_engine import HttpEngineClient
-from sesamearch.http_plain import HttpPlainClient
-from sesamearch.leadership import Leadership
-from sesamearch.listener import LISTEN_BACKLOG, listen_directly
-from sesamearch.log import logger
-from sesamearch.metrics import MetricsExport
-from sesamearch.mover import MoveFollower, Mover
-from sesamearch.operation import OperationRunner, OperationTools
-from sesamearch.operators_port import OperatorsPort
-from sesamearch.peer import PeerLink
-from sesamearch.placement import Placement
-from sesamearch.site import LimitedSite
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.base.listener import LISTEN_BACKLOG, listen_directly
+from sesamearch.base.log import logger
+from sesamearch.callers.gateway import SWEEP_INTERVAL_S, Gateway
+from sesamearch.configuration.blackboard import Blackboard
+from sesamearch.configuration.directory import Directory
+from sesamearch.configuration.follower import ConfigurationFollower, EndpointFollower
+from sesamearch.configuration.site import LimitedSite
+from sesamearch.daemon.drain import Drain
+from sesamearch.daemon.metrics import MetricsExport
+from sesamearch.daemon.operators_port import OperatorsPort
+from sesamearch.generation.attempt import GenerationTools
+from sesamearch.generation.cursor import CursorSigner
+from sesamearch.generation.http_engine import HttpEngineClient
+from sesamearch.membership.claim_relay import ClaimRelay, choose_writer
+from sesamearch.membership.peer import PeerLink
+from sesamearch.operation.call import CallRunner, CallTools
+from sesamearch.operation.claim import ClaimWriter
+from sesamearch.operation.http_plain import HttpPlainClient
+from sesamearch.operation.operation import OperationRunner, OperationTools
+from sesamearch.rollout.leadership import Leadership
+from sesamearch.rollout.mover import MoveFollower, Mover
+from sesamearch.routing.placement import Placement
+from sesamearch.store.etcd import EtcdStore
 
 __all__ = ["Router"]
 
--- a/src/sesamearch/attempt.py
+++ b/src/sesamearch/generation/attempt.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from sesamearch.cursor import Cursor
-from sesamearch.engine import GenerationOrder, StreamReceiver
-from sesamearch.evidence import Outcome, load_level
+from sesamearch.generation.cursor import Cursor
+from sesamearch.generation.engine import GenerationOrder, StreamReceiver
+from sesamearch.routing.evidence import Outcome, load_level
 
 __all__ = ["AnswerSink", "Attempt", "GenerationRequest", "GenerationTools"]
 
@@ -57,7 +57,7 @@
     clock : twisted.internet.interfaces.IReactorTime
     counters : Counters
     outcomes : object with ``note(outcome)``
-        Takes the :class:`~sesamearch.evidence.Outcome` of each attempt.
+        Takes the :class:`~sesamearch.routing.evidence.Outcome` of each attempt.
     """
 
     engines: object
--- a/src/sesamearch/completion.py
+++ b/src/sesamearch/generation/completion.py
@@ -6,8 +6,8 @@
 import msgspec
 from result import Err, Ok
 
-from sesamearch.attempt import AnswerSink
-from sesamearch.errors import ErrorKind, Problem
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.generation.attempt import AnswerSink
 
 __all__ = [
     "CompletionBody",
--- a/src/sesamearch/cursor.py
+++ b/src/sesamearch/generation/cursor.py
@@ -9,7 +9,7 @@
 import msgspec
 from result import Err, Ok
 
-from sesamearch.errors import ErrorKind, Problem
+from sesamearch.base.errors import ErrorKind, Problem
 
 __all__ = ["Cursor", "CursorSigner", "Position", "checksum"]
 
--- a/src/sesamearch/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -5,10 +5,10 @@
 
 from automat import TypeMachineBuilder
 
-from sesamearch.attempt import Attempt
-from sesamearch.cursor import checksum
-from sesamearch.engine import StreamEnd
-from sesamearch.errors import ErrorKind, Problem
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.generation.attempt import Attempt
+from sesamearch.generation.cursor import checksum
+from sesamearch.generation.engine import StreamEnd
 
 __all__ = ["Generation", "Loss"]
 
--- a/src/sesamearch/http_engine.py
+++ b/src/sesamearch/generation/http_engine.py
@@ -3,8 +3,13 @@
 import msgspec
 from twisted.internet.defer import CancelledError
 
-from sesamearch.engine import EngineClient, EngineStream, StreamEnd, StreamEvent
-from sesamearch.http import FrameReceiver, TurnEnd, make_http_client
+from sesamearch.base.http import FrameReceiver, TurnEnd, make_http_client
+from sesamearch.generation.engine import (
+    EngineClient,
+    EngineStream,
+    StreamEnd,
+    StreamEvent,
+)
 
 __all__ = ["HttpEngineClient"]
 
--- a/src/sesamearch/claim_relay.py
+++ b/src/sesamearch/membership/claim_relay.py
@@ -12,8 +12,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from sesamearch.claim import NO_REPLY, ClaimOutcome, Hold
-from sesamearch.message import (
+from sesamearch.membership.message import (
     SCHEMA_VERSION,
     ClaimsTaken,
     ClaimsWanted,
@@ -21,6 +20,7 @@
     WantedClaim,
     WantedSettlement,
 )
+from sesamearch.operation.claim import NO_REPLY, ClaimOutcome, Hold
 
 __all__ = ["ClaimRelay", "choose_writer"]
 
@@ -76,7 +76,7 @@
 class ClaimRelay:
     """Claim through the data centre's writer, or alone without one.
 
-    It has the interface of :class:`~sesamearch.claim.ClaimWriter`.
+    It has the interface of :class:`~sesamearch.operation.claim.ClaimWriter`.
 
     Parameters
     ----------
--- a/src/sesamearch/message.py
+++ b/src/sesamearch/membership/message.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from sesamearch.claim import Claim
-from sesamearch.evidence import CellCounts
+from sesamearch.operation.claim import Claim
+from sesamearch.routing.evidence import CellCounts
 
 __all__ = [
     "SCHEMA_VERSION",
--- a/src/sesamearch/peer.py
+++ b/src/sesamearch/membership/peer.py
@@ -11,10 +11,10 @@
 from zmq.auth.base import Authenticator
 from zope.interface import implementer
 
-from sesamearch.blackboard import Member
-from sesamearch.configuration import Configuration
-from sesamearch.log import logger
-from sesamearch.message import (
+from sesamearch.base.log import logger
+from sesamearch.configuration.blackboard import Member
+from sesamearch.configuration.configuration import Configuration
+from sesamearch.membership.message import (
     SCHEMA_VERSION,
     ConfigurationNews,
     ConfigurationWanted,
--- a/src/sesamearch/call.py
+++ b/src/sesamearch/operation/call.py
@@ -4,9 +4,9 @@
 from result import Err
 from twisted.internet.defer import Deferred
 
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.evidence import Outcome, load_level
-from sesamearch.plain import CallLoss
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.operation.plain import CallLoss
+from sesamearch.routing.evidence import Outcome, load_level
 
 __all__ = ["CallRunner", "CallTools", "RetryBudget", "send_call"]
 
@@ -57,7 +57,7 @@
     clock : twisted.internet.interfaces.IReactorTime
         Reads Unix time, as the reactor's does.
     outcomes : object with ``note(outcome)``
-        Takes the :class:`~sesamearch.evidence.Outcome` of each call sent.
+        Takes the :class:`~sesamearch.routing.evidence.Outcome` of each call sent.
     """
 
     client: object
--- a/src/sesamearch/claim.py
+++ b/src/sesamearch/operation/claim.py
@@ -12,7 +12,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from sesamearch.store import Comparison, Put, StoredValue
+from sesamearch.store.store import Comparison, Put, StoredValue
 
 __all__ = [
     "NO_REPLY",
--- a/src/sesamearch/http_plain.py
+++ b/src/sesamearch/operation/http_plain.py
@@ -5,8 +5,8 @@
 from twisted.internet.error import ConnectError, DNSLookupError, TimeoutError
 from twisted.web.http_headers import Headers
 
-from sesamearch.http import make_http_client
-from sesamearch.plain import CallLoss, PlainClient, PlainReply
+from sesamearch.base.http import make_http_client
+from sesamearch.operation.plain import CallLoss, PlainClient, PlainReply
 
 __all__ = ["HOP_BY_HOP_HEADERS", "HttpPlainClient"]
 
--- a/src/sesamearch/operation.py
+++ b/src/sesamearch/operation/operation.py
@@ -8,10 +8,10 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
-from sesamearch.call import send_call
-from sesamearch.claim import Claim, ClaimState, claim_key, new_claim_id
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.plain import CallLoss, PlainReply
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.operation.call import send_call
+from sesamearch.operation.claim import Claim, ClaimState, claim_key, new_claim_id
+from sesamearch.operation.plain import CallLoss, PlainReply
 
 __all__ = ["OperationRequest", "OperationRunner", "OperationTools", "check_key"]
 
--- /dev/null
+++ b/src/sesamearch/replay/__init__.py
@@ -0,0 +1,29 @@
+"""Replay of recorded traces on a virtual clock, and the naive baseline."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "caller": ["CallCaller", "GenerationCaller"],
+        "fake": ["FakeEngine", "FakeEngineClient", "FakePlainClient", "FakeService"],
+        "move": ["MoveJudge"],
+        "naive": ["NaiveGeneration", "NaiveOperationRunner", "NaivePlacement"],
+        "process": ["Links", "Process"],
+        "router": ["ReplayRouter"],
+        "runner": ["Replay", "replay"],
+        "store": ["FakeStore", "StoreFaults"],
+        "trace": [
+            "CallArrival",
+            "Generate",
+            "Header",
+            "Trace",
+            "TraceEndpoint",
+            "TraceFault",
+            "TraceMove",
+            "TraceRouter",
+            "load_trace",
+        ],
+        "verdict": ["IN_FORCE_BOUND_S", "Measures", "Report", "Verdict", "Violations"],
+    },
+)
--- a/src/sesamearch/replay_caller.py
+++ b/src/sesamearch/replay/caller.py
@@ -5,11 +5,11 @@
 import msgspec
 from result import Err
 
-from sesamearch.attempt import AnswerSink, GenerationRequest
-from sesamearch.errors import ErrorKind, Problem, Ran
-from sesamearch.operation import OperationRequest
-from sesamearch.plain import PlainRequest
-from sesamearch.standin_engine import expected_token, prompt_digest
+from sesamearch.base.errors import ErrorKind, Problem, Ran
+from sesamearch.generation.attempt import AnswerSink, GenerationRequest
+from sesamearch.operation.operation import OperationRequest
+from sesamearch.operation.plain import PlainRequest
+from sesamearch.standin.engine import expected_token, prompt_digest
 
 __all__ = ["CallCaller", "GenerationCaller"]
 
--- a/src/sesamearch/fake.py
+++ b/src/sesamearch/replay/fake.py
@@ -4,9 +4,14 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
-from sesamearch.engine import EngineClient, EngineStream, StreamEnd, StreamEvent
-from sesamearch.plain import CallLoss, PlainClient, PlainReply
-from sesamearch.standin_engine import expected_token, prompt_digest
+from sesamearch.generation.engine import (
+    EngineClient,
+    EngineStream,
+    StreamEnd,
+    StreamEvent,
+)
+from sesamearch.operation.plain import CallLoss, PlainClient, PlainReply
+from sesamearch.standin.engine import expected_token, prompt_digest
 
 __all__ = ["FakeEngine", "FakeEngineClient", "FakePlainClient", "FakeService"]
 
--- a/src/sesamearch/replay_move.py
+++ b/src/sesamearch/replay/move.py
@@ -1,8 +1,8 @@
 """Judging a version move of a replay."""
 
-from sesamearch.move import CANARY_SHARE_RATIO, MoveRecord, MoveState
-from sesamearch.mover import record_key
-from sesamearch.store import WatchReceiver
+from sesamearch.rollout.move import CANARY_SHARE_RATIO, MoveRecord, MoveState
+from sesamearch.rollout.mover import record_key
+from sesamearch.store.store import WatchReceiver
 
 __all__ = ["MoveJudge"]
 
--- a/src/sesamearch/naive.py
+++ b/src/sesamearch/replay/naive.py
@@ -9,10 +9,10 @@
 from result import Err
 from twisted.internet.defer import Deferred
 
-from sesamearch.call import send_call
-from sesamearch.completion import MAX_SEED
-from sesamearch.engine import GenerationOrder, StreamEnd, StreamReceiver
-from sesamearch.errors import ErrorKind, Problem
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.generation.completion import MAX_SEED
+from sesamearch.generation.engine import GenerationOrder, StreamEnd, StreamReceiver
+from sesamearch.operation.call import send_call
 
 __all__ = ["NaiveGeneration", "NaiveOperationRunner", "NaivePlacement"]
 
@@ -63,7 +63,7 @@
     Parameters
     ----------
     request, tools, sink, on_end
-        As for :class:`~sesamearch.generation.Generation`.
+        As for :class:`~sesamearch.generation.generation.Generation`.
     """
 
     def __init__(self, request, tools, sink, on_end=None):
--- a/src/sesamearch/replay_router.py
+++ b/src/sesamearch/replay/router.py
@@ -1,24 +1,28 @@
 """A router of a replay: the real decision code with fakes around it."""
 
-from sesamearch.attempt import GenerationTools
-from sesamearch.blackboard import Blackboard
-from sesamearch.call import CallTools
-from sesamearch.claim import ClaimWriter
-from sesamearch.cursor import CursorSigner
-from sesamearch.drain import Drain
-from sesamearch.fake import FakeEngineClient, FakePlainClient
-from sesamearch.fake_process import Process
-from sesamearch.fake_store import FakeStore
-from sesamearch.follower import ConfigurationFollower, EndpointFollower
-from sesamearch.gateway import SWEEP_INTERVAL_S
-from sesamearch.generation import Generation
-from sesamearch.leadership import Leadership
-from sesamearch.mover import MoveFollower, Mover
-from sesamearch.naive import NaiveGeneration, NaiveOperationRunner, NaivePlacement
-from sesamearch.operation import OperationRunner, OperationTools
-from sesamearch.placement import Placement
-from sesamearch.settings import DrainSettings
-from sesamearch.version import VersionChooser
+from sesamearch.callers.gateway import SWEEP_INTERVAL_S
+from sesamearch.configuration.blackboard import Blackboard
+from sesamearch.configuration.follower import ConfigurationFollower, EndpointFollower
+from sesamearch.configuration.settings import DrainSettings
+from sesamearch.daemon.drain import Drain
+from sesamearch.generation.attempt import GenerationTools
+from sesamearch.generation.cursor import CursorSigner
+from sesamearch.generation.generation import Generation
+from sesamearch.operation.call import CallTools
+from sesamearch.operation.claim import ClaimWriter
+from sesamearch.operation.operation import OperationRunner, OperationTools
+from sesamearch.replay.fake import FakeEngineClient, FakePlainClient
+from sesamearch.replay.naive import (
+    NaiveGeneration,
+    NaiveOperationRunner,
+    NaivePlacement,
+)
+from sesamearch.replay.process import Process
+from sesamearch.replay.store import FakeStore
+from sesamearch.rollout.leadership import Leadership
+from sesamearch.rollout.mover import MoveFollower, Mover
+from sesamearch.rollout.version import VersionChooser
+from sesamearch.routing.placement import Placement
 
 __all__ = ["ReplayRouter"]
 
--- a/src/sesamearch/replay.py
+++ b/src/sesamearch/replay/runner.py
@@ -6,23 +6,23 @@
 import msgspec
 from twisted.internet.task import Clock
 
-from sesamearch.configuration import Configuration
-from sesamearch.fake import FakeEngine, FakeService
-from sesamearch.fake_process import Links, Process
-from sesamearch.fake_store import StoreFaults
-from sesamearch.follower import (
+from sesamearch.configuration.configuration import Configuration
+from sesamearch.configuration.follower import (
     CONFIGURATION_KEY,
     VM_PREFIX,
     VmEntry,
 )
-from sesamearch.move import MoveRecord, MoveState
-from sesamearch.mover import record_key
-from sesamearch.replay_caller import CallCaller, GenerationCaller
-from sesamearch.replay_move import MoveJudge
-from sesamearch.replay_router import ReplayRouter
-from sesamearch.store import Put
-from sesamearch.trace import CallArrival, Generate, TraceMove
-from sesamearch.verdict import IN_FORCE_BOUND_S, Report, Verdict
+from sesamearch.replay.caller import CallCaller, GenerationCaller
+from sesamearch.replay.fake import FakeEngine, FakeService
+from sesamearch.replay.move import MoveJudge
+from sesamearch.replay.process import Links, Process
+from sesamearch.replay.router import ReplayRouter
+from sesamearch.replay.store import StoreFaults
+from sesamearch.replay.trace import CallArrival, Generate, TraceMove
+from sesamearch.replay.verdict import IN_FORCE_BOUND_S, Report, Verdict
+from sesamearch.rollout.move import MoveRecord, MoveState
+from sesamearch.rollout.mover import record_key
+from sesamearch.store.store import Put
 
 __all__ = ["Replay", "replay"]
 
@@ -145,7 +145,7 @@
         return self.clock.seconds()
 
     def run(self):
-        """Run to the end and return the :class:`~sesamearch.verdict.Report`."""
+        """Run to the end and return the :class:`~sesamearch.replay.verdict.Report`."""
         self._check_health()
         self._take_due()
         end_s = START_UNIX_S + self.header.duration_s
--- a/src/sesamearch/fake_store.py
+++ b/src/sesamearch/replay/store.py
@@ -3,8 +3,8 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
-from sesamearch.errors import ErrorKind
-from sesamearch.store import MemoryStore, Store, Watch, WatchReceiver
+from sesamearch.base.errors import ErrorKind
+from sesamearch.store.store import MemoryStore, Store, Watch, WatchReceiver
 
 __all__ = ["FakeStore", "StoreFaults"]
 
--- a/src/sesamearch/trace.py
+++ b/src/sesamearch/replay/trace.py
@@ -5,7 +5,7 @@
 import msgspec
 from result import Err, Ok
 
-from sesamearch.configuration import EngineService, PlainService
+from sesamearch.configuration.configuration import EngineService, PlainService
 
 __all__ = [
     "CallArrival",
--- a/src/sesamearch/verdict.py
+++ b/src/sesamearch/replay/verdict.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from sesamearch.move import MoveState
+from sesamearch.rollout.move import MoveState
 
 __all__ = ["IN_FORCE_BOUND_S", "Measures", "Report", "Verdict", "Violations"]
 
--- a/src/sesamearch/detector.py
+++ b/src/sesamearch/rollout/detector.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from sesamearch.evidence import BadEvent
+from sesamearch.routing.evidence import BadEvent
 
 __all__ = ["Call", "Detector"]
 
@@ -148,7 +148,7 @@
         return max(counts, default=0)
 
     def add(self, window):
-        """Take a window, a list of :class:`~sesamearch.evidence.CellCounts`.
+        """Take a window, a list of :class:`~sesamearch.routing.evidence.CellCounts`.
 
         Returns
         -------
--- a/src/sesamearch/leadership.py
+++ b/src/sesamearch/rollout/leadership.py
@@ -6,8 +6,8 @@
 from automat import TypeMachineBuilder
 from twisted.internet.defer import Deferred
 
-from sesamearch.log import logger
-from sesamearch.store import Comparison, Put
+from sesamearch.base.log import logger
+from sesamearch.store.store import Comparison, Put
 
 __all__ = ["LEADER_KEY", "Leadership"]
 
--- a/src/sesamearch/move.py
+++ b/src/sesamearch/rollout/move.py
@@ -6,7 +6,7 @@
 import msgspec
 from automat import TypeMachineBuilder
 
-from sesamearch.store import StoredValue
+from sesamearch.store.store import StoredValue
 
 __all__ = [
     "MoveDecision",
--- a/src/sesamearch/mover.py
+++ b/src/sesamearch/rollout/mover.py
@@ -7,15 +7,15 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from sesamearch.detector import FALSE_ALARM_RATIO, Detector
-from sesamearch.errors import ErrorKind, Problem
-from sesamearch.evidence import EvidenceCollector
-from sesamearch.follower import Follower
-from sesamearch.leadership import LEADER_KEY, RENEW_INTERVAL_S
-from sesamearch.log import logger
-from sesamearch.message import SCHEMA_VERSION, EvidenceReport, Veto
-from sesamearch.move import WATCH_S, MovePlan, MoveRecord, MoveState
-from sesamearch.store import Comparison, Put
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.base.log import logger
+from sesamearch.configuration.follower import Follower
+from sesamearch.membership.message import SCHEMA_VERSION, EvidenceReport, Veto
+from sesamearch.rollout.detector import FALSE_ALARM_RATIO, Detector
+from sesamearch.rollout.leadership import LEADER_KEY, RENEW_INTERVAL_S
+from sesamearch.rollout.move import WATCH_S, MovePlan, MoveRecord, MoveState
+from sesamearch.routing.evidence import EvidenceCollector
+from sesamearch.store.store import Comparison, Put
 
 __all__ = [
     "MOVE_PREFIX",
@@ -162,7 +162,7 @@
         return VetoLimits(weighing.own.limit, weighing.pooled.limit)
 
     def note(self, outcome):
-        """Count an :class:`~sesamearch.evidence.Outcome` of a request."""
+        """Count an :class:`~sesamearch.routing.evidence.Outcome` of a request."""
         record = self._board.moves.value.get(outcome.service)
         if record is not None:
             self._weighings[record.move_id].collector.note(outcome)
--- a/src/sesamearch/version.py
+++ b/src/sesamearch/rollout/version.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from sesamearch.move import choose_by_move
+from sesamearch.rollout.move import choose_by_move
 
 __all__ = ["VersionChooser", "choose_by_share", "request_point"]
 
--- /dev/null
+++ b/src/sesamearch/routing/__init__.py
@@ -0,0 +1,17 @@
+"""Choice of an endpoint and the evidence of how endpoints do."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "evidence": [
+            "BadEvent",
+            "CellCounts",
+            "EvidenceCollector",
+            "Outcome",
+            "load_level",
+        ],
+        "placement": ["Placement"],
+    },
+)
--- /dev/null
+++ b/src/sesamearch/standin/__init__.py
@@ -0,0 +1,18 @@
+"""Stand-ins for outside systems, as processes."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "engine": [
+            "EngineSwitches",
+            "StandinEngine",
+            "expected_token",
+            "prompt_digest",
+        ],
+        "process": ["listen", "make_engine", "make_service", "make_store"],
+        "service": ["ServiceSwitches", "StandinService"],
+        "store": ["StandinStore"],
+    },
+)
--- a/src/sesamearch/standin.py
+++ b/src/sesamearch/standin/process.py
@@ -4,11 +4,11 @@
 from result import Ok
 from twisted.web.server import Site
 
-from sesamearch.follower import VM_PREFIX
-from sesamearch.schema import check, load_yaml
-from sesamearch.standin_engine import EngineSwitches, StandinEngine
-from sesamearch.standin_service import ServiceSwitches, StandinService
-from sesamearch.standin_store import StandinStore
+from sesamearch.base.schema import check, load_yaml
+from sesamearch.configuration.follower import VM_PREFIX
+from sesamearch.standin.engine import EngineSwitches, StandinEngine
+from sesamearch.standin.service import ServiceSwitches, StandinService
+from sesamearch.standin.store import StandinStore
 
 __all__ = ["listen", "make_engine", "make_service", "make_store"]
 
@@ -37,7 +37,7 @@
     reactor : twisted.internet.interfaces.IReactorTime
     vms_file : str or None
         YAML file with a list ``vms`` of entries with the fields of
-        :class:`~sesamearch.follower.VmEntry`.
+        :class:`~sesamearch.configuration.follower.VmEntry`.
 
     Returns
     -------
--- a/src/sesamearch/standin_store.py
+++ b/src/sesamearch/standin/store.py
@@ -6,7 +6,7 @@
 from klein import Klein
 from twisted.internet.defer import Deferred
 
-from sesamearch.store import Comparison, MemoryStore, Put, WatchReceiver
+from sesamearch.store.store import Comparison, MemoryStore, Put, WatchReceiver
 
 __all__ = ["StandinStore"]
 
--- a/src/sesamearch/etcd.py
+++ b/src/sesamearch/store/etcd.py
@@ -8,9 +8,9 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.web.client import HTTPConnectionPool
 
-from sesamearch.errors import ErrorKind
-from sesamearch.http import FrameReceiver, make_http_client
-from sesamearch.store import KeyValue, Put, RangeReply, Store, TxnReply, Watch
+from sesamearch.base.errors import ErrorKind
+from sesamearch.base.http import FrameReceiver, make_http_client
+from sesamearch.store.store import KeyValue, Put, RangeReply, Store, TxnReply, Watch
 
 __all__ = ["EtcdStore", "prefix_end"]
 
--- a/tests/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -11,24 +11,28 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from sesamearch.attempt import GenerationTools
-from sesamearch.blackboard import Blackboard, DrainPhase, Endpoint
-from sesamearch.call import CallRunner, CallTools
-from sesamearch.claim import ClaimWriter
-from sesamearch.configuration import Configuration, Organisation, hash_api_key
-from sesamearch.cursor import CursorSigner
-from sesamearch.directory import Directory
-from sesamearch.engine import StreamEnd
-from sesamearch.fake_process import Process
-from sesamearch.fake_store import FakeStore, StoreFaults
-from sesamearch.gateway import Gateway
-from sesamearch.operation import OperationRunner, OperationTools
-from sesamearch.placement import Placement
-from sesamearch.plain import CallLoss, PlainClient, PlainReply
-from sesamearch.settings import LimitSettings
-from sesamearch.site import LimitedSite
+from sesamearch.callers.gateway import Gateway
+from sesamearch.configuration.blackboard import Blackboard, DrainPhase, Endpoint
+from sesamearch.configuration.configuration import (
+    Configuration,
+    Organisation,
+    hash_api_key,
+)
+from sesamearch.configuration.directory import Directory
+from sesamearch.configuration.settings import LimitSettings
+from sesamearch.configuration.site import LimitedSite
+from sesamearch.generation.attempt import GenerationTools
+from sesamearch.generation.cursor import CursorSigner
+from sesamearch.generation.engine import StreamEnd
+from sesamearch.operation.call import CallRunner, CallTools
+from sesamearch.operation.claim import ClaimWriter
+from sesamearch.operation.operation import OperationRunner, OperationTools
+from sesamearch.operation.plain import CallLoss, PlainClient, PlainReply
+from sesamearch.replay.process import Process
+from sesamearch.replay.store import FakeStore, StoreFaults
+from sesamearch.routing.placement import Placement
+from tests.generation.test_generation import Outcomes, RecordingEngines
 from tests.support import DRAFTING, TICKETING
-from tests.test_generation import Outcomes, RecordingEngines
 
 LIMITS = LimitSettings(body_bytes=2000, receive_timeout_s=5, generations=2)
 CLERK = b"Authorization: Bearer clerk-key\r\n"
--- a/tests/test_cli.py
+++ b/tests/command/test_main.py
@@ -5,9 +5,9 @@
 import unittest
 from pathlib import Path
 
-from sesamearch.cli import main
+from sesamearch.command.main import main
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 
 
 def run(*arguments):
--- a/tests/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -2,12 +2,12 @@
 import unittest
 from pathlib import Path
 
-from sesamearch.blackboard import Blackboard
-from sesamearch.configuration import Configuration, collect
-from sesamearch.version import choose_by_share
+from sesamearch.configuration.blackboard import Blackboard
+from sesamearch.configuration.configuration import Configuration, collect
+from sesamearch.rollout.version import choose_by_share
 from tests.support import TICKETING
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 GOOD = """\
 kind: plain
 service: ticketing
@@ -71,7 +71,7 @@
     def test_choice_is_stable_and_follows_the_shares(self):
         import msgspec
 
-        from sesamearch.configuration import VersionShare
+        from sesamearch.configuration.configuration import VersionShare
 
         shares = [VersionShare("v1", 0.9), VersionShare("v2", 0.1)]
         service = msgspec.structs.replace(TICKETING, versions=shares)
--- a/tests/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -2,8 +2,8 @@
 import unittest
 from pathlib import Path
 
-from sesamearch.keys import load_peer_keys, new_cursor_key, new_peer_keys
-from sesamearch.settings import load_settings
+from sesamearch.configuration.keys import load_peer_keys, new_cursor_key, new_peer_keys
+from sesamearch.configuration.settings import load_settings
 
 GOOD = """\
 name: r1
--- a/tests/test_drain.py
+++ b/tests/daemon/test_drain.py
@@ -2,9 +2,9 @@
 
 from twisted.internet.task import Clock
 
-from sesamearch.blackboard import Blackboard
-from sesamearch.drain import SETTLE_TIMEOUT_S, Drain
-from sesamearch.settings import DrainSettings
+from sesamearch.configuration.blackboard import Blackboard
+from sesamearch.configuration.settings import DrainSettings
+from sesamearch.daemon.drain import SETTLE_TIMEOUT_S, Drain
 
 SETTINGS = DrainSettings(balancer_grace_s=3, timeout_s=60)
 
--- a/tests/test_router.py
+++ b/tests/daemon/test_router.py
@@ -12,9 +12,9 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.trial import unittest
 
-from sesamearch.keys import new_cursor_key
-from sesamearch.router import Router
-from sesamearch.settings import RouterSettings, StoreSettings, TlsSettings
+from sesamearch.configuration.keys import new_cursor_key
+from sesamearch.configuration.settings import RouterSettings, StoreSettings, TlsSettings
+from sesamearch.daemon.router import Router
 from tests.deployment import free_addresses
 
 REQUEST = b"GET /v1/models HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n"
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -13,13 +13,13 @@
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
-from sesamearch.client import Asker
-from sesamearch.configuration import collect
-from sesamearch.etcd import EtcdStore
-from sesamearch.keys import new_cursor_key
-from sesamearch.publisher import publish
-from sesamearch.settings import StoreSettings
-from sesamearch.standin_engine import expected_token, prompt_digest
+from sesamearch.callers.client import Asker
+from sesamearch.configuration.configuration import collect
+from sesamearch.configuration.keys import new_cursor_key
+from sesamearch.configuration.publisher import publish
+from sesamearch.configuration.settings import StoreSettings
+from sesamearch.standin.engine import expected_token, prompt_digest
+from sesamearch.store.etcd import EtcdStore
 
 SERVICES = Path(__file__).parent.parent / "demo" / "services"
 MESSAGES = [{"role": "user", "content": "Assess watch 4711."}]
--- a/tests/test_cursor.py
+++ b/tests/generation/test_cursor.py
@@ -3,8 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sesamearch.cursor import Cursor, CursorSigner, checksum
-from sesamearch.errors import ErrorKind
+from sesamearch.base.errors import ErrorKind
+from sesamearch.generation.cursor import Cursor, CursorSigner, checksum
 
 SIGNER = CursorSigner(b"k" * 32)
 CURSOR = Cursor("req", "clerks", b"digest", "drafting", "v1", "engine-1", "s1", 2, 7)
--- a/tests/test_generation.py
+++ b/tests/generation/test_generation.py
@@ -5,13 +5,18 @@
 import msgspec
 from twisted.internet.task import Clock
 
-from sesamearch.attempt import AnswerSink, GenerationRequest, GenerationTools
-from sesamearch.blackboard import Blackboard, Endpoint
-from sesamearch.cursor import CursorSigner, Position, checksum
-from sesamearch.engine import EngineClient, EngineStream, StreamEnd, StreamEvent
-from sesamearch.errors import ErrorKind, Ran
-from sesamearch.generation import Generation
-from sesamearch.placement import Placement
+from sesamearch.base.errors import ErrorKind, Ran
+from sesamearch.configuration.blackboard import Blackboard, Endpoint
+from sesamearch.generation.attempt import AnswerSink, GenerationRequest, GenerationTools
+from sesamearch.generation.cursor import CursorSigner, Position, checksum
+from sesamearch.generation.engine import (
+    EngineClient,
+    EngineStream,
+    StreamEnd,
+    StreamEvent,
+)
+from sesamearch.generation.generation import Generation
+from sesamearch.routing.placement import Placement
 from tests.support import DRAFTING
 
 POLICY = DRAFTING.resume
--- a/tests/test_claim_relay.py
+++ b/tests/membership/test_claim_relay.py
@@ -4,12 +4,22 @@
 
 from twisted.internet.task import Clock
 
-from sesamearch.blackboard import Blackboard, Endpoint, Member
-from sesamearch.claim import Claim, ClaimState, ClaimWriter, claim_key, new_claim_id
-from sesamearch.claim_relay import ANSWER_TIMEOUT_S, ClaimRelay, choose_writer
-from sesamearch.fake_process import Process
-from sesamearch.fake_store import FakeStore, StoreFaults
-from sesamearch.settings import RouterSettings, StoreSettings
+from sesamearch.configuration.blackboard import Blackboard, Endpoint, Member
+from sesamearch.configuration.settings import RouterSettings, StoreSettings
+from sesamearch.membership.claim_relay import (
+    ANSWER_TIMEOUT_S,
+    ClaimRelay,
+    choose_writer,
+)
+from sesamearch.operation.claim import (
+    Claim,
+    ClaimState,
+    ClaimWriter,
+    claim_key,
+    new_claim_id,
+)
+from sesamearch.replay.process import Process
+from sesamearch.replay.store import FakeStore, StoreFaults
 
 LINK_S = 0.001
 
--- a/tests/test_peer.py
+++ b/tests/membership/test_peer.py
@@ -7,12 +7,16 @@
 from twisted.internet.task import deferLater
 from twisted.trial import unittest
 
-import sesamearch.peer as peer_module
-from sesamearch.blackboard import Blackboard
-from sesamearch.configuration import Configuration
-from sesamearch.keys import PeerKeys
-from sesamearch.peer import PeerLink
-from sesamearch.settings import PeerSettings, RouterSettings, StoreSettings
+import sesamearch.membership.peer as peer_module
+from sesamearch.configuration.blackboard import Blackboard
+from sesamearch.configuration.configuration import Configuration
+from sesamearch.configuration.keys import PeerKeys
+from sesamearch.configuration.settings import (
+    PeerSettings,
+    RouterSettings,
+    StoreSettings,
+)
+from sesamearch.membership.peer import PeerLink
 
 TRIES = 400
 TRY_INTERVAL_S = 0.02
--- a/tests/test_call.py
+++ b/tests/operation/test_call.py
@@ -5,14 +5,14 @@
 from result import Err, Ok
 from twisted.internet.task import Clock
 
-from sesamearch.blackboard import Blackboard, Endpoint
-from sesamearch.call import RETRY_BURST, CallRunner, CallTools, RetryBudget
-from sesamearch.errors import ErrorKind, Ran
-from sesamearch.placement import Placement
-from sesamearch.plain import CallLoss, PlainReply, PlainRequest
+from sesamearch.base.errors import ErrorKind, Ran
+from sesamearch.configuration.blackboard import Blackboard, Endpoint
+from sesamearch.operation.call import RETRY_BURST, CallRunner, CallTools, RetryBudget
+from sesamearch.operation.plain import CallLoss, PlainReply, PlainRequest
+from sesamearch.routing.placement import Placement
+from tests.callers.test_gateway import RecordingPlainClient
+from tests.generation.test_generation import Outcomes
 from tests.support import TICKETING
-from tests.test_gateway import RecordingPlainClient
-from tests.test_generation import Outcomes
 
 REQUEST = PlainRequest("GET", "/tickets/5", [], b"", "GET /*")
 
--- a/tests/test_claim.py
+++ b/tests/operation/test_claim.py
@@ -4,10 +4,16 @@
 
 from twisted.internet.task import Clock
 
-from sesamearch.blackboard import Counters
-from sesamearch.claim import Claim, ClaimState, ClaimWriter, claim_key, new_claim_id
-from sesamearch.fake_process import Process
-from sesamearch.fake_store import FakeStore, StoreFaults
+from sesamearch.configuration.blackboard import Counters
+from sesamearch.operation.claim import (
+    Claim,
+    ClaimState,
+    ClaimWriter,
+    claim_key,
+    new_claim_id,
+)
+from sesamearch.replay.process import Process
+from sesamearch.replay.store import FakeStore, StoreFaults
 
 KEY = claim_key("ticketing", "clerks", "k1")
 RETENTION_S = 3600.0
--- a/tests/test_invariants.py
+++ b/tests/replay/test_invariants.py
@@ -5,8 +5,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from sesamearch.replay import replay
-from sesamearch.trace import TraceFault
+from sesamearch.replay.runner import replay
+from sesamearch.replay.trace import TraceFault
 from tests.support import calls, generates, make_trace
 
 ROUTERS = ["r1", "r2", "r3"]
--- a/tests/test_replay.py
+++ b/tests/replay/test_runner.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from sesamearch.replay import replay
-from sesamearch.trace import TraceFault, load_trace
+from sesamearch.replay.runner import replay
+from sesamearch.replay.trace import TraceFault, load_trace
 from tests.support import generates, make_trace
 
-TRACES = Path(__file__).parent.parent / "traces"
+TRACES = Path(__file__).parents[2] / "traces"
 RESUME_TARGET_S = 1.0
 NAIVE_BREAKS = {
     "bad-version": {"bad_version_share"},
--- a/tests/test_trace.py
+++ b/tests/replay/test_trace.py
@@ -2,7 +2,7 @@
 import unittest
 from pathlib import Path
 
-from sesamearch.trace import load_trace
+from sesamearch.replay.trace import load_trace
 
 HEADER = (
     '{"kind":"trace","format_version":1,"name":"t","duration_s":5,'
--- a/tests/test_move.py
+++ b/tests/rollout/test_move.py
@@ -7,15 +7,20 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from sesamearch.blackboard import Blackboard
-from sesamearch.detector import Detector
-from sesamearch.errors import ErrorKind
-from sesamearch.evidence import BadEvent, CellCounts, EvidenceCollector, Outcome
-from sesamearch.fake_process import Process
-from sesamearch.fake_store import FakeStore, StoreFaults
-from sesamearch.leadership import LEADER_KEY, TTL_S, Leadership
-from sesamearch.move import WATCH_S, MovePlan, MoveRecord, MoveState, choose_by_move
-from sesamearch.mover import (
+from sesamearch.base.errors import ErrorKind
+from sesamearch.configuration.blackboard import Blackboard
+from sesamearch.replay.process import Process
+from sesamearch.replay.store import FakeStore, StoreFaults
+from sesamearch.rollout.detector import Detector
+from sesamearch.rollout.leadership import LEADER_KEY, TTL_S, Leadership
+from sesamearch.rollout.move import (
+    WATCH_S,
+    MovePlan,
+    MoveRecord,
+    MoveState,
+    choose_by_move,
+)
+from sesamearch.rollout.mover import (
     MAX_CELLS,
     WINDOW_S,
     MoveFollower,
@@ -24,8 +29,9 @@
     record_key,
     start_move,
 )
-from sesamearch.store import Put
-from tests.test_claim_relay import PeerBus
+from sesamearch.routing.evidence import BadEvent, CellCounts, EvidenceCollector, Outcome
+from sesamearch.store.store import Put
+from tests.membership.test_claim_relay import PeerBus
 
 SPAN_S = 1000.0
 
--- a/tests/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -2,8 +2,8 @@
 
 from twisted.internet.task import Clock
 
-from sesamearch.blackboard import Blackboard, Endpoint
-from sesamearch.placement import AVOID_FIRST_S, Placement
+from sesamearch.configuration.blackboard import Blackboard, Endpoint
+from sesamearch.routing.placement import AVOID_FIRST_S, Placement
 
 
 def endpoint(name, data_centre="a", leaving=False):
--- a/tests/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -6,20 +6,20 @@
 from twisted.trial import unittest
 from twisted.web.server import Site
 
-from sesamearch.configuration import Configuration
-from sesamearch.errors import ErrorKind
-from sesamearch.etcd import EtcdStore
-from sesamearch.follower import CONFIGURATION_KEY
-from sesamearch.publisher import (
+from sesamearch.base.errors import ErrorKind
+from sesamearch.configuration.configuration import Configuration
+from sesamearch.configuration.follower import CONFIGURATION_KEY
+from sesamearch.configuration.publisher import (
     HISTORY_ENTRIES,
     difference,
     publish,
     read_configuration,
     read_history,
 )
-from sesamearch.settings import StoreSettings
-from sesamearch.standin_store import StandinStore
-from sesamearch.store import Comparison, Put, WatchReceiver
+from sesamearch.configuration.settings import StoreSettings
+from sesamearch.standin.store import StandinStore
+from sesamearch.store.etcd import EtcdStore
+from sesamearch.store.store import Comparison, Put, WatchReceiver
 from tests.support import TICKETING
 
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,7 +1,12 @@
 """What several tests share: a small world and traces built in memory."""
 
-from sesamearch.configuration import Call, EngineService, PlainService, VersionShare
-from sesamearch.trace import (
+from sesamearch.configuration.configuration import (
+    Call,
+    EngineService,
+    PlainService,
+    VersionShare,
+)
+from sesamearch.replay.trace import (
     CallArrival,
     Generate,
     Header,
