--- a/src/sesamearch/base/__init__.py
+++ b/src/sesamearch/base/__init__.py
@@ -8,7 +8,14 @@
         "errors": ["Answer", "ErrorKind", "Problem", "Ran", "answer_for"],
         "http": ["FrameReceiver", "TurnEnd", "make_http_client"],
         "listener": ["listen_directly"],
-        "log": ["logger", "set_up_logging"],
+        "log": [
+            "LineQueue",
+            "RecordHandler",
+            "logger",
+            "set_up_logging",
+            "set_up_records",
+        ],
+        "reactor": ["install_steady_reactor"],
         "schema": ["Fault", "check", "load_yaml"],
     },
 )
--- a/src/sesamearch/base/errors.py
+++ b/src/sesamearch/base/errors.py
@@ -38,6 +38,7 @@
     NO_ENDPOINT = "no-endpoint"
     OVERLOADED = "overloaded"
     DEADLINE_PASSED = "deadline-passed"
+    TIMED_OUT = "timed-out"
     DRAINING = "draining"
     CALLER_LEFT = "caller-left"
     HAND_OVER = "hand-over"
@@ -99,6 +100,7 @@
     ErrorKind.NO_ENDPOINT: Answer(503, "No endpoint available", Ran.NOT_RUN, 5, 1),
     ErrorKind.OVERLOADED: Answer(429, "Too busy", Ran.NOT_RUN, 5, 1),
     ErrorKind.DEADLINE_PASSED: Answer(504, "Deadline passed", Ran.NOT_RUN, 5, 1),
+    ErrorKind.TIMED_OUT: Answer(504, "Timed out", Ran.UNKNOWN, 6),
     ErrorKind.DRAINING: Answer(503, "Shutting down", Ran.NOT_RUN, 5, 0),
     ErrorKind.CALLER_LEFT: Answer(499, "Caller left", Ran.UNKNOWN, 5),
     ErrorKind.HAND_OVER: Answer(503, "Come back with the cursor", Ran.UNKNOWN, 5, 0),
--- a/src/sesamearch/command/__init__.py
+++ b/src/sesamearch/command/__init__.py
@@ -5,6 +5,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "front": ["main"],
         "operator": [
             "add_check",
             "add_history",
--- /dev/null
+++ b/src/sesamearch/command/front.py
@@ -0,0 +1,39 @@
+"""The router daemon as the platform starts it."""
+
+import os
+import sys
+import time
+
+from sesamearch.base.log import set_up_records
+from sesamearch.base.reactor import install_steady_reactor
+from sesamearch.platform.settings import SETTINGS_VARIABLE, load_front_settings
+
+__all__ = ["main"]
+
+EXIT_SETTINGS = 2
+EXIT_FAILED = 5
+
+
+def main():
+    """Run a router until it is told to stop; return its exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    loaded = load_front_settings(path)
+    if loaded.is_err():
+        for fault in loaded.unwrap_err():
+            print(fault.show(), file=sys.stderr)
+        return EXIT_SETTINGS
+    settings = loaded.unwrap()
+    reactor = install_steady_reactor()
+    # Imported after the reactor is chosen: most of Twisted installs its default.
+    from sesamearch.daemon.front import Front
+
+    lines = set_up_records(settings.name, time.time)
+    front = Front(reactor, settings, lines)
+    started = front.start()
+    if started.is_err():
+        print(started.unwrap_err().show(), file=sys.stderr)
+        return EXIT_FAILED
+    front.handle_signals()
+    reactor.run(installSignalHandlers=False)
+    lines.flush()
+    return 0
--- a/src/sesamearch/configuration/__init__.py
+++ b/src/sesamearch/configuration/__init__.py
@@ -23,6 +23,7 @@
             "Retry",
             "VersionShare",
             "collect",
+            "decode_configuration",
             "hash_api_key",
         ],
         "directory": ["Directory"],
@@ -34,8 +35,10 @@
             "Follower",
             "VmEntry",
         ],
+        "front": ["FrontBounds", "FrontSettings"],
         "keys": [
             "PeerKeys",
+            "decode_peer_keys",
             "load_peer_keys",
             "new_api_key",
             "new_cursor_key",
--- a/src/sesamearch/configuration/blackboard.py
+++ b/src/sesamearch/configuration/blackboard.py
@@ -48,6 +48,11 @@
         Where it is and what it runs.
     leaving : bool
         Whether it gets no new work.
+    slots : int
+        Requests that it works on at once, zero if it does not say.
+    born_ms : int
+        Unix time of its start, zero if it does not say: a process may start again
+        under the name that it had.
     """
 
     name: str
@@ -56,6 +61,8 @@
     service: str
     version: str
     leaving: bool = False
+    slots: int = 0
+    born_ms: int = 0
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -147,9 +154,14 @@
 class Blackboard:
     """What one router knows.
 
+    Parameters
+    ----------
+    configuration : Configuration or RoutingTable, optional
+        What stands until the first one is accepted.
+
     Attributes
     ----------
-    configuration : Section of Configuration
+    configuration : Section of Configuration or RoutingTable
         In force; its revision only rises.
     endpoints : Section of dict from str to Endpoint
         By name.
@@ -173,8 +185,8 @@
         "vetoes",
     )
 
-    def __init__(self):
-        self.configuration = Section(Configuration())
+    def __init__(self, configuration=None):
+        self.configuration = Section(configuration or Configuration())
         self.endpoints = Section({})
         self.members = Section({})
         self.drain = Section(DrainPhase())
--- a/src/sesamearch/configuration/configuration.py
+++ b/src/sesamearch/configuration/configuration.py
@@ -20,6 +20,7 @@
     "Retry",
     "VersionShare",
     "collect",
+    "decode_configuration",
     "hash_api_key",
 ]
 
@@ -300,3 +301,16 @@
         return [Fault(owner, key, "a name used once", found)]
     owners[name] = owner
     return []
+
+
+def decode_configuration(value):
+    """Rebuild a configuration from its stored form.
+
+    Returns
+    -------
+    result.Result[Configuration, str]
+    """
+    try:
+        return Ok(Configuration.from_json(value))
+    except msgspec.DecodeError as error:
+        return Err(str(error))
--- a/src/sesamearch/configuration/follower.py
+++ b/src/sesamearch/configuration/follower.py
@@ -54,9 +54,20 @@
     store : Store
     prefix : bytes
     clock : twisted.internet.interfaces.IReactorTime
+    retry_longest_s : float
+        Longest pause between two tries to read.
+
+    Attributes
+    ----------
+    revision : int
+        Store revision up to which changes were taken.
+    is_current : bool
+        Whether the prefix is being followed.
     """
 
-    def __init__(self, store, prefix, clock):
+    def __init__(self, store, prefix, clock, retry_longest_s=RETRY_LONGEST_S):
+        self._retry_longest_s = retry_longest_s
+        self.revision = 0
         self._store = store
         self._prefix = prefix
         self._clock = clock
@@ -91,6 +102,7 @@
         self._retry_s = RETRY_FIRST_S
         self._set_current(True)
         self._items = {item.key: item.value for item in reply.items}
+        self.revision = reply.revision
         self.take(self._items)
         self._watch = self._store.watch(self._prefix, reply.revision, self)
 
@@ -101,6 +113,7 @@
                 self._items.pop(put.key, None)
             else:
                 self._items[put.key] = put.value
+        self.revision = revision
         self.take(self._items)
 
     def ended(self):
@@ -108,7 +121,7 @@
         self._watch = None
         self._set_current(False)
         self._retry = self._clock.callLater(self._retry_s, self.start)
-        self._retry_s = min(self._retry_s * 2, RETRY_LONGEST_S)
+        self._retry_s = min(self._retry_s * 2, self._retry_longest_s)
 
     def _set_current(self, is_current):
         if is_current != self.is_current:
--- a/src/sesamearch/configuration/keys.py
+++ b/src/sesamearch/configuration/keys.py
@@ -9,11 +9,14 @@
 import zmq
 from result import Err, Ok
 
+from sesamearch.base.errors import ErrorKind
+from sesamearch.base.log import logger
 from sesamearch.base.schema import Fault, check, load_yaml
 from sesamearch.configuration.configuration import hash_api_key
 
 __all__ = [
     "PeerKeys",
+    "decode_peer_keys",
     "load_peer_keys",
     "new_api_key",
     "new_cursor_key",
@@ -39,6 +42,24 @@
     secret_key: str
     trusted: list[str]
 
+    def to_json(self):
+        """Return the stored form as bytes."""
+        return msgspec.json.encode(self)
+
+
+def decode_peer_keys(value):
+    """Rebuild keys from their stored form.
+
+    Returns
+    -------
+    result.Result[PeerKeys, ErrorKind]
+    """
+    try:
+        return Ok(msgspec.json.decode(value, type=PeerKeys))
+    except msgspec.DecodeError as error:
+        logger.error("stored peer keys unreadable: {}", error)
+        return Err(ErrorKind.CONFIGURATION_INVALID)
+
 
 def load_peer_keys(path):
     """Read a file made by :func:`new_peer_keys`.
--- a/src/sesamearch/daemon/__init__.py
+++ b/src/sesamearch/daemon/__init__.py
@@ -6,6 +6,7 @@
     __name__,
     submod_attrs={
         "drain": ["Drain"],
+        "front": ["Front"],
         "metrics": ["MetricsExport"],
         "operators_port": ["OperatorsPort", "RouterStatus"],
         "router": ["Router"],
--- /dev/null
+++ b/src/sesamearch/daemon/front.py
@@ -0,0 +1,271 @@
+"""The router daemon on a platform: parts put together, run until told to stop."""
+
+import gc
+import signal
+
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
+from twisted.internet.task import LoopingCall
+
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.base.listener import listen_directly
+from sesamearch.base.log import FLUSH_INTERVAL_S, logger
+from sesamearch.configuration.blackboard import Blackboard
+from sesamearch.configuration.settings import DrainSettings
+from sesamearch.daemon.drain import Drain
+from sesamearch.forwarding.choice import Chooser
+from sesamearch.forwarding.dispatcher import (
+    CHECK_INTERVAL_S,
+    Budgets,
+    Dispatcher,
+    ForwardCounters,
+)
+from sesamearch.forwarding.exchange import ForwardTools
+from sesamearch.forwarding.fleet import Fleet
+from sesamearch.forwarding.health import HealthBook
+from sesamearch.forwarding.load import LoadBook
+from sesamearch.membership.fleet_keys import obtain_fleet_keys
+from sesamearch.membership.gossip import LoadGossip
+from sesamearch.membership.listing import EndpointListing
+from sesamearch.membership.peer import PeerLink
+from sesamearch.platform.client import SWEEP_INTERVAL_S, PlatformEndpointClient
+from sesamearch.platform.configuration import decode_configuration
+from sesamearch.platform.followers import OperatorFollower, ServerFollower
+from sesamearch.platform.headers import decode_request
+from sesamearch.platform.store import PlatformStore
+from sesamearch.routing.table import RoutingTable
+from sesamearch.wire.caller import CallerFactory
+
+__all__ = ["Front"]
+
+KEYS_RETRY_S = 1.0
+GOSSIP_INTERVAL_S = 0.02
+TELL_INTERVAL_S = 0.25
+# The balancer asks once a second and turns away after two misses.
+BALANCER_GRACE_S = 2.6
+# Before the process is killed: what is left then is cut, and its callers go on.
+HAND_OVER_MARGIN_S = 0.4
+FLUSH_S = 0.1
+OK = 200
+UNAVAILABLE = 503
+
+
+class _CallerSide:
+    """Callers' connections, as the drain sees them."""
+
+    unsettled = 0
+
+    def __init__(self, factory, dispatcher):
+        self._factory = factory
+        self._dispatcher = dispatcher
+
+    @property
+    def in_flight(self):
+        """Int : connections in the middle of a request or an answer."""
+        return sum(not each.is_idle for each in self._factory.connections)
+
+    def hand_over(self):
+        """Cut generations: their callers go on elsewhere by their last event."""
+        self._dispatcher.hand_over()
+
+
+class Front:
+    """One router process.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : FrontSettings
+    lines : LineQueue or None
+        Log lines to be written at intervals.
+    """
+
+    def __init__(self, reactor, settings, lines=None):
+        self._reactor = reactor
+        self._settings = settings
+        self._lines = lines
+        self.board = Blackboard(RoutingTable())
+        self.counters = ForwardCounters()
+        self._store = PlatformStore(reactor, settings.store_address)
+        self._peers = None
+        self._make_forwarding()
+        self._make_membership()
+        self._factory = CallerFactory(
+            reactor, self._take_request, self._limits, self._unreadable
+        )
+        self._readiness = CallerFactory(
+            reactor, self._tell_readiness, self._limits, self._unreadable
+        )
+        self._drain = self._make_drain()
+        self._loops = self._make_loops()
+
+    def _make_forwarding(self):
+        reactor, bounds = self._reactor, self._settings.bounds
+        self._health = HealthBook(reactor)
+        self._loads = LoadBook(reactor)
+        fleet = Fleet(self.board, self._health)
+        self._client = PlatformEndpointClient(reactor)
+        self.board.endpoints.listen(self._client.keep_only)
+        budgets = Budgets(
+            reactor,
+            bounds.retry_ratio,
+            bounds.retry_window_s,
+            bounds.retry_slack,
+            lambda: len(self.board.members.value) + 1,
+        )
+        tools = ForwardTools(
+            self._client,
+            Chooser(fleet, self._loads, self._health, self._settings.data_centre),
+            fleet,
+            self._loads,
+            self._health,
+            budgets,
+            reactor,
+            self.counters,
+        )
+        self.dispatcher = Dispatcher(self.board, tools)
+
+    def _make_membership(self):
+        self._listing = EndpointListing(
+            self.board,
+            self._reactor,
+            lambda: self._store.regained_s,
+            self._settings.peer.listen,
+        )
+        self._gossip = LoadGossip(self._settings.name, self._loads, self._health)
+        self._followers = [
+            OperatorFollower(self._store, self.board, self._reactor),
+            ServerFollower(self._store, self._listing, self._reactor),
+        ]
+
+    def _make_drain(self):
+        grace_s = self._settings.bounds.grace_s
+        settings = DrainSettings(
+            balancer_grace_s=BALANCER_GRACE_S,
+            timeout_s=max(grace_s - HAND_OVER_MARGIN_S, BALANCER_GRACE_S),
+        )
+        side = _CallerSide(self._factory, self.dispatcher)
+        return Drain(
+            self.board, side, settings, self._reactor, self._turn_away, self._stop
+        )
+
+    def _make_loops(self):
+        return [
+            (LoopingCall(self.dispatcher.check), CHECK_INTERVAL_S),
+            (LoopingCall(self._client.sweep), SWEEP_INTERVAL_S),
+            (LoopingCall(self._gossip.tell_changes), GOSSIP_INTERVAL_S),
+            (LoopingCall(self._tell), TELL_INTERVAL_S),
+            (LoopingCall(self._flush), FLUSH_INTERVAL_S),
+        ]
+
+    # Life.
+
+    def start(self):
+        """Listen and begin to work.
+
+        Returns
+        -------
+        result.Result[None, Problem]
+            ``UNREACHABLE`` if an address cannot be listened on.
+        """
+        for follower in self._followers:
+            follower.start()
+        try:
+            listen_directly(self._reactor, self._settings.listen, self._factory)
+            listen_directly(
+                self._reactor, self._settings.readiness_listen, self._readiness
+            )
+        except CannotListenError as error:
+            return Err(Problem(ErrorKind.UNREACHABLE, str(error)))
+        self.board.drain.listen(self._note_drain)
+        for loop, interval_s in self._loops:
+            loop.clock = self._reactor
+            loop.start(interval_s, now=False)
+        Deferred.fromCoroutine(self._join_peers()).addErrback(
+            lambda failure: logger.error("peer link failed: {}", failure.value)
+        )
+        # What was made for the start is never garbage: collections skip it.
+        gc.freeze()
+        logger.info(
+            "router started name={} listen={}",
+            self._settings.name,
+            self._settings.listen,
+        )
+        return Ok(None)
+
+    async def _join_peers(self):
+        while True:
+            keys = await obtain_fleet_keys(self._store)
+            if keys.is_ok():
+                break
+            pause = Deferred()
+            self._reactor.callLater(KEYS_RETRY_S, pause.callback, None)
+            await pause
+        self._peers = PeerLink(
+            self._reactor,
+            self._settings,
+            keys.unwrap(),
+            self.board,
+            decode_configuration,
+        )
+        self._listing.join(self._peers)
+        self._gossip.join(self._peers)
+        self._peers.start()
+        logger.info("peer link started listen={}", self._settings.peer.listen)
+
+    def handle_signals(self):
+        """Drain on SIGTERM and SIGINT; SIGHUP changes nothing that is in force."""
+
+        def ask(number, frame):
+            self._reactor.callFromThread(self._drain.ask)
+
+        def reload(number, frame):
+            self._reactor.callFromThread(logger.info, "settings changed: kept")
+
+        signal.signal(signal.SIGTERM, ask)
+        signal.signal(signal.SIGINT, ask)
+        signal.signal(signal.SIGHUP, reload)
+
+    def _note_drain(self, phase):
+        self._factory.is_draining = phase.draining
+
+    def _turn_away(self):
+        self._factory.close_idle()
+
+    def _stop(self):
+        logger.info("router stopped name={}", self._settings.name)
+        self._flush()
+        self._reactor.callLater(FLUSH_S, self._reactor.stop)
+
+    # Work.
+
+    def _limits(self):
+        return self.board.configuration.value.limits
+
+    def _unreadable(self, status, detail):
+        self.counters.unreadable += 1
+        logger.info("request unreadable status={} detail={}", status, detail)
+
+    def _take_request(self, head, body, reply):
+        request = decode_request(head, body, self._reactor.seconds())
+        self.dispatcher.handle(request, reply)
+
+    @property
+    def is_ready(self):
+        """Bool : whether callers may come."""
+        is_known = self.board.configuration.value.revision > 0
+        has_endpoints = bool(self.board.endpoints.value)
+        return is_known and has_endpoints and not self.board.drain.value.draining
+
+    def _tell_readiness(self, head, body, reply):
+        reply.answer(OK if self.is_ready else UNAVAILABLE, [], b"")
+
+    def _tell(self):
+        self._loads.forget_silent()
+        self._gossip.tell()
+        self._listing.tell()
+
+    def _flush(self):
+        if self._lines is not None:
+            self._lines.flush()
--- /dev/null
+++ b/src/sesamearch/forwarding/__init__.py
@@ -0,0 +1,35 @@
+"""Requests passed on to endpoints: choice, retries, time limits, streams."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "budget": ["RetryBudget"],
+        "call": ["CallExchange"],
+        "choice": ["Chooser", "GenerationNeed"],
+        "dispatcher": ["Budgets", "Dispatcher", "ForwardCounters"],
+        "exchange": ["Exchange", "ForwardTools", "Try", "retry_after_s"],
+        "fleet": ["Fleet"],
+        "health": ["EndpointHealth", "HealthBook", "Suspicion"],
+        "load": ["EndpointLoad", "LoadBook", "Work"],
+        "record": [
+            "GenerationResumed",
+            "RequestEnded",
+            "RequestRefused",
+            "TryLost",
+            "TrySent",
+        ],
+        "request": [
+            "CallerRequest",
+            "EndpointAnswer",
+            "EndpointClient",
+            "ForwardListener",
+            "LoadReport",
+            "MemoryCopy",
+            "Passage",
+            "PromptPart",
+        ],
+        "stream": ["StreamExchange"],
+    },
+)
--- /dev/null
+++ b/src/sesamearch/forwarding/choice.py
@@ -0,0 +1,154 @@
+"""Choice of an endpoint for a request, by predicted wait."""
+
+import random
+
+import msgspec
+
+__all__ = ["Chooser", "GenerationNeed"]
+
+# A running generation slows a prompt down about as much as this many more tokens.
+RUNNING_COST_TOKENS = 250
+# An endpoint whose slots or memory are taken makes the request wait for an end.
+FULL_COST_TOKENS = 40_000
+REMOTE_COST_TOKENS = 40
+REMOTE_COST_REQUESTS = 0.3
+EXCESS_COST_REQUESTS = 40.0
+
+
+class GenerationNeed(msgspec.Struct, frozen=True):
+    """What a generation needs of its engine.
+
+    Parameters
+    ----------
+    prompt_tokens : int
+        To be read before the first event.
+    memory_tokens : int
+        Kept at the end, prompt and output.
+    """
+
+    prompt_tokens: int
+    memory_tokens: int
+
+
+class Chooser:
+    """Chooses endpoints.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    loads : LoadBook
+    health : HealthBook
+    data_centre : str
+        This router's own.
+    rng : random.Random, optional
+    """
+
+    __slots__ = ("_data_centre", "_fleet", "_health", "_loads", "_random")
+
+    def __init__(self, fleet, loads, health, data_centre, rng=None):
+        self._fleet = fleet
+        self._loads = loads
+        self._health = health
+        self._data_centre = data_centre
+        self._random = rng or random.Random()
+
+    def _candidates(self, service, excluded):
+        found = [
+            endpoint
+            for endpoint in self._fleet.serving(service)
+            if endpoint.name not in excluded
+        ]
+        up = [each for each in found if not self._health.is_down(each.name)]
+        return up or found
+
+    def _least(self, endpoints, cost):
+        if not endpoints:
+            return None
+        return min(endpoints, key=lambda each: (cost(each), self._random.random()))
+
+    def for_call(self, service, excluded=frozenset()):
+        """Choose for a plain call.
+
+        Parameters
+        ----------
+        service : str
+        excluded : set of str
+            Names not to choose.
+
+        Returns
+        -------
+        Endpoint or None
+        """
+        endpoints = self._candidates(service, excluded)
+        baseline = self._health.baseline([each.name for each in endpoints])
+
+        def cost(endpoint):
+            running = self._loads.total(endpoint.name).running
+            is_remote = endpoint.data_centre != self._data_centre
+            excess = self._health.excess(endpoint.name, baseline)
+            return (
+                running / max(endpoint.slots, 1)
+                + REMOTE_COST_REQUESTS * is_remote
+                + EXCESS_COST_REQUESTS * excess
+            )
+
+        return self._least(endpoints, cost)
+
+    def for_generation(self, service, engine, need, excluded=frozenset()):
+        """Choose for a generation.
+
+        Parameters
+        ----------
+        service : str
+        engine : EngineTraits
+        need : GenerationNeed
+        excluded : set of str
+            Names not to choose.
+
+        Returns
+        -------
+        Endpoint or None
+        """
+        endpoints = self._candidates(service, excluded)
+        baseline = self._health.baseline([each.name for each in endpoints])
+
+        def cost(endpoint):
+            load = self._loads.total(endpoint.name)
+            is_remote = endpoint.data_centre != self._data_centre
+            is_full = load.running >= (endpoint.slots or engine.slots)
+            is_full |= load.memory_tokens + need.memory_tokens > engine.memory_tokens
+            excess = self._health.excess(endpoint.name, baseline)
+            return (
+                load.unread_tokens
+                + RUNNING_COST_TOKENS * load.running
+                + REMOTE_COST_TOKENS * is_remote
+                + FULL_COST_TOKENS * (is_full + excess)
+            )
+
+        return self._least(endpoints, cost)
+
+    def for_backup(self, primary, engine, need):
+        """Choose who keeps a copy of a generation's memory.
+
+        Another data centre is taken where there is one: the engines of one often
+        fail together.
+
+        Returns
+        -------
+        Endpoint or None
+            None where no engine has room.
+        """
+        endpoints = self._candidates(primary.service, {primary.name})
+        away = [e for e in endpoints if e.data_centre != primary.data_centre]
+        room = [
+            endpoint
+            for endpoint in away or endpoints
+            if self._loads.total(endpoint.name).memory_tokens + need.memory_tokens
+            <= engine.memory_tokens
+        ]
+
+        def cost(endpoint):
+            load = self._loads.total(endpoint.name)
+            return load.memory_tokens + load.unread_tokens
+
+        return self._least(room, cost)
--- /dev/null
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -0,0 +1,186 @@
+"""The dispatcher: finds a request's route and has it forwarded."""
+
+import hashlib
+
+from sesamearch.base.log import logger
+from sesamearch.forwarding.budget import RetryBudget
+from sesamearch.forwarding.call import CallExchange
+from sesamearch.forwarding.exchange import PROBLEM_HEADERS
+from sesamearch.forwarding.record import RequestRefused
+from sesamearch.forwarding.stream import StreamExchange
+from sesamearch.routing.table import RouteKind, ServiceSpec
+
+__all__ = ["Budgets", "Dispatcher", "ForwardCounters"]
+
+CHECK_INTERVAL_S = 0.05
+_HASH_RANGE = 1 << 64
+
+
+class ForwardCounters:
+    """Plain counters on the hot path, exported as metrics when read.
+
+    Attributes
+    ----------
+    requests, refusals : int
+        Requests read, and those that got an error of this router's own.
+    tries, tries_lost : int
+        Sends to endpoints, and those that brought no usable answer.
+    resumes, streams_cut : int
+        Generations that went on at another engine, and those that were cut.
+    callers_left : int
+    probes : int
+        Signs of life asked for.
+    unreadable : int
+        Requests that could not be read.
+    """
+
+    __slots__ = (
+        "callers_left",
+        "probes",
+        "refusals",
+        "requests",
+        "resumes",
+        "streams_cut",
+        "tries",
+        "tries_lost",
+        "unreadable",
+    )
+
+    def __init__(self):
+        for name in self.__slots__:
+            setattr(self, name, 0)
+
+
+class Budgets:
+    """Retry budgets by service.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+    ratio, window_s, slack : float
+        See :class:`RetryBudget`.
+    count_routers : callable
+        Gives the number of routers that share the slack.
+    """
+
+    __slots__ = ("_budgets", "_clock", "_count_routers", "_figures")
+
+    def __init__(self, clock, ratio, window_s, slack, count_routers):
+        self._clock = clock
+        self._figures = (ratio, window_s, slack)
+        self._count_routers = count_routers
+        self._budgets = {}
+
+    def _budget(self, service):
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(self._clock, *self._figures)
+        return self._budgets[service]
+
+    def count_request(self, service):
+        """Count a caller's request for a service."""
+        self._budget(service).count_request()
+
+    def take(self, service):
+        """Take one repeated send; give whether there was one."""
+        return self._budget(service).take(self._count_routers())
+
+
+class Dispatcher:
+    """Starts an exchange for each request.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Its configuration is a :class:`RoutingTable`.
+    tools : ForwardTools
+    """
+
+    __slots__ = ("_board", "_exchanges", "_streams", "_tools")
+
+    def __init__(self, board, tools):
+        self._board = board
+        self._tools = tools
+        self._exchanges = set()
+        self._streams = set()
+
+    @property
+    def in_flight(self):
+        """Int : requests without a final answer."""
+        return len(self._exchanges)
+
+    def handle(self, request, reply):
+        """Forward a :class:`CallerRequest` and answer through `reply`."""
+        self._tools.counters.requests += 1
+        table = self._board.configuration.value
+        route = table.match(request.host, request.path)
+        organisation = table.organisation_of(request.key) if request.key else None
+        problem = table.problem_of(route, organisation)
+        if problem is not None:
+            self._refuse(request, route, problem, table, reply)
+            return
+        service = table.services.get(_choose_service(route, request.request_id))
+        exchange_type = CallExchange
+        if service is not None and route.kind is RouteKind.GENERATION:
+            exchange_type = StreamExchange
+        exchange = exchange_type(
+            self._tools,
+            request,
+            route,
+            service or ServiceSpec("", 0),
+            organisation,
+            table,
+            reply,
+            self._ended,
+        )
+        self._exchanges.add(exchange)
+        if exchange_type is StreamExchange:
+            self._streams.add(exchange)
+        self._tools.budgets.count_request(exchange.service.name)
+        exchange.start()
+
+    def _refuse(self, request, route, problem, table, reply):
+        self._tools.counters.refusals += 1
+        logger.info(
+            RequestRefused(
+                request.request_id,
+                route.name if route else "",
+                problem.kind.value,
+                problem.answer.status,
+                "",
+                0,
+                0,
+                table.revision,
+            )
+        )
+        headers = list(PROBLEM_HEADERS)
+        if problem.come_back_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % problem.come_back_s))
+        reply.answer(problem.answer.status, headers, problem.to_json())
+
+    def _ended(self, exchange):
+        self._exchanges.discard(exchange)
+        self._streams.discard(exchange)
+
+    def hand_over(self):
+        """Cut the generations, for their callers to go on elsewhere."""
+        for stream in list(self._streams):
+            stream.hand_over()
+
+    def check(self):
+        """Look for silent engines; called every ``CHECK_INTERVAL_S``."""
+        for stream in list(self._streams):
+            stream.check()
+
+
+def _choose_service(route, request_id):
+    """Return the name of the service that a route's shares give a request."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    total = sum(share.weight for share in route.services)
+    digest = hashlib.blake2b(request_id.encode(), digest_size=8).digest()
+    point = int.from_bytes(digest, "big") / _HASH_RANGE * total
+    for share in route.services:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.services[-1].service
--- /dev/null
+++ b/src/sesamearch/forwarding/fleet.py
@@ -0,0 +1,44 @@
+"""The endpoints that may get work, by service."""
+
+__all__ = ["Fleet"]
+
+
+class Fleet:
+    """Index of the listed endpoints.
+
+    Parameters
+    ----------
+    board : Blackboard
+    health : HealthBook
+    """
+
+    __slots__ = ("_board", "_by_address", "_by_service", "_health")
+
+    def __init__(self, board, health):
+        self._board = board
+        self._health = health
+        self._by_service = {}
+        self._by_address = {}
+        self._index(board.endpoints.value)
+        board.endpoints.listen(self._index)
+
+    def _index(self, endpoints):
+        by_service = {}
+        for endpoint in endpoints.values():
+            if not endpoint.leaving:
+                by_service.setdefault(endpoint.service, []).append(endpoint)
+        self._by_service = by_service
+        self._by_address = {each.address: each for each in endpoints.values()}
+        self._health.keep_only(endpoints.keys())
+
+    def serving(self, service):
+        """Return the list of endpoints of a service that are not leaving."""
+        return self._by_service.get(service, [])
+
+    def find(self, name):
+        """Return the endpoint of that name, or None."""
+        return self._board.endpoints.value.get(name)
+
+    def at_address(self, address):
+        """Return the endpoint that has an address, or None."""
+        return self._by_address.get(address)
--- /dev/null
+++ b/src/sesamearch/forwarding/health.py
@@ -0,0 +1,156 @@
+"""Which endpoints to avoid, by what requests met there."""
+
+import msgspec
+
+__all__ = ["EndpointHealth", "HealthBook", "Suspicion"]
+
+AVOID_FIRST_S = 0.8
+AVOID_LONGEST_S = 5.0
+# Outcomes are counted with a decay: an endpoint that mends is forgiven.
+OUTCOME_HALF_LIFE_S = 3.0
+MIN_OUTCOMES = 4.0
+FAILURE_EXCESS_RATIO = 0.25
+
+
+class EndpointHealth:
+    """What is known of one endpoint."""
+
+    __slots__ = (
+        "_counted_s",
+        "avoid_s",
+        "avoid_until_s",
+        "failures",
+        "outcomes",
+    )
+
+    def __init__(self):
+        self.avoid_s = 0.0
+        self.avoid_until_s = 0.0
+        self.outcomes = 0.0
+        self.failures = 0.0
+        self._counted_s = 0.0
+
+    def decay(self, now_s):
+        """Let old outcomes count less."""
+        factor = 0.5 ** ((now_s - self._counted_s) / OUTCOME_HALF_LIFE_S)
+        self._counted_s = now_s
+        self.outcomes *= factor
+        self.failures *= factor
+
+    @property
+    def failure_ratio(self):
+        """Float : share of the outcomes that were failures."""
+        return self.failures / self.outcomes if self.outcomes else 0.0
+
+
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint that a router holds for dead, and for how much longer."""
+
+    name: str
+    left_s: float
+
+
+class HealthBook:
+    """Health of endpoints by name.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+
+    Attributes
+    ----------
+    has_news : bool
+        Whether an endpoint became suspect since the others were last told.
+    """
+
+    __slots__ = ("_clock", "_records", "has_news")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._records = {}
+        self.has_news = False
+
+    def _record(self, name):
+        return self._records.setdefault(name, EndpointHealth())
+
+    def keep_only(self, names):
+        """Forget endpoints that are not listed any more."""
+        for name in self._records.keys() - names:
+            del self._records[name]
+
+    def is_down(self, name):
+        """Return whether an endpoint is to be avoided."""
+        record = self._records.get(name)
+        return record is not None and record.avoid_until_s > self._clock.seconds()
+
+    def unreachable(self, name):
+        """Note a connection that was refused, reset or silent."""
+        record = self._record(name)
+        now_s = self._clock.seconds()
+        if record.avoid_until_s > now_s:
+            return
+        record.avoid_s = min(max(record.avoid_s * 2, AVOID_FIRST_S), AVOID_LONGEST_S)
+        record.avoid_until_s = now_s + record.avoid_s
+        self.has_news = True
+
+    def hear(self, suspicion):
+        """Take a :class:`Suspicion` of another router."""
+        record = self._record(suspicion.name)
+        left_s = min(suspicion.left_s, AVOID_LONGEST_S)
+        until_s = self._clock.seconds() + left_s
+        record.avoid_until_s = max(record.avoid_until_s, until_s)
+
+    def answered(self, name, is_failure):
+        """Count an answer."""
+        record = self._record(name)
+        record.decay(self._clock.seconds())
+        record.outcomes += 1
+        record.failures += is_failure
+        if not is_failure:
+            record.avoid_s = record.avoid_until_s = 0.0
+
+    def failed(self, name):
+        """Count a request that got no whole answer."""
+        record = self._record(name)
+        record.decay(self._clock.seconds())
+        record.outcomes += 1
+        record.failures += 1
+
+    def reborn(self, name):
+        """Forget the past of an endpoint that started anew."""
+        self._records.pop(name, None)
+
+    def excess(self, name, baseline):
+        """Return by how much an endpoint fails more often than `baseline`.
+
+        Returns
+        -------
+        float
+            Zero below ``FAILURE_EXCESS_RATIO`` or with few outcomes.
+        """
+        record = self._records.get(name)
+        if record is None:
+            return 0.0
+        record.decay(self._clock.seconds())
+        if record.outcomes < MIN_OUTCOMES:
+            return 0.0
+        excess = record.failure_ratio - baseline
+        return excess if excess > FAILURE_EXCESS_RATIO else 0.0
+
+    def baseline(self, names):
+        """Return the median failure ratio of some endpoints."""
+        ratios = sorted(
+            record.failure_ratio
+            for record in map(self._records.get, names)
+            if record is not None and record.outcomes >= 1
+        )
+        return ratios[len(ratios) // 2] if ratios else 0.0
+
+    def suspicions(self):
+        """Return the list of :class:`Suspicion` to tell the other routers."""
+        now_s = self._clock.seconds()
+        return [
+            Suspicion(name, record.avoid_until_s - now_s)
+            for name, record in self._records.items()
+            if record.avoid_until_s > now_s
+        ]
--- /dev/null
+++ b/src/sesamearch/forwarding/load.py
@@ -0,0 +1,146 @@
+"""Work in flight at each endpoint: this router's own, and what the others tell."""
+
+import msgspec
+
+__all__ = ["EndpointLoad", "LoadBook", "Work"]
+
+PEER_TIMEOUT_S = 3.0
+
+
+class EndpointLoad(msgspec.Struct, array_like=True):
+    """Work at one endpoint.
+
+    Parameters
+    ----------
+    running : int
+        Requests sent and not ended.
+    unread_tokens : int
+        Prompt tokens of generations without a first event.
+    memory_tokens : int
+        Tokens that running generations and backups keep.
+    """
+
+    running: int = 0
+    unread_tokens: int = 0
+    memory_tokens: int = 0
+
+    def add(self, other):
+        """Add another load to this one."""
+        self.running += other.running
+        self.unread_tokens += other.unread_tokens
+        self.memory_tokens += other.memory_tokens
+
+    @property
+    def is_empty(self):
+        """Bool : whether there is no work."""
+        return not (self.running or self.unread_tokens or self.memory_tokens)
+
+
+class Work:
+    """One request at one endpoint, as counted."""
+
+    __slots__ = ("_book", "_memory_tokens", "_name", "_running", "_unread_tokens")
+
+    def __init__(self, book, name, running, unread_tokens, memory_tokens):
+        self._book = book
+        self._name = name
+        self._running = running
+        self._unread_tokens = unread_tokens
+        self._memory_tokens = memory_tokens
+        book.change(name, running, unread_tokens, memory_tokens)
+
+    def prompt_was_read(self):
+        """Note that the first event came."""
+        unread, self._unread_tokens = self._unread_tokens, 0
+        if unread:
+            self._book.change(self._name, 0, -unread, 0)
+
+    def end(self):
+        """Note that the request is no longer there."""
+        running, self._running = self._running, 0
+        unread, self._unread_tokens = self._unread_tokens, 0
+        memory, self._memory_tokens = self._memory_tokens, 0
+        if running or unread or memory:
+            self._book.change(self._name, -running, -unread, -memory)
+
+
+class _PeerLoads(msgspec.Struct):
+    heard_s: float
+    loads: dict[str, EndpointLoad]
+
+
+class LoadBook:
+    """Counts work by the name of its endpoint.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+
+    Attributes
+    ----------
+    own : dict from str to EndpointLoad
+        Work of this router.
+    has_news : bool
+        Whether generations changed since the others were last told.
+    """
+
+    __slots__ = ("_clock", "_others", "_peers", "has_news", "own")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._peers = {}
+        self._others = {}
+        self.own = {}
+        self.has_news = False
+
+    def begin(self, name, unread_tokens=0, memory_tokens=0, running=1):
+        """Count a request that is sent; return its :class:`Work`."""
+        return Work(self, name, running, unread_tokens, memory_tokens)
+
+    def change(self, name, running, unread_tokens, memory_tokens):
+        """Add to this router's own work at an endpoint."""
+        load = self.own.setdefault(name, EndpointLoad())
+        load.add(EndpointLoad(running, unread_tokens, memory_tokens))
+        if load.is_empty:
+            del self.own[name]
+        if unread_tokens or memory_tokens:
+            self.has_news = True
+
+    def generations(self):
+        """Return this router's work that the others should know, by endpoint."""
+        return {name: load for name, load in self.own.items() if load.memory_tokens}
+
+    def hear(self, peer, loads):
+        """Take the work of another router.
+
+        Parameters
+        ----------
+        peer : str
+        loads : dict from str to EndpointLoad
+        """
+        self._peers[peer] = _PeerLoads(self._clock.seconds(), loads)
+        self._sum_others()
+
+    def forget_silent(self):
+        """Drop the work of routers that were not heard for a while."""
+        oldest_s = self._clock.seconds() - PEER_TIMEOUT_S
+        silent = [n for n, peer in self._peers.items() if peer.heard_s < oldest_s]
+        for name in silent:
+            del self._peers[name]
+        if silent:
+            self._sum_others()
+
+    def _sum_others(self):
+        self._others = {}
+        for peer in self._peers.values():
+            for name, load in peer.loads.items():
+                self._others.setdefault(name, EndpointLoad()).add(load)
+
+    def total(self, name):
+        """Return the :class:`EndpointLoad` of all routers at an endpoint."""
+        total = EndpointLoad()
+        for loads in (self.own, self._others):
+            load = loads.get(name)
+            if load is not None:
+                total.add(load)
+        return total
--- /dev/null
+++ b/src/sesamearch/forwarding/stream.py
@@ -0,0 +1,442 @@
+"""Generations: events passed on as they come, over one or more engines."""
+
+from typing import Protocol
+
+from automat import TypeMachineBuilder
+
+from sesamearch.base.errors import ErrorKind
+from sesamearch.base.log import logger
+from sesamearch.forwarding.choice import GenerationNeed
+from sesamearch.forwarding.exchange import Exchange
+from sesamearch.forwarding.record import GenerationResumed
+from sesamearch.forwarding.request import MemoryCopy, Passage
+from sesamearch.wire.endpoint import Loss
+from sesamearch.wire.events import EventSplitter
+
+__all__ = ["StreamExchange"]
+
+# Silence of a running engine: a share of the pause that callers accept, but never
+# so short that the engine's own rhythm is taken for silence.
+STALL_GOAL_RATIO = 0.5
+STALL_GAPS = 5.0
+# An engine that reads a prompt says nothing: it is asked for a sign of life.
+PROBE_INTERVAL_S = 0.5
+PROBE_TIMEOUT_S = 0.3
+RESUME_PROBE_S = 0.2
+# An engine's memory is copied several times a second: before that there is no copy.
+FIRST_COPY_S = 0.3
+RETRY_CHOICE_S = 0.05
+# Callers leave a stream that pauses for so long.
+LONGEST_PAUSE_S = 2.0
+REFUSE_ADVICE_S = 1.0
+GAP_SMOOTHING = 0.1
+MAX_SENDS = 8
+URGENCY_LEAST = 9
+
+
+class _Inputs(Protocol):
+    def began(self) -> None:
+        """Note the first event."""
+
+    def broke(self) -> None:
+        """Note that the engine is gone."""
+
+    def went_on(self) -> None:
+        """Note an event after a break."""
+
+    def ended(self) -> None:
+        """Note the end."""
+
+
+def _build_machine():
+    builder = TypeMachineBuilder(_Inputs, StreamExchange)
+    reading = builder.state("reading")
+    streaming = builder.state("streaming")
+    broken = builder.state("broken")
+    over = builder.state("over")
+    reading.upon(_Inputs.began).to(streaming).returns(None)
+    reading.upon(_Inputs.broke).loop().returns(None)
+    streaming.upon(_Inputs.broke).to(broken).returns(None)
+    broken.upon(_Inputs.broke).loop().returns(None)
+
+    @broken.upon(_Inputs.went_on).to(streaming)
+    def go_on(inputs, exchange):
+        exchange._log_resumed()
+
+    for state in (reading, streaming, broken):
+        state.upon(_Inputs.ended).to(over).returns(None)
+    over.upon(_Inputs.ended).loop().returns(None)
+    return builder.build()
+
+
+class StreamExchange(Exchange):
+    """One generation.
+
+    ::
+
+        reading --began--> streaming --broke--> broken --went_on--> streaming
+        any of them --ended--> over
+    """
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._life = _machine(self)
+        self._splitter = EventSplitter()
+        self._last_event = self.request.after_event
+        self._last_event_s = None
+        self._first_ms = 0
+        self._events = 0
+        self._mean_gap_s = 0.0
+        self._has_head = False
+        self._is_broken = False
+        self._has_copy = False
+        self._backup = None
+        self._backup_work = None
+        self._runs = 0
+        self._probe_due_s = 0.0
+        self._is_probing = False
+        self._waiting = None
+        self._need = GenerationNeed(
+            self.request.prompt_tokens,
+            self.request.prompt_tokens + self.request.output_tokens,
+        )
+
+    def start(self):
+        """Send the first try."""
+        self._send()
+
+    # Sending.
+
+    def _urgency(self):
+        organisation = self.organisation
+        rank = self.route.priority
+        if organisation is not None and organisation.priority is not None:
+            rank = organisation.priority
+        return min(rank, URGENCY_LEAST)
+
+    def _send(self):
+        self._waiting = None
+        if self.is_over or self.tries:
+            return
+        endpoint, copy = self._choose()
+        if endpoint is None:
+            self._wait_for_endpoint()
+            return
+        self.excluded.add(endpoint.name)
+        self._runs += 1
+        backup = self._choose_backup(endpoint)
+        passage = Passage(
+            endpoint,
+            self.until_s,
+            self.organisation.name if self.organisation else "",
+            self._last_event,
+            self._urgency(),
+            backup.address if backup else "",
+            copy,
+        )
+        unread = 0 if copy else self._need.prompt_tokens
+        work = self.tools.loads.begin(endpoint.name, unread, self._need.memory_tokens)
+        patience_s = RESUME_PROBE_S if self._has_head else PROBE_INTERVAL_S
+        self._probe_due_s = self.now_s + patience_s
+        self._splitter = EventSplitter()
+        self.send(passage, work)
+
+    def _choose(self):
+        """Return the endpoint to send to and the memory to go on from."""
+        backup, self._backup = self._backup, None
+        self._end_backup_work()
+        if backup is not None and self._has_copy:
+            endpoint = self.tools.fleet.at_address(backup.address)
+            if endpoint is not None and self._is_usable(endpoint):
+                return endpoint, backup
+        endpoint = self._choose_any()
+        if endpoint is None and self.excluded:
+            self.excluded.clear()
+            endpoint = self._choose_any()
+        return endpoint, None
+
+    def _choose_any(self):
+        return self.tools.chooser.for_generation(
+            self.service.name, self.service.engine, self._need, self.excluded
+        )
+
+    def _is_usable(self, endpoint):
+        is_of_service = endpoint.service == self.service.name
+        is_down = self.tools.health.is_down(endpoint.name)
+        return is_of_service and not endpoint.leaving and not is_down
+
+    def _choose_backup(self, endpoint):
+        if not self.route.is_resumable or not self.service.engine.takes_backups:
+            return None
+        backup = self.tools.chooser.for_backup(
+            endpoint, self.service.engine, self._need
+        )
+        if backup is not None:
+            self._backup = MemoryCopy(backup.address, self.request.request_id)
+            self._backup_work = self.tools.loads.begin(
+                backup.name, 0, self._need.memory_tokens, running=0
+            )
+        return backup
+
+    def _end_backup_work(self):
+        work, self._backup_work = self._backup_work, None
+        if work is not None:
+            work.end()
+
+    def _wait_for_endpoint(self):
+        """Refuse, or look again soon where events were already passed on."""
+        if self._has_head and self._pause_s() < LONGEST_PAUSE_S:
+            self._waiting = self.tools.clock.callLater(RETRY_CHOICE_S, self._send)
+        else:
+            self._give_up(ErrorKind.NO_ENDPOINT, "no engine is available")
+
+    def _pause_s(self):
+        since_s = self._last_event_s or self.request.received_s
+        return self.now_s - since_s
+
+    def _send_again(self, kind, detail):
+        """Send to another engine after a try brought nothing, or give up."""
+        if self._has_head:
+            self._is_broken = True
+            self._life.broke()
+            if self._last_event is None:
+                # Events without numbers: there is no way to say where to go on.
+                self._cut()
+                return
+        has_left = self._runs < self.route.max_attempts and self.tried < MAX_SENDS
+        if has_left and self.left_s() > 0 and self.may_repeat():
+            self._send()
+        else:
+            self._give_up(kind, detail)
+
+    def _give_up(self, kind, detail):
+        if self._has_head:
+            self._cut()
+        else:
+            if self._runs and kind is ErrorKind.NO_ENDPOINT:
+                kind = ErrorKind.ENDPOINT_LOST
+            self.refuse(kind, detail, REFUSE_ADVICE_S)
+
+    def _cut(self):
+        """End an answer midway; the caller may go on elsewhere by its last event."""
+        self.tools.counters.streams_cut += 1
+        self.log_end("cut", None, 0, self._first_ms, self._events)
+        self.reply.abort()
+        self.close()
+
+    # Answers.
+
+    def _is_current(self, attempt):
+        return not self.is_over and attempt in self.tries
+
+    def try_began(self, attempt):
+        """Take the head: only the first engine's goes to the caller."""
+
+    def try_received(self, attempt, data):
+        """Pass on the events that are whole."""
+        if not self._is_current(attempt) or attempt.is_promise:
+            return
+        if not attempt.answer.is_success:
+            attempt.body.append(data)
+            return
+        events = [e for e in self._splitter.feed(data) if self._is_new(e)]
+        if events:
+            self._pass_on(attempt, events)
+
+    def _is_new(self, event):
+        """Return whether the caller lacks an event, and remember it as passed on."""
+        if event.number is None:
+            return True
+        if self._last_event is not None and event.number <= self._last_event:
+            return False
+        self._last_event = event.number
+        return True
+
+    def _pass_on(self, attempt, events):
+        attempt.work.prompt_was_read()
+        if not self._has_head:
+            self._start_answer(attempt)
+        elif self._is_broken:
+            self._is_broken = False
+            self._life.went_on()
+            self.reply.relieve(attempt.sending.producer)
+        self._note_time(len(events))
+        self.reply.write(b"".join(event.data for event in events))
+
+    def _start_answer(self, attempt):
+        answer = attempt.answer
+        self._has_head = True
+        self._first_ms = self.took_ms()
+        self._life.began()
+        self.reply.start(answer.status, answer.headers, answer.reason)
+        self.reply.relieve(attempt.sending.producer)
+
+    def _note_time(self, count):
+        now_s = self.now_s
+        if self._last_event_s is not None:
+            gap_s = (now_s - self._last_event_s) / count
+            self._mean_gap_s += GAP_SMOOTHING * (gap_s - self._mean_gap_s)
+        self._last_event_s = now_s
+        self._events += count
+
+    def try_ended(self, attempt):
+        """Take the end of an engine's answer."""
+        if not self._is_current(attempt):
+            return
+        answer = attempt.answer
+        if attempt.is_promise:
+            self._take_promise(attempt)
+        elif answer.is_success:
+            self._finish(attempt)
+        else:
+            self._take_failure(attempt)
+
+    def _take_promise(self, attempt):
+        """Send elsewhere what provably did not run."""
+        self._runs -= 1
+        self.drop(attempt, "not_run", attempt.answer.status)
+        if attempt.answer.is_other_instance:
+            self.tools.health.unreachable(attempt.endpoint.name)
+        self._send_again(ErrorKind.OVERLOADED, "engines are busy")
+
+    def _take_failure(self, attempt):
+        self.tools.health.answered(attempt.endpoint.name, True)
+        self.drop(attempt, "failed", attempt.answer.status)
+        can_repeat = self.route.is_resumable and self._runs < self.route.max_attempts
+        if self._has_head or (can_repeat and attempt.answer.status >= 500):
+            self._send_again(ErrorKind.ENDPOINT_LOST, "engine failed")
+            return
+        answer = attempt.answer
+        self.log_end("answered", attempt, answer.status)
+        body = b"".join(attempt.body)
+        self.reply.answer(answer.status, answer.headers, body, answer.reason)
+        self.close()
+
+    def _finish(self, attempt):
+        if self._splitter.has_rest:
+            # It ended inside an event: the framing was whole, the answer is not.
+            self.note_loss(attempt, Loss.CLOSED_MIDWAY)
+            self.drop(attempt, "unfinished_event", attempt.answer.status)
+            self._recover(ErrorKind.ENDPOINT_LOST, "answer broke off")
+            return
+        self.tools.health.answered(attempt.endpoint.name, False)
+        if not self._has_head:
+            self._start_answer(attempt)
+        self.log_end(
+            "answered", attempt, attempt.answer.status, self._first_ms, self._events
+        )
+        self.reply.finish()
+        self.close()
+
+    def try_lost(self, attempt, loss):
+        """Go on at another engine if that is allowed."""
+        if not self._is_current(attempt):
+            return
+        self.note_loss(attempt, loss)
+        self._note_copy(attempt)
+        if loss is not Loss.NOT_CONNECTED:
+            # A reset under a generation is nearly always the end of its engine.
+            self.tools.health.unreachable(attempt.endpoint.name)
+        self.drop(attempt, loss.value, attempt.answer.status if attempt.answer else 0)
+        if loss is Loss.NOT_CONNECTED or attempt.is_promise:
+            self._runs -= 1
+            self._send_again(ErrorKind.NO_ENDPOINT, "no engine can be reached")
+        else:
+            self._recover(ErrorKind.ENDPOINT_LOST, "engine lost")
+
+    def _note_copy(self, attempt):
+        """Remember whether the backup can hold anything of a lost try."""
+        self._has_copy = self.now_s - attempt.sent_s >= FIRST_COPY_S
+
+    def _recover(self, kind, detail):
+        if self.route.is_resumable:
+            self._send_again(kind, detail)
+        else:
+            self._give_up(kind, detail)
+
+    # Silence.
+
+    def check(self):
+        """Look for an engine that went silent; called at short intervals."""
+        if self.is_over or not self.tries or not self.route.is_resumable:
+            return
+        attempt = self.tries[0]
+        if attempt.answer is not None and self._is_running(attempt):
+            if self._silence_s(attempt) > self._stall_s():
+                self._leave(attempt, "stalled")
+        elif self.now_s >= self._probe_due_s and not self._is_probing:
+            self._probe(attempt)
+
+    def _is_running(self, attempt):
+        """Return whether events of this try have been passed on."""
+        return self._last_event_s is not None and self._last_event_s > attempt.sent_s
+
+    def _silence_s(self, attempt):
+        return self.now_s - max(self._last_event_s, attempt.sent_s)
+
+    def _stall_s(self):
+        return max(
+            self.route.gap_goal_s * STALL_GOAL_RATIO, self._mean_gap_s * STALL_GAPS
+        )
+
+    def _leave(self, attempt, cause):
+        """Close a silent try and go on elsewhere."""
+        attempt.cancel()
+        self._note_copy(attempt)
+        self.tools.health.unreachable(attempt.endpoint.name)
+        self.drop(attempt, cause)
+        self._send_again(ErrorKind.ENDPOINT_LOST, "engine silent")
+
+    def _probe(self, attempt):
+        self._is_probing = True
+        self.tools.counters.probes += 1
+        answered = self.tools.client.probe(attempt.endpoint, PROBE_TIMEOUT_S)
+        answered.addCallback(self._take_probe, attempt)
+
+    def _take_probe(self, is_alive, attempt):
+        self._is_probing = False
+        self._probe_due_s = self.now_s + PROBE_INTERVAL_S
+        if not self._is_current(attempt) or self._is_running(attempt):
+            return
+        if not is_alive:
+            self._leave(attempt, "silent")
+
+    # The end.
+
+    def _log_resumed(self):
+        attempt = self.tries[0]
+        pause_ms = round(self._pause_s() * 1000)
+        self.tools.counters.resumes += 1
+        logger.info(
+            GenerationResumed(
+                self.request.request_id,
+                attempt.endpoint.name,
+                self._last_event,
+                pause_ms,
+            )
+        )
+
+    def hand_over(self):
+        """Cut the answer, or refuse one that has not begun."""
+        if self._has_head:
+            self._cut()
+        else:
+            self.refuse(ErrorKind.ENDPOINT_LOST, "this router stops")
+
+    def expire(self, kind):
+        """End at the end of the time that there was."""
+        if self._has_head:
+            self._cut()
+        else:
+            super().expire(kind)
+
+    def close(self):
+        """End the generation."""
+        self._life.ended()
+        self._end_backup_work()
+        if self._waiting is not None and self._waiting.active():
+            self._waiting.cancel()
+        super().close()
+
+
+_machine = _build_machine()
--- /dev/null
+++ b/src/sesamearch/membership/fleet_keys.py
@@ -0,0 +1,49 @@
+"""The peer keys of the fleet, kept in the platform's store."""
+
+import zmq
+from result import Err, Ok
+
+from sesamearch.base.errors import ErrorKind
+from sesamearch.configuration.keys import PeerKeys, decode_peer_keys
+from sesamearch.store.store import Comparison, Put
+
+__all__ = ["FLEET_KEYS_KEY", "obtain_fleet_keys"]
+
+FLEET_KEYS_KEY = b"sesamearch/peer-keys"
+
+
+async def obtain_fleet_keys(store):
+    """Read the fleet's peer keys, or create them if there are none.
+
+    Parameters
+    ----------
+    store : Store
+
+    Returns
+    -------
+    result.Result[PeerKeys, ErrorKind]
+    """
+    found = await _read(store)
+    if found.is_err() or found.unwrap() is not None:
+        return found
+    public, secret = (key.decode() for key in zmq.curve_keypair())
+    keys = PeerKeys(public, secret, [public])
+    put = Put(FLEET_KEYS_KEY, keys.to_json())
+    written = await store.txn([Comparison(FLEET_KEYS_KEY, 0)], [put])
+    if written.is_ok() and written.unwrap().succeeded:
+        return Ok(keys)
+    # Another router was first, or the answer was lost: what is stored counts.
+    found = await _read(store)
+    if found.is_ok() and found.unwrap() is None:
+        return Err(ErrorKind.STORE_UNAVAILABLE)
+    return found
+
+
+async def _read(store):
+    result = await store.range(FLEET_KEYS_KEY)
+    if result.is_err():
+        return result
+    for item in result.unwrap().items:
+        if item.key == FLEET_KEYS_KEY:
+            return decode_peer_keys(item.value)
+    return Ok(None)
--- /dev/null
+++ b/src/sesamearch/membership/gossip.py
@@ -0,0 +1,55 @@
+"""Work in flight and suspicions, told among the routers."""
+
+from sesamearch.membership.message import SCHEMA_VERSION, LoadNews
+
+__all__ = ["LoadGossip"]
+
+
+class LoadGossip:
+    """Tells this router's work at engines and takes that of the others.
+
+    Parameters
+    ----------
+    name : str
+        Of this router.
+    loads : LoadBook
+    health : HealthBook
+    """
+
+    __slots__ = ("_health", "_loads", "_name", "_peers", "_was_empty")
+
+    def __init__(self, name, loads, health):
+        self._name = name
+        self._loads = loads
+        self._health = health
+        self._peers = None
+        self._was_empty = True
+
+    def join(self, peers):
+        """Exchange through a :class:`PeerLink`."""
+        self._peers = peers
+        peers.handle(LoadNews, self._take)
+
+    def tell_changes(self):
+        """Tell the others if something changed since they were told."""
+        if self._loads.has_news or self._health.has_news:
+            self.tell()
+
+    def tell(self):
+        """Tell the others, unless there is nothing to tell."""
+        self._loads.has_news = self._health.has_news = False
+        if self._peers is None:
+            return
+        loads = self._loads.generations()
+        suspicions = self._health.suspicions()
+        is_empty = not loads and not suspicions
+        if is_empty and self._was_empty:
+            return
+        self._was_empty = is_empty
+        news = LoadNews(SCHEMA_VERSION, self._name, loads, suspicions)
+        self._peers.send_to_all(news)
+
+    def _take(self, message):
+        self._loads.hear(message.name, message.loads)
+        for suspicion in message.suspicions:
+            self._health.hear(suspicion)
--- a/src/sesamearch/membership/message.py
+++ b/src/sesamearch/membership/message.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.forwarding.health import Suspicion
+from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.operation.claim import Claim
 from sesamearch.routing.evidence import CellCounts
 
@@ -11,8 +14,12 @@
     "ClaimsWanted",
     "ConfigurationNews",
     "ConfigurationWanted",
+    "EndpointsNews",
+    "EndpointsState",
+    "EndpointsWanted",
     "EvidenceReport",
     "Heartbeat",
+    "LoadNews",
     "Message",
     "TakenClaim",
     "Veto",
@@ -134,6 +141,51 @@
     reason: str
 
 
+class LoadNews(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Tells a router's work at engines and the endpoints that it holds for dead."""
+
+    schema_version: int
+    name: str
+    loads: dict[str, EndpointLoad]
+    suspicions: list[Suspicion]
+
+
+class EndpointsState(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Tells which list of endpoints a router has.
+
+    Parameters
+    ----------
+    schema_version : int
+    address : str
+        Of the sender's peer link.
+    revision : int
+        Store revision of the list.
+    digest : str
+        Of its content: revisions rise without a change of the list.
+    """
+
+    schema_version: int
+    address: str
+    revision: int
+    digest: str
+
+
+class EndpointsWanted(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Asks for a list of endpoints newer than `revision`."""
+
+    schema_version: int
+    address: str
+    revision: int
+
+
+class EndpointsNews(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Carries a list of endpoints."""
+
+    schema_version: int
+    revision: int
+    endpoints: list[Endpoint]
+
+
 Message = (
     Heartbeat
     | ConfigurationWanted
@@ -142,4 +194,8 @@
     | ClaimsTaken
     | EvidenceReport
     | Veto
+    | LoadNews
+    | EndpointsState
+    | EndpointsWanted
+    | EndpointsNews
 )
--- a/src/sesamearch/membership/peer.py
+++ b/src/sesamearch/membership/peer.py
@@ -13,7 +13,7 @@
 
 from sesamearch.base.log import logger
 from sesamearch.configuration.blackboard import Member
-from sesamearch.configuration.configuration import Configuration
+from sesamearch.configuration.configuration import decode_configuration
 from sesamearch.membership.message import (
     SCHEMA_VERSION,
     ConfigurationNews,
@@ -88,6 +88,8 @@
         Its ``peer`` section is set.
     keys : PeerKeys
     board : Blackboard
+    decode : callable, optional
+        Makes a ``Result`` of a configuration from its stored form.
 
     Attributes
     ----------
@@ -97,7 +99,8 @@
         Bytes of all messages sent, before encryption.
     """
 
-    def __init__(self, reactor, settings, keys, board):
+    def __init__(self, reactor, settings, keys, board, decode=decode_configuration):
+        self._decode_configuration = decode
         self.server_key = keys.public_key
         self._reactor = reactor
         self._settings = settings
@@ -259,6 +262,11 @@
         member = self._board.members.value.get(name)
         return member is not None and self._send(member.address, message)
 
+    def send_to_address(self, address, message):
+        """Send a message to the router at an address, as :meth:`send_to` does."""
+        self.connect(address)
+        return self._send(address, message)
+
     def send_to_all(self, message):
         """Send a message to every router that a link leads to."""
         for address in list(self._sockets):
@@ -310,11 +318,11 @@
             self._send(message.address, news)
 
     def _take_news(self, message):
-        try:
-            configuration = Configuration.from_json(message.value)
-        except msgspec.DecodeError:
-            logger.warning("configuration from a peer unreadable")
+        decoded = self._decode_configuration(message.value)
+        if decoded.is_err():
+            logger.warning("peer configuration unreadable: {}", decoded.unwrap_err())
             return
+        configuration = decoded.unwrap()
         if self._board.accept_configuration(configuration):
             revision = configuration.revision
             logger.info("configuration in force revision={} from=peer", revision)
--- /dev/null
+++ b/src/sesamearch/platform/__init__.py
@@ -0,0 +1,22 @@
+"""The users' platform: its names, formats and calls, and nothing that decides."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "client": ["PlatformEndpointClient"],
+        "configuration": ["CONFIGURATION_KEY", "decode_configuration"],
+        "endpoints": ["ENDPOINT_PREFIX", "decode_endpoint"],
+        "followers": ["OperatorFollower", "ServerFollower"],
+        "headers": [
+            "decode_answer",
+            "decode_request",
+            "encode_request",
+            "keep_alive_s",
+            "request_id_of",
+        ],
+        "settings": ["SETTINGS_VARIABLE", "load_front_settings", "read_front_settings"],
+        "store": ["PlatformStore"],
+    },
+)
--- /dev/null
+++ b/src/sesamearch/platform/configuration.py
@@ -0,0 +1,159 @@
+"""The operators' configuration, decoded into the routing table."""
+
+import msgspec
+from result import Err, Ok
+
+from sesamearch.routing.table import (
+    EngineTraits,
+    Organisation,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceSpec,
+    ServiceWeight,
+)
+
+__all__ = ["CONFIGURATION_KEY", "decode_configuration"]
+
+CONFIGURATION_KEY = b"op/config"
+MS_PER_S = 1000.0
+# Kinds that are not named here are not known to be repeatable.
+_KINDS = {
+    "safe": RouteKind.IDEMPOTENT,
+    "unsafe": RouteKind.AT_MOST_ONCE,
+    "streaming": RouteKind.GENERATION,
+}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    name: str
+    host: str
+    prefix: str
+    type: str
+    timeout_ms: float
+    # Time to the first event where the type is "streaming".
+    latency_goal_ms: float = 1000.0
+    # Longest pause between two events that is still on time.
+    gap_target_ms: float = 1000.0
+    priority: int = 5
+    service: str = ""
+    split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct, rename="kebab"):
+    slots: int = 1
+    # Tokens that its memory holds, for running requests and cached parts together.
+    kv_capacity: int = 0
+    # Tokens in one event of a stream.
+    stride: int = 1
+    backups: bool = False
+
+
+class _Service(msgspec.Struct, rename="kebab"):
+    name: str
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="kebab", frozen=True):
+    max_header_bytes: int = 16 << 10
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 5000.0
+    idle_timeout_ms: float = 30000.0
+
+
+class _Tenant(msgspec.Struct, rename="kebab"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct, rename="kebab"):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+_decode = msgspec.json.Decoder(_Configuration, strict=False).decode
+
+
+def decode_configuration(value):
+    """Decode the operators' configuration.
+
+    Parameters
+    ----------
+    value : bytes
+
+    Returns
+    -------
+    result.Result[RoutingTable, str]
+        What is wrong with it otherwise.
+    """
+    try:
+        content = _decode(value)
+    except msgspec.DecodeError as error:
+        return Err(str(error))
+    organisations = None
+    if content.tenants is not None:
+        organisations = [
+            Organisation(tenant.name, tenant.api_keys, tenant.priority)
+            for tenant in content.tenants
+        ]
+    return Ok(
+        RoutingTable(
+            content.version,
+            [_make_route(route) for route in content.routes],
+            [_make_service(service) for service in content.services],
+            organisations,
+            _make_limits(content.limits),
+            value,
+        )
+    )
+
+
+def _make_route(route):
+    shares = [ServiceWeight(share.service, share.weight) for share in route.split]
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=_KINDS.get(route.type, RouteKind.AT_MOST_ONCE),
+        services=shares or [ServiceWeight(route.service, 1.0)],
+        timeout_s=route.timeout_ms / MS_PER_S,
+        latency_goal_s=route.latency_goal_ms / MS_PER_S,
+        gap_goal_s=route.gap_target_ms / MS_PER_S,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        is_public=route.public,
+        is_resumable=route.resumable,
+    )
+
+
+def _make_service(service):
+    engine = service.engine
+    if engine is None:
+        return ServiceSpec(service.name, service.max_conns)
+    traits = EngineTraits(
+        engine.slots, engine.kv_capacity, engine.stride, engine.backups
+    )
+    return ServiceSpec(service.name, service.max_conns, traits)
+
+
+def _make_limits(limits):
+    return RequestLimits(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_ms / MS_PER_S,
+        limits.idle_timeout_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/src/sesamearch/platform/headers.py
@@ -0,0 +1,203 @@
+"""Headers of callers' requests and endpoints' answers, decoded and encoded."""
+
+import re
+
+from sesamearch.forwarding.request import (
+    CallerRequest,
+    EndpointAnswer,
+    LoadReport,
+    PromptPart,
+)
+from sesamearch.wire.endpoint import OutgoingRequest
+from sesamearch.wire.head import first_value, strip_hop_by_hop
+
+__all__ = [
+    "decode_answer",
+    "decode_request",
+    "encode_request",
+    "keep_alive_s",
+    "request_id_of",
+]
+
+MS_PER_S = 1000.0
+DEFAULT_DEADLINE_S = 60.0
+_REQUEST_ID = b"x-attempt-id"
+_DEADLINE = b"x-deadline-ms"
+_MODEL = b"x-model"
+# Prompt tokens and the most output tokens, not what was used.
+_TOKENS = b"x-token-usage"
+_PROMPT = b"x-prompt-prefix"
+_AFTER_EVENT = b"last-event-id"
+_INSTANCE = b"x-instance-id"
+_NOT_RUN = b"x-not-executed"
+_SIGNATURE = b"x-response-signature"
+_LOAD = b"x-server-load"
+_KEY_SCHEME = "token "
+# What ``Connection`` must not have dropped: the endpoint would run another request.
+_KEPT = frozenset((_REQUEST_ID, _DEADLINE, _MODEL, _TOKENS, _PROMPT, _AFTER_EVENT))
+# Set by this system alone, whatever a caller sent, or replaced by it.
+_NOT_FORWARDED = frozenset(
+    (
+        b"authorization",
+        b"content-length",
+        b"expect",
+        b"kv-fetch",
+        b"kv-from",
+        b"x-expected-version",
+        b"x-kv-backup",
+        b"x-kv-hold",
+        b"x-pin-ms",
+        b"x-request-priority",
+        b"x-target-instance",
+        b"x-tenant",
+        _DEADLINE,
+        _AFTER_EVENT,
+    )
+)
+_NOT_RETURNED = frozenset((b"content-length", b"transfer-encoding"))
+_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+_PART = re.compile(r"([0-9a-fA-F]+):(\d+)")
+
+
+def _text(headers, name):
+    value = first_value(headers, name)
+    return value.decode("latin-1").strip() if value is not None else ""
+
+
+def _integer(text):
+    """Return the number, or None for anything that is no plain number."""
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def request_id_of(headers):
+    """Return the id of the caller's try, empty without one."""
+    return _text(headers, _REQUEST_ID)
+
+
+def decode_request(head, body, now_s):
+    """Decode a caller's request.
+
+    Parameters
+    ----------
+    head : RequestHead
+    body : bytes
+    now_s : float
+        When it came.
+
+    Returns
+    -------
+    CallerRequest
+    """
+    headers = strip_hop_by_hop(head.headers, _KEPT)
+    path, _, _ = head.target.partition(b"?")
+    host = _text(headers, b"host").lower().partition(":")[0]
+    prompt_tokens, output_tokens = _tokens(_text(headers, _TOKENS))
+    deadline_ms = _integer(_text(headers, _DEADLINE).partition(".")[0])
+    left_s = DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / MS_PER_S
+    return CallerRequest(
+        request_id=request_id_of(headers),
+        method=head.method,
+        target=head.target,
+        headers=[pair for pair in headers if pair[0].lower() not in _NOT_FORWARDED],
+        body=body,
+        host=host,
+        path=path.decode("latin-1"),
+        key=_key(_text(headers, b"authorization")),
+        received_s=now_s,
+        deadline_s=now_s + left_s,
+        after_event=_integer(_text(headers, _AFTER_EVENT)),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        prompt_parts=_parts(_text(headers, _PROMPT)),
+    )
+
+
+def _tokens(text):
+    prompt, _, output = text.partition(",")
+    return _integer(prompt.strip()) or 0, _integer(output.strip()) or 0
+
+
+def _parts(text):
+    return [PromptPart(name, int(tokens)) for name, tokens in _PART.findall(text)]
+
+
+def _key(text):
+    if text.lower().startswith(_KEY_SCHEME):
+        return text[len(_KEY_SCHEME) :].strip()
+    return ""
+
+
+def encode_request(request, passage, now_s):
+    """Encode a request for one endpoint.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    passage : Passage
+    now_s : float
+
+    Returns
+    -------
+    OutgoingRequest
+    """
+    left_ms = max(1, int((passage.deadline_s - now_s) * MS_PER_S))
+    headers = list(request.headers)
+    headers.append((b"X-Deadline-Ms", b"%d" % left_ms))
+    headers.append((b"X-Target-Instance", passage.endpoint.name.encode()))
+    if passage.organisation:
+        headers.append((b"X-Tenant", passage.organisation.encode()))
+    if passage.after_event is not None:
+        headers.append((b"Last-Event-Id", b"%d" % passage.after_event))
+    if passage.urgency is not None:
+        headers.append((b"X-Request-Priority", b"%d" % passage.urgency))
+    if passage.backup_address:
+        headers.append((b"X-Kv-Backup", passage.backup_address.encode()))
+    if passage.copy is not None:
+        source = f"{passage.copy.address}/{passage.copy.handle}"
+        headers.append((b"Kv-From", source.encode()))
+    return OutgoingRequest(request.method, request.target, headers, request.body)
+
+
+def decode_answer(head):
+    """Decode the head of an endpoint's answer.
+
+    Parameters
+    ----------
+    head : AnswerHead
+
+    Returns
+    -------
+    EndpointAnswer
+    """
+    headers = strip_hop_by_hop(head.headers)
+    is_other_instance = head.status == 421
+    return EndpointAnswer(
+        status=head.status,
+        reason=head.reason,
+        headers=[pair for pair in headers if pair[0].lower() not in _NOT_RETURNED],
+        has_not_run=first_value(headers, _NOT_RUN) is not None,
+        is_other_instance=is_other_instance,
+        is_signed=first_value(headers, _SIGNATURE) is not None,
+        load=_load(_text(headers, _LOAD)),
+    )
+
+
+def _load(text):
+    numbers = [_integer(part.strip()) for part in text.split(",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    return LoadReport(*numbers)
+
+
+def keep_alive_s(head, unstated_s):
+    """Return how long an endpoint keeps an idle connection.
+
+    Parameters
+    ----------
+    head : AnswerHead
+    unstated_s : float
+        Result where the answer does not say.
+    """
+    value = first_value(head.headers, b"keep-alive")
+    found = _TIMEOUT.search(value) if value else None
+    return float(found.group(1)) if found else unstated_s
--- /dev/null
+++ b/src/sesamearch/platform/settings.py
@@ -0,0 +1,136 @@
+"""The platform's settings file: one ``a.b=value`` a line."""
+
+from pathlib import Path
+
+from result import Err, Ok
+
+from sesamearch.base.schema import Fault
+from sesamearch.configuration.front import FrontBounds, FrontSettings
+from sesamearch.configuration.settings import PeerSettings
+
+__all__ = ["SETTINGS_VARIABLE", "load_front_settings", "read_front_settings"]
+
+SETTINGS_VARIABLE = "SESAMEARCH_SETTINGS"
+HEARTBEAT_INTERVAL_S = 0.25
+MS_PER_S = 1000.0
+
+
+class _Lines:
+    """The file's entries, with a fault for each that is missing or malformed."""
+
+    __slots__ = ("_entries", "_file", "faults")
+
+    def __init__(self, text, file):
+        self._file = file
+        self._entries = {}
+        self.faults = []
+        for number, line in enumerate(text.splitlines(), 1):
+            key, equals, value = line.partition("=")
+            if equals:
+                self._entries[key.strip()] = value.strip()
+            elif line.strip():
+                self._fault(f"line {number}", "key=value", line.strip())
+
+    def _fault(self, key, expected, found):
+        self.faults.append(Fault(self._file, key, expected, found))
+
+    def text(self, key):
+        value = self._entries.get(key, "")
+        if not value:
+            self._fault(key, "a value", "nothing")
+        return value
+
+    def number(self, key, default):
+        value = self._entries.get(key, "")
+        if not value:
+            return default
+        try:
+            return float(value)
+        except ValueError:
+            self._fault(key, "a number", value)
+            return default
+
+    def seconds(self, key, default):
+        """Return a time that the file gives in ms."""
+        return self.number(key, default * MS_PER_S) / MS_PER_S
+
+    def address(self, key):
+        value = self.text(key)
+        if value and not _is_address(value):
+            self._fault(key, "ip:port", value)
+        return value
+
+    def addresses(self, key):
+        values = [part.strip() for part in self._entries.get(key, "").split(",")]
+        return [value for value in values if _is_address(value)]
+
+    def first_port(self, key):
+        value = self.text(key).partition(",")[0]
+        if value and not value.isdigit():
+            self._fault(key, "port,port", value)
+        return value
+
+
+def _is_address(value):
+    host, colon, port = value.rpartition(":")
+    return bool(colon) and port.isdigit() and host.count(".") == 3
+
+
+def read_front_settings(text, file):
+    """Read the content of a settings file.
+
+    Parameters
+    ----------
+    text : str
+    file : str
+        Name used in faults.
+
+    Returns
+    -------
+    result.Result[FrontSettings, list of Fault]
+        Unknown keys are ignored, as the platform asks.
+    """
+    lines = _Lines(text, file)
+    address = lines.text("ip")
+    # "control-plane" is where other processes of the system may call this one; the
+    # seeds are such addresses.
+    peer = PeerSettings(
+        listen=lines.address("listen.control-plane"),
+        key_file="",
+        seeds=lines.addresses("seeds"),
+        heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
+    )
+    settings = FrontSettings(
+        name=lines.text("node-name"),
+        data_centre=lines.text("zone"),
+        listen=lines.address("listen.frontend"),
+        readiness_listen=lines.address("listen.readiness"),
+        metrics_listen=f"{address}:{lines.first_port('internal-ports')}",
+        store_address=lines.address("platform.address"),
+        peer=peer,
+        bounds=_read_bounds(lines),
+    )
+    return Err(lines.faults) if lines.faults else Ok(settings)
+
+
+def _read_bounds(lines):
+    default = FrontBounds()
+    return FrontBounds(
+        drain_s=lines.seconds("bounds.drain-ms", default.drain_s),
+        grace_s=lines.number("bounds.grace-s", default.grace_s),
+        retry_ratio=lines.number("bounds.retry-budget-ratio", default.retry_ratio),
+        retry_window_s=lines.number("bounds.budget-window-s", default.retry_window_s),
+        retry_slack=lines.number("bounds.budget-slack", default.retry_slack),
+        exposure_ratio=lines.number("bounds.exposure-share", default.exposure_ratio),
+        exposure_slack=lines.number("bounds.exposure-slack", default.exposure_slack),
+        rollback_s=lines.seconds("bounds.rollback-ms", default.rollback_s),
+    )
+
+
+def load_front_settings(path):
+    """Read a settings file; see :func:`read_front_settings`."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([Fault(str(path), "$", "a readable UTF-8 file", str(error))])
+    return read_front_settings(text, str(path))
--- /dev/null
+++ b/src/sesamearch/platform/store.py
@@ -0,0 +1,400 @@
+"""The platform's key-value service, behind the product's ``Store``."""
+
+import base64
+import binascii
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+
+from sesamearch.base.errors import ErrorKind, Problem
+from sesamearch.base.log import logger
+from sesamearch.store.store import KeyValue, Put, RangeReply, Store, TxnReply, Watch
+from sesamearch.wire.endpoint import AnswerReceiver, ConnectionPool, OutgoingRequest
+
+__all__ = ["PlatformStore"]
+
+CALL_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 0.7
+WATCH_WAIT_MS = 20_000
+# The answer to a watch that saw nothing may be late by so much.
+WATCH_MARGIN_S = 2.0
+RETRY_FIRST_S = 0.2
+RETRY_LONGEST_S = 1.0
+IDLE_REUSE_S = 2.0
+MS_PER_S = 1000.0
+OK = 200
+NOT_FOUND = 404
+CONFLICT = 412
+HISTORY_GONE = 410
+_JSON = (b"Content-Type", b"application/json")
+
+
+class _Item(msgspec.Struct, rename="kebab"):
+    key: str
+    # Standard base64 of any bytes.
+    value: str = ""
+    # The item's last change; zero where it is told as absent.
+    revision: int = 0
+    lease: int = 0
+    removed: bool = False
+
+
+class _Range(msgspec.Struct, rename="kebab"):
+    entries: list[_Item]
+    # The store's revision, not that of an item.
+    store_revision: int
+    more_pages: bool = False
+
+
+class _Events(msgspec.Struct, rename="kebab"):
+    events: list[_Item]
+    store_revision: int
+
+
+class _Expected(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _NewItem(msgspec.Struct):
+    key: str
+    value: str
+    lease: int = 0
+
+
+class _Transaction(msgspec.Struct, rename="kebab"):
+    expected_revision: list[_Expected]
+    puts: list[_NewItem]
+    deletes: list[str]
+
+
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class _Conflict(msgspec.Struct):
+    entries: list[_Item] = []
+
+
+class _Ttl(msgspec.Struct, rename="kebab"):
+    ttl_ms: int
+
+
+class _Lease(msgspec.Struct, rename="kebab"):
+    lease: int
+    ttl_ms: int
+
+
+class _Response(msgspec.Struct):
+    status: int
+    body: bytes
+
+
+class _Call(AnswerReceiver):
+    """Collects one answer of the store."""
+
+    __slots__ = ("_body", "_head", "done")
+
+    def __init__(self):
+        self.done = Deferred()
+        self._head = None
+        self._body = []
+
+    def _settle(self, result):
+        done, self.done = self.done, None
+        if done is not None:
+            done.callback(result)
+
+    def is_mine(self, head):
+        return True
+
+    def began(self, head):
+        self._head = head
+
+    def received(self, data):
+        self._body.append(data)
+
+    def ended(self):
+        self._settle(Ok(_Response(self._head.status, b"".join(self._body))))
+
+    def lost(self, loss):
+        self.fail(loss.value)
+
+    def fail(self, detail):
+        self._settle(Err(Problem(ErrorKind.STORE_UNAVAILABLE, detail)))
+
+
+def _decode(body, kind):
+    try:
+        return Ok(msgspec.json.decode(body, type=kind, strict=False))
+    except msgspec.DecodeError as error:
+        return Err(Problem(ErrorKind.STORE_UNAVAILABLE, str(error)))
+
+
+def _key_value(item):
+    value = base64.b64decode(item.value, validate=True)
+    return KeyValue(item.key.encode(), value, item.revision, item.lease)
+
+
+def _key_values(items):
+    """Return what can be read: other writers may leave anything."""
+    found = []
+    for item in items:
+        try:
+            found.append(_key_value(item))
+        except (binascii.Error, ValueError) as error:
+            logger.warning("store item unreadable key={} error={}", item.key, error)
+    return found
+
+
+def _puts(events):
+    puts = []
+    for event in events:
+        if event.removed:
+            puts.append(Put(event.key.encode(), None))
+            continue
+        puts += [Put(each.key, each.value, each.lease) for each in _key_values([event])]
+    return puts
+
+
+class _PlatformWatch(Watch):
+    """Asks again and again for what has changed."""
+
+    __slots__ = (
+        "_is_stopped",
+        "_path",
+        "_receiver",
+        "_retry",
+        "_retry_s",
+        "_revision",
+        "_store",
+    )
+
+    def __init__(self, store, prefix, revision, receiver):
+        self._store = store
+        self._path = b"/sesamearch/kv-watch?prefix=" + quote(prefix, safe="/").encode()
+        self._revision = revision
+        self._receiver = receiver
+        self._retry = None
+        self._retry_s = RETRY_FIRST_S
+        self._is_stopped = False
+        self._ask()
+
+    def cancel(self):
+        """Stop without calling the receiver again."""
+        self._is_stopped = True
+        if self._retry is not None and self._retry.active():
+            self._retry.cancel()
+
+    def _ask(self):
+        if self._is_stopped:
+            return
+        query = b"&after=%d&wait-ms=%d" % (self._revision, WATCH_WAIT_MS)
+        timeout_s = WATCH_WAIT_MS / MS_PER_S + WATCH_MARGIN_S
+        called = self._store.call(b"GET", self._path + query, timeout_s=timeout_s)
+        called.addCallback(self._take)
+
+    def _take(self, result):
+        if self._is_stopped:
+            return
+        status = result.unwrap().status if result.is_ok() else 0
+        if status == HISTORY_GONE:
+            self._is_stopped = True
+            self._receiver.ended()
+        elif status == OK:
+            self._take_events(_decode(result.unwrap().body, _Events))
+        else:
+            self._ask_later()
+
+    def _ask_later(self):
+        self._retry = self._store.clock.callLater(self._retry_s, self._ask)
+        self._retry_s = min(self._retry_s * 2, RETRY_LONGEST_S)
+
+    def _take_events(self, decoded):
+        if decoded.is_err():
+            logger.error("watch unreadable: {}", decoded.unwrap_err().detail)
+            self._ask_later()
+            return
+        reply = decoded.unwrap()
+        self._retry_s = RETRY_FIRST_S
+        self._revision = reply.store_revision
+        if reply.events:
+            self._receiver.changed(_puts(reply.events), reply.store_revision)
+        self._ask()
+
+
+class PlatformStore(Store):
+    """Calls of the platform's key-value service.
+
+    Parameters
+    ----------
+    reactor : twisted.internet.interfaces.IReactorTCP
+    address : str
+        ``ip:port``.
+
+    Attributes
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+    is_reachable : bool
+        Whether the last call was served.
+    regained_s : float
+        When the store last came back after a failure, on this process's clock.
+    calls : int
+        Calls made, each of which the platform counts.
+    """
+
+    def __init__(self, reactor, address):
+        self.clock = reactor
+        self.is_reachable = True
+        self.regained_s = float("-inf")
+        self.calls = 0
+        self._host = address.encode()
+        self._pool = ConnectionPool(
+            reactor, address, lambda head: IDLE_REUSE_S, CONNECT_TIMEOUT_S
+        )
+
+    def call(self, method, path, content=None, timeout_s=CALL_TIMEOUT_S):
+        """Make one call.
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of result.Result[_Response, Problem]
+        """
+        self.calls += 1
+        headers = [(b"Host", self._host)]
+        body = b""
+        if content is not None:
+            headers.append(_JSON)
+            body = msgspec.json.encode(content)
+        call = _Call()
+        done = call.done
+        request = OutgoingRequest(method, path, headers, body)
+        sending = self._pool.send(request, call)
+
+        def time_out():
+            sending.cancel()
+            call.fail("no answer in time")
+
+        timer = self.clock.callLater(timeout_s, time_out)
+        return done.addCallback(self._settle, timer)
+
+    def _settle(self, result, timer):
+        if timer.active():
+            timer.cancel()
+        is_served = result.is_ok() and result.unwrap().status not in (429, 503)
+        if is_served != self.is_reachable:
+            self._note_change(is_served, result)
+        return result
+
+    def _note_change(self, is_served, result):
+        self.is_reachable = is_served
+        if is_served:
+            self.regained_s = self.clock.seconds()
+            logger.info("store regained")
+            return
+        cause = result.unwrap_err().detail if result.is_err() else "refused"
+        logger.warning("store lost cause={}", cause)
+
+    async def _served(self, method, path, content=None):
+        """Return the response, or an error for one that says that nothing was done."""
+        result = await self.call(method, path, content)
+        if result.is_ok() and result.unwrap().status in (429, 503):
+            detail = f"status {result.unwrap().status}"
+            return Err(Problem(ErrorKind.STORE_UNAVAILABLE, detail))
+        return result
+
+    def range(self, prefix):
+        """Read all keys with a prefix; see ``Store``."""
+        return _with_kind(Deferred.fromCoroutine(self._range(prefix)))
+
+    async def _range(self, prefix):
+        path = b"/sesamearch/kv-range?prefix=" + quote(prefix, safe="/").encode()
+        items, revision, after = [], 0, b""
+        while True:
+            page_path = path + (b"&after=" + after if after else b"")
+            result = await self._served(b"GET", page_path)
+            if result.is_err():
+                return result
+            decoded = _decode(result.unwrap().body, _Range)
+            if decoded.is_err():
+                return decoded
+            page = decoded.unwrap()
+            items += page.entries
+            # Pages are no snapshot: a watch from the first one misses nothing.
+            revision = revision or page.store_revision
+            if not page.more_pages or not page.entries:
+                return Ok(RangeReply(revision, _key_values(items)))
+            after = quote(page.entries[-1].key, safe="/").encode()
+
+    def txn(self, comparisons, puts):
+        """Write if all comparisons hold; see ``Store``."""
+        return _with_kind(Deferred.fromCoroutine(self._txn(comparisons, puts)))
+
+    async def _txn(self, comparisons, puts):
+        content = _Transaction(
+            [_Expected(each.key.decode(), each.mod_revision) for each in comparisons],
+            [_new_item(put) for put in puts if put.value is not None],
+            [put.key.decode() for put in puts if put.value is None],
+        )
+        result = await self._served(b"POST", b"/sesamearch/kv-txn", content)
+        if result.is_err():
+            return result
+        response = result.unwrap()
+        if response.status == OK:
+            written = _decode(response.body, _Written)
+            return written.map(lambda reply: TxnReply(True, reply.revision, []))
+        if response.status == CONFLICT:
+            return _decode(response.body, _Conflict).map(_conflict)
+        return Err(_unexpected(response))
+
+    def grant_lease(self, ttl_s):
+        """Make a lease; see ``Store``."""
+        return _with_kind(Deferred.fromCoroutine(self._grant_lease(ttl_s)))
+
+    async def _grant_lease(self, ttl_s):
+        content = _Ttl(int(ttl_s * MS_PER_S))
+        result = await self._served(b"POST", b"/sesamearch/kv-lease", content)
+        if result.is_err():
+            return result
+        response = result.unwrap()
+        if response.status != OK:
+            return Err(_unexpected(response))
+        return _decode(response.body, _Lease).map(lambda reply: reply.lease)
+
+    def keep_lease(self, lease):
+        """Renew a lease; see ``Store``."""
+        return _with_kind(Deferred.fromCoroutine(self._keep_lease(lease)))
+
+    async def _keep_lease(self, lease):
+        result = await self._served(b"POST", b"/sesamearch/kv-keep/%d" % lease)
+        if result.is_err():
+            return result
+        status = result.unwrap().status
+        if status in (OK, NOT_FOUND):
+            return Ok(status == OK)
+        return Err(_unexpected(result.unwrap()))
+
+    def watch(self, prefix, revision, receiver):
+        """Watch a prefix; see ``Store``."""
+        return _PlatformWatch(self, prefix, revision, receiver)
+
+
+def _with_kind(done):
+    """Reduce the error of a Deferred result to its kind, as ``Store`` has it."""
+    return done.addCallback(lambda r: r.map_err(lambda problem: problem.kind))
+
+
+def _new_item(put):
+    value = base64.b64encode(put.value).decode()
+    return _NewItem(put.key.decode(), value, put.lease)
+
+
+def _conflict(reply):
+    found = _key_values([item for item in reply.entries if item.revision])
+    return TxnReply(False, 0, found)
+
+
+def _unexpected(response):
+    return Problem(ErrorKind.STORE_UNAVAILABLE, f"status {response.status}")
--- a/src/sesamearch/routing/__init__.py
+++ b/src/sesamearch/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Choice of an endpoint and the evidence of how endpoints do."""
+"""Routes, choice of an endpoint and the evidence of how endpoints do."""
 
 import lazy_loader
 
@@ -13,5 +13,15 @@
             "load_level",
         ],
         "placement": ["Placement"],
+        "table": [
+            "EngineTraits",
+            "Organisation",
+            "RequestLimits",
+            "Route",
+            "RouteKind",
+            "RoutingTable",
+            "ServiceSpec",
+            "ServiceWeight",
+        ],
     },
 )
--- /dev/null
+++ b/src/sesamearch/wire/__init__.py
@@ -0,0 +1,34 @@
+"""HTTP/1.1 connections to callers and endpoints, on h11."""
+
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "caller": [
+            "CallerConnection",
+            "CallerFactory",
+            "CallerLimits",
+            "Reply",
+            "ReplyListener",
+        ],
+        "endpoint": [
+            "AnswerReceiver",
+            "ConnectionPool",
+            "Loss",
+            "OutgoingRequest",
+            "Sending",
+            "keep_probing",
+        ],
+        "events": ["EventSplitter", "StreamEvent"],
+        "head": [
+            "HOP_BY_HOP",
+            "AnswerHead",
+            "HeadFault",
+            "HeadReader",
+            "RequestHead",
+            "first_value",
+            "strip_hop_by_hop",
+        ],
+    },
+)
--- /dev/null
+++ b/src/sesamearch/wire/caller.py
@@ -0,0 +1,422 @@
+"""Connections of callers: requests in, answers out, one at a time."""
+
+import abc
+
+import h11
+import msgspec
+from twisted.internet.protocol import Factory, Protocol
+
+from sesamearch.base.log import logger
+from sesamearch.wire.head import HeadFault, HeadReader, RequestHead
+
+__all__ = [
+    "CallerConnection",
+    "CallerFactory",
+    "CallerLimits",
+    "Reply",
+    "ReplyListener",
+]
+
+LINGER_S = 1.0
+BODY_STALL_S = 10.0
+CONTINUE = 100
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """What one caller may send, and how long it may take.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int
+    header_timeout_s : float
+        From the first byte of a request to the end of its head.
+    idle_timeout_s : float
+        From one request's answer to the next request.
+    """
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = 4 << 20
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 30.0
+
+
+class ReplyListener(abc.ABC):
+    """Who works on a request."""
+
+    @abc.abstractmethod
+    def caller_left(self):
+        """Take note that nobody waits for the answer any more."""
+
+
+class Reply:
+    """The answer to one request, written as it comes.
+
+    Parameters
+    ----------
+    connection : CallerConnection
+    """
+
+    __slots__ = ("_connection", "is_open", "listener")
+
+    def __init__(self, connection):
+        self._connection = connection
+        self.is_open = True
+        self.listener = None
+
+    def answer(self, status, headers, body, reason=b""):
+        """Send a whole answer."""
+        if not self.is_open:
+            return
+        headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        self._connection.send_head(status, reason, headers)
+        if body:
+            self._connection.send_data(body)
+        self.finish()
+
+    def start(self, status, headers, reason=b""):
+        """Send the head of an answer whose length is not known yet."""
+        if self.is_open:
+            chunked = (b"Transfer-Encoding", b"chunked")
+            self._connection.send_head(status, reason, [*headers, chunked])
+
+    def write(self, data):
+        """Send a part of the body."""
+        if self.is_open:
+            self._connection.send_data(data)
+
+    def finish(self):
+        """Mark the answer as whole."""
+        if self.is_open:
+            self.is_open = False
+            self._connection.finish()
+
+    def abort(self):
+        """Cut the answer so that it cannot pass for a whole one."""
+        if self.is_open:
+            self.is_open = False
+            self._connection.abort()
+
+    def relieve(self, source):
+        """Pause `source`, a push producer, while the caller reads slowly."""
+        self._connection.relieve(source)
+
+    def caller_left(self):
+        """Note that the connection is gone."""
+        if self.is_open:
+            self.is_open = False
+            if self.listener is not None:
+                self.listener.caller_left()
+
+
+class CallerConnection(Protocol):
+    """One connection of a caller.
+
+    Parameters
+    ----------
+    factory : CallerFactory
+    """
+
+    def __init__(self, factory):
+        self.factory = factory
+        self._clock = factory.clock
+        self._codec = None
+        self._head = None
+        self._body = []
+        self._body_bytes = 0
+        self._request = None
+        self._reply = None
+        self._reader = self._new_reader()
+        self._pending = []
+        self._timer = None
+        self._deadline_s = 0.0
+        self._idle_since_s = self._clock.seconds()
+        self._is_closing = False
+
+    def _new_reader(self):
+        return HeadReader(self.factory.limits().header_bytes)
+
+    def connectionMade(self):
+        """Begin to wait for a request."""
+        self.transport.setTcpNoDelay(True)
+        self.factory.connections.add(self)
+        self._wait_idle()
+
+    def connectionLost(self, reason):
+        """Tell whoever works on the request."""
+        self.factory.connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        reply, self._reply = self._reply, None
+        self._is_closing = True
+        if reply is not None:
+            reply.caller_left()
+
+    # Time limits. One timer a connection is re-armed lazily: most requests come
+    # long before it fires.
+
+    def _arm(self, timeout_s):
+        self._deadline_s = self._clock.seconds() + timeout_s
+        if self._timer is None:
+            self._timer = self._clock.callLater(timeout_s, self._timed_out)
+        elif self._timer.getTime() > self._deadline_s:
+            self._timer.reset(timeout_s)
+
+    def _wait_idle(self):
+        self._idle_since_s = self._clock.seconds()
+        self._arm(self.factory.limits().idle_timeout_s)
+
+    def _timed_out(self):
+        self._timer = None
+        if self._reply is not None or self._is_closing:
+            return
+        left_s = self._deadline_s - self._clock.seconds()
+        if self.is_idle:
+            # The limit may have been raised since this connection fell idle.
+            until_s = self._idle_since_s + self.factory.limits().idle_timeout_s
+            left_s = max(left_s, until_s - self._clock.seconds())
+        if left_s > 0:
+            self._timer = self._clock.callLater(left_s, self._timed_out)
+        elif self.is_idle:
+            self.transport.loseConnection()
+        else:
+            self._refuse(408, "request sent too slowly")
+
+    @property
+    def is_idle(self):
+        """Bool : whether no request is under way."""
+        return (
+            self._reply is None and self._codec is None and not self._reader.has_begun
+        )
+
+    # Reading.
+
+    def dataReceived(self, data):
+        """Take bytes of the caller."""
+        if self._is_closing:
+            return
+        if self._reply is not None:
+            self._keep_pending(data)
+            return
+        self._advance(data)
+
+    def _keep_pending(self, data):
+        self._pending.append(data)
+        if sum(map(len, self._pending)) > self.factory.limits().header_bytes:
+            self.transport.pauseProducing()
+
+    def _advance(self, data):
+        try:
+            if self._codec is None:
+                self._read_head(data)
+            elif data:
+                self._codec.receive_data(data)
+            if self._codec is not None:
+                self._read_events()
+        except HeadFault as fault:
+            self._refuse(fault.status, str(fault))
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint, str(error))
+
+    def _read_head(self, data):
+        if not self._reader.has_begun and data:
+            self._arm(self.factory.limits().header_timeout_s)
+        whole = self._reader.feed(data)
+        if whole is None:
+            return
+        head, rest = whole
+        self._codec = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.factory.limits().header_bytes
+        )
+        self._codec.receive_data(head)
+        if rest:
+            self._codec.receive_data(rest)
+        self._arm(BODY_STALL_S)
+
+    def _read_events(self):
+        while True:
+            event = self._codec.next_event()
+            if event is h11.NEED_DATA:
+                self._invite_body()
+                return
+            if isinstance(event, h11.Request):
+                self._take_head(event)
+            elif isinstance(event, h11.Data):
+                self._take_data(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._take_request()
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _invite_body(self):
+        if self._codec.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=CONTINUE, headers=[])
+            self.transport.write(self._codec.send(go_on))
+
+    def _take_head(self, event):
+        headers = list(event.headers.raw_items())
+        _check_framing(event)
+        self._head = RequestHead(event.method, event.target, headers)
+        self._check_size(int(_length_of(event)))
+
+    def _check_size(self, size_bytes):
+        if size_bytes > self.factory.limits().body_bytes:
+            raise HeadFault(413, "body too large")
+
+    def _take_data(self, data):
+        self._body.append(bytes(data))
+        self._body_bytes += len(data)
+        self._check_size(self._body_bytes)
+        self._arm(BODY_STALL_S)
+
+    def _take_request(self):
+        head, body = self._head, b"".join(self._body)
+        self._head, self._body, self._body_bytes = None, [], 0
+        self._reply = Reply(self)
+        self.factory.handler(head, body, self._reply)
+
+    # Writing.
+
+    def _refuse(self, status, detail):
+        """Answer what cannot be read, and close."""
+        self._is_closing = True
+        self.factory.refused(status, detail)
+        lines = (
+            b"HTTP/1.1 %d \r\nConnection: close\r\nContent-Length: 0\r\n\r\n" % status
+        )
+        self.transport.write(lines)
+        self._close_gently()
+
+    def _close_gently(self):
+        """Close so that what was written arrives though more may be sent to us."""
+        self.transport.loseWriteConnection()
+        self._clock.callLater(LINGER_S, self.transport.abortConnection)
+
+    def send_head(self, status, reason, headers):
+        """Write the head of the answer."""
+        if self.factory.is_draining:
+            headers = [*headers, (b"Connection", b"close")]
+        head = h11.Response(status_code=status, reason=reason, headers=headers)
+        self.transport.write(self._codec.send(head))
+
+    def send_data(self, data):
+        """Write a part of the answer's body."""
+        self.transport.write(self._codec.send(h11.Data(data=data)))
+
+    def finish(self):
+        """End the answer and go on with what the caller sent meanwhile."""
+        try:
+            last = self._codec.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            logger.error("answer of a wrong length: {}", error)
+            self.abort()
+            return
+        if last:
+            self.transport.write(last)
+        self._reply = None
+        self.transport.unregisterProducer()
+        if self._codec.our_state is not h11.DONE or (
+            self._codec.their_state is not h11.DONE
+        ):
+            self._is_closing = True
+            self.transport.loseConnection()
+            return
+        self._next_request()
+
+    def _next_request(self):
+        rest, _ = self._codec.trailing_data
+        waiting = bytes(rest) + b"".join(self._pending)
+        self._codec = None
+        self._pending = []
+        self._reader = self._new_reader()
+        self._wait_idle()
+        self.transport.resumeProducing()
+        if waiting:
+            self._clock.callLater(0, self._take_waiting, waiting)
+
+    def _take_waiting(self, data):
+        if not self._is_closing:
+            self.dataReceived(data)
+
+    def abort(self):
+        """Reset the connection."""
+        self._is_closing = True
+        self._reply = None
+        self.transport.abortConnection()
+
+    def relieve(self, source):
+        """Pause a push producer while the caller reads slowly."""
+        self.transport.unregisterProducer()
+        if source is not None and not self._is_closing:
+            self.transport.registerProducer(source, True)
+
+    def close_if_idle(self):
+        """Close unless a request is under way."""
+        if self.is_idle and not self._is_closing:
+            self._is_closing = True
+            self.transport.loseConnection()
+
+
+def _check_framing(event):
+    """Refuse a body whose length two parsers could see differently.
+
+    Raises
+    ------
+    HeadFault
+    """
+    names = [name for name, _ in event.headers]
+    has_chunks = b"transfer-encoding" in names
+    if has_chunks and b"content-length" in names:
+        raise HeadFault(400, "both a length and chunks")
+    if has_chunks and event.http_version < b"1.1":
+        raise HeadFault(400, "chunks in HTTP/1.0")
+    if names.count(b"host") != 1:
+        raise HeadFault(400, "not exactly one host")
+
+
+def _length_of(event):
+    for name, value in event.headers:
+        if name == b"content-length":
+            return value
+    return 0
+
+
+class CallerFactory(Factory):
+    """Makes the connections of one listener.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+    handler : callable
+        Called with a :class:`RequestHead`, the body and a :class:`Reply`.
+    limits : callable
+        Gives the :class:`CallerLimits` in force.
+    refused : callable
+        Called with status and detail of each request that cannot be read.
+
+    Attributes
+    ----------
+    connections : set of CallerConnection
+    is_draining : bool
+        Whether each answer asks the caller to close.
+    """
+
+    noisy = False
+
+    def __init__(self, clock, handler, limits, refused):
+        self.clock = clock
+        self.handler = handler
+        self.limits = limits
+        self.refused = refused
+        self.connections = set()
+        self.is_draining = False
+
+    def buildProtocol(self, address):
+        """Return a connection."""
+        return CallerConnection(self)
+
+    def close_idle(self):
+        """Close connections that wait for a request."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
