Ask for a copy of an engine's memory only once

Cause: after an engine was lost, the engine that keeps a copy was asked for it; when it had none it refused, and the next backup, chosen just then, was asked for a copy that could not exist yet, and so on until the stream was cut.

Also: a head cut between carriage return and line feed was refused as malformed (found by a derandomized split test), and a call that all endpoints refused said "no endpoint" instead of "too busy".

Change: the copy is remembered for one send. A last carriage return is left open.

--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -79,10 +79,23 @@
     settings : FrontSettings
     lines : LineQueue or None
         Log lines to be written at intervals.
+    listen : callable, optional
+        Listens on an address: see :func:`listen_directly`.
+    link_type : type, optional
+        Link to the other routers: see :class:`PeerLink`.
     """
 
-    def __init__(self, reactor, settings, lines=None):
+    def __init__(
+        self,
+        reactor,
+        settings,
+        lines=None,
+        listen=listen_directly,
+        link_type=PeerLink,
+    ):
         self._reactor = reactor
+        self._listen = listen
+        self._link_type = link_type
         self._settings = settings
         self._lines = lines
         self.board = Blackboard(RoutingTable())
@@ -172,8 +185,8 @@
         for follower in self._followers:
             follower.start()
         try:
-            listen_directly(self._reactor, self._settings.listen, self._factory)
-            listen_directly(
+            self._listen(self._reactor, self._settings.listen, self._factory)
+            self._listen(
                 self._reactor, self._settings.readiness_listen, self._readiness
             )
         except CannotListenError as error:
@@ -202,7 +215,7 @@
             pause = Deferred()
             self._reactor.callLater(KEYS_RETRY_S, pause.callback, None)
             await pause
-        self._peers = PeerLink(
+        self._peers = self._link_type(
             self._reactor,
             self._settings,
             keys.unwrap(),
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -29,6 +29,7 @@
         self._is_idempotent = self.route.kind is RouteKind.IDEMPOTENT
         self._runs = 0
         self._hedge = None
+        self._cause = ErrorKind.NO_ENDPOINT
         self._failure = None
         self._passed_on = None
         self._held_bytes = 0
@@ -40,7 +41,7 @@
     def _send(self):
         endpoint = self.tools.chooser.for_call(self.service.name, self.excluded)
         if endpoint is None:
-            self._give_up(ErrorKind.NO_ENDPOINT, "no endpoint left to try")
+            self._give_up(self._cause, "no endpoint left to try")
             return
         self.excluded.add(endpoint.name)
         passage = Passage(
@@ -73,6 +74,7 @@
         """Send once more after a try brought nothing, or give up."""
         if self.tries:
             return
+        self._cause = kind
         if self._may_send() and self.may_repeat():
             self._send()
         else:
@@ -84,7 +86,8 @@
         if self._failure is not None:
             self._deliver(self._failure)
             return
-        if self._runs and kind is ErrorKind.NO_ENDPOINT:
+        if self._runs:
+            # It may have run somewhere: "not run" would be a promise.
             kind = ErrorKind.ENDPOINT_LOST
         self.refuse(kind, detail, RETRY_ADVICE_S)
 
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -144,8 +144,9 @@
     def _choose(self):
         """Return the endpoint to send to and the memory to go on from."""
         backup, self._backup = self._backup, None
+        has_copy, self._has_copy = self._has_copy, False
         self._end_backup_work()
-        if backup is not None and self._has_copy:
+        if backup is not None and has_copy:
             endpoint = self.tools.fleet.at_address(backup.address)
             if endpoint is not None and self._is_usable(endpoint):
                 return endpoint, backup
--- /dev/null
+++ b/src/sesamearch/standin/platform_store.py
@@ -0,0 +1,200 @@
+"""The users' platform's store, as its protocol page describes it."""
+
+import base64
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from sesamearch.store.store import Comparison, MemoryStore, Put, WatchReceiver
+
+__all__ = ["PlatformStoreStandin"]
+
+JSON_HEADERS = [(b"Content-Type", b"application/json")]
+MS_PER_S = 1000.0
+
+
+class _Waiting(WatchReceiver):
+    """A watch call that waits for its first event."""
+
+    def __init__(self, standin, reply):
+        self._standin = standin
+        self._reply = reply
+        self.watch = None
+        self.timer = None
+        self.is_over = False
+
+    def changed(self, puts, revision):
+        """Answer with the events of one revision."""
+        events = [_event(put, revision) for put in puts]
+        self.finish({"events": events, "store-revision": revision})
+
+    def ended(self):
+        """Answer that the history is gone."""
+        self._close()
+        self._standin.answer(self._reply, 410, {})
+
+    def nothing(self):
+        """Answer at the end of the wait."""
+        revision = self._standin.state.revision
+        self.finish({"events": [], "store-revision": revision})
+
+    def finish(self, content):
+        """Answer once."""
+        if not self.is_over:
+            self._close()
+            self._standin.answer(self._reply, 200, content)
+
+    def _close(self):
+        self.is_over = True
+        self._standin.waiting.discard(self)
+        if self.watch is not None:
+            self.watch.cancel()
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+    def caller_left(self):
+        """Forget a caller who closed its connection."""
+        self._close()
+
+
+def _event(put, revision):
+    key = put.key.decode()
+    if put.value is None:
+        return {"key": key, "revision": revision, "removed": True}
+    value = base64.b64encode(put.value).decode()
+    return {"key": key, "value": value, "revision": revision, "lease": put.lease}
+
+
+def _item(stored):
+    return {
+        "key": stored.key.decode(),
+        "value": base64.b64encode(stored.value).decode(),
+        "revision": stored.mod_revision,
+        "lease": stored.lease,
+    }
+
+
+class PlatformStoreStandin:
+    """Answers the store's calls out of memory; used as a handler of requests.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+
+    Attributes
+    ----------
+    state : MemoryStore
+    refusal : int
+        Status that all calls get, zero for none.
+    is_silent : bool
+        Whether calls get no answer.
+    lost_answers : int
+        Writes that are done and not answered.
+    oldest_revision : int
+        Watches from before it get 410.
+    page_items : int
+        Items in one page.
+    calls : int
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.state = MemoryStore(clock)
+        self.refusal = 0
+        self.is_silent = False
+        self.lost_answers = 0
+        self.oldest_revision = 0
+        self.page_items = 500
+        self.calls = 0
+        self.waiting = set()
+
+    def put(self, key, content):
+        """Write one key as another writer would; bytes are stored as they are."""
+        value = content if isinstance(content, bytes) else msgspec.json.encode(content)
+        self.state.txn([], [Put(key.encode(), value)])
+
+    def remove(self, key):
+        """Delete one key."""
+        self.state.txn([], [Put(key.encode(), None)])
+
+    def forget_history(self):
+        """Drop the history and cut the watches."""
+        self.oldest_revision = self.state.revision
+        for waiting in list(self.waiting):
+            waiting.ended()
+
+    def __call__(self, head, body, reply):
+        """Answer one request."""
+        self.calls += 1
+        if self.is_silent:
+            return
+        if self.refusal:
+            self.answer(reply, self.refusal, {})
+            return
+        target = urlsplit(head.target.decode())
+        query = {key: values[0] for key, values in parse_qs(target.query).items()}
+        name = target.path.removeprefix("/sesamearch/").partition("/")[0]
+        handler = getattr(self, "_" + name.replace("-", "_"))
+        handler(query or target.path, body, reply)
+
+    def answer(self, reply, status, content):
+        """Send one answer."""
+        reply.answer(status, JSON_HEADERS, msgspec.json.encode(content))
+
+    def _kv_range(self, query, body, reply):
+        found = self.state.range(query.get("prefix", "").encode())
+        after = query.get("after", "").encode()
+        items = [item for item in found.items if item.key > after]
+        page = items[: self.page_items]
+        content = {
+            "entries": [_item(item) for item in page],
+            "more-pages": len(items) > len(page),
+            "store-revision": found.revision,
+        }
+        self.answer(reply, 200, content)
+
+    def _kv_watch(self, query, body, reply):
+        revision = int(query["after"])
+        if revision < self.oldest_revision:
+            self.answer(reply, 410, {})
+            return
+        waiting = _Waiting(self, reply)
+        reply.listener = waiting
+        self.waiting.add(waiting)
+        prefix = query.get("prefix", "").encode()
+        waiting.watch = self.state.watch(prefix, revision, waiting)
+        if waiting.is_over:
+            waiting.watch.cancel()
+            return
+        wait_s = int(query["wait-ms"]) / MS_PER_S
+        waiting.timer = self._clock.callLater(wait_s, waiting.nothing)
+
+    def _kv_txn(self, query, body, reply):
+        content = msgspec.json.decode(body)
+        comparisons = [
+            Comparison(row["key"].encode(), row["revision"])
+            for row in content["expected-revision"]
+        ]
+        puts = [
+            Put(row["key"].encode(), base64.b64decode(row["value"]), row["lease"])
+            for row in content["puts"]
+        ]
+        puts += [Put(key.encode(), None) for key in content["deletes"]]
+        outcome = self.state.txn(comparisons, puts)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            reply.abort()
+        elif outcome.succeeded:
+            self.answer(reply, 200, {"revision": outcome.revision})
+        else:
+            found = {"entries": [_item(item) for item in outcome.found]}
+            self.answer(reply, 412, found)
+
+    def _kv_lease(self, query, body, reply):
+        ttl_ms = msgspec.json.decode(body)["ttl-ms"]
+        lease = self.state.grant_lease(ttl_ms / MS_PER_S)
+        self.answer(reply, 200, {"lease": lease, "ttl-ms": ttl_ms})
+
+    def _kv_keep(self, path, body, reply):
+        is_kept = self.state.keep_lease(int(path.rpartition("/")[2]))
+        self.answer(reply, 200 if is_kept else 404, {"ttl-ms": 0})
--- /dev/null
+++ b/src/sesamearch/standin/platform_worker.py
@@ -0,0 +1,260 @@
+"""The users' platform's workers: plain services and model engines with slots."""
+
+import msgspec
+
+from sesamearch.wire.caller import ReplyListener
+from sesamearch.wire.head import first_value
+
+__all__ = ["EngineStandin", "ServiceStandin", "WorkerRun"]
+
+MS_PER_S = 1000.0
+TOKENS_PER_S = 8000.0
+EVENT_GAP_S = 0.03
+EVENTS = 20
+
+
+class WorkerRun(msgspec.Struct):
+    """One request that a worker began to work on.
+
+    Parameters
+    ----------
+    request_id, path : str
+    organisation : str
+    body : bytes
+    after_event : int or None
+    began_s : float
+    prompt_tokens : int
+        That had to be read.
+    ended : str
+        ``whole``, ``left`` or ``crashed``; empty while it runs.
+    """
+
+    request_id: str
+    path: str
+    organisation: str
+    body: bytes
+    after_event: int | None
+    began_s: float
+    prompt_tokens: int = 0
+    ended: str = ""
+
+
+def _text(head, name):
+    value = first_value(head.headers, name)
+    return "" if value is None else value.decode()
+
+
+class ServiceStandin:
+    """A plain worker: answers after some work, refuses when it is full.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+    name : str
+        Its instance id.
+    slots : int
+    work_s : float
+
+    Attributes
+    ----------
+    runs : list of WorkerRun
+    status : int
+        Of its answers.
+    fault : str
+        ``mute``, ``reset``, ``truncate``, ``twice``, ``late`` or ``unframed``; empty
+        for none.
+    """
+
+    def __init__(self, clock, name, slots=6, work_s=0.02):
+        self.clock = clock
+        self.name = name
+        self.slots = slots
+        self.work_s = work_s
+        self.runs = []
+        self.running = 0
+        self.status = 200
+        self.fault = ""
+        self.is_healthy = True
+
+    def __call__(self, head, body, reply):
+        """Take one request."""
+        wanted = _text(head, b"x-target-instance")
+        headers = [(b"X-Attempt-Id", _text(head, b"x-attempt-id").encode())]
+        if wanted and wanted != self.name:
+            headers.append((b"X-Instance-Id", self.name.encode()))
+            reply.answer(421, headers, b"")
+        elif self.running >= self.slots:
+            reply.answer(503, [*headers, (b"X-Not-Executed", b"1")], b"")
+        else:
+            self._begin(head, body, reply, headers)
+
+    def _begin(self, head, body, reply, headers):
+        after = _text(head, b"last-event-id")
+        run = WorkerRun(
+            _text(head, b"x-attempt-id"),
+            head.target.decode(),
+            _text(head, b"x-tenant"),
+            body,
+            int(after) if after else None,
+            self.clock.seconds(),
+        )
+        self.runs.append(run)
+        self.running += 1
+        signature = f"sig.{self.name}.{run.request_id}".encode()
+        work = self.make_work(
+            run, head, reply, [*headers, (b"X-Response-Signature", signature)]
+        )
+        reply.listener = work
+        work.start()
+
+    def make_work(self, run, head, reply, headers):
+        """Return the work on one request."""
+        return _CallWork(self, run, reply, headers)
+
+    def ended(self, run, how):
+        """Note the end of a run."""
+        if not run.ended:
+            run.ended = how
+            self.running -= 1
+
+    @property
+    def served(self):
+        """List of str : ids of the requests that ran."""
+        return [run.request_id for run in self.runs]
+
+
+class _CallWork(ReplyListener):
+    """Work on a plain request."""
+
+    def __init__(self, worker, run, reply, headers):
+        self._worker = worker
+        self._run = run
+        self._reply = reply
+        self._headers = headers
+
+    def start(self):
+        """Begin to work."""
+        self._worker.clock.callLater(self._worker.work_s, self._finish)
+
+    def _finish(self):
+        worker = self._worker
+        worker.ended(self._run, "whole")
+        body = f"answer of {worker.name} to {self._run.request_id}".encode()
+        if worker.fault == "mute":
+            return
+        if worker.fault == "reset":
+            self._reply.abort()
+            return
+        if worker.fault == "truncate":
+            self._reply.start(worker.status, self._headers)
+            self._reply.write(body[:5])
+            self._reply.abort()
+            return
+        self._reply.answer(worker.status, self._headers, body)
+
+    def caller_left(self):
+        """Stop working."""
+        self._worker.ended(self._run, "left")
+
+
+class EngineStandin(ServiceStandin):
+    """A model engine: reads the prompt, then sends events; resumes behind an event.
+
+    Attributes
+    ----------
+    copies : dict from str to int
+        Tokens held for runs of other engines, by request id.
+    is_dark : bool
+        Whether it sends nothing, without a reset.
+    """
+
+    def __init__(self, clock, name, slots=12, events=EVENTS):
+        super().__init__(clock, name, slots)
+        self.events = events
+        self.copies = {}
+        self.is_dark = False
+        self._works = []
+
+    def __call__(self, head, body, reply):
+        """Take one request."""
+        if self.is_dark:
+            return
+        if head.target == b"/sesamearch/report":
+            reply.answer(200, [], b'{"active": %d}' % self.running)
+            return
+        source = _text(head, b"kv-from")
+        if source and source.rpartition("/")[2] not in self.copies:
+            reply_headers = [
+                (b"X-Attempt-Id", _text(head, b"x-attempt-id").encode()),
+                (b"X-Not-Executed", b"1"),
+            ]
+            reply.answer(503, reply_headers, b"")
+            return
+        super().__call__(head, body, reply)
+
+    def make_work(self, run, head, reply, headers):
+        """Return the work on one generation."""
+        tokens = int(_text(head, b"x-token-usage").partition(",")[0] or 0)
+        if _text(head, b"kv-from"):
+            del self.copies[run.request_id]
+            tokens = 0
+        run.prompt_tokens = tokens
+        work = _GenerationWork(self, run, reply, headers)
+        self._works.append(work)
+        return work
+
+    def crash(self):
+        """Reset all connections and forget everything."""
+        for work in list(self._works):
+            work.crash()
+        self._works = []
+        self.copies = {}
+
+
+class _GenerationWork(ReplyListener):
+    """Work on one generation."""
+
+    def __init__(self, engine, run, reply, headers):
+        self._engine = engine
+        self._run = run
+        self._reply = reply
+        self._headers = [*headers, (b"Content-Type", b"text/event-stream")]
+        self._next = 0 if run.after_event is None else run.after_event + 1
+        self._timer = None
+
+    def start(self):
+        """Read the prompt."""
+        delay_s = self._run.prompt_tokens / TOKENS_PER_S + EVENT_GAP_S
+        self._timer = self._engine.clock.callLater(delay_s, self._first)
+
+    def _first(self):
+        if not self._engine.is_dark:
+            self._reply.start(200, self._headers)
+        self._event()
+
+    def _event(self):
+        engine = self._engine
+        if self._next >= engine.events:
+            engine.ended(self._run, "whole")
+            if not engine.is_dark:
+                self._reply.finish()
+            return
+        if not engine.is_dark:
+            self._reply.write(b"id: %d\ndata: piece %d\n\n" % (self._next, self._next))
+        self._next += 1
+        self._timer = engine.clock.callLater(EVENT_GAP_S, self._event)
+
+    def _stop(self, how):
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._engine.ended(self._run, how)
+
+    def caller_left(self):
+        """Stop working."""
+        self._stop("left")
+
+    def crash(self):
+        """Stop with a reset."""
+        if not self._run.ended:
+            self._stop("crashed")
+            self._reply.abort()
--- a/src/sesamearch/wire/head.py
+++ b/src/sesamearch/wire/head.py
@@ -160,6 +160,6 @@
     def _check_open(self):
         if len(self._buffer) > self._limit_bytes:
             raise HeadFault(431, "head too large")
-        # The last byte may be half of a line end.
-        if _FOLDED_OR_BARE.search(self._buffer[:-1]):
+        # A last carriage return may be half of a line end.
+        if _FOLDED_OR_BARE.search(self._buffer.removesuffix(b"\r")):
             raise HeadFault(400, "folded line or bare line end in the head")
--- /dev/null
+++ b/tests/platform/world.py
@@ -0,0 +1,315 @@
+"""A small deployment on the users' platform, in memory and on a virtual clock."""
+
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from sesamearch.configuration.front import FrontSettings
+from sesamearch.configuration.settings import PeerSettings
+from sesamearch.daemon.front import Front
+from sesamearch.standin.network import MemoryNetwork
+from sesamearch.standin.platform_store import PlatformStoreStandin
+from sesamearch.standin.platform_worker import EngineStandin, ServiceStandin
+from sesamearch.wire.caller import CallerFactory, CallerLimits
+
+STORE = "10.9.0.1:8700"
+HOST = "desk.example"
+KEY = "key-of-bench"
+ENGINE = {"slots": 12, "kv-capacity": 88000, "stride": 8, "backups": True}
+ROUTES = [
+    {
+        "name": "post",
+        "host": HOST,
+        "prefix": "/post/",
+        "type": "unsafe",
+        "timeout-ms": 800,
+        "latency-goal-ms": 100,
+        "priority": 2,
+        "service": "desk",
+        "max-attempts": 1,
+    },
+    {
+        "name": "look",
+        "host": HOST,
+        "prefix": "/look/",
+        "type": "safe",
+        "timeout-ms": 800,
+        "latency-goal-ms": 100,
+        "priority": 2,
+        "service": "desk",
+        "max-attempts": 2,
+    },
+    {
+        "name": "draft",
+        "host": HOST,
+        "prefix": "/draft/",
+        "type": "streaming",
+        "timeout-ms": 25000,
+        "latency-goal-ms": 4500,
+        "gap-target-ms": 700,
+        "priority": 1,
+        "service": "models",
+        "max-attempts": 5,
+        "resumable": True,
+        "sticky": True,
+    },
+]
+
+
+def make_configuration(version=7, routes=ROUTES, keys=(KEY,), **more):
+    """Return the content of the operators' configuration."""
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [
+            {"name": "desk", "health-path": "/healthz", "max-conns": 110},
+            {"name": "models", "max-conns": 160, "engine": ENGINE},
+        ],
+        "limits": {
+            "max-header-bytes": 4096,
+            "max-body-bytes": 100_000,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [{"name": "bench", "api-keys": list(keys), "priority": 1}],
+        **more,
+    }
+
+
+class MemoryLink:
+    """A link to the other routers of one world, without sockets."""
+
+    world = None
+
+    def __init__(self, reactor, settings, keys, board, decode):
+        self._settings = settings
+        self._board = board
+        self._decode = decode
+        self._handlers = {}
+        self.is_cut = False
+
+    def start(self):
+        self.world.links[self._settings.peer.listen] = self
+        self._board.configuration.listen(lambda table: self._tell())
+
+    def _tell(self):
+        for link in self._others():
+            link.world.network.callLater(0.5, link.hear_configuration, self._board)
+
+    def hear_configuration(self, board):
+        table = board.configuration.value
+        if not self.is_cut and table.revision:
+            self._board.accept_configuration(self._decode(table.to_json()).unwrap())
+
+    def handle(self, message_type, handler):
+        self._handlers[message_type] = handler
+
+    def _others(self):
+        if self.is_cut:
+            return []
+        links = self.world.links.values()
+        return [link for link in links if link is not self and not link.is_cut]
+
+    def send_to_all(self, message):
+        for link in self._others():
+            self.world.network.callLater(0.001, link.take, message)
+
+    def send_to_address(self, address, message):
+        link = self.world.links.get(address)
+        if link in self._others():
+            self.world.network.callLater(0.001, link.take, message)
+
+    def take(self, message):
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+
+
+class RawClient(Protocol):
+    """A caller that sends bytes and keeps what it gets."""
+
+    def __init__(self):
+        self.received = b""
+        self.is_closed = False
+        self.was_reset = False
+
+    def dataReceived(self, data):
+        self.received += data
+
+    def connectionLost(self, reason):
+        self.is_closed = True
+        self.was_reset = reason.type.__name__ == "ConnectionLost"
+
+    def send(self, *parts):
+        self.transport.write(b"".join(parts))
+        return self
+
+    @property
+    def status(self):
+        return int(self.received.split(b" ", 2)[1]) if self.received else 0
+
+    @property
+    def statuses(self):
+        heads = self.received.split(b"HTTP/1.1 ")[1:]
+        return [int(head[:3]) for head in heads]
+
+    @property
+    def pieces(self):
+        """Numbers of the events received, in order."""
+        lines = self.received.split(b"\n")
+        return [int(line[4:]) for line in lines if line.startswith(b"id: ")]
+
+    @property
+    def is_whole(self):
+        return self.received.endswith(b"0\r\n\r\n")
+
+
+class _RawFactory(ClientFactory):
+    noisy = False
+
+    def __init__(self):
+        self.client = RawClient()
+
+    def buildProtocol(self, address):
+        return self.client
+
+
+def request_bytes(path, request_id="r1", method="GET", body=b"", **headers):
+    """Return a request as bytes; keyword names become header names."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Attempt-Id: {request_id}",
+        f"Authorization: Token {KEY}",
+    ]
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    fields = {"X-Deadline-Ms": "1500", **named}
+    if body or method == "POST":
+        fields.setdefault("Content-Length", str(len(body)))
+    for name, value in fields.items():
+        if value is not None:
+            lines.append(f"{name}: {value}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def draft_bytes(request_id="r1", prompt_tokens=800, **headers):
+    """Return a generation's request as bytes."""
+    fields = {
+        "X-Model": "m",
+        "X-Token-Usage": f"{prompt_tokens},160",
+        "X-Prompt-Prefix": f"5c1e:200,91bd:{prompt_tokens - 200}",
+        "X-Deadline-Ms": "25000",
+        **headers,
+    }
+    return request_bytes("/draft/1", request_id, "POST", b"prompt", **fields)
+
+
+class World:
+    """Store, workers and routers.
+
+    Parameters
+    ----------
+    routers : int
+    desks, engines : int
+        Plain workers and model engines, by turns in two data centres.
+    """
+
+    def __init__(self, routers=1, desks=2, engines=3):
+        self.network = MemoryNetwork()
+        self.links = {}
+        self.store = PlatformStoreStandin(self.network)
+        self._serve(STORE, self.store)
+        self.store.put("op/config", make_configuration())
+        self.desks = [self.add_desk(number) for number in range(desks)]
+        self.engines = [self.add_engine(number) for number in range(engines)]
+        self.fronts = [self.add_front(number) for number in range(routers)]
+        self.run(0.1)
+
+    def run(self, seconds):
+        self.network.run(seconds)
+
+    def _serve(self, address, handler):
+        factory = CallerFactory(
+            self.network, handler, CallerLimits, lambda status, detail: None
+        )
+        self.network.listen(address, factory)
+        return factory
+
+    def _list(self, name, service, address, zone, slots, **more):
+        entry = {
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "version": "v1",
+            "slots": slots,
+            "state": "ready",
+            "cold-left-ms": 0,
+            "sequence": 1,
+            **more,
+        }
+        self.store.put(f"servers/{name}", entry)
+
+    def add_desk(self, number, **more):
+        worker = ServiceStandin(self.network, f"desk-{number}")
+        worker.address = f"10.1.0.{number + 1}:8000"
+        worker.factory = self._serve(worker.address, worker)
+        self._list(worker.name, "desk", worker.address, _zone(number), 6, **more)
+        return worker
+
+    def add_engine(self, number, **more):
+        worker = EngineStandin(self.network, f"engine-{number}")
+        worker.address = f"10.2.0.{number + 1}:8000"
+        worker.factory = self._serve(worker.address, worker)
+        self._list(worker.name, "models", worker.address, _zone(number), 12, **more)
+        return worker
+
+    def relist(self, worker, service, number, **more):
+        """Write a worker's entry anew."""
+        self._list(
+            worker.name, service, worker.address, _zone(number), worker.slots, **more
+        )
+
+    def add_front(self, number):
+        settings = FrontSettings(
+            name=f"router-{number}",
+            data_centre=_zone(number),
+            listen=f"10.0.0.{number + 1}:8740",
+            readiness_listen=f"10.0.0.{number + 1}:8749",
+            metrics_listen=f"10.0.0.{number + 1}:7200",
+            store_address=STORE,
+            peer=PeerSettings(f"10.0.0.{number + 1}:8748", ""),
+        )
+        link_type = type("Link", (MemoryLink,), {"world": self})
+        front = Front(
+            self.network,
+            settings,
+            listen=lambda reactor, address, factory: reactor.listen(address, factory),
+            link_type=link_type,
+        )
+        front.start().unwrap()
+        return front
+
+    def connect(self, number=0, port=8740):
+        """Return a client connected to a router."""
+        factory = _RawFactory()
+        self.network.connectTCP(f"10.0.0.{number + 1}", port, factory)
+        self.run(0.01)
+        return factory.client
+
+    def ask(self, data, number=0, wait_s=1.0):
+        """Send a request on a new connection and let time pass."""
+        client = self.connect(number).send(data)
+        self.run(wait_s)
+        return client
+
+    def crash(self, worker):
+        """End an engine: connections are reset, new ones refused."""
+        self.network.close(worker.address)
+        worker.crash()
+
+    def go_dark(self, worker):
+        """Silence an engine: its connections hang, new ones too."""
+        worker.is_dark = True
+        self.network.dark.add(worker.address)
+
+
+def _zone(number):
+    return "east" if number % 2 == 0 else "west"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,12 +6,15 @@
 # Lowest first: a package imports only from itself and from those before it.
 LAYERS = (
     "base",
+    "wire",
     "store",
     "configuration",
     "routing",
+    "forwarding",
     "generation",
     "operation",
     "membership",
+    "platform",
     "rollout",
     "callers",
     "daemon",
--- /dev/null
+++ b/tests/wire/test_caller.py
@@ -0,0 +1,232 @@
+"""Callers byte by byte: what is read, what is refused, what stays apart."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.protocol import ClientFactory
+
+from sesamearch.standin.network import MemoryNetwork
+from sesamearch.wire.caller import CallerFactory, CallerLimits
+from tests.platform.world import RawClient
+
+ADDRESS = "10.0.0.1:80"
+LIMITS = CallerLimits(1000, 500, header_timeout_s=3, idle_timeout_s=10)
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+CHUNKS = b"5\r\nhello\r\n0\r\n\r\n"
+
+
+class Server:
+    """A listener that answers each request with its own target and body."""
+
+    def __init__(self, limits=LIMITS):
+        self.network = MemoryNetwork()
+        self.limits = limits
+        self.requests = []
+        self.replies = []
+        self.answers = True
+        self.factory = CallerFactory(
+            self.network, self.handle, lambda: self.limits, lambda status, detail: None
+        )
+        self.network.listen(ADDRESS, self.factory)
+
+    def handle(self, head, body, reply):
+        self.requests.append((head.method, head.target, body))
+        self.replies.append(reply)
+        if self.answers:
+            reply.answer(200, [(b"X-Target", head.target)], body)
+
+    def connect(self):
+        factory = ClientFactory()
+        client = RawClient()
+        factory.buildProtocol = lambda address: client
+        self.network.connectTCP("10.0.0.1", 80, factory)
+        self.network.run(0.01)
+        return client
+
+    def send(self, *parts, wait_s=0.1):
+        client = self.connect()
+        for part in parts:
+            client.send(part)
+            self.network.run(wait_s)
+        return client
+
+
+class TestRequests(unittest.TestCase):
+    def setUp(self):
+        self.server = Server()
+
+    def test_body_with_length(self):
+        data = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+        self.assertEqual(self.server.send(data).status, 200)
+        self.assertEqual(self.server.requests, [(b"POST", b"/a", b"hello")])
+
+    def test_body_in_chunks(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.assertEqual(self.server.send(head + CHUNKS).status, 200)
+        self.assertEqual(self.server.requests, [(b"POST", b"/a", b"hello")])
+
+    @settings(derandomize=True, deadline=None, max_examples=40)
+    @given(st.lists(st.integers(1, 60), max_size=8))
+    def test_any_split_over_reads_gives_the_same_requests(self, cuts):
+        server = Server()
+        data = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello" + GET
+        parts, start = [], 0
+        for cut in cuts:
+            parts.append(data[start : start + cut])
+            start += cut
+        parts.append(data[start:])
+        client = server.send(*[part for part in parts if part])
+        self.assertEqual(
+            [r[1:] for r in server.requests], [(b"/a", b"hello"), (b"/a", b"")]
+        )
+        self.assertEqual(client.statuses, [200, 200])
+
+    def test_expectation_is_met_before_the_body(self):
+        head = (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        client = self.server.send(head)
+        self.assertEqual(client.statuses, [100])
+        client.send(b"hello")
+        self.server.network.run(0.1)
+        self.assertEqual(client.statuses, [100, 200])
+
+    def test_next_request_waits_for_the_answer_before(self):
+        self.server.answers = False
+        client = self.server.send(GET + GET.replace(b"/a", b"/b"))
+        self.assertEqual(len(self.server.requests), 1)
+        self.server.replies[0].answer(200, [], b"first")
+        self.server.network.run(0.1)
+        self.server.replies[1].answer(200, [], b"second")
+        self.server.network.run(0.1)
+        self.assertLess(
+            client.received.index(b"first"), client.received.index(b"second")
+        )
+
+    def test_caller_who_left_is_told(self):
+        self.server.answers = False
+        client = self.server.send(GET)
+        told = []
+        self.server.replies[0].listener = type(
+            "Listener", (), {"caller_left": lambda self: told.append(1)}
+        )()
+        client.transport.abortConnection()
+        self.server.network.run(0.1)
+        self.assertEqual(told, [1])
+
+    def test_aborted_answer_has_no_end(self):
+        self.server.answers = False
+        client = self.server.send(GET)
+        self.server.replies[0].start(200, [])
+        self.server.replies[0].write(b"part")
+        self.server.replies[0].abort()
+        self.server.network.run(0.1)
+        self.assertTrue(client.was_reset)
+        self.assertFalse(client.is_whole)
+
+
+class TestMalformed(unittest.TestCase):
+    def check_refused(self, data, status=400, requests=0):
+        server = Server()
+        client = server.send(data)
+        self.assertEqual(client.statuses[-1:], [status], data)
+        self.assertEqual(len(server.requests), requests, data)
+        server.network.run(2)
+        self.assertTrue(client.is_closed)
+
+    def test_length_and_chunks_together(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+        self.check_refused(head + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNKS)
+
+    def test_two_lengths(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+        self.check_refused(head + b"Content-Length: 6\r\n\r\nhello!")
+
+    def test_lengths_that_are_no_numbers(self):
+        for value in (b"+5", b"-5", b"5;", b"0x5", b"5 5", b""):
+            head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + value
+            self.check_refused(head + b"\r\n\r\nhello")
+
+    def test_other_transfer_codings(self):
+        for value in (b"xchunked", b"gzip, chunked", b"chunked, identity"):
+            head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + value
+            self.check_refused(head + b"\r\n\r\n" + CHUNKS, 501)
+
+    def test_space_before_the_colon(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked"
+        self.check_refused(head + b"\r\n\r\n" + CHUNKS)
+
+    def test_folded_line(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\r\n chunked"
+        self.check_refused(head + b"\r\n\r\n" + CHUNKS)
+
+    def test_bare_line_feed(self):
+        self.check_refused(b"GET /a HTTP/1.1\r\nHost: h\nX: y\r\n\r\n")
+
+    def test_bare_carriage_return(self):
+        self.check_refused(b"GET /a HTTP/1.1\r\nHost: h\rX: y\r\n\r\n")
+
+    def test_no_host_and_two_hosts(self):
+        self.check_refused(b"GET /a HTTP/1.1\r\n\r\n")
+        self.check_refused(b"GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n")
+
+    def test_chunk_size_that_is_no_number(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for chunk in (b"0x5\r\nhello\r\n0\r\n\r\n", b"5 x\r\nhello\r\n0\r\n\r\n", b"-1\r\n\r\n"):
+            self.check_refused(head + chunk)
+
+    def test_chunk_longer_than_it_says(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.check_refused(head + b"5\r\nhelloGET /b HTTP/1.1\r\n\r\n")
+
+    def test_head_above_the_limit(self):
+        self.check_refused(b"GET /a HTTP/1.1\r\nX: " + b"y" * 2000, 431)
+
+    def test_body_above_the_limit(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 501\r\n\r\n"
+        self.check_refused(head, 413)
+
+    def test_chunks_above_the_limit(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunk = b"ff\r\n" + b"x" * 255 + b"\r\n"
+        self.check_refused(head + chunk * 2, 413)
+
+    def test_nothing_after_a_refusal_is_read(self):
+        self.check_refused(b"GET /a HTTP/1.1\r\n\r\n" + GET)
+
+
+class TestTimeLimits(unittest.TestCase):
+    def setUp(self):
+        self.server = Server()
+
+    def test_slow_head_gets_408(self):
+        client = self.server.send(b"GET /a HT")
+        self.server.network.run(3.2)
+        self.assertEqual(client.statuses, [408])
+
+    def test_slow_body_gets_408(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe"
+        client = self.server.send(head)
+        self.server.network.run(10.2)
+        self.assertEqual(client.statuses, [408])
+
+    def test_idle_connection_is_kept_for_the_limit_and_then_closed(self):
+        client = self.server.send(GET)
+        self.server.network.run(9.5)
+        self.assertFalse(client.is_closed)
+        self.server.network.run(1)
+        self.assertTrue(client.is_closed)
+
+    def test_limit_raised_meanwhile_holds(self):
+        client = self.server.send(GET)
+        self.server.limits = CallerLimits(1000, 500, 3, idle_timeout_s=30)
+        self.server.network.run(20)
+        self.assertFalse(client.is_closed)
+
+    def test_waiting_for_an_answer_is_not_idle(self):
+        self.server.answers = False
+        client = self.server.send(GET)
+        self.server.network.run(20)
+        self.assertFalse(client.is_closed)
