Have a router ask for the endpoints though others are as far behind

Each heard the other's equally old list and forgot that it was behind.

Ruled out: lost messages; the configuration, which goes by another exchange, came.

Change: only an own newer list ends being behind.

--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -65,6 +65,7 @@
         if revision < self._revision:
             return
         self._revision = revision
+        self._behind_since_s = None
         if endpoints == self._listed:
             return
         self._note_changes(endpoints)
@@ -119,10 +120,7 @@
             self._peers.send_to_all(state)
 
     def _take_state(self, message):
-        if message.digest == self._digest:
-            self._behind_since_s = None
-            return
-        if message.revision <= self._revision:
+        if message.digest == self._digest or message.revision <= self._revision:
             return
         now_s = self._clock.seconds()
         if self._behind_since_s is None:
--- a/tests/wire/test_caller.py
+++ b/tests/wire/test_caller.py
@@ -174,7 +174,11 @@
 
     def test_chunk_size_that_is_no_number(self):
         head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-        for chunk in (b"0x5\r\nhello\r\n0\r\n\r\n", b"5 x\r\nhello\r\n0\r\n\r\n", b"-1\r\n\r\n"):
+        for chunk in (
+            b"0x5\r\nhello\r\n0\r\n\r\n",
+            b"5 x\r\nhello\r\n0\r\n\r\n",
+            b"-1\r\n\r\n",
+        ):
             self.check_refused(head + chunk)
 
     def test_chunk_longer_than_it_says(self):
