Avoid an endpoint whose address another process has until it is listed anew

Cause: a crashed engine starts again under another name within a second; its old entry stays listed for some seconds more.

Change: a 421 marks the old name for all routers; a new start of the same name (its birth time) clears the mark. Before, it was avoided for 0.8 s by one router.

--- a/src/sesamearch/forwarding/fleet.py
+++ b/src/sesamearch/forwarding/fleet.py
@@ -12,13 +12,14 @@
     health : HealthBook
     """
 
-    __slots__ = ("_board", "_by_address", "_by_service", "_health")
+    __slots__ = ("_board", "_by_address", "_born_ms", "_by_service", "_health")
 
     def __init__(self, board, health):
         self._board = board
         self._health = health
         self._by_service = {}
         self._by_address = {}
+        self._born_ms = {}
         self._index(board.endpoints.value)
         board.endpoints.listen(self._index)
 
@@ -30,6 +31,10 @@
         self._by_service = by_service
         self._by_address = {each.address: each for each in endpoints.values()}
         self._health.keep_only(endpoints.keys())
+        for name, endpoint in endpoints.items():
+            if self._born_ms.get(name, endpoint.born_ms) != endpoint.born_ms:
+                self._health.reborn(name)
+        self._born_ms = {name: each.born_ms for name, each in endpoints.items()}
 
     def serving(self, service):
         """Return the list of endpoints of a service that are not leaving."""
--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -6,6 +6,8 @@
 
 AVOID_FIRST_S = 0.8
 AVOID_LONGEST_S = 5.0
+# Another process has the address: until the list says so, too.
+REPLACED_S = 30.0
 # Outcomes are counted with a decay: an endpoint that mends is forgiven.
 OUTCOME_HALF_LIFE_S = 3.0
 MIN_OUTCOMES = 4.0
@@ -93,10 +95,15 @@
         record.avoid_until_s = now_s + record.avoid_s
         self.has_news = True
 
+    def replaced(self, name):
+        """Note that another process answered at an endpoint's address."""
+        self._record(name).avoid_until_s = self._clock.seconds() + REPLACED_S
+        self.has_news = True
+
     def hear(self, suspicion):
         """Take a :class:`Suspicion` of another router."""
         record = self._record(suspicion.name)
-        left_s = min(suspicion.left_s, AVOID_LONGEST_S)
+        left_s = min(suspicion.left_s, REPLACED_S)
         until_s = self._clock.seconds() + left_s
         record.avoid_until_s = max(record.avoid_until_s, until_s)
 
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -297,7 +297,7 @@
         self._runs -= 1
         self.drop(attempt, "not_run", attempt.answer.status)
         if attempt.answer.is_other_instance:
-            self.tools.health.unreachable(attempt.endpoint.name)
+            self.tools.health.replaced(attempt.endpoint.name)
         self._send_again(ErrorKind.OVERLOADED, "engines are busy")
 
     def _take_failure(self, attempt):
