Ask for copies of running generations only; a reset is not the end of an engine

And a reset answer kept its engine from all new work for 0.8 s, by all routers, though `answer_lost` resets single answers of engines that are well.

Change: the copy is used where events have been passed on; only a connection that cannot be made, or silence, makes an engine suspect.

--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -23,8 +23,6 @@
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.3
 RESUME_PROBE_S = 0.2
-# An engine's memory is copied several times a second: before that there is no copy.
-FIRST_COPY_S = 0.3
 RETRY_CHOICE_S = 0.05
 # Callers leave a stream that pauses for so long.
 LONGEST_PAUSE_S = 2.0
@@ -335,9 +333,6 @@
             return
         self.note_loss(attempt, loss)
         self._note_copy(attempt)
-        if loss is not Loss.NOT_CONNECTED:
-            # A reset under a generation is nearly always the end of its engine.
-            self.tools.health.unreachable(attempt.endpoint.name)
         self.drop(attempt, loss.value, attempt.answer.status if attempt.answer else 0)
         if loss is Loss.NOT_CONNECTED or attempt.is_promise:
             self._runs -= 1
@@ -346,8 +341,11 @@
             self._recover(ErrorKind.ENDPOINT_LOST, "engine lost")
 
     def _note_copy(self, attempt):
-        """Remember whether the backup can hold anything of a lost try."""
-        self._has_copy = self.now_s - attempt.sent_s >= FIRST_COPY_S
+        """Remember whether the backup can hold anything of a lost try.
+
+        Engines copy the memory of what runs, and nothing of a prompt being read.
+        """
+        self._has_copy = self._is_running(attempt)
 
     def _recover(self, kind, detail):
         if self.route.is_resumable:
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -250,6 +250,23 @@
         self.assertEqual(client.pieces, list(range(20)))
         self.assertEqual([run.prompt_tokens for run in keeper.runs], [0])
 
+    def test_copy_of_a_prompt_that_is_being_read_is_not_asked_for(self):
+        client = self.world.connect().send(draft_bytes(prompt_tokens=8000))
+        self.world.run(0.6)
+        self.world.crash(next(each for each in self.world.engines if each.runs))
+        self.world.run(3)
+        self.assertEqual(client.pieces, list(range(20)))
+        tries = self.world.fronts[0].counters.tries
+        self.assertEqual(tries, 2)
+
+    def test_reset_alone_does_not_keep_an_engine_from_work(self):
+        client, engine = self.start_draft()
+        engine.crash()
+        self.world.run(0.1)
+        self.assertFalse(self.world.fronts[0]._health.is_down(engine.name))
+        self.world.run(2)
+        self.assertEqual(client.pieces, list(range(20)))
+
     def test_copy_is_kept_in_another_data_centre(self):
         self.start_draft()
         passage = next(iter(self.world.fronts[0].dispatcher._streams)).tries[0].passage
