Listen before the libraries are loaded, and load fewer of them

TLS alone is 80 ms of the 340 ms of imports measured here.

Change: the callers' socket listens as soon as the settings are read, some 60 ms after the interpreter's start, and is handed to the reactor; the kernel keeps who comes. The platform installs a lock of its own without TLS, klein, treq and the tools, which a test holds as a part of the whole lock.

--- a/src/sesamearch/base/__init__.py
+++ b/src/sesamearch/base/__init__.py
@@ -5,6 +5,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "early": ["listen_early"],
         "errors": ["Answer", "ErrorKind", "Problem", "Ran", "answer_for"],
         "http": ["FrameReceiver", "TurnEnd", "make_http_client"],
         "listener": ["listen_directly"],
--- a/src/sesamearch/base/listener.py
+++ b/src/sesamearch/base/listener.py
@@ -1,5 +1,7 @@
 """A TCP listener whose connections send at once what the socket takes."""
 
+import socket
+
 from twisted.internet.tcp import Port, Server
 
 __all__ = ["listen_directly"]
@@ -38,7 +40,7 @@
     transport = _DirectServer
 
 
-def listen_directly(reactor, address, factory):
+def listen_directly(reactor, address, factory, early_socket=None):
     """Listen for plain TCP connections.
 
     Parameters
@@ -47,6 +49,8 @@
     address : str
         ``ip:port``.
     factory : twisted.internet.protocol.Factory
+    early_socket : socket.socket or None
+        One that listens at the address already, from :func:`listen_early`.
 
     Returns
     -------
@@ -57,7 +61,13 @@
     twisted.internet.error.CannotListenError
         If the address is taken.
     """
-    host, _, number = address.rpartition(":")
-    port = _DirectPort(int(number), factory, LISTEN_BACKLOG, host, reactor)
+    if early_socket is not None:
+        port = _DirectPort._fromListeningDescriptor(
+            reactor, early_socket.fileno(), socket.AF_INET, factory
+        )
+        early_socket.close()
+    else:
+        host, _, number = address.rpartition(":")
+        port = _DirectPort(int(number), factory, LISTEN_BACKLOG, host, reactor)
     port.startListening()
     return port
--- a/src/sesamearch/base/schema.py
+++ b/src/sesamearch/base/schema.py
@@ -3,7 +3,6 @@
 from pathlib import Path
 
 import msgspec
-import yaml
 from result import Err, Ok
 
 __all__ = ["Fault", "check", "load_yaml"]
@@ -45,6 +44,9 @@
     result.Result[object, list of Fault]
         The parsed document, or one fault that names the line.
     """
+    # Imported here because a daemon whose settings are no YAML does without it.
+    import yaml
+
     name = str(path)
     try:
         return Ok(yaml.safe_load(Path(path).read_text(encoding="utf-8")))
--- a/src/sesamearch/command/front.py
+++ b/src/sesamearch/command/front.py
@@ -4,8 +4,7 @@
 import sys
 import time
 
-from sesamearch.base.log import set_up_records
-from sesamearch.base.reactor import install_steady_reactor
+from sesamearch.base.early import listen_early
 from sesamearch.platform.settings import SETTINGS_VARIABLE, load_front_settings
 
 __all__ = ["main"]
@@ -23,13 +22,26 @@
             print(fault.show(), file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.unwrap()
+    try:
+        early_socket = listen_early(settings.listen)
+    except OSError as error:
+        print(f"{settings.listen}: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    return _run(settings, early_socket)
+
+
+def _run(settings, early_socket):
+    # Loaded when callers can connect already. The reactor is chosen first: most of
+    # Twisted installs its default one.
+    from sesamearch.base.log import set_up_records
+    from sesamearch.base.reactor import install_steady_reactor
+
     reactor = install_steady_reactor()
-    # Imported after the reactor is chosen: most of Twisted installs its default.
     from sesamearch.daemon.front import Front
 
     lines = set_up_records(settings.name, time.time)
     front = Front(reactor, settings, lines)
-    started = front.start()
+    started = front.start(early_socket)
     if started.is_err():
         print(started.unwrap_err().show(), file=sys.stderr)
         return EXIT_FAILED
--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -174,9 +174,14 @@
 
     # Life.
 
-    def start(self):
+    def start(self, early_socket=None):
         """Listen and begin to work.
 
+        Parameters
+        ----------
+        early_socket : socket.socket or None
+            One that listens for callers already.
+
         Returns
         -------
         result.Result[None, Problem]
@@ -185,7 +190,9 @@
         for follower in self._followers:
             follower.start()
         try:
-            self._listen(self._reactor, self._settings.listen, self._factory)
+            self._listen(
+                self._reactor, self._settings.listen, self._factory, early_socket
+            )
             self._listen(
                 self._reactor, self._settings.readiness_listen, self._readiness
             )
--- /dev/null
+++ b/tests/daemon/test_start.py
@@ -0,0 +1,40 @@
+"""What a router loads, and when callers can connect while it starts."""
+
+import socket
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+from sesamearch.base.early import listen_early
+
+ROOT = Path(__file__).parents[2]
+# Not among the libraries that the platform installs beside a router.
+ABSENT = ("OpenSSL", "cryptography", "treq", "klein", "werkzeug", "jsonschema")
+LOAD = """
+import sys
+for name in {absent!r}:
+    sys.modules[name] = None
+import sesamearch.daemon.front
+"""
+
+
+class TestStart(unittest.TestCase):
+    def test_router_needs_only_the_libraries_of_its_lock(self):
+        code = LOAD.format(absent=ABSENT)
+        done = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=False
+        )
+        self.assertEqual(done.returncode, 0, done.stderr)
+
+    def test_locks_agree(self):
+        whole = set((ROOT / "requirements.lock").read_text().split())
+        part = set((ROOT / "deploy" / "requirements.lock").read_text().split())
+        self.assertLessEqual(part, whole)
+
+    def test_caller_can_connect_before_the_router_runs(self):
+        listener = listen_early("127.0.0.1:0")
+        self.addCleanup(listener.close)
+        client = socket.create_connection(listener.getsockname(), timeout=1)
+        self.addCleanup(client.close)
+        client.sendall(b"GET / HTTP/1.1\r\n\r\n")
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -281,7 +281,7 @@
         front = Front(
             self.network,
             settings,
-            listen=lambda reactor, address, factory: reactor.listen(address, factory),
+            listen=_listen,
             link_type=link_type,
         )
         front.start().unwrap()
@@ -311,5 +311,9 @@
         self.network.dark.add(worker.address)
 
 
+def _listen(reactor, address, factory, early_socket=None):
+    reactor.listen(address, factory)
+
+
 def _zone(number):
     return "east" if number % 2 == 0 else "west"
