Place a prompt by the generations that it delays, and by the pace of engines

Cause: engines read a prompt in chunks between the tokens of what runs, so a prompt of 8,000 tokens stalls each generation beside it for about a second. A running one was counted as 250 tokens only, less than the rest of a prompt that is nearly read. A third of the engines are slower than the others, which nothing took into account.

Change: the cost of a place is the tokens ahead, plus for each running generation 0.8 of the prompt that joins it, times the engine's mean gap against the median.

--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -6,8 +6,8 @@
 
 __all__ = ["Chooser", "GenerationNeed"]
 
-# A running generation slows a prompt down about as much as this many more tokens.
-RUNNING_COST_TOKENS = 250
+# A generation that runs waits for nearly all of the prompt that joins it.
+DELAYED_RATIO = 0.8
 # An endpoint whose slots or memory are taken makes the request wait for an end.
 FULL_COST_TOKENS = 40_000
 REMOTE_COST_TOKENS = 40
@@ -110,7 +110,9 @@
         Endpoint or None
         """
         endpoints = self._candidates(service, excluded)
-        baseline = self._health.baseline([each.name for each in endpoints])
+        names = [each.name for each in endpoints]
+        baseline = self._health.baseline(names)
+        slowness = self._health.slowness(names)
 
         def cost(endpoint):
             load = self._loads.total(endpoint.name)
@@ -118,9 +120,10 @@
             is_full = load.running >= (endpoint.slots or engine.slots)
             is_full |= load.memory_tokens + need.memory_tokens > engine.memory_tokens
             excess = self._health.excess(endpoint.name, baseline)
+            ahead_tokens = load.unread_tokens + need.prompt_tokens
+            delayed_tokens = DELAYED_RATIO * need.prompt_tokens * load.running
             return (
-                load.unread_tokens
-                + RUNNING_COST_TOKENS * load.running
+                (ahead_tokens + delayed_tokens) * slowness.get(endpoint.name, 1.0)
                 + REMOTE_COST_TOKENS * is_remote
                 + FULL_COST_TOKENS * (is_full + excess)
             )
--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -12,6 +12,7 @@
 OUTCOME_HALF_LIFE_S = 3.0
 MIN_OUTCOMES = 4.0
 FAILURE_EXCESS_RATIO = 0.25
+PACE_SMOOTHING = 0.2
 
 
 class EndpointHealth:
@@ -22,6 +23,7 @@
         "avoid_s",
         "avoid_until_s",
         "failures",
+        "gap_s",
         "outcomes",
     )
 
@@ -30,6 +32,7 @@
         self.avoid_until_s = 0.0
         self.outcomes = 0.0
         self.failures = 0.0
+        self.gap_s = None
         self._counted_s = 0.0
 
     def decay(self, now_s):
@@ -123,6 +126,36 @@
         record.outcomes += 1
         record.failures += 1
 
+    def paced(self, name, gap_s):
+        """Take the mean time between two events of a generation that ended."""
+        record = self._record(name)
+        if record.gap_s is None:
+            record.gap_s = gap_s
+        record.gap_s += PACE_SMOOTHING * (gap_s - record.gap_s)
+
+    def slowness(self, names):
+        """Return how slow endpoints are against the median.
+
+        Parameters
+        ----------
+        names : list of str
+
+        Returns
+        -------
+        dict from str to float
+            1 for the median and for those without a measurement, more for slower
+            ones.
+        """
+        gaps = {}
+        for name in names:
+            record = self._records.get(name)
+            if record is not None and record.gap_s is not None:
+                gaps[name] = record.gap_s
+        if not gaps:
+            return {}
+        median_s = sorted(gaps.values())[len(gaps) // 2]
+        return {name: gap_s / median_s for name, gap_s in gaps.items()}
+
     def reborn(self, name):
         """Forget the past of an endpoint that started anew."""
         self._records.pop(name, None)
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -319,6 +319,8 @@
             self._recover(ErrorKind.ENDPOINT_LOST, "answer broke off")
             return
         self.tools.health.answered(attempt.endpoint.name, False)
+        if attempt.number == 1 and self._mean_gap_s:
+            self.tools.health.paced(attempt.endpoint.name, self._mean_gap_s)
         if not self._has_head:
             self._start_answer(attempt)
         self.log_end(
