Prefer engines of the own data centre, and keep copies across cuts

Ruled out: keeping all work local; a delayed generation costs more than a remote one.

Change: a remote engine costs 2,000 tokens instead of 40; the copy of a remote one is kept in the router's own data centre.

--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -10,7 +10,8 @@
 DELAYED_RATIO = 0.8
 # An endpoint whose slots or memory are taken makes the request wait for an end.
 FULL_COST_TOKENS = 40_000
-REMOTE_COST_TOKENS = 40
+# A cut between data centres breaks what runs in another one.
+REMOTE_COST_TOKENS = 2000
 REMOTE_COST_REQUESTS = 0.3
 EXCESS_COST_REQUESTS = 40.0
 
@@ -134,7 +135,8 @@
         """Choose who keeps a copy of a generation's memory.
 
         Another data centre is taken where there is one: the engines of one often
-        fail together.
+        fail together. If the primary is in another one than this router, the copy
+        is kept here, where a cut does not reach.
 
         Returns
         -------
@@ -143,9 +145,10 @@
         """
         endpoints = self._candidates(primary.service, {primary.name})
         away = [e for e in endpoints if e.data_centre != primary.data_centre]
+        here = [e for e in away if e.data_centre == self._data_centre]
         room = [
             endpoint
-            for endpoint in away or endpoints
+            for endpoint in here or away or endpoints
             if self._loads.total(endpoint.name).memory_tokens + need.memory_tokens
             <= engine.memory_tokens
         ]
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -131,6 +131,19 @@
         self.assertIsNone(world.choose({"e0", "e1"}))
 
 
+class TestCutBetweenDataCentres(unittest.TestCase):
+    """A data centre is cut off from the others with what runs across the cut."""
+
+    def test_own_data_centre_goes_first(self):
+        world = World(4)
+        self.assertEqual({world.choose() for _ in range(20)}, {"e0", "e2"})
+
+    def test_another_data_centre_is_taken_before_generations_are_delayed(self):
+        world = World(2)
+        world.begin("e0").prompt_was_read()
+        self.assertEqual(world.choose(), "e1")
+
+
 class TestBackups(unittest.TestCase):
     """A whole data centre crashes at once."""
 
@@ -140,6 +153,12 @@
         backup = world.chooser.for_backup(primary, ENGINE, NEED)
         self.assertEqual(backup.data_centre, "west")
 
+    def test_backup_of_a_remote_primary_lies_here(self):
+        world = World(4)
+        primary = world.board.endpoints.value["e1"]
+        backup = world.chooser.for_backup(primary, ENGINE, NEED)
+        self.assertEqual(backup.data_centre, "east")
+
     def test_backup_needs_room(self):
         world = World(2)
         world.begin("e1", 0, 85_000)
