Send whoever goes on to the memory of its prompt; wait for the first configuration

Cause 1: generations take six to eight seconds, a router that stops has eight. Change 1: routers tell each other which engine read which prompt (its last part, kept for 10 s); a caller who comes back to any router goes to that engine, whose cache needs no second reading.

Change 2: the socket that listens early is first accepted from when configuration and endpoints are known, at the latest after 0.25 s; then 503 says the truth.

Cause 3: callers with 0.3 s left had a prompt of 8,000 tokens read for nothing.

--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -25,6 +25,8 @@
 from sesamearch.forwarding.fleet import Fleet
 from sesamearch.forwarding.health import HealthBook
 from sesamearch.forwarding.load import LoadBook
+from sesamearch.forwarding.pace import GenerationPace
+from sesamearch.forwarding.prompts import PromptPlaces
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
 from sesamearch.membership.gossip import LoadGossip
 from sesamearch.membership.listing import EndpointListing
@@ -40,12 +42,14 @@
 __all__ = ["Front"]
 
 KEYS_RETRY_S = 1.0
+# Callers who come while the first configuration is read are served with it.
+START_WAIT_S = 0.25
 GOSSIP_INTERVAL_S = 0.02
 TELL_INTERVAL_S = 0.25
 # The balancer asks once a second and turns away after two misses.
 BALANCER_GRACE_S = 2.6
 # Before the process is killed: what is left then is cut, and its callers go on.
-HAND_OVER_MARGIN_S = 0.4
+HAND_OVER_MARGIN_S = 0.25
 FLUSH_S = 0.1
 OK = 200
 UNAVAILABLE = 503
@@ -102,6 +106,8 @@
         self.counters = ForwardCounters()
         self._store = PlatformStore(reactor, settings.store_address)
         self._peers = None
+        self._early_socket = None
+        self._is_open = False
         self._make_forwarding()
         self._make_membership()
         self._factory = CallerFactory(
@@ -117,6 +123,7 @@
         reactor, bounds = self._reactor, self._settings.bounds
         self._health = HealthBook(reactor)
         self._loads = LoadBook(reactor)
+        self._prompts = PromptPlaces(reactor)
         fleet = Fleet(self.board, self._health)
         self._client = PlatformEndpointClient(reactor)
         self.board.endpoints.listen(self._client.keep_only)
@@ -133,6 +140,8 @@
             fleet,
             self._loads,
             self._health,
+            self._prompts,
+            GenerationPace(),
             budgets,
             reactor,
             self.counters,
@@ -146,7 +155,9 @@
             lambda: self._store.regained_s,
             self._settings.peer.listen,
         )
-        self._gossip = LoadGossip(self._settings.name, self._loads, self._health)
+        self._gossip = LoadGossip(
+            self._settings.name, self._loads, self._health, self._prompts
+        )
         self._followers = [
             OperatorFollower(self._store, self.board, self._reactor),
             ServerFollower(self._store, self._listing, self._reactor),
@@ -189,10 +200,11 @@
         """
         for follower in self._followers:
             follower.start()
+        self._early_socket = early_socket
+        self.board.configuration.listen(self._open_when_known)
+        self.board.endpoints.listen(self._open_when_known)
+        self._reactor.callLater(START_WAIT_S, self._open)
         try:
-            self._listen(
-                self._reactor, self._settings.listen, self._factory, early_socket
-            )
             self._listen(
                 self._reactor, self._settings.readiness_listen, self._readiness
             )
@@ -214,6 +226,18 @@
         )
         return Ok(None)
 
+    def _open_when_known(self, value):
+        if self._knows_enough:
+            self._open()
+
+    def _open(self):
+        """Accept callers, those who came since the socket listens first."""
+        if self._is_open:
+            return
+        self._is_open = True
+        early_socket, self._early_socket = self._early_socket, None
+        self._listen(self._reactor, self._settings.listen, self._factory, early_socket)
+
     async def _join_peers(self):
         while True:
             keys = await obtain_fleet_keys(self._store)
@@ -274,15 +298,19 @@
     @property
     def is_ready(self):
         """Bool : whether callers may come."""
+        return self._knows_enough and not self.board.drain.value.draining
+
+    @property
+    def _knows_enough(self):
         is_known = self.board.configuration.value.revision > 0
-        has_endpoints = bool(self.board.endpoints.value)
-        return is_known and has_endpoints and not self.board.drain.value.draining
+        return is_known and bool(self.board.endpoints.value)
 
     def _tell_readiness(self, head, body, reply):
         reply.answer(OK if self.is_ready else UNAVAILABLE, [], b"")
 
     def _tell(self):
         self._loads.forget_silent()
+        self._prompts.forget_old()
         self._gossip.tell()
         self._listing.tell()
 
--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -95,7 +95,7 @@
 
         return self._least(endpoints, cost)
 
-    def for_generation(self, service, engine, need, excluded=frozenset()):
+    def for_generation(self, service, engine, need, excluded=frozenset(), read_at=""):
         """Choose for a generation.
 
         Parameters
@@ -105,6 +105,8 @@
         need : GenerationNeed
         excluded : set of str
             Names not to choose.
+        read_at : str
+            Name of the endpoint that has read the prompt; empty for none.
 
         Returns
         -------
@@ -121,8 +123,10 @@
             is_full = load.running >= (endpoint.slots or engine.slots)
             is_full |= load.memory_tokens + need.memory_tokens > engine.memory_tokens
             excess = self._health.excess(endpoint.name, baseline)
-            ahead_tokens = load.unread_tokens + need.prompt_tokens
-            delayed_tokens = DELAYED_RATIO * need.prompt_tokens * load.running
+            is_read = endpoint.name == read_at
+            prompt_tokens = 0 if is_read else need.prompt_tokens
+            ahead_tokens = load.unread_tokens + prompt_tokens
+            delayed_tokens = DELAYED_RATIO * prompt_tokens * load.running
             return (
                 (ahead_tokens + delayed_tokens) * slowness.get(endpoint.name, 1.0)
                 + REMOTE_COST_TOKENS * is_remote
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -34,6 +34,8 @@
     fleet : Fleet
     loads : LoadBook
     health : HealthBook
+    prompts : PromptPlaces
+    pace : GenerationPace
     budgets : Budgets
     clock : twisted.internet.interfaces.IReactorTime
     counters : ForwardCounters
@@ -44,6 +46,8 @@
     fleet: object
     loads: object
     health: object
+    prompts: object
+    pace: object
     budgets: object
     clock: object
     counters: object
--- /dev/null
+++ b/src/sesamearch/forwarding/prompts.py
@@ -0,0 +1,63 @@
+"""Where prompts were read, so that who goes on is sent to the memory of it."""
+
+import msgspec
+
+__all__ = ["PromptPlaces"]
+
+# Engines let unused parts of prompts yield; what was read longer ago may be gone.
+KEPT_S = 10.0
+
+
+class _Place(msgspec.Struct):
+    endpoint: str
+    until_s: float
+
+
+class PromptPlaces:
+    """Endpoints by the last part of the prompt that they read.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+    """
+
+    __slots__ = ("_clock", "_places", "_running")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._places = {}
+        self._running = {}
+
+    def began(self, part, endpoint):
+        """Note a generation that was sent to an endpoint."""
+        if part:
+            self._running[part] = endpoint
+            self.hear(part, endpoint)
+
+    def ended(self, part):
+        """Note the end of a generation; its prompt is remembered for a while."""
+        endpoint = self._running.pop(part, None)
+        if endpoint is not None:
+            self.hear(part, endpoint)
+
+    def hear(self, part, endpoint):
+        """Remember where a prompt was read, here or by another router."""
+        self._places[part] = _Place(endpoint, self._clock.seconds() + KEPT_S)
+
+    def running(self):
+        """Return the places of this router's generations, by part."""
+        return self._running
+
+    def find(self, part):
+        """Return the name of the endpoint that read a prompt, or an empty text."""
+        place = self._places.get(part)
+        if place is None or place.until_s < self._clock.seconds():
+            return ""
+        return place.endpoint
+
+    def forget_old(self):
+        """Drop what is not kept any more."""
+        now_s = self._clock.seconds()
+        old = [part for part, place in self._places.items() if place.until_s < now_s]
+        for part in old:
+            del self._places[part]
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -64,6 +64,11 @@
     output_tokens: int = 0
     prompt_parts: list[PromptPart] = []
 
+    @property
+    def own_part(self):
+        """Str : name of the prompt's last part, which no other request shares."""
+        return self.prompt_parts[-1].name if self.prompt_parts else ""
+
 
 class MemoryCopy(msgspec.Struct, frozen=True):
     """Where a copy of a run's memory lies."""
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -88,6 +88,7 @@
         self._has_head = False
         self._is_broken = False
         self._has_copy = False
+        self._is_prompt_read = False
         self._backup = None
         self._backup_work = None
         self._runs = 0
@@ -100,7 +101,12 @@
         )
 
     def start(self):
-        """Send the first try."""
+        """Send the first try, unless it could not bring anything in time."""
+        self._is_prompt_read = bool(self.tools.prompts.find(self.request.own_part))
+        shortest_s = self.tools.pace.shortest_s(self.request.prompt_tokens)
+        if not self._is_prompt_read and self.left_s() < shortest_s:
+            self.refuse(ErrorKind.NO_ENDPOINT, "the prompt takes longer to read")
+            return
         self._send()
 
     # Sending.
@@ -137,6 +143,7 @@
         patience_s = RESUME_PROBE_S if self._has_head else PROBE_INTERVAL_S
         self._probe_due_s = self.now_s + patience_s
         self._splitter = EventSplitter()
+        self.tools.prompts.began(self.request.own_part, endpoint.name)
         self.send(passage, work)
 
     def _choose(self):
@@ -156,7 +163,11 @@
 
     def _choose_any(self):
         return self.tools.chooser.for_generation(
-            self.service.name, self.service.engine, self._need, self.excluded
+            self.service.name,
+            self.service.engine,
+            self._need,
+            self.excluded,
+            self.tools.prompts.find(self.request.own_part),
         )
 
     def _is_usable(self, endpoint):
@@ -265,6 +276,9 @@
     def _start_answer(self, attempt):
         answer = attempt.answer
         self._has_head = True
+        if attempt.number == 1 and not self._is_prompt_read:
+            took_s = self.now_s - attempt.sent_s
+            self.tools.pace.note_first(self.request.prompt_tokens, took_s)
         self._first_ms = self.took_ms()
         self._life.began()
         self.reply.start(answer.status, answer.headers, answer.reason)
@@ -323,6 +337,7 @@
             self.tools.health.paced(attempt.endpoint.name, self._mean_gap_s)
         if not self._has_head:
             self._start_answer(attempt)
+        self.tools.pace.note_whole(self.now_s - self.request.received_s)
         self.log_end(
             "answered", attempt, attempt.answer.status, self._first_ms, self._events
         )
@@ -434,6 +449,7 @@
     def close(self):
         """End the generation."""
         self._life.ended()
+        self.tools.prompts.ended(self.request.own_part)
         self._end_backup_work()
         if self._waiting is not None and self._waiting.active():
             self._waiting.cancel()
--- a/src/sesamearch/membership/gossip.py
+++ b/src/sesamearch/membership/gossip.py
@@ -14,11 +14,13 @@
         Of this router.
     loads : LoadBook
     health : HealthBook
+    prompts : PromptPlaces
     """
 
-    __slots__ = ("_health", "_loads", "_name", "_peers", "_was_empty")
+    __slots__ = ("_health", "_loads", "_name", "_peers", "_prompts", "_was_empty")
 
-    def __init__(self, name, loads, health):
+    def __init__(self, name, loads, health, prompts):
+        self._prompts = prompts
         self._name = name
         self._loads = loads
         self._health = health
@@ -46,10 +48,13 @@
         if is_empty and self._was_empty:
             return
         self._was_empty = is_empty
-        news = LoadNews(SCHEMA_VERSION, self._name, loads, suspicions)
+        prompts = self._prompts.running()
+        news = LoadNews(SCHEMA_VERSION, self._name, loads, suspicions, prompts)
         self._peers.send_to_all(news)
 
     def _take(self, message):
         self._loads.hear(message.name, message.loads)
         for suspicion in message.suspicions:
             self._health.hear(suspicion)
+        for part, endpoint in message.prompts.items():
+            self._prompts.hear(part, endpoint)
--- a/src/sesamearch/membership/message.py
+++ b/src/sesamearch/membership/message.py
@@ -142,12 +142,25 @@
 
 
 class LoadNews(msgspec.Struct, tag=True, frozen=True, array_like=True):
-    """Tells a router's work at engines and the endpoints that it holds for dead."""
+    """Tells a router's work at engines and the endpoints that it holds for dead.
+
+    Parameters
+    ----------
+    schema_version : int
+    name : str
+        Of the sender.
+    loads : dict from str to EndpointLoad
+        By endpoint.
+    suspicions : list of Suspicion
+    prompts : dict from str to str
+        Endpoint that reads or has read a prompt, by the prompt's last part.
+    """
 
     schema_version: int
     name: str
     loads: dict[str, EndpointLoad]
     suspicions: list[Suspicion]
+    prompts: dict[str, str]
 
 
 class EndpointsState(msgspec.Struct, tag=True, frozen=True, array_like=True):
--- a/src/sesamearch/standin/network.py
+++ b/src/sesamearch/standin/network.py
@@ -197,6 +197,9 @@
         server.protocol.makeConnection(server)
         client.protocol.makeConnection(client)
 
+    def stop(self):
+        """Do nothing: the network outlives its routers."""
+
     def run(self, seconds, step_s=0.005):
         """Let time pass in small steps."""
         for _ in range(round(seconds / step_s)):
