--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -137,21 +137,13 @@
         if exchange_type is StreamExchange:
             self._streams.add(exchange)
         self._tools.budgets.count_request(exchange.service.name)
-        if exchange_type is StreamExchange and self._is_too_late_for_generations():
+        if exchange_type is StreamExchange and self._board.drain.value.refusing:
+            # It would be cut by this router's end. Earlier ones are taken: their
+            # callers go on elsewhere, where the prompt was read.
             exchange.refuse(ErrorKind.DRAINING, "this router stops before its end", 0)
             return
         exchange.start()
 
-    def _is_too_late_for_generations(self):
-        """Return whether a new generation would be cut by this router's end.
-
-        Early in a shutdown one is taken nevertheless: its caller goes on elsewhere
-        where its prompt was read. Later callers would meet a second cut.
-        """
-        phase = self._board.drain.value
-        end_s = self._tools.clock.seconds() + self._tools.pace.duration_s
-        return phase.refusing and end_s > phase.hand_over_s
-
     def _refuse(self, request, route, problem, table, reply):
         self._tools.counters.refusals += 1
         logger.info(
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -337,7 +337,6 @@
             self.tools.health.paced(attempt.endpoint.name, self._mean_gap_s)
         if not self._has_head:
             self._start_answer(attempt)
-        self.tools.pace.note_whole(self.now_s - self.request.received_s)
         self.log_end(
             "answered", attempt, attempt.answer.status, self._first_ms, self._events
         )
