Send who goes on to the engine that read its prompt though it is busy

Change: with an event to go on behind, the engine that read the prompt is taken if it is usable, before any cost is compared.

--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -155,12 +155,22 @@
             endpoint = self.tools.fleet.at_address(backup.address)
             if endpoint is not None and self._is_usable(endpoint):
                 return endpoint, backup
-        endpoint = self._choose_any()
+        endpoint = self._where_prompt_was_read() or self._choose_any()
         if endpoint is None and self.excluded:
             self.excluded.clear()
             endpoint = self._choose_any()
         return endpoint, None
 
+    def _where_prompt_was_read(self):
+        """Return the engine that need not read the prompt of who goes on."""
+        if self._last_event is None:
+            return None
+        name = self.tools.prompts.find(self.request.own_part)
+        endpoint = self.tools.fleet.find(name)
+        if endpoint is None or name in self.excluded or not self._is_usable(endpoint):
+            return None
+        return endpoint
+
     def _choose_any(self):
         return self.tools.chooser.for_generation(
             self.service.name,
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from sesamearch.forwarding.load import EndpointLoad
 from tests.platform.world import (
     KEY,
     ROUTES,
@@ -441,6 +442,8 @@
         client.transport.peer.protocol.transport.abortConnection()
         self.world.run(0.05)
         last = client.pieces[-1]
+        busy = {engine.name: EndpointLoad(3, 12_000, 12_000)}
+        self.world.fronts[1]._loads.hear("other", busy)
         again = draft_bytes("second", 4000, Last_Event_Id=str(last))
         other = self.world.ask(again, number=1, wait_s=2)
         self.assertEqual(client.pieces + other.pieces, list(range(20)))
