--- a/src/sesamearch/standin/platform_store.py
+++ b/src/sesamearch/standin/platform_store.py
@@ -135,7 +135,8 @@
         query = {key: values[0] for key, values in parse_qs(target.query).items()}
         name = target.path.removeprefix("/sesamearch/").partition("/")[0]
         handler = getattr(self, "_" + name.replace("-", "_"))
-        handler(query or target.path, body, reply)
+        query["id"] = target.path.rpartition("/")[2]
+        handler(query, body, reply)
 
     def answer(self, reply, status, content):
         """Send one answer."""
@@ -195,6 +196,6 @@
         lease = self.state.grant_lease(ttl_ms / MS_PER_S)
         self.answer(reply, 200, {"lease": lease, "ttl-ms": ttl_ms})
 
-    def _kv_keep(self, path, body, reply):
-        is_kept = self.state.keep_lease(int(path.rpartition("/")[2]))
+    def _kv_keep(self, query, body, reply):
+        is_kept = self.state.keep_lease(int(query["id"]))
         self.answer(reply, 200 if is_kept else 404, {"ttl-ms": 0})
--- /dev/null
+++ b/tests/platform/test_endpoints.py
@@ -0,0 +1,56 @@
+import unittest
+
+import msgspec
+
+from sesamearch.platform.endpoints import decode_endpoint
+
+ENTRY = {
+    "service": "desk",
+    "address": "10.1.0.2:8000",
+    "zone": "east",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "sequence": 4,
+    "born": 1783654945000,
+}
+
+
+def decode(**changes):
+    content = {**ENTRY, **changes}
+    content = {name: value for name, value in content.items() if value is not None}
+    return decode_endpoint(b"servers/i-1", msgspec.json.encode(content))
+
+
+class TestEndpoint(unittest.TestCase):
+    def test_fields(self):
+        endpoint = decode().unwrap()
+        self.assertEqual((endpoint.name, endpoint.data_centre), ("i-1", "east"))
+        self.assertEqual((endpoint.slots, endpoint.born_ms), (6, 1783654945000))
+        self.assertFalse(endpoint.leaving)
+
+    def test_draining_is_leaving(self):
+        self.assertTrue(decode(state="draining").unwrap().leaving)
+
+    def test_only_the_sequence_changes_nothing(self):
+        self.assertEqual(decode(sequence=5).unwrap(), decode().unwrap())
+
+    def test_fields_that_are_missing_or_of_another_type_name_no_endpoint(self):
+        for name in ("service", "address", "zone", "version", "state"):
+            self.assertTrue(decode(**{name: None}).is_err(), name)
+            self.assertTrue(decode(**{name: 7}).is_err(), name)
+        self.assertTrue(decode(slots="six").is_err())
+
+    def test_odd_values_name_no_endpoint(self):
+        for changes in (
+            {"state": "napping"},
+            {"address": "10.1.0.2"},
+            {"address": "host:80"},
+            {"address": "10.1.0.2:http"},
+        ):
+            self.assertTrue(decode(**changes).is_err(), changes)
+
+    def test_bytes_that_cannot_be_read(self):
+        for value in (b"\xff\xfe", b"", b"[]", b"null"):
+            self.assertTrue(decode_endpoint(b"servers/x", value).is_err(), value)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,135 @@
+import unittest
+
+from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.forwarding.request import MemoryCopy, Passage
+from sesamearch.platform.headers import (
+    decode_answer,
+    decode_request,
+    encode_request,
+    keep_alive_s,
+)
+from sesamearch.wire.head import AnswerHead, RequestHead
+
+ENDPOINT = Endpoint("i-1", "10.1.0.2:8000", "east", "models", "v1")
+HEADERS = [
+    (b"Host", b"Desk.Example:80"),
+    (b"X-Attempt-Id", b"9c41"),
+    (b"X-Model", b"m"),
+    (b"X-Token-Usage", b"1460,80"),
+    (b"X-Prompt-Prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    (b"X-Deadline-Ms", b"25000"),
+    (b"Last-Event-Id", b"12"),
+    (b"Authorization", b"Token secret"),
+    (b"Accept", b"text/event-stream"),
+]
+
+
+def decode(*more, headers=HEADERS):
+    head = RequestHead(b"POST", b"/a/b?c=d", [*headers, *more])
+    return decode_request(head, b"body", 100.0)
+
+
+def encode(request, **passage):
+    outgoing = encode_request(request, Passage(ENDPOINT, 110.0, **passage), 105.0)
+    return {name.lower(): value for name, value in outgoing.headers}
+
+
+class TestRequest(unittest.TestCase):
+    def test_fields(self):
+        request = decode()
+        self.assertEqual((request.host, request.path), ("desk.example", "/a/b"))
+        self.assertEqual((request.request_id, request.key), ("9c41", "secret"))
+        self.assertEqual((request.received_s, request.deadline_s), (100.0, 125.0))
+        self.assertEqual((request.prompt_tokens, request.output_tokens), (1460, 80))
+        self.assertEqual(request.own_part, "e4402b7d")
+        self.assertEqual(request.after_event, 12)
+
+    def test_odd_values_are_as_if_absent(self):
+        odd = [
+            (b"Host", b"h"),
+            (b"X-Token-Usage", b"many"),
+            (b"X-Deadline-Ms", b"soon"),
+            (b"Last-Event-Id", b"-1"),
+            (b"Authorization", b"Basic secret"),
+        ]
+        request = decode(headers=odd)
+        self.assertEqual((request.prompt_tokens, request.key), (0, ""))
+        self.assertIsNone(request.after_event)
+        self.assertGreater(request.deadline_s, 100.0)
+
+    def test_what_the_endpoint_gets(self):
+        sent = encode(decode(), organisation="bench", after_event=12, urgency=1)
+        self.assertEqual(sent[b"x-attempt-id"], b"9c41")
+        self.assertEqual(sent[b"x-deadline-ms"], b"5000")
+        self.assertEqual(sent[b"x-target-instance"], b"i-1")
+        self.assertEqual(sent[b"x-tenant"], b"bench")
+        self.assertEqual(sent[b"last-event-id"], b"12")
+        self.assertEqual(sent[b"accept"], b"text/event-stream")
+        self.assertNotIn(b"authorization", sent)
+
+    def test_memory_of_engines(self):
+        sent = encode(
+            decode(), backup_address="10.1.0.3:1", copy=MemoryCopy("10.1.0.4:1", "9c41")
+        )
+        self.assertEqual(sent[b"x-kv-backup"], b"10.1.0.3:1")
+        self.assertEqual(sent[b"kv-from"], b"10.1.0.4:1/9c41")
+
+    def test_headers_of_the_system_are_not_taken_from_callers(self):
+        names = (
+            b"X-Tenant",
+            b"X-Target-Instance",
+            b"X-Kv-Hold",
+            b"X-Kv-Backup",
+            b"X-Pin-Ms",
+            b"Kv-From",
+            b"kv-fetch",
+            b"X-Request-Priority",
+            b"X-Expected-Version",
+        )
+        request = decode(*[(name, b"forged") for name in names])
+        self.assertNotIn(b"forged", [value for _, value in request.headers])
+
+    def test_connection_header_drops_what_it_names_but_nothing_of_the_request(self):
+        request = decode(
+            (b"Connection", b"X-Hop, X-Attempt-Id, X-Model"), (b"X-Hop", b"1")
+        )
+        names = {name.lower() for name, _ in request.headers}
+        self.assertNotIn(b"x-hop", names)
+        self.assertLessEqual({b"x-attempt-id", b"x-model"}, names)
+
+
+class TestAnswer(unittest.TestCase):
+    def decode(self, status, *headers):
+        return decode_answer(AnswerHead(status, b"", list(headers)))
+
+    def test_refusal_that_says_so(self):
+        answer = self.decode(503, (b"X-Not-Executed", b"1"))
+        self.assertTrue(answer.has_not_run)
+
+    def test_failure_says_nothing(self):
+        self.assertFalse(self.decode(503).has_not_run)
+        self.assertFalse(self.decode(500).has_not_run)
+
+    def test_other_instance(self):
+        self.assertTrue(self.decode(421).is_other_instance)
+
+    def test_load(self):
+        load = self.decode(200, (b"X-Server-Load", b"3,0,8")).load
+        self.assertEqual((load.running, load.waiting, load.slots), (3, 0, 8))
+        self.assertIsNone(self.decode(200, (b"X-Server-Load", b"3,x")).load)
+
+    def test_hop_by_hop_headers_end_here(self):
+        answer = self.decode(
+            200,
+            (b"Connection", b"close"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"Content-Length", b"5"),
+            (b"X-Response-Signature", b"s"),
+        )
+        self.assertEqual(answer.headers, [(b"X-Response-Signature", b"s")])
+        self.assertTrue(answer.is_signed)
+
+    def test_time_that_a_connection_is_kept(self):
+        stated = AnswerHead(200, b"", [(b"Keep-Alive", b"timeout=7, max=3")])
+        self.assertEqual(keep_alive_s(stated, 0.4), 7.0)
+        self.assertEqual(keep_alive_s(AnswerHead(200, b"", []), 0.4), 0.4)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,71 @@
+import unittest
+
+from sesamearch.platform.settings import load_front_settings, read_front_settings
+
+GOOD = """node-name=edge-1
+role=router
+ip=10.1.0.19
+zone=east
+region=r
+zones.east=r
+listen.frontend=10.1.0.19:8740
+listen.readiness=10.1.0.19:8749
+listen.control-plane=10.1.0.19:8748
+internal-ports=7200,7215
+seeds=10.1.0.19:8748,10.2.0.13:8748
+limits.memory-mb=300
+bounds.drain-ms=3000
+bounds.grace-s=9
+bounds.retry-budget-ratio=0.5
+platform.address=10.200.1.7:8742
+some.new-field=whatever
+"""
+
+
+class TestFrontSettings(unittest.TestCase):
+    def read(self, text=GOOD):
+        return read_front_settings(text, "settings.conf")
+
+    def check_fault(self, text, key):
+        faults = self.read(text).unwrap_err()
+        self.assertEqual([fault.key for fault in faults], [key])
+        self.assertIn("settings.conf", faults[0].show())
+
+    def test_fields(self):
+        settings = self.read().unwrap()
+        self.assertEqual((settings.name, settings.data_centre), ("edge-1", "east"))
+        self.assertEqual(settings.listen, "10.1.0.19:8740")
+        self.assertEqual(settings.metrics_listen, "10.1.0.19:7200")
+        self.assertEqual(settings.peer.listen, "10.1.0.19:8748")
+        self.assertEqual(len(settings.peer.seeds), 2)
+
+    def test_bounds_in_their_units(self):
+        bounds = self.read().unwrap().bounds
+        self.assertEqual((bounds.drain_s, bounds.grace_s), (3.0, 9.0))
+        self.assertEqual(bounds.retry_ratio, 0.5)
+
+    def test_unstated_bounds_have_defaults(self):
+        text = GOOD.replace("bounds.grace-s=9\n", "")
+        self.assertEqual(self.read(text).unwrap().bounds.grace_s, 8.0)
+
+    def test_missing_key_is_named(self):
+        text = GOOD.replace("listen.frontend=10.1.0.19:8740\n", "")
+        self.check_fault(text, "listen.frontend")
+
+    def test_malformed_address_is_named(self):
+        text = GOOD.replace("10.200.1.7:8742", "store")
+        self.check_fault(text, "platform.address")
+
+    def test_malformed_number_is_named(self):
+        self.check_fault(GOOD.replace("grace-s=9", "grace-s=soon"), "bounds.grace-s")
+
+    def test_line_that_is_no_entry_is_named(self):
+        self.check_fault(GOOD + "nonsense\n", "line 18")
+
+    def test_seeds_may_be_absent_or_odd(self):
+        text = GOOD.replace("10.2.0.13:8748", "gone")
+        self.assertEqual(len(self.read(text).unwrap().peer.seeds), 1)
+
+    def test_missing_file_is_a_fault(self):
+        faults = load_front_settings("/nonexistent").unwrap_err()
+        self.assertEqual(faults[0].file, "/nonexistent")
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,195 @@
+"""The client of the platform's store against the stand-in."""
+
+import unittest
+
+from twisted.internet.defer import Deferred
+
+from sesamearch.base.errors import ErrorKind
+from sesamearch.membership.fleet_keys import FLEET_KEYS_KEY, obtain_fleet_keys
+from sesamearch.platform.store import PlatformStore
+from sesamearch.standin.network import MemoryNetwork
+from sesamearch.standin.platform_store import PlatformStoreStandin
+from sesamearch.store.store import Comparison, Put, WatchReceiver
+from sesamearch.wire.caller import CallerFactory, CallerLimits
+
+ADDRESS = "10.9.0.1:80"
+
+
+class Recorder(WatchReceiver):
+    def __init__(self):
+        self.puts = []
+        self.has_ended = False
+
+    def changed(self, puts, revision):
+        self.puts += puts
+        self.revision = revision
+
+    def ended(self):
+        self.has_ended = True
+
+
+class StoreTestCase(unittest.TestCase):
+    def setUp(self):
+        self.network = MemoryNetwork()
+        self.standin = PlatformStoreStandin(self.network)
+        factory = CallerFactory(
+            self.network, self.standin, CallerLimits, lambda status, detail: None
+        )
+        self.network.listen(ADDRESS, factory)
+        self.store = PlatformStore(self.network, ADDRESS)
+
+    def result(self, done, wait_s=0.05):
+        results = []
+        done.addCallback(results.append)
+        self.network.run(wait_s)
+        return results[0]
+
+
+class TestCalls(StoreTestCase):
+    def test_range(self):
+        self.standin.put("a/1", b"\x00\xff")
+        self.standin.put("b/1", b"other")
+        reply = self.result(self.store.range(b"a/")).unwrap()
+        ((key, value),) = [(item.key, item.value) for item in reply.items]
+        self.assertEqual((key, value), (b"a/1", b"\x00\xff"))
+        self.assertEqual(reply.revision, self.standin.state.revision)
+
+    def test_range_of_many_pages(self):
+        self.standin.page_items = 2
+        for number in range(5):
+            self.standin.put(f"a/{number}", b"x")
+        reply = self.result(self.store.range(b"a/")).unwrap()
+        self.assertEqual(len(reply.items), 5)
+
+    def test_condition_that_holds(self):
+        put = Put(b"k", b"v")
+        reply = self.result(self.store.txn([Comparison(b"k", 0)], [put])).unwrap()
+        self.assertTrue(reply.succeeded)
+        self.assertEqual(self.standin.state.items[b"k"].value, b"v")
+
+    def test_condition_that_fails_shows_what_is_there(self):
+        self.standin.put("k", b"first")
+        put = Put(b"k", b"second")
+        reply = self.result(self.store.txn([Comparison(b"k", 0)], [put])).unwrap()
+        self.assertFalse(reply.succeeded)
+        self.assertEqual([item.value for item in reply.found], [b"first"])
+
+    def test_delete(self):
+        self.standin.put("k", b"v")
+        self.result(self.store.txn([], [Put(b"k", None)]))
+        self.assertNotIn(b"k", self.standin.state.items)
+
+    def test_lost_answer_of_a_write_is_an_error_that_promises_nothing(self):
+        self.standin.lost_answers = 1
+        result = self.result(self.store.txn([], [Put(b"k", b"v")]))
+        self.assertIs(result.unwrap_err(), ErrorKind.STORE_UNAVAILABLE)
+        self.assertIn(b"k", self.standin.state.items)
+
+    def test_leases(self):
+        lease = self.result(self.store.grant_lease(2)).unwrap()
+        self.assertTrue(self.result(self.store.keep_lease(lease)).unwrap())
+        self.network.run(3)
+        self.assertFalse(self.result(self.store.keep_lease(lease)).unwrap())
+
+    def test_refusals_are_errors(self):
+        for status in (429, 503):
+            self.standin.refusal = status
+            result = self.result(self.store.range(b""))
+            self.assertIs(result.unwrap_err(), ErrorKind.STORE_UNAVAILABLE)
+            self.assertFalse(self.store.is_reachable)
+
+    def test_silence_ends_in_an_error(self):
+        self.standin.is_silent = True
+        result = self.result(self.store.range(b""), wait_s=2)
+        self.assertTrue(result.is_err())
+
+    def test_return_is_noted(self):
+        self.standin.refusal = 503
+        self.result(self.store.range(b""))
+        self.standin.refusal = 0
+        self.result(self.store.range(b""))
+        self.assertTrue(self.store.is_reachable)
+        self.assertGreater(self.store.regained_s, 0)
+
+
+class TestWatches(StoreTestCase):
+    def setUp(self):
+        super().setUp()
+        self.recorder = Recorder()
+        self.standin.put("a/0", b"before")
+        revision = self.standin.state.revision
+        self.watch = self.store.watch(b"a/", revision, self.recorder)
+        self.network.run(0.05)
+
+    def test_changes_come_at_once_and_in_order(self):
+        self.standin.put("a/1", b"x")
+        self.network.run(0.02)
+        self.standin.remove("a/1")
+        self.standin.put("b/1", b"elsewhere")
+        self.network.run(0.05)
+        found = [(put.key, put.value) for put in self.recorder.puts]
+        self.assertEqual(found, [(b"a/1", b"x"), (b"a/1", None)])
+
+    def test_changes_between_two_calls_are_not_missed(self):
+        for number in range(5):
+            self.standin.put(f"a/{number}", b"x")
+        self.network.run(0.2)
+        self.assertEqual(len(self.recorder.puts), 5)
+
+    def test_history_that_is_gone_ends_the_watch(self):
+        self.standin.forget_history()
+        self.network.run(0.05)
+        self.assertTrue(self.recorder.has_ended)
+
+    def test_watch_goes_on_after_a_cut(self):
+        self.network.connections[-1].abortConnection()
+        self.standin.put("a/1", b"x")
+        self.network.run(0.5)
+        self.assertEqual(len(self.recorder.puts), 1)
+        self.assertFalse(self.recorder.has_ended)
+
+    def test_refused_watch_asks_again_at_growing_intervals(self):
+        self.standin.refusal = 503
+        self.network.connections[-1].abortConnection()
+        calls = self.standin.calls
+        self.network.run(4)
+        self.assertLess(self.standin.calls - calls, 8)
+        self.standin.refusal = 0
+        self.standin.put("a/1", b"x")
+        self.network.run(1.2)
+        self.assertEqual(len(self.recorder.puts), 1)
+
+    def test_quiet_watch_is_renewed(self):
+        self.network.run(45)
+        self.assertLess(self.standin.calls, 6)
+        self.standin.put("a/1", b"x")
+        self.network.run(0.1)
+        self.assertEqual(len(self.recorder.puts), 1)
+
+    def test_cancelled_watch_says_nothing(self):
+        self.watch.cancel()
+        self.standin.put("a/1", b"x")
+        self.network.run(0.1)
+        self.assertEqual(self.recorder.puts, [])
+
+
+class TestFleetKeys(StoreTestCase):
+    def obtain(self):
+        return self.result(Deferred.fromCoroutine(obtain_fleet_keys(self.store)))
+
+    def test_first_router_creates_them_and_all_get_the_same(self):
+        first = self.obtain().unwrap()
+        self.assertEqual(self.obtain().unwrap(), first)
+
+    def test_lost_answer_of_the_creation(self):
+        self.standin.lost_answers = 1
+        keys = self.obtain().unwrap()
+        self.assertEqual(self.obtain().unwrap(), keys)
+
+    def test_outage_is_an_error(self):
+        self.standin.refusal = 503
+        self.assertTrue(self.obtain().is_err())
+
+    def test_unreadable_keys_are_an_error(self):
+        self.standin.put(FLEET_KEYS_KEY.decode(), b"?")
+        self.assertTrue(self.obtain().is_err())
