Conduct short rollouts without a leader

Weighed: a leader by lease (its loss costs seconds of twelve); shares written to the store (a write and a watch for each step). Taken: every router computes the same small share from the counts of all, adds up the evidence that all tell each other each 0.1 s, and may end a rollout; the store takes one final state by its condition, and peers hear a verdict directly, so that a router which the store refuses stops as well. Retries go to the old version. The old version's endpoints stop at completion, so it comes in the last second; what the new version may get until then is bounded by a tenth and fifty.

Also: endpoints that stay silent while another answers, or in all the time that there was, count as failing; the baseline of two endpoints is the better one's.

--- a/src/sesamearch/configuration/follower.py
+++ b/src/sesamearch/configuration/follower.py
@@ -63,11 +63,14 @@
         Store revision up to which changes were taken.
     is_current : bool
         Whether the prefix is being followed.
+    revisions : dict from bytes to int
+        Store revision of each present key's last write.
     """
 
     def __init__(self, store, prefix, clock, retry_longest_s=RETRY_LONGEST_S):
         self._retry_longest_s = retry_longest_s
         self.revision = 0
+        self.revisions = {}
         self._store = store
         self._prefix = prefix
         self._clock = clock
@@ -102,6 +105,7 @@
         self._retry_s = RETRY_FIRST_S
         self._set_current(True)
         self._items = {item.key: item.value for item in reply.items}
+        self.revisions = {item.key: item.mod_revision for item in reply.items}
         self.revision = reply.revision
         self.take(self._items)
         self._watch = self._store.watch(self._prefix, reply.revision, self)
@@ -111,8 +115,10 @@
         for put in puts:
             if put.value is None:
                 self._items.pop(put.key, None)
+                self.revisions.pop(put.key, None)
             else:
                 self._items[put.key] = put.value
+                self.revisions[put.key] = put.mod_revision or revision
         self.revision = revision
         self.take(self._items)
 
--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -33,9 +33,17 @@
 from sesamearch.membership.peer import PeerLink
 from sesamearch.platform.client import SWEEP_INTERVAL_S, PlatformEndpointClient
 from sesamearch.platform.configuration import decode_configuration
-from sesamearch.platform.followers import OperatorFollower, ServerFollower
+from sesamearch.platform.followers import (
+    OperatorFollower,
+    OutcomeFollower,
+    ServerFollower,
+)
 from sesamearch.platform.headers import decode_request
+from sesamearch.platform.rollout import PlatformRolloutRegister
 from sesamearch.platform.store import PlatformStore
+from sesamearch.rollout.conductor import TELL_INTERVAL_S as ROLLOUT_INTERVAL_S
+from sesamearch.rollout.conductor import RolloutConductor
+from sesamearch.routing.canary import CanarySettings
 from sesamearch.routing.table import RoutingTable
 from sesamearch.wire.caller import CallerFactory
 
@@ -106,6 +114,7 @@
         self.counters = ForwardCounters()
         self._store = PlatformStore(reactor, settings.store_address)
         self._peers = None
+        self._outcomes = None
         self._early_socket = None
         self._is_open = False
         self._make_forwarding()
@@ -134,15 +143,25 @@
             bounds.retry_slack,
             lambda: len(self.board.members.value) + 1,
         )
+        canary = CanarySettings(bounds.exposure_ratio, bounds.exposure_slack)
+        self._conductor = RolloutConductor(
+            self._settings.name,
+            self.board,
+            PlatformRolloutRegister(self._store),
+            canary,
+            reactor,
+        )
+        data_centre = self._settings.data_centre
         tools = ForwardTools(
             self._client,
-            Chooser(fleet, self._loads, self._health, self._settings.data_centre),
+            Chooser(fleet, self._loads, self._health, data_centre, self._conductor),
             fleet,
             self._loads,
             self._health,
             self._prompts,
             GenerationPace(),
             budgets,
+            self._conductor,
             reactor,
             self.counters,
         )
@@ -159,7 +178,7 @@
             self._settings.name, self._loads, self._health, self._prompts
         )
         self._followers = [
-            OperatorFollower(self._store, self.board, self._reactor),
+            OperatorFollower(self._store, self.board, self._conductor, self._reactor),
             ServerFollower(self._store, self._listing, self._reactor),
         ]
 
@@ -180,6 +199,7 @@
             (LoopingCall(self._client.sweep), SWEEP_INTERVAL_S),
             (LoopingCall(self._gossip.tell_changes), GOSSIP_INTERVAL_S),
             (LoopingCall(self._tell), TELL_INTERVAL_S),
+            (LoopingCall(self._conduct), ROLLOUT_INTERVAL_S),
             (LoopingCall(self._flush), FLUSH_INTERVAL_S),
         ]
 
@@ -255,6 +275,7 @@
         )
         self._listing.join(self._peers)
         self._gossip.join(self._peers)
+        self._conductor.join(self._peers)
         self._peers.start()
         logger.info("peer link started listen={}", self._settings.peer.listen)
 
@@ -314,6 +335,15 @@
         self._gossip.tell()
         self._listing.tell()
 
+    def _conduct(self):
+        if self._conductor.rollouts and self._outcomes is None:
+            # Watched only once there was a rollout: each call of the store counts.
+            self._outcomes = OutcomeFollower(
+                self._store, self._conductor, self._reactor
+            )
+            self._outcomes.start()
+        self._conductor.tell()
+
     def _flush(self):
         if self._lines is not None:
             self._lines.flush()
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -39,7 +39,7 @@
         self._send()
 
     def _send(self):
-        endpoint = self.tools.chooser.for_call(self.service.name, self.excluded)
+        endpoint = self._choose()
         if endpoint is None:
             self._give_up(self._cause, "no endpoint left to try")
             return
@@ -56,6 +56,11 @@
             delay_s = self.route.latency_goal_s * HEDGE_GOAL_RATIO
             self._hedge = self.tools.clock.callLater(delay_s, self._send_second)
 
+    def _choose(self):
+        return self.tools.chooser.for_call(
+            self.service.name, self.request.request_id, self.excluded
+        )
+
     def _may_send(self):
         return (
             self._runs < self.route.max_attempts
@@ -66,8 +71,7 @@
     def _send_second(self):
         has_silent_try = not self.is_over and len(self.tries) == 1
         if has_silent_try and self._passed_on is None and self._may_send():
-            spare = self.tools.chooser.for_call(self.service.name, self.excluded)
-            if spare is not None and self.may_repeat():
+            if self._choose() is not None and self.may_repeat():
                 self._send()
 
     def _send_again(self, kind, detail):
@@ -127,12 +131,14 @@
         answer = attempt.answer
         is_failure = answer.status >= 500
         self.tools.health.answered(attempt.endpoint.name, is_failure)
+        self.note_answer(attempt, is_failure)
         if is_failure and self._is_idempotent:
             self._failure = attempt
             self.drop(attempt, "failed", answer.status)
             self._send_again(ErrorKind.ENDPOINT_LOST, "endpoint failed")
             return
         self.tries.remove(attempt)
+        self.note_silence(self.tries)
         self._deliver(attempt)
 
     def _take_promise(self, attempt):
--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -41,38 +41,49 @@
     health : HealthBook
     data_centre : str
         This router's own.
+    gate : VersionGate
     rng : random.Random, optional
     """
 
-    __slots__ = ("_data_centre", "_fleet", "_health", "_loads", "_random")
+    __slots__ = ("_data_centre", "_fleet", "_gate", "_health", "_loads", "_random")
 
-    def __init__(self, fleet, loads, health, data_centre, rng=None):
+    def __init__(self, fleet, loads, health, data_centre, gate, rng=None):
+        self._gate = gate
         self._fleet = fleet
         self._loads = loads
         self._health = health
         self._data_centre = data_centre
         self._random = rng or random.Random()
 
-    def _candidates(self, service, excluded):
+    def _candidates(self, service, excluded, request_id):
         found = [
             endpoint
             for endpoint in self._fleet.serving(service)
-            if endpoint.name not in excluded
+            if endpoint.name not in excluded and self._gate.admits(endpoint, request_id)
         ]
+        if excluded or not found:
+            found = self._spares(service, excluded) or found
         up = [each for each in found if not self._health.is_down(each.name)]
         return up or found
 
+    def _spares(self, service, excluded):
+        return [
+            endpoint
+            for endpoint in self._fleet.serving(service)
+            if endpoint.name not in excluded and self._gate.is_spare(endpoint)
+        ]
+
     def _least(self, endpoints, cost):
         if not endpoints:
             return None
         return min(endpoints, key=lambda each: (cost(each), self._random.random()))
 
-    def for_call(self, service, excluded=frozenset()):
+    def for_call(self, service, request_id, excluded=frozenset()):
         """Choose for a plain call.
 
         Parameters
         ----------
-        service : str
+        service, request_id : str
         excluded : set of str
             Names not to choose.
 
@@ -80,7 +91,7 @@
         -------
         Endpoint or None
         """
-        endpoints = self._candidates(service, excluded)
+        endpoints = self._candidates(service, excluded, request_id)
         baseline = self._health.baseline([each.name for each in endpoints])
 
         def cost(endpoint):
@@ -95,7 +106,9 @@
 
         return self._least(endpoints, cost)
 
-    def for_generation(self, service, engine, need, excluded=frozenset(), read_at=""):
+    def for_generation(
+        self, service, engine, need, request_id, excluded=frozenset(), read_at=""
+    ):
         """Choose for a generation.
 
         Parameters
@@ -103,6 +116,7 @@
         service : str
         engine : EngineTraits
         need : GenerationNeed
+        request_id : str
         excluded : set of str
             Names not to choose.
         read_at : str
@@ -112,7 +126,7 @@
         -------
         Endpoint or None
         """
-        endpoints = self._candidates(service, excluded)
+        endpoints = self._candidates(service, excluded, request_id)
         names = [each.name for each in endpoints]
         baseline = self._health.baseline(names)
         slowness = self._health.slowness(names)
@@ -135,7 +149,7 @@
 
         return self._least(endpoints, cost)
 
-    def for_backup(self, primary, engine, need):
+    def for_backup(self, primary, engine, need, request_id):
         """Choose who keeps a copy of a generation's memory.
 
         Another data centre is taken where there is one: the engines of one often
@@ -147,7 +161,8 @@
         Endpoint or None
             None where no engine has room.
         """
-        endpoints = self._candidates(primary.service, {primary.name})
+        admitted = self._candidates(primary.service, {primary.name}, request_id)
+        endpoints = [e for e in admitted if e.version == primary.version]
         away = [e for e in endpoints if e.data_centre != primary.data_centre]
         here = [e for e in away if e.data_centre == self._data_centre]
         room = [
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -37,6 +37,7 @@
     prompts : PromptPlaces
     pace : GenerationPace
     budgets : Budgets
+    gate : VersionGate
     clock : twisted.internet.interfaces.IReactorTime
     counters : ForwardCounters
     """
@@ -49,6 +50,7 @@
     prompts: object
     pace: object
     budgets: object
+    gate: object
     clock: object
     counters: object
 
@@ -221,6 +223,7 @@
             )
         )
         self.tools.counters.tries += 1
+        self.tools.gate.sent(passage.endpoint)
         attempt.sending = self.tools.client.forward(self.request, passage, attempt)
         return attempt
 
@@ -248,6 +251,12 @@
             self.tools.health.unreachable(name)
         else:
             self.tools.health.failed(name)
+            self.note_answer(attempt, True)
+
+    def note_answer(self, attempt, is_failure):
+        """Let a rollout know how a try went."""
+        took_s = self.now_s - attempt.sent_s
+        self.tools.gate.answered(attempt.endpoint, self.route.name, is_failure, took_s)
 
     def cancel_tries(self):
         """Stop everything that still runs for this request."""
@@ -321,9 +330,16 @@
         self.log_end("caller_left", None, 0)
         self.close()
 
+    def note_silence(self, attempts):
+        """Count endpoints that gave no answer while others did, or in all the time."""
+        for attempt in attempts:
+            self.tools.health.failed(attempt.endpoint.name)
+            self.note_answer(attempt, False)
+
     def _timed_out(self):
         if self.is_over:
             return
+        self.note_silence(self.tries)
         kind = ErrorKind.TIMED_OUT if self.tried else ErrorKind.NO_ENDPOINT
         self.expire(kind)
 
--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -178,13 +178,13 @@
         return excess if excess > FAILURE_EXCESS_RATIO else 0.0
 
     def baseline(self, names):
-        """Return the median failure ratio of some endpoints."""
+        """Return the lower median of the failure ratios of some endpoints."""
         ratios = sorted(
             record.failure_ratio
             for record in map(self._records.get, names)
             if record is not None and record.outcomes >= 1
         )
-        return ratios[len(ratios) // 2] if ratios else 0.0
+        return ratios[(len(ratios) - 1) // 2] if ratios else 0.0
 
     def suspicions(self):
         """Return the list of :class:`Suspicion` to tell the other routers."""
--- a/src/sesamearch/forwarding/load.py
+++ b/src/sesamearch/forwarding/load.py
@@ -39,10 +39,18 @@
 class Work:
     """One request at one endpoint, as counted."""
 
-    __slots__ = ("_book", "_memory_tokens", "_name", "_running", "_unread_tokens")
+    __slots__ = (
+        "_book",
+        "_memory_tokens",
+        "_name",
+        "_running",
+        "_unread_tokens",
+        "is_read",
+    )
 
     def __init__(self, book, name, running, unread_tokens, memory_tokens):
         self._book = book
+        self.is_read = False
         self._name = name
         self._running = running
         self._unread_tokens = unread_tokens
@@ -51,6 +59,7 @@
 
     def prompt_was_read(self):
         """Note that the first event came."""
+        self.is_read = True
         unread, self._unread_tokens = self._unread_tokens, 0
         if unread:
             self._book.change(self._name, 0, -unread, 0)
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -176,6 +176,7 @@
             self.service.name,
             self.service.engine,
             self._need,
+            self.request.request_id,
             self.excluded,
             self.tools.prompts.find(self.request.own_part),
         )
@@ -183,13 +184,14 @@
     def _is_usable(self, endpoint):
         is_of_service = endpoint.service == self.service.name
         is_down = self.tools.health.is_down(endpoint.name)
-        return is_of_service and not endpoint.leaving and not is_down
+        is_admitted = self.tools.gate.admits(endpoint, self.request.request_id)
+        return is_of_service and is_admitted and not endpoint.leaving and not is_down
 
     def _choose_backup(self, endpoint):
         if not self.route.is_resumable or not self.service.engine.takes_backups:
             return None
         backup = self.tools.chooser.for_backup(
-            endpoint, self.service.engine, self._need
+            endpoint, self.service.engine, self._need, self.request.request_id
         )
         if backup is not None:
             self._backup = MemoryCopy(backup.address, self.request.request_id)
@@ -273,7 +275,9 @@
         return True
 
     def _pass_on(self, attempt, events):
-        attempt.work.prompt_was_read()
+        if not attempt.work.is_read:
+            attempt.work.prompt_was_read()
+            self.note_answer(attempt, False)
         if not self._has_head:
             self._start_answer(attempt)
         elif self._is_broken:
@@ -324,6 +328,7 @@
 
     def _take_failure(self, attempt):
         self.tools.health.answered(attempt.endpoint.name, True)
+        self.note_answer(attempt, True)
         self.drop(attempt, "failed", attempt.answer.status)
         can_repeat = self.route.is_resumable and self._runs < self.route.max_attempts
         if self._has_head or (can_repeat and attempt.answer.status >= 500):
--- a/src/sesamearch/membership/message.py
+++ b/src/sesamearch/membership/message.py
@@ -6,6 +6,7 @@
 from sesamearch.forwarding.health import Suspicion
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.operation.claim import Claim
+from sesamearch.routing.canary import RouteEvidence
 from sesamearch.routing.evidence import CellCounts
 
 __all__ = [
@@ -21,6 +22,8 @@
     "Heartbeat",
     "LoadNews",
     "Message",
+    "RolloutNews",
+    "RolloutVerdict",
     "TakenClaim",
     "Veto",
     "WantedClaim",
@@ -199,6 +202,44 @@
     endpoints: list[Endpoint]
 
 
+class RolloutNews(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Tells of a rollout, and what a router saw of it since it last told.
+
+    Parameters
+    ----------
+    schema_version : int
+    name : str
+        Of the sender.
+    service, target : str
+    revision : int
+        Of the order.
+    length_s, age_s : float
+        Of the order; the age is that at the sender.
+    requests, to_new : int
+        Sent to the service, and of these to the new version.
+    evidence : list of RouteEvidence
+    """
+
+    schema_version: int
+    name: str
+    service: str
+    target: str
+    revision: int
+    length_s: float
+    age_s: float
+    requests: int
+    to_new: int
+    evidence: list[RouteEvidence]
+
+
+class RolloutVerdict(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Tells that a router has called the version of a rollout bad."""
+
+    schema_version: int
+    service: str
+    revision: int
+
+
 Message = (
     Heartbeat
     | ConfigurationWanted
@@ -211,4 +252,6 @@
     | EndpointsState
     | EndpointsWanted
     | EndpointsNews
+    | RolloutNews
+    | RolloutVerdict
 )
--- a/src/sesamearch/platform/followers.py
+++ b/src/sesamearch/platform/followers.py
@@ -4,8 +4,14 @@
 from sesamearch.configuration.follower import Follower
 from sesamearch.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from sesamearch.platform.endpoints import ENDPOINT_PREFIX, decode_endpoint
+from sesamearch.platform.rollout import (
+    ORDER_PREFIX,
+    STATUS_PREFIX,
+    decode_order,
+    decode_outcome,
+)
 
-__all__ = ["OperatorFollower", "ServerFollower"]
+__all__ = ["OperatorFollower", "OutcomeFollower", "ServerFollower"]
 
 OPERATOR_PREFIX = b"op/"
 RETRY_LONGEST_S = 1.0
@@ -18,16 +24,34 @@
     ----------
     store : Store
     board : Blackboard
+    conductor : RolloutConductor
     clock : twisted.internet.interfaces.IReactorTime
     """
 
-    def __init__(self, store, board, clock):
+    def __init__(self, store, board, conductor, clock):
         super().__init__(store, OPERATOR_PREFIX, clock, RETRY_LONGEST_S)
         self._board = board
+        self._conductor = conductor
         self._seen = None
 
     def take(self, items):
-        """Hand a changed configuration on."""
+        """Hand a changed configuration and the orders on."""
+        self._take_configuration(items)
+        self._take_orders(items)
+
+    def _take_orders(self, items):
+        orders = []
+        for key, value in items.items():
+            if not key.startswith(ORDER_PREFIX):
+                continue
+            decoded = decode_order(value, self.revisions[key])
+            if decoded.is_err():
+                logger.error("order unreadable: {}", decoded.unwrap_err())
+            else:
+                orders.append(decoded.unwrap())
+        self._conductor.take_orders(orders)
+
+    def _take_configuration(self, items):
         value = items.get(CONFIGURATION_KEY)
         if value is None or value == self._seen:
             return
@@ -45,6 +69,29 @@
             )
 
 
+class OutcomeFollower(Follower):
+    """Follows what became of rollouts.
+
+    Parameters
+    ----------
+    store : Store
+    conductor : RolloutConductor
+    clock : twisted.internet.interfaces.IReactorTime
+    """
+
+    def __init__(self, store, conductor, clock):
+        super().__init__(store, STATUS_PREFIX, clock, RETRY_LONGEST_S)
+        self._conductor = conductor
+
+    def take(self, items):
+        """Hand the states on."""
+        decoded = [
+            decode_outcome(key, value, self.revisions[key])
+            for key, value in items.items()
+        ]
+        self._conductor.take_outcomes([r.unwrap() for r in decoded if r.is_ok()])
+
+
 class ServerFollower(Follower):
     """Follows the endpoints' entries.
 
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -155,7 +155,10 @@
         if event.removed:
             puts.append(Put(event.key.encode(), None))
             continue
-        puts += [Put(each.key, each.value, each.lease) for each in _key_values([event])]
+        puts += [
+            Put(each.key, each.value, each.lease, each.mod_revision)
+            for each in _key_values([event])
+        ]
     return puts
 
 
--- a/src/sesamearch/store/store.py
+++ b/src/sesamearch/store/store.py
@@ -66,11 +66,21 @@
 
 
 class Put(msgspec.Struct, frozen=True):
-    """Write of a transaction; a value of None deletes the key."""
+    """Write of a transaction; a value of None deletes the key.
+
+    Parameters
+    ----------
+    key : bytes
+    value : bytes or None
+    lease : int
+    mod_revision : int
+        Store revision of the write, where a watch tells it.
+    """
 
     key: bytes
     value: bytes | None
     lease: int = 0
+    mod_revision: int = 0
 
 
 class RangeReply(msgspec.Struct, frozen=True):
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -8,6 +8,7 @@
 from sesamearch.configuration.blackboard import Blackboard, Endpoint
 from sesamearch.forwarding.choice import Chooser, GenerationNeed
 from sesamearch.forwarding.fleet import Fleet
+from sesamearch.forwarding.gate import OpenGate
 from sesamearch.forwarding.health import HealthBook
 from sesamearch.forwarding.load import EndpointLoad, LoadBook
 from sesamearch.routing.table import EngineTraits
@@ -25,7 +26,9 @@
         self.health = HealthBook(self.clock)
         self.loads = LoadBook(self.clock)
         fleet = Fleet(self.board, self.health)
-        self.chooser = Chooser(fleet, self.loads, self.health, "east", random.Random(1))
+        self.chooser = Chooser(
+            fleet, self.loads, self.health, "east", OpenGate(), random.Random(1)
+        )
         endpoints = [
             Endpoint(
                 f"e{number}",
@@ -44,11 +47,11 @@
         return work
 
     def choose(self, excluded=frozenset()):
-        chosen = self.chooser.for_generation("models", ENGINE, NEED, excluded)
+        chosen = self.chooser.for_generation("models", ENGINE, NEED, "r", excluded)
         return chosen.name if chosen else None
 
     def call(self):
-        return self.chooser.for_call("models").name
+        return self.chooser.for_call("models", "r").name
 
 
 class TestLongPrompts(unittest.TestCase):
@@ -150,20 +153,20 @@
     def test_backup_lies_in_another_data_centre(self):
         world = World(4)
         primary = world.board.endpoints.value["e0"]
-        backup = world.chooser.for_backup(primary, ENGINE, NEED)
+        backup = world.chooser.for_backup(primary, ENGINE, NEED, "r")
         self.assertEqual(backup.data_centre, "west")
 
     def test_backup_of_a_remote_primary_lies_here(self):
         world = World(4)
         primary = world.board.endpoints.value["e1"]
-        backup = world.chooser.for_backup(primary, ENGINE, NEED)
+        backup = world.chooser.for_backup(primary, ENGINE, NEED, "r")
         self.assertEqual(backup.data_centre, "east")
 
     def test_backup_needs_room(self):
         world = World(2)
         world.begin("e1", 0, 85_000)
         primary = world.board.endpoints.value["e0"]
-        self.assertIsNone(world.chooser.for_backup(primary, ENGINE, NEED))
+        self.assertIsNone(world.chooser.for_backup(primary, ENGINE, NEED, "r"))
 
 
 class TestCalls(unittest.TestCase):
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -162,6 +162,12 @@
         client = self.world.ask(request_bytes("/look/1"), wait_s=0.15)
         self.assertEqual(client.status, 200)
 
+    def test_worker_that_stays_silent_while_another_answers_gets_less(self):
+        self.world.desks[0].fault = "mute"
+        for number in range(20):
+            self.world.ask(request_bytes("/look/1", f"r{number}"), wait_s=0.15)
+        self.assertLess(len(self.world.desks[0].runs), 10)
+
     def test_refused_connection_is_tried_elsewhere_also_for_an_operation(self):
         self.world.network.close(self.world.desks[0].address)
         client = self.world.ask(request_bytes("/post/1", method="POST"))
