Explain a failure afterwards: typed log records, explain, metrics

Cause: an on-call engineer has only logs and metrics; half of the lines were free text, and nothing joined the lines of one request.

Change: every decision about a request and every change of belief is a typed record with a stable event (base/record.py), with the age of the peers' news behind a choice; `sesamearch explain ID FILE...` tells the story of one request with what was known about its endpoints, and its cause; counters and latency histograms by route, service and outcome through OpenTelemetry, loaded two seconds after the start so that callers go first. A test holds the table of records in OPERATIONS against the code.

--- a/src/sesamearch/command/__init__.py
+++ b/src/sesamearch/command/__init__.py
@@ -5,6 +5,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "explain": ["Story", "StoryLine", "add_explain", "read_lines", "tell_story"],
         "front": ["main"],
         "operator": [
             "add_check",
--- /dev/null
+++ b/src/sesamearch/command/explain.py
@@ -0,0 +1,190 @@
+"""The on-call engineer's command: the story of one request out of many logs."""
+
+import re
+import sys
+from pathlib import Path
+
+import msgspec
+
+from sesamearch.base.record import RECORDS
+from sesamearch.command.terminal import add_command, add_format
+
+__all__ = ["Story", "StoryLine", "add_explain", "read_lines", "tell_story"]
+
+# What a router believed is shown if it changed so shortly before a step.
+CONTEXT_S = 10.0
+_OBJECT = re.compile(rb"\{.*\}")
+EXIT_NOT_FOUND = 3
+
+
+class StoryLine(msgspec.Struct, frozen=True):
+    """One log line.
+
+    Parameters
+    ----------
+    at : float
+        Unix time in seconds, by the router's clock.
+    node : str
+        Name of the router.
+    record : one of ``RECORDS``
+    """
+
+    at: float
+    node: str
+    record: object
+
+
+class _Envelope(msgspec.Struct):
+    at: float
+    node: str
+    record: msgspec.Raw
+
+
+class Story(msgspec.Struct, frozen=True):
+    """A request and what was known about its endpoints.
+
+    Parameters
+    ----------
+    request : str
+    lines : list of StoryLine
+        The request's own, in order.
+    context : list of StoryLine
+        Changes of the endpoints that it met, shortly before.
+    cause : str
+        One sentence on how it ended and why.
+    """
+
+    request: str
+    lines: list[StoryLine]
+    context: list[StoryLine]
+    cause: str
+
+
+_decode_envelope = msgspec.json.Decoder(_Envelope).decode
+_Union = RECORDS[0]
+for _kind in RECORDS[1:]:
+    _Union = _Union | _kind
+_decode_record = msgspec.json.Decoder(_Union).decode
+
+
+def read_lines(files):
+    """Read log lines out of files; what is no record of ours is passed over.
+
+    Parameters
+    ----------
+    files : iterable of binary files
+        Lines may have other text before the JSON object.
+
+    Yields
+    ------
+    StoryLine
+    """
+    for file in files:
+        for raw in file:
+            found = _OBJECT.search(raw)
+            if found is None:
+                continue
+            try:
+                line = _decode_envelope(found.group(0))
+                yield StoryLine(line.at, line.node, _decode_record(line.record))
+            except msgspec.DecodeError:
+                continue
+
+
+def tell_story(request_id, lines):
+    """Collect the story of one request.
+
+    Parameters
+    ----------
+    request_id : str
+    lines : iterable of StoryLine
+
+    Returns
+    -------
+    Story or None
+        None if no line names the request.
+    """
+    lines = sorted(lines, key=lambda line: line.at)
+    own = [x for x in lines if getattr(x.record, "request", None) == request_id]
+    if not own:
+        return None
+    endpoints = {getattr(line.record, "endpoint", "") for line in own} - {""}
+    node, begin_s, end_s = own[0].node, own[0].at - CONTEXT_S, own[-1].at
+    context = [
+        line
+        for line in lines
+        if line.node == node
+        and begin_s <= line.at <= end_s
+        and getattr(line.record, "request", None) is None
+        and _is_about(line.record, endpoints)
+    ]
+    return Story(request_id, own, context, _cause(own))
+
+
+def _is_about(record, endpoints):
+    event = record.__struct_config__.tag
+    if event in ("endpoint_changed", "endpoint_suspected"):
+        return record.endpoint in endpoints
+    return event in ("configuration_in_force", "dependency", "rollout_changed")
+
+
+def _cause(lines):
+    """Return a sentence on the last decision and what led to it."""
+    losses = [x.record for x in lines if x.record.__struct_config__.tag == "try_lost"]
+    met = ", then ".join(
+        f"{loss.cause} at {loss.endpoint} after {loss.after_ms} ms" for loss in losses
+    )
+    last = lines[-1].record
+    event = last.__struct_config__.tag
+    if event == "request_refused":
+        reason = (
+            f"refused with {last.status} ({last.cause}: {last.detail or 'no more'})"
+        )
+    elif event == "request_ended":
+        reason = f"{last.outcome} by {last.endpoint or 'this router'}, {last.status}"
+    else:
+        reason = "no end in these logs: its router stopped or was cut off"
+    return f"{reason}; before: {met}" if met else reason
+
+
+def _show(line, begin_s):
+    fields = msgspec.structs.asdict(line.record)
+    fields.pop("request", None)
+    shown = " ".join(f"{name}={value}" for name, value in fields.items())
+    event = line.record.__struct_config__.tag
+    return f"{(line.at - begin_s) * 1000:9.0f} ms  {line.node}  {event}  {shown}"
+
+
+def add_explain(commands):
+    """Add the ``explain`` command to the sub-parsers `commands`."""
+    parser = add_command(
+        commands,
+        "explain",
+        _run_explain,
+        "Tell the story of one request out of the logs of routers.",
+        "sesamearch explain 9c41d07be2a35f68 router-1.log router-2.log",
+    )
+    parser.add_argument("request", metavar="ID")
+    parser.add_argument(
+        "files", nargs="*", metavar="FILE", help="standard input if none"
+    )
+    add_format(parser)
+
+
+def _run_explain(options):
+    files = [Path(name).open("rb") for name in options.files] or [sys.stdin.buffer]
+    story = tell_story(options.request, read_lines(files))
+    for file in files:
+        file.close()
+    if story is None:
+        print(f"sesamearch: no line names {options.request}", file=sys.stderr)
+        return EXIT_NOT_FOUND
+    if options.format == "json":
+        print(msgspec.json.encode(story).decode())
+        return 0
+    begin_s = story.lines[0].at
+    print(f"request {story.request}")
+    for line in sorted([*story.lines, *story.context], key=lambda each: each.at):
+        print(_show(line, begin_s))
+    print(f"cause: {story.cause}")
+    return 0
--- a/src/sesamearch/command/main.py
+++ b/src/sesamearch/command/main.py
@@ -9,6 +9,7 @@
 
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.log import set_up_logging
+from sesamearch.command.explain import add_explain
 from sesamearch.command.operator import (
     add_check,
     add_history,
@@ -54,6 +55,7 @@
     add_move(commands)
     add_status(commands)
     _add_ask(commands)
+    add_explain(commands)
     _add_keys(commands)
     return parser
 
--- a/src/sesamearch/configuration/follower.py
+++ b/src/sesamearch/configuration/follower.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sesamearch.base.log import logger
+from sesamearch.base.record import Dependency
 from sesamearch.configuration.blackboard import Endpoint
 from sesamearch.configuration.configuration import Configuration
 from sesamearch.store.store import WatchReceiver
@@ -132,8 +133,8 @@
     def _set_current(self, is_current):
         if is_current != self.is_current:
             self.is_current = is_current
-            state = "following" if is_current else "lost"
-            logger.info("store {} prefix={}", state, self._prefix.decode())
+            state = "regained" if is_current else "lost"
+            logger.info(Dependency(self._prefix.decode(), state))
 
     @abc.abstractmethod
     def take(self, items):
--- a/src/sesamearch/daemon/__init__.py
+++ b/src/sesamearch/daemon/__init__.py
@@ -7,6 +7,7 @@
     submod_attrs={
         "drain": ["Drain"],
         "front": ["Front"],
+        "front_metrics": ["FrontMetrics"],
         "metrics": ["MetricsExport"],
         "operators_port": ["OperatorsPort", "RouterStatus"],
         "router": ["Router"],
--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -11,9 +11,11 @@
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.listener import listen_directly
 from sesamearch.base.log import FLUSH_INTERVAL_S, logger
+from sesamearch.base.record import Dependency, Lifecycle, RequestUnreadable
 from sesamearch.configuration.blackboard import Blackboard
 from sesamearch.configuration.settings import DrainSettings
 from sesamearch.daemon.drain import Drain
+from sesamearch.daemon.front_metrics import FrontMetrics
 from sesamearch.forwarding.choice import Chooser
 from sesamearch.forwarding.dispatcher import (
     CHECK_INTERVAL_S,
@@ -59,6 +61,9 @@
 # Before the process is killed: what is left then is cut, and its callers go on.
 HAND_OVER_MARGIN_S = 0.25
 FLUSH_S = 0.1
+# Loading the exporter takes a tenth of a second: callers go first.
+METRICS_DELAY_S = 2.0
+METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 OK = 200
 UNAVAILABLE = 503
 
@@ -130,6 +135,7 @@
 
     def _make_forwarding(self):
         reactor, bounds = self._reactor, self._settings.bounds
+        self._metrics = FrontMetrics(self.counters, self._gauges())
         self._health = HealthBook(reactor)
         self._loads = LoadBook(reactor)
         self._prompts = PromptPlaces(reactor)
@@ -164,9 +170,22 @@
             self._conductor,
             reactor,
             self.counters,
+            self._metrics,
         )
         self.dispatcher = Dispatcher(self.board, tools)
 
+    def _gauges(self):
+        board = self.board
+        return {
+            "configuration_revision": lambda: board.configuration.value.revision,
+            "endpoints": lambda: len(board.endpoints.value),
+            "members": lambda: len(board.members.value),
+            "in_flight": lambda: self.dispatcher.in_flight,
+            "store_calls": lambda: self._store.calls,
+            "endpoint_connections": lambda: self._client.opened,
+            "log_lines_dropped": lambda: self._lines.dropped if self._lines else 0,
+        }
+
     def _make_membership(self):
         self._listing = EndpointListing(
             self.board,
@@ -231,6 +250,7 @@
         except CannotListenError as error:
             return Err(Problem(ErrorKind.UNREACHABLE, str(error)))
         self.board.drain.listen(self._note_drain)
+        self._reactor.callLater(METRICS_DELAY_S, self._serve_metrics)
         for loop, interval_s in self._loops:
             loop.clock = self._reactor
             loop.start(interval_s, now=False)
@@ -239,11 +259,7 @@
         )
         # What was made for the start is never garbage: collections skip it.
         gc.freeze()
-        logger.info(
-            "router started name={} listen={}",
-            self._settings.name,
-            self._settings.listen,
-        )
+        logger.info(Lifecycle("started", self._settings.listen))
         return Ok(None)
 
     def _open_when_known(self, value):
@@ -255,9 +271,24 @@
         if self._is_open:
             return
         self._is_open = True
+        logger.info(Lifecycle("open", self._settings.listen))
         early_socket, self._early_socket = self._early_socket, None
         self._listen(self._reactor, self._settings.listen, self._factory, early_socket)
 
+    def _serve_metrics(self):
+        self._metrics.load()
+        factory = CallerFactory(
+            self._reactor, self._tell_metrics, self._limits, self._unreadable
+        )
+        try:
+            self._listen(self._reactor, self._settings.metrics_listen, factory)
+        except CannotListenError as error:
+            logger.error("metrics cannot be served: {}", error)
+
+    def _tell_metrics(self, head, body, reply):
+        headers = [(b"Content-Type", METRICS_CONTENT_TYPE)]
+        reply.answer(OK, headers, self._metrics.render())
+
     async def _join_peers(self):
         while True:
             keys = await obtain_fleet_keys(self._store)
@@ -277,7 +308,7 @@
         self._gossip.join(self._peers)
         self._conductor.join(self._peers)
         self._peers.start()
-        logger.info("peer link started listen={}", self._settings.peer.listen)
+        logger.info(Dependency("peers", "regained", self._settings.peer.listen))
 
     def handle_signals(self):
         """Drain on SIGTERM and SIGINT; SIGHUP changes nothing that is in force."""
@@ -286,12 +317,16 @@
             self._reactor.callFromThread(self._drain.ask)
 
         def reload(number, frame):
-            self._reactor.callFromThread(logger.info, "settings changed: kept")
+            self._reactor.callFromThread(self._reload)
 
         signal.signal(signal.SIGTERM, ask)
         signal.signal(signal.SIGINT, ask)
         signal.signal(signal.SIGHUP, reload)
 
+    def _reload(self):
+        """Note changed settings: addresses and bounds stay those of the start."""
+        logger.info(Lifecycle("reloaded", "nothing that is in force changed"))
+
     def _note_drain(self, phase):
         self._factory.is_draining = phase.draining
 
@@ -299,7 +334,7 @@
         self._factory.close_idle()
 
     def _stop(self):
-        logger.info("router stopped name={}", self._settings.name)
+        logger.info(Lifecycle("stopped"))
         self._flush()
         self._reactor.callLater(FLUSH_S, self._reactor.stop)
 
@@ -310,7 +345,7 @@
 
     def _unreadable(self, status, detail):
         self.counters.unreadable += 1
-        logger.info("request unreadable status={} detail={}", status, detail)
+        logger.info(RequestUnreadable(status, detail))
 
     def _take_request(self, head, body, reply):
         request = decode_request(head, body, self._reactor.seconds())
--- /dev/null
+++ b/src/sesamearch/daemon/front_metrics.py
@@ -0,0 +1,111 @@
+"""Metrics of a router on the platform: counters and latency histograms."""
+
+from collections import deque
+
+from sesamearch.base.log import logger
+from sesamearch.forwarding.meter import Meter
+
+__all__ = ["FrontMetrics"]
+
+_PREFIX = "sesamearch_"
+EARLY_SAMPLES = 5000
+LATENCY_BUCKETS_S = (
+    0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.5, 4.5, 10.0, 25.0
+)  # fmt: skip
+
+
+class FrontMetrics(Meter):
+    """Counts and times what callers get; exports it as Prometheus text.
+
+    The exporter is loaded after the router serves: until then samples are kept.
+
+    Parameters
+    ----------
+    counters : ForwardCounters
+    gauges : dict from str to callable
+        Name and a callable that gives the present value.
+    """
+
+    def __init__(self, counters, gauges):
+        self._counters = counters
+        self._gauges = gauges
+        self._early = deque(maxlen=EARLY_SAMPLES)
+        self._instruments = None
+        self._render = None
+
+    def load(self):
+        """Load the exporter and give it what was kept."""
+        from opentelemetry.exporter.prometheus import PrometheusMetricReader
+        from opentelemetry.metrics import Observation
+        from opentelemetry.sdk.metrics import MeterProvider
+        from opentelemetry.sdk.metrics.view import (
+            ExplicitBucketHistogramAggregation,
+            View,
+        )
+        from prometheus_client import generate_latest
+
+        reader = PrometheusMetricReader(True, scope_info_enabled=False)
+        buckets = ExplicitBucketHistogramAggregation(LATENCY_BUCKETS_S)
+        view = View(instrument_name="*_seconds", aggregation=buckets)
+        provider = MeterProvider(metric_readers=[reader], views=[view])
+        meter = provider.get_meter("sesamearch")
+        self._register_observed(meter, Observation)
+        self._instruments = {
+            "requests": meter.create_counter(_PREFIX + "requests_by_outcome"),
+            "tries": meter.create_counter(_PREFIX + "tries_by_outcome"),
+            "took": meter.create_histogram(_PREFIX + "request_seconds"),
+            "first": meter.create_histogram(_PREFIX + "first_event_seconds"),
+            "pause": meter.create_histogram(_PREFIX + "resume_pause_seconds"),
+        }
+        self._render = generate_latest
+        early, self._early = self._early, None
+        for sample in early:
+            self._record(*sample)
+        logger.info("metrics are served, {} early samples", len(early))
+
+    def _register_observed(self, meter, observation):
+        def observe(read):
+            return lambda options: [observation(read())]
+
+        for name in self._counters.__slots__:
+            read = self._reader(name)
+            meter.create_observable_counter(_PREFIX + name, [observe(read)])
+        for name, read in self._gauges.items():
+            meter.create_observable_gauge(_PREFIX + name, [observe(read)])
+
+    def _reader(self, name):
+        return lambda: getattr(self._counters, name)
+
+    def _note(self, kind, value, **labels):
+        if self._instruments is None:
+            self._early.append((kind, value, labels))
+        else:
+            self._record(kind, value, labels)
+
+    def _record(self, kind, value, labels):
+        instrument = self._instruments[kind]
+        if hasattr(instrument, "add"):
+            instrument.add(value, labels)
+        else:
+            instrument.record(value, labels)
+
+    def request_ended(self, route, outcome, took_s):
+        """Count a request and its time."""
+        self._note("requests", 1, route=route, outcome=outcome)
+        self._note("took", took_s, route=route, outcome=outcome)
+
+    def try_ended(self, service, outcome):
+        """Count a try."""
+        self._note("tries", 1, service=service, outcome=outcome)
+
+    def first_event(self, route, took_s):
+        """Time a first event."""
+        self._note("first", took_s, route=route)
+
+    def resumed(self, route, pause_s):
+        """Time a pause that a resumption made."""
+        self._note("pause", pause_s, route=route)
+
+    def render(self):
+        """Return the Prometheus text as bytes, empty until the exporter is loaded."""
+        return self._render() if self._render else b""
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -4,10 +4,10 @@
 
 from sesamearch.base.errors import ErrorKind
 from sesamearch.base.log import logger
+from sesamearch.base.record import RequestRefused
 from sesamearch.forwarding.budget import RetryBudget
 from sesamearch.forwarding.call import CallExchange
 from sesamearch.forwarding.exchange import PROBLEM_HEADERS
-from sesamearch.forwarding.record import RequestRefused
 from sesamearch.forwarding.stream import StreamExchange
 from sesamearch.routing.table import RouteKind, ServiceSpec
 
@@ -146,6 +146,9 @@
 
     def _refuse(self, request, route, problem, table, reply):
         self._tools.counters.refusals += 1
+        self._tools.meter.request_ended(
+            route.name if route else "", problem.kind.value, 0.0
+        )
         logger.info(
             RequestRefused(
                 request.request_id,
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -6,7 +6,7 @@
 
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.log import logger
-from sesamearch.forwarding.record import (
+from sesamearch.base.record import (
     RequestEnded,
     RequestRefused,
     TryLost,
@@ -40,6 +40,7 @@
     gate : VersionGate
     clock : twisted.internet.interfaces.IReactorTime
     counters : ForwardCounters
+    meter : Meter
     """
 
     client: object
@@ -53,6 +54,7 @@
     gate: object
     clock: object
     counters: object
+    meter: object
 
 
 def retry_after_s(advice_s, left_s):
@@ -216,6 +218,7 @@
                 self.tried,
                 load.running,
                 load.unread_tokens,
+                self.tools.loads.news_age_ms(),
                 self.revision,
                 passage.backup_address,
                 passage.copy.address if passage.copy else "",
@@ -232,6 +235,7 @@
         if attempt in self.tries:
             self.tries.remove(attempt)
         self.tools.counters.tries_lost += 1
+        self.tools.meter.try_ended(self.service.name, cause)
         after_ms = round((self.now_s - attempt.sent_s) * 1000)
         logger.info(
             TryLost(
@@ -293,6 +297,9 @@
         problem = Problem(kind, detail, come_back_s)
         status = problem.answer.status
         self.tools.counters.refusals += 1
+        self.tools.meter.request_ended(
+            self.route.name, kind.value, self.took_ms() / 1000
+        )
         logger.info(
             RequestRefused(
                 self.request.request_id,
@@ -309,7 +316,10 @@
         self.close()
 
     def log_end(self, outcome, attempt, status, first_ms=0, events=0):
-        """Log how the request ended."""
+        """Log and measure how the request ended."""
+        self.tools.meter.request_ended(self.route.name, outcome, self.took_ms() / 1000)
+        if outcome == "answered":
+            self.tools.meter.try_ended(self.service.name, outcome)
         logger.info(
             RequestEnded(
                 self.request.request_id,
--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+from sesamearch.base.log import logger
+from sesamearch.base.record import EndpointSuspected
+
 __all__ = ["EndpointHealth", "HealthBook", "Suspicion"]
 
 AVOID_FIRST_S = 0.8
@@ -97,11 +100,15 @@
         record.avoid_s = min(max(record.avoid_s * 2, AVOID_FIRST_S), AVOID_LONGEST_S)
         record.avoid_until_s = now_s + record.avoid_s
         self.has_news = True
+        logger.info(
+            EndpointSuspected(name, "unreachable", round(record.avoid_s * 1000))
+        )
 
     def replaced(self, name):
         """Note that another process answered at an endpoint's address."""
         self._record(name).avoid_until_s = self._clock.seconds() + REPLACED_S
         self.has_news = True
+        logger.info(EndpointSuspected(name, "replaced", round(REPLACED_S * 1000)))
 
     def hear(self, suspicion):
         """Take a :class:`Suspicion` of another router."""
--- a/src/sesamearch/forwarding/load.py
+++ b/src/sesamearch/forwarding/load.py
@@ -139,6 +139,13 @@
         if silent:
             self._sum_others()
 
+    def news_age_ms(self):
+        """Return the age of the oldest news in use, in ms."""
+        if not self._peers:
+            return 0
+        oldest_s = min(peer.heard_s for peer in self._peers.values())
+        return round((self._clock.seconds() - oldest_s) * 1000)
+
     def _sum_others(self):
         self._others = {}
         for peer in self._peers.values():
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -6,9 +6,9 @@
 
 from sesamearch.base.errors import ErrorKind
 from sesamearch.base.log import logger
+from sesamearch.base.record import GenerationResumed
 from sesamearch.forwarding.choice import GenerationNeed
 from sesamearch.forwarding.exchange import Exchange
-from sesamearch.forwarding.record import GenerationResumed
 from sesamearch.forwarding.request import MemoryCopy, Passage
 from sesamearch.wire.endpoint import Loss
 from sesamearch.wire.events import EventSplitter
@@ -294,6 +294,7 @@
             took_s = self.now_s - attempt.sent_s
             self.tools.pace.note_first(self.request.prompt_tokens, took_s)
         self._first_ms = self.took_ms()
+        self.tools.meter.first_event(self.route.name, self._first_ms / 1000)
         self._life.began()
         self.reply.start(answer.status, answer.headers, answer.reason)
         self.reply.relieve(attempt.sending.producer)
@@ -437,6 +438,7 @@
         attempt = self.tries[0]
         pause_ms = round(self._pause_s() * 1000)
         self.tools.counters.resumes += 1
+        self.tools.meter.resumed(self.route.name, pause_ms / 1000)
         logger.info(
             GenerationResumed(
                 self.request.request_id,
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -22,6 +22,8 @@
             "Heartbeat",
             "LoadNews",
             "Message",
+            "RolloutNews",
+            "RolloutVerdict",
             "TakenClaim",
             "Veto",
             "WantedClaim",
--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sesamearch.base.log import logger
+from sesamearch.base.record import EndpointChanged
 from sesamearch.membership.message import (
     SCHEMA_VERSION,
     EndpointsNews,
@@ -78,12 +79,14 @@
         for name, endpoint in endpoints.items():
             known = self._listed.get(name)
             if known is None or known.leaving != endpoint.leaving:
-                state = "leaving" if endpoint.leaving else "ready"
-                logger.info(
-                    "endpoint {} name={} revision={}", state, name, self._revision
-                )
+                self._log(endpoint, "leaving" if endpoint.leaving else "ready")
         for name in self._listed.keys() - endpoints.keys():
-            logger.info("endpoint gone name={} revision={}", name, self._revision)
+            self._log(self._listed[name], "gone")
+
+    def _log(self, endpoint, state):
+        logger.info(
+            EndpointChanged(endpoint.name, endpoint.service, state, self._revision)
+        )
 
     def _keep_lapsed(self, endpoints):
         """Keep what lapsed just after an outage until it had time to return."""
@@ -95,14 +98,15 @@
         for name in self._listed.keys() - endpoints.keys():
             if not self._listed[name].leaving:
                 self._kept[name] = self._listed[name]
+                self._log(self._listed[name], "lapsed")
         if self._kept and self._expiry is None:
             delay_s = until_s - self._clock.seconds()
             self._expiry = self._clock.callLater(delay_s, self._drop_lapsed)
 
     def _drop_lapsed(self):
         self._expiry = None
-        for name in self._kept:
-            logger.info("endpoint did not return name={}", name)
+        for endpoint in self._kept.values():
+            self._log(endpoint, "gone")
         self._kept = {}
         self._write()
 
@@ -138,7 +142,6 @@
             self._peers.send_to_address(message.address, news)
 
     def _take_news(self, message):
-        logger.info("endpoints from a peer revision={}", message.revision)
         endpoints = {endpoint.name: endpoint for endpoint in message.endpoints}
         self.take(endpoints, message.revision)
 
--- a/src/sesamearch/membership/peer.py
+++ b/src/sesamearch/membership/peer.py
@@ -12,6 +12,7 @@
 from zope.interface import implementer
 
 from sesamearch.base.log import logger
+from sesamearch.base.record import ConfigurationInForce, MemberChanged
 from sesamearch.configuration.blackboard import Member
 from sesamearch.configuration.configuration import decode_configuration
 from sesamearch.membership.message import (
@@ -202,7 +203,7 @@
         if len(heard) == len(members):
             return
         for name in members.keys() - heard.keys():
-            logger.info("member silent name={}", name)
+            logger.info(MemberChanged(name, "silent"))
         self._board.members.write(heard)
 
     def _drop_strangers(self, members, now_s):
@@ -290,7 +291,7 @@
         if known is not None and known.incarnation > message.incarnation:
             return
         if known is None or known.incarnation < message.incarnation:
-            logger.info("member joined name={}", message.name)
+            logger.info(MemberChanged(message.name, "joined"))
         member = Member(
             message.name,
             message.data_centre,
@@ -324,8 +325,7 @@
             return
         configuration = decoded.unwrap()
         if self._board.accept_configuration(configuration):
-            revision = configuration.revision
-            logger.info("configuration in force revision={} from=peer", revision)
+            logger.info(ConfigurationInForce(configuration.revision, "peer"))
 
     @property
     def links(self):
--- a/src/sesamearch/platform/__init__.py
+++ b/src/sesamearch/platform/__init__.py
@@ -8,7 +8,7 @@
         "client": ["PlatformEndpointClient"],
         "configuration": ["CONFIGURATION_KEY", "decode_configuration"],
         "endpoints": ["ENDPOINT_PREFIX", "decode_endpoint"],
-        "followers": ["OperatorFollower", "ServerFollower"],
+        "followers": ["OperatorFollower", "OutcomeFollower", "ServerFollower"],
         "headers": [
             "decode_answer",
             "decode_request",
@@ -16,6 +16,13 @@
             "keep_alive_s",
             "request_id_of",
         ],
+        "rollout": [
+            "ORDER_PREFIX",
+            "STATUS_PREFIX",
+            "PlatformRolloutRegister",
+            "decode_order",
+            "decode_outcome",
+        ],
         "settings": ["SETTINGS_VARIABLE", "load_front_settings", "read_front_settings"],
         "store": ["PlatformStore"],
     },
--- a/src/sesamearch/platform/followers.py
+++ b/src/sesamearch/platform/followers.py
@@ -1,6 +1,7 @@
 """Followers of the platform's keys: what is found there is decoded and handed on."""
 
 from sesamearch.base.log import logger
+from sesamearch.base.record import ConfigurationInForce
 from sesamearch.configuration.follower import Follower
 from sesamearch.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from sesamearch.platform.endpoints import ENDPOINT_PREFIX, decode_endpoint
@@ -63,9 +64,12 @@
         table = decoded.unwrap()
         if self._board.accept_configuration(table):
             logger.info(
-                "configuration in force revision={} from=store at={}",
-                table.revision,
-                self.revision,
+                ConfigurationInForce(
+                    table.revision,
+                    "store",
+                    len(table.routes),
+                    len(table.organisations),
+                )
             )
 
 
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -10,6 +10,7 @@
 
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.log import logger
+from sesamearch.base.record import Dependency
 from sesamearch.store.store import KeyValue, Put, RangeReply, Store, TxnReply, Watch
 from sesamearch.wire.endpoint import AnswerReceiver, ConnectionPool, OutgoingRequest
 
@@ -295,10 +296,10 @@
         self.is_reachable = is_served
         if is_served:
             self.regained_s = self.clock.seconds()
-            logger.info("store regained")
+            logger.info(Dependency("store", "regained"))
             return
         cause = result.unwrap_err().detail if result.is_err() else "refused"
-        logger.warning("store lost cause={}", cause)
+        logger.warning(Dependency("store", "lost", cause))
 
     async def _served(self, method, path, content=None):
         """Return the response, or an error for one that says that nothing was done."""
--- a/src/sesamearch/rollout/__init__.py
+++ b/src/sesamearch/rollout/__init__.py
@@ -1,10 +1,11 @@
-"""Moves between versions: evidence test, leader, plan."""
+"""Moves between versions: evidence test, leader, plan; short rollouts."""
 
 import lazy_loader
 
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "conductor": ["Rollout", "RolloutConductor", "RolloutRegister"],
         "detector": ["Call", "Detector"],
         "leadership": ["LEADER_KEY", "Leadership"],
         "move": [
@@ -23,6 +24,7 @@
             "read_moves",
             "start_move",
         ],
+        "order": ["RolloutOrder", "RolloutOutcome", "RolloutState"],
         "version": ["VersionChooser", "choose_by_share", "request_point"],
     },
 )
--- a/src/sesamearch/rollout/conductor.py
+++ b/src/sesamearch/rollout/conductor.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from sesamearch.base.log import logger
+from sesamearch.base.record import RolloutChanged
 from sesamearch.forwarding.gate import VersionGate
 from sesamearch.membership.message import (
     SCHEMA_VERSION,
@@ -185,16 +186,23 @@
             return known
         rollout = Rollout(order, self._settings, begun_s)
         self.rollouts[order.service] = rollout
-        logger.info(
-            "rollout begun service={} target={} revision={} length_s={}",
-            order.service,
-            order.target,
-            order.revision,
-            order.length_s,
-        )
+        self._log(rollout, "order")
         self._write(rollout, self._register.begin)
         return rollout
 
+    def _log(self, rollout, cause):
+        logger.info(
+            RolloutChanged(
+                rollout.order.service,
+                rollout.order.target,
+                rollout.state.value,
+                rollout.order.revision,
+                cause,
+                round(rollout.evidence.score, 1),
+                rollout.plan.to_new,
+            )
+        )
+
     def take_outcomes(self, outcomes):
         """Take what the store says became of orders."""
         for outcome in outcomes:
@@ -292,14 +300,7 @@
         if rollout.state is RolloutState.REVERTED:
             return
         rollout.life.called_bad()
-        logger.info(
-            "rollout reverted service={} target={} cause={} score={:.1f} to_new={}",
-            rollout.order.service,
-            rollout.order.target,
-            cause,
-            rollout.evidence.score,
-            rollout.plan.to_new,
-        )
+        self._log(rollout, cause)
         if cause != "written":
             self._tell_verdict(rollout)
             self._write(rollout, self._end_reverted)
@@ -338,12 +339,7 @@
     def _complete(self, rollout):
         if rollout.state is RolloutState.IN_PROGRESS:
             rollout.life.completed()
-            logger.info(
-                "rollout complete service={} target={} to_new={}",
-                rollout.order.service,
-                rollout.order.target,
-                rollout.plan.to_new,
-            )
+            self._log(rollout, "written")
 
     def _end_reverted(self, order):
         return self._register.end(order, RolloutState.REVERTED)
--- a/src/sesamearch/routing/__init__.py
+++ b/src/sesamearch/routing/__init__.py
@@ -5,6 +5,13 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "canary": [
+            "CanaryPlan",
+            "CanarySettings",
+            "Evidence",
+            "RouteEvidence",
+            "Verdict",
+        ],
         "evidence": [
             "BadEvent",
             "CellCounts",
--- a/src/sesamearch/standin/__init__.py
+++ b/src/sesamearch/standin/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-ins for outside systems, as processes."""
+"""Stand-ins for outside systems, as processes and in memory."""
 
 import lazy_loader
 
@@ -11,6 +11,9 @@
             "expected_token",
             "prompt_digest",
         ],
+        "network": ["MemoryNetwork", "MemoryTransport"],
+        "platform_store": ["PlatformStoreStandin"],
+        "platform_worker": ["EngineStandin", "ServiceStandin", "WorkerRun"],
         "process": ["listen", "make_engine", "make_service", "make_store"],
         "service": ["ServiceSwitches", "StandinService"],
         "store": ["StandinStore"],
--- a/tests/base/test_log.py
+++ b/tests/base/test_log.py
@@ -5,7 +5,7 @@
 import logbook
 
 from sesamearch.base.log import LineQueue, RecordHandler, logger
-from sesamearch.forwarding.record import TryLost
+from sesamearch.base.record import TryLost
 
 
 class TestLineQueue(unittest.TestCase):
--- /dev/null
+++ b/tests/command/test_explain.py
@@ -0,0 +1,114 @@
+"""From a request's id to its cause, out of lines as routers write them."""
+
+import io
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from sesamearch.base.log import RecordHandler, logger
+from sesamearch.base.record import RECORDS
+from sesamearch.command.explain import read_lines, tell_story
+from tests.platform.world import World, draft_bytes, request_bytes
+
+ROOT = Path(__file__).parents[2]
+
+
+class Lines:
+    """Collects lines as a file, with the text of another program before each."""
+
+    def __init__(self):
+        self.data = b"a line of something else\n"
+
+    def put(self, line):
+        self.data += b"  12.5000 router-0 " + line + b"\n"
+
+
+class TestExplain(unittest.TestCase):
+    def setUp(self):
+        self.world = World(engines=3)
+        self.lines = Lines()
+        self.handler = RecordHandler(self.lines, "router-0", self.world.network.seconds)
+
+    def story(self, request_id):
+        file = io.BytesIO(self.lines.data)
+        return tell_story(request_id, read_lines([file]))
+
+    def test_refused_call(self):
+        for desk in self.world.desks:
+            desk.slots = 0
+        with self.handler.applicationbound():
+            self.world.ask(request_bytes("/post/1", "busy", method="POST"))
+        story = self.story("busy")
+        self.assertIn("refused with 429 (overloaded", story.cause)
+        self.assertIn("not_run at desk-", story.cause)
+
+    def test_lost_operation(self):
+        for desk in self.world.desks:
+            desk.fault = "reset"
+        with self.handler.applicationbound():
+            self.world.ask(request_bytes("/post/1", "lost", method="POST"))
+        self.assertIn("closed_unanswered at desk-", self.story("lost").cause)
+
+    def test_generation_that_was_resumed(self):
+        with self.handler.applicationbound():
+            client = self.world.connect().send(draft_bytes("broken"))
+            self.world.run(0.4)
+            engine = next(each for each in self.world.engines if each.runs)
+            self.world.crash(engine)
+            self.world.run(2)
+        self.assertTrue(client.is_whole)
+        story = self.story("broken")
+        self.assertIn(f"closed_midway at {engine.name}", story.cause)
+        self.assertIn("answered by engine-", story.cause)
+        events = [line.record.__struct_config__.tag for line in story.lines]
+        self.assertEqual(events[0], "try_sent")
+        self.assertIn("generation_resumed", events)
+
+    def test_context_is_that_of_the_endpoints_met(self):
+        with self.handler.applicationbound():
+            self.world.relist(self.world.desks[0], "desk", 0, state="draining")
+            self.world.ask(request_bytes("/look/1", "one"))
+        context = self.story("one").context
+        names = {getattr(line.record, "endpoint", "") for line in context}
+        self.assertLessEqual(names, {"desk-1", ""})
+
+    def test_unknown_request(self):
+        self.assertIsNone(self.story("nobody"))
+
+    def test_no_line_holds_a_key_or_a_body(self):
+        with self.handler.applicationbound():
+            data = request_bytes("/post/1", "x", method="POST", body=b"secret-body")
+            self.world.ask(data)
+        self.assertNotIn(b"secret-body", self.lines.data)
+        self.assertNotIn(b"key-of-bench", self.lines.data)
+
+    def test_command(self):
+        with self.handler.applicationbound():
+            self.world.ask(request_bytes("/look/1", "one"))
+        done = subprocess.run(
+            [sys.executable, "-m", "sesamearch", "explain", "one", "--format", "json"],
+            input=self.lines.data,
+            capture_output=True,
+            check=False,
+        )
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertIn("answered", msgspec.json.decode(done.stdout)["cause"])
+        self.assertIsInstance(logger.name, str)
+
+
+class TestTableOfRecords(unittest.TestCase):
+    def test_operations_page_names_each_event_and_its_fields(self):
+        page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+        rows = {}
+        for line in page.splitlines():
+            cells = [cell.strip() for cell in line.strip("|").split("|")]
+            if len(cells) == 3 and cells[0].startswith("`"):
+                rows[cells[0].strip("`")] = cells[1]
+        for kind in RECORDS:
+            event = kind.__struct_config__.tag
+            self.assertIn(event, rows)
+            fields = [name.strip(" `") for name in rows[event].split(",")]
+            self.assertEqual(fields, list(kind.__struct_fields__), event)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -471,3 +471,23 @@
         late = draft_bytes("late", 8000, X_Deadline_Ms="300")
         client = self.world.ask(late, wait_s=0.05)
         self.assertEqual(client.status, 503)
+
+
+class TestMetrics(unittest.TestCase):
+    def test_outcomes_and_times_are_served(self):
+        world = World()
+        world.ask(request_bytes("/look/1"))
+        world.ask(request_bytes("/other/1"))
+        world.run(2)
+        scrape = world.connect(port=7200).send(
+            b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n"
+        )
+        world.run(0.1)
+        self.assertEqual(scrape.status, 200)
+        self.assertIn(
+            b'sesamearch_requests_by_outcome_total{outcome="answered",route="look"}',
+            scrape.received,
+        )
+        self.assertIn(b'outcome="unknown-service"', scrape.received)
+        self.assertIn(b"sesamearch_request_seconds_bucket", scrape.received)
+        self.assertIn(b"sesamearch_configuration_revision 7", scrape.received)
