--- a/src/sesamearch/membership/peer.py
+++ b/src/sesamearch/membership/peer.py
@@ -4,12 +4,7 @@
 import time
 
 import msgspec
-import zmq
-from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReadDescriptor
 from twisted.internet.task import LoopingCall
-from zmq.auth.base import Authenticator
-from zope.interface import implementer
 
 from sesamearch.base.log import logger
 from sesamearch.base.record import ConfigurationInForce, MemberChanged
@@ -22,63 +17,17 @@
     Heartbeat,
     Message,
 )
+from sesamearch.membership.sockets import PeerSockets
 
 __all__ = ["PeerLink"]
 
 MEMBER_TIMEOUT_S = 5.0
-SEND_QUEUE_MESSAGES = 100
 KNOWN_PER_HEARTBEAT = 8
-_ZAP_DOMAIN = "sesamearch"
 
 
 _decode = msgspec.msgpack.Decoder(Message).decode
 
 
-class _TrustedKeys:
-    """Tells the library's authenticator which public keys may connect."""
-
-    def __init__(self, keys):
-        self._keys = frozenset(key.encode() for key in keys)
-        self.refused = 0
-
-    def callback(self, domain, key):
-        """Return whether a connection with this key, Z85 as bytes, is let in."""
-        is_known = key in self._keys
-        self.refused += not is_known
-        return is_known
-
-
-@implementer(IReadDescriptor)
-class _SocketReader:
-    """Reads a socket of the library from the reactor."""
-
-    def __init__(self, reactor, socket, take):
-        self._reactor = reactor
-        self._socket = socket
-        self._take = take
-        reactor.addReader(self)
-
-    def fileno(self):
-        """Return the descriptor that becomes readable on any event."""
-        return self._socket.getsockopt(zmq.FD)
-
-    def logPrefix(self):
-        """Return the name used in the reactor's logs."""
-        return "zmq"
-
-    def doRead(self):
-        """Read all there is: the descriptor only tells of new events."""
-        while self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
-            self._take(self._socket.recv_multipart(zmq.NOBLOCK))
-
-    def connectionLost(self, reason):
-        """Do nothing: the link closes its sockets itself."""
-
-    def stop(self):
-        """Stop reading."""
-        self._reactor.removeReader(self)
-
-
 class PeerLink:
     """Exchange heartbeats and configurations with the other routers.
 
@@ -91,90 +40,38 @@
     board : Blackboard
     decode : callable, optional
         Makes a ``Result`` of a configuration from its stored form.
-
-    Attributes
-    ----------
-    server_key : str
-        Public key that the other routers must show.
-    sent_bytes : int
-        Bytes of all messages sent, before encryption.
     """
 
     def __init__(self, reactor, settings, keys, board, decode=decode_configuration):
         self._decode_configuration = decode
-        self.server_key = keys.public_key
         self._reactor = reactor
         self._settings = settings
         self._peer = settings.peer
-        self._keys = keys
         self._board = board
         self._incarnation = time.time_ns()
-        self._context = zmq.Context()
-        self._sockets = {}
+        self._sockets = PeerSockets(reactor, self._peer.listen, keys, self._take)
         self._connected_s = {}
-        self.sent_bytes = 0
-        self._trusted = _TrustedKeys(keys.trusted)
         self._ticker = LoopingCall(self._tick)
         self._ticker.clock = reactor
-        self._readers = []
         self._handlers = {
             Heartbeat: self._take_heartbeat,
             ConfigurationWanted: self._take_wanted,
             ConfigurationNews: self._take_news,
         }
-        self._authenticator = None
-        self._inbox = None
 
     def start(self):
         """Listen, connect to the seeds and begin to send heartbeats."""
-        self._start_authenticator()
-        self._inbox = self._make_socket(zmq.PULL)
-        self._inbox.curve_server = True
-        self._inbox.zap_domain = _ZAP_DOMAIN.encode()
-        self._inbox.bind(f"tcp://{self._peer.listen}")
-        self._read(self._inbox, self._take)
+        self._sockets.start()
         self._board.configuration.listen(lambda _: self._send_heartbeats())
         self._board.drain.listen(lambda _: self._send_heartbeats())
         for address in self._peer.seeds:
             self.connect(address)
         self._ticker.start(self._peer.heartbeat_interval_s)
 
-    def _start_authenticator(self):
-        self._authenticator = Authenticator(self._context)
-        self._authenticator.start()
-        self._authenticator.configure_curve_callback(_ZAP_DOMAIN, self._trusted)
-        self._read(self._authenticator.zap_socket, self._authenticate)
-
-    def _authenticate(self, parts):
-        handled = self._authenticator.handle_zap_message(parts)
-        Deferred.fromCoroutine(handled).addErrback(
-            lambda failure: logger.error("peer check failed: {}", failure.value)
-        )
-
-    def _read(self, socket, take):
-        reader = _SocketReader(self._reactor, socket, take)
-        self._readers.append(reader)
-        # What arrived before the reader was added raises no new event.
-        self._reactor.callLater(0, reader.doRead)
-
-    def _make_socket(self, kind):
-        socket = self._context.socket(kind)
-        socket.linger = 0
-        socket.sndhwm = socket.rcvhwm = SEND_QUEUE_MESSAGES
-        socket.curve_publickey = self._keys.public_key.encode()
-        socket.curve_secretkey = self._keys.secret_key.encode()
-        return socket
-
     def connect(self, address):
         """Make a link to a router, unless there is one."""
-        if address in self._sockets or address == self._peer.listen:
-            return
-        socket = self._make_socket(zmq.PUSH)
-        socket.curve_serverkey = self.server_key.encode()
-        socket.immediate = 1
-        socket.connect(f"tcp://{address}")
-        self._sockets[address] = socket
-        self._connected_s[address] = self._reactor.seconds()
+        if self._sockets.connect(address):
+            self._connected_s[address] = self._reactor.seconds()
 
     def reconnect(self, address):
         """Connect anew, with the present server key."""
@@ -182,12 +79,11 @@
         self.connect(address)
 
     def _disconnect(self, address):
-        self._sockets.pop(address).close()
+        self._sockets.disconnect(address)
         del self._connected_s[address]
 
     def _tick(self):
-        for reader in self._readers:
-            reader.doRead()
+        self._sockets.poll()
         self._forget_silent()
         self._send_heartbeats()
 
@@ -232,21 +128,11 @@
 
     def _send_heartbeats(self):
         message = self._heartbeat()
-        for address in list(self._sockets):
+        for address in self._sockets.addresses:
             self._send(address, message)
 
     def _send(self, address, message):
-        socket = self._sockets.get(address)
-        if socket is None:
-            return False
-        data = msgspec.msgpack.encode(message)
-        try:
-            socket.send(data, zmq.NOBLOCK)
-        except zmq.Again:
-            # A peer that cannot be reached gets the next heartbeat instead.
-            return False
-        self.sent_bytes += len(data)
-        return True
+        return self._sockets.send(address, msgspec.msgpack.encode(message))
 
     def handle(self, message_type, handler):
         """Call `handler` with each message of a type."""
@@ -270,12 +156,12 @@
 
     def send_to_all(self, message):
         """Send a message to every router that a link leads to."""
-        for address in list(self._sockets):
+        for address in self._sockets.addresses:
             self._send(address, message)
 
-    def _take(self, parts):
+    def _take(self, data):
         try:
-            message = _decode(parts[0])
+            message = _decode(data)
         except msgspec.DecodeError:
             logger.warning("peer message unreadable")
             return
@@ -330,7 +216,7 @@
     @property
     def links(self):
         """List of str : addresses that a link leads to."""
-        return list(self._sockets)
+        return self._sockets.addresses
 
     @property
     def members(self):
@@ -340,17 +226,24 @@
     @property
     def refused(self):
         """Int : connections refused because their key is not trusted."""
-        return self._trusted.refused
+        return self._sockets.refused
+
+    @property
+    def server_key(self):
+        """Str : public key that the other routers must show."""
+        return self._sockets.server_key
+
+    @server_key.setter
+    def server_key(self, key):
+        self._sockets.server_key = key
+
+    @property
+    def sent_bytes(self):
+        """Int : bytes of all messages sent, before encryption."""
+        return self._sockets.sent_bytes
 
     def stop(self):
         """Close the link."""
-        if self._inbox is None:
-            return
-        self._ticker.stop()
-        for reader in self._readers:
-            reader.stop()
-        for socket in self._sockets.values():
-            socket.close()
-        self._inbox.close()
-        self._authenticator.stop()
-        self._context.destroy(linger=0)
+        if self._ticker.running:
+            self._ticker.stop()
+        self._sockets.stop()
--- /dev/null
+++ b/src/sesamearch/membership/sockets.py
@@ -0,0 +1,187 @@
+"""Sockets of the link between routers, over CURVE."""
+
+import zmq
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReadDescriptor
+from zmq.auth.base import Authenticator
+from zope.interface import implementer
+
+from sesamearch.base.log import logger
+
+__all__ = ["PeerSockets"]
+
+SEND_QUEUE_MESSAGES = 100
+_ZAP_DOMAIN = "sesamearch"
+
+
+class _TrustedKeys:
+    """Tells the library's authenticator which public keys may connect."""
+
+    def __init__(self, keys):
+        self._keys = frozenset(key.encode() for key in keys)
+        self.refused = 0
+
+    def callback(self, domain, key):
+        """Return whether a connection with this key, Z85 as bytes, is let in."""
+        is_known = key in self._keys
+        self.refused += not is_known
+        return is_known
+
+
+@implementer(IReadDescriptor)
+class _SocketReader:
+    """Reads a socket of the library from the reactor."""
+
+    def __init__(self, reactor, socket, take):
+        self._reactor = reactor
+        self._socket = socket
+        self._take = take
+        reactor.addReader(self)
+
+    def fileno(self):
+        """Return the descriptor that becomes readable on any event."""
+        return self._socket.getsockopt(zmq.FD)
+
+    def logPrefix(self):
+        """Return the name used in the reactor's logs."""
+        return "zmq"
+
+    def doRead(self):
+        """Read all there is: the descriptor only tells of new events."""
+        while self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            self._take(self._socket.recv_multipart(zmq.NOBLOCK))
+
+    def connectionLost(self, reason):
+        """Do nothing: the link closes its sockets itself."""
+
+    def stop(self):
+        """Stop reading."""
+        self._reactor.removeReader(self)
+
+
+class PeerSockets:
+    """One inbox, and one socket to each router that is sent to.
+
+    Parameters
+    ----------
+    reactor : twisted.internet.interfaces.IReactorCore
+    listen : str
+        ``ip:port`` of the inbox.
+    keys : PeerKeys
+    take : callable
+        Called with each message, as bytes.
+
+    Attributes
+    ----------
+    server_key : str
+        Public key that the other routers must show.
+    sent_bytes : int
+        Bytes of all messages sent, before encryption.
+    """
+
+    def __init__(self, reactor, listen, keys, take):
+        self.server_key = keys.public_key
+        self.sent_bytes = 0
+        self._reactor = reactor
+        self._listen = listen
+        self._keys = keys
+        self._take = take
+        self._context = zmq.Context()
+        self._sockets = {}
+        self._readers = []
+        self._trusted = _TrustedKeys(keys.trusted)
+        self._authenticator = None
+        self._inbox = None
+
+    def start(self):
+        """Listen."""
+        self._authenticator = Authenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(_ZAP_DOMAIN, self._trusted)
+        self._read(self._authenticator.zap_socket, self._authenticate)
+        self._inbox = self._make_socket(zmq.PULL)
+        self._inbox.curve_server = True
+        self._inbox.zap_domain = _ZAP_DOMAIN.encode()
+        self._inbox.bind(f"tcp://{self._listen}")
+        self._read(self._inbox, lambda parts: self._take(parts[0]))
+
+    def _authenticate(self, parts):
+        handled = self._authenticator.handle_zap_message(parts)
+        Deferred.fromCoroutine(handled).addErrback(
+            lambda failure: logger.error("peer check failed: {}", failure.value)
+        )
+
+    def _read(self, socket, take):
+        reader = _SocketReader(self._reactor, socket, take)
+        self._readers.append(reader)
+        # What arrived before the reader was added raises no new event.
+        self._reactor.callLater(0, reader.doRead)
+
+    def _make_socket(self, kind):
+        socket = self._context.socket(kind)
+        socket.linger = 0
+        socket.sndhwm = socket.rcvhwm = SEND_QUEUE_MESSAGES
+        socket.curve_publickey = self._keys.public_key.encode()
+        socket.curve_secretkey = self._keys.secret_key.encode()
+        return socket
+
+    def poll(self):
+        """Read what waits: an event that was missed is made up for."""
+        for reader in self._readers:
+            reader.doRead()
+
+    @property
+    def addresses(self):
+        """List of str : where a socket leads to."""
+        return list(self._sockets)
+
+    @property
+    def refused(self):
+        """Int : connections refused because their key is not trusted."""
+        return self._trusted.refused
+
+    def connect(self, address):
+        """Make a socket to a router; return whether there was none."""
+        if address in self._sockets or address == self._listen:
+            return False
+        socket = self._make_socket(zmq.PUSH)
+        socket.curve_serverkey = self.server_key.encode()
+        socket.immediate = 1
+        socket.connect(f"tcp://{address}")
+        self._sockets[address] = socket
+        return True
+
+    def disconnect(self, address):
+        """Close the socket to a router."""
+        self._sockets.pop(address).close()
+
+    def send(self, address, data):
+        """Send bytes to a router.
+
+        Returns
+        -------
+        bool
+            False if they cannot have left; what left may still be lost.
+        """
+        socket = self._sockets.get(address)
+        if socket is None:
+            return False
+        try:
+            socket.send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            # A peer that cannot be reached gets the next message instead.
+            return False
+        self.sent_bytes += len(data)
+        return True
+
+    def stop(self):
+        """Close everything."""
+        if self._inbox is None:
+            return
+        for reader in self._readers:
+            reader.stop()
+        for socket in self._sockets.values():
+            socket.close()
+        self._inbox.close()
+        self._authenticator.stop()
+        self._context.destroy(linger=0)
