Order a copy of a generation's memory where its keeper is gone

Cause: data centres of engines crash in turn every six seconds and a generation lasts as long: the keeper of its copy is often gone when its own engine goes.

--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -29,6 +29,8 @@
     resumes, streams_cut : int
         Generations that went on at another engine, and those that were cut.
     callers_left : int
+    copies : int
+        Copies of engines' memory that were ordered.
     probes : int
         Signs of life asked for.
     unreadable : int
@@ -37,6 +39,7 @@
 
     __slots__ = (
         "callers_left",
+        "copies",
         "probes",
         "refusals",
         "requests",
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -221,7 +221,7 @@
                 self.tools.loads.news_age_ms(),
                 self.revision,
                 passage.backup_address,
-                passage.copy.address if passage.copy else "",
+                passage.copy.holder_address if passage.copy else "",
                 passage.after_event,
             )
         )
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -71,9 +71,18 @@
 
 
 class MemoryCopy(msgspec.Struct, frozen=True):
-    """Where a copy of a run's memory lies."""
+    """A copy of a run's memory.
 
-    address: str
+    Parameters
+    ----------
+    holder_address : str
+        Engine where the run can go on.
+    source_address, handle : str
+        By which the holder knows it.
+    """
+
+    holder_address: str
+    source_address: str
     handle: str
 
 
@@ -180,6 +189,27 @@
         object with ``cancel()`` and ``producer``
         """
 
+    @abc.abstractmethod
+    def copy_memory(self, endpoint, request_id, target):
+        """Have an engine copy the memory of a run to another one; the run goes on.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            Where it runs.
+        request_id : str
+        target : Endpoint
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of MemoryCopy or None
+            None if there is no copy.
+        """
+
+    @abc.abstractmethod
+    def free_memory(self, endpoint, copy):
+        """Have an engine drop a :class:`MemoryCopy` that it made."""
+
     @abc.abstractmethod
     def probe(self, endpoint, timeout_s):
         """Ask an engine for a sign of life.
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -24,6 +24,8 @@
 PROBE_TIMEOUT_S = 0.3
 RESUME_PROBE_S = 0.2
 RETRY_CHOICE_S = 0.05
+# A copy that was ordered is dropped by its holder after some seconds.
+COPY_INTERVAL_S = 1.2
 # Callers leave a stream that pauses for so long.
 LONGEST_PAUSE_S = 2.0
 REFUSE_ADVICE_S = 1.0
@@ -90,7 +92,11 @@
         self._has_copy = False
         self._is_prompt_read = False
         self._backup = None
+        self._backup_name = ""
         self._backup_work = None
+        self._is_copying = False
+        self._copied = None
+        self._copy_due_s = 0.0
         self._runs = 0
         self._probe_due_s = 0.0
         self._is_probing = False
@@ -152,7 +158,7 @@
         has_copy, self._has_copy = self._has_copy, False
         self._end_backup_work()
         if backup is not None and has_copy:
-            endpoint = self.tools.fleet.at_address(backup.address)
+            endpoint = self.tools.fleet.at_address(backup.holder_address)
             if endpoint is not None and self._is_usable(endpoint):
                 return endpoint, backup
         endpoint = self._where_prompt_was_read() or self._choose_any()
@@ -194,7 +200,10 @@
             endpoint, self.service.engine, self._need, self.request.request_id
         )
         if backup is not None:
-            self._backup = MemoryCopy(backup.address, self.request.request_id)
+            self._backup = MemoryCopy(
+                backup.address, backup.address, self.request.request_id
+            )
+            self._backup_name = backup.name
             self._backup_work = self.tools.loads.begin(
                 backup.name, 0, self._need.memory_tokens, running=0
             )
@@ -385,6 +394,64 @@
         else:
             self._give_up(kind, detail)
 
+    # A copy in place of one that was lost.
+
+    def _keep_copy(self, attempt):
+        """Make a copy where the engine that kept one is gone, and keep it fresh."""
+        if not self.service.engine.takes_moves or self._is_copying:
+            return
+        is_own = self._copied is not None and self._copied is self._backup
+        if is_own and self.now_s < self._copy_due_s:
+            return
+        holder = self.tools.fleet.find(self._backup_name)
+        if self._backup is not None and holder is not None and self._is_usable(holder):
+            if not is_own:
+                return
+        elif self.now_s < self._copy_due_s:
+            return
+        else:
+            holder = self._choose_holder(attempt)
+        self._copy_due_s = self.now_s + COPY_INTERVAL_S
+        if holder is not None:
+            self._copy(attempt, holder)
+
+    def _choose_holder(self, attempt):
+        self._backup = None
+        self._end_backup_work()
+        return self.tools.chooser.for_backup(
+            attempt.endpoint, self.service.engine, self._need, self.request.request_id
+        )
+
+    def _copy(self, attempt, holder):
+        self._is_copying = True
+        self.tools.counters.copies += 1
+        copied = self.tools.client.copy_memory(
+            attempt.endpoint, self.request.request_id, holder
+        )
+        copied.addCallback(self._take_copy, attempt, holder)
+
+    def _take_copy(self, copy, attempt, holder):
+        self._is_copying = False
+        if copy is None:
+            return
+        if not self._is_current(attempt):
+            self.tools.client.free_memory(attempt.endpoint, copy)
+            return
+        if self._backup_work is None:
+            self._backup_work = self.tools.loads.begin(
+                holder.name, 0, self._need.memory_tokens, running=0
+            )
+        self._backup = self._copied = copy
+        self._backup_name = holder.name
+
+    def _free_copy(self):
+        """Drop a copy that is not needed any more."""
+        if self._copied is None or self._copied is not self._backup:
+            return
+        source = self.tools.fleet.at_address(self._copied.source_address)
+        if source is not None:
+            self.tools.client.free_memory(source, self._copied)
+
     # Silence.
 
     def check(self):
@@ -395,6 +462,8 @@
         if attempt.answer is not None and self._is_running(attempt):
             if self._silence_s(attempt) > self._stall_s():
                 self._leave(attempt, "stalled")
+            else:
+                self._keep_copy(attempt)
         elif self.now_s >= self._probe_due_s and not self._is_probing:
             self._probe(attempt)
 
@@ -465,6 +534,7 @@
     def close(self):
         """End the generation."""
         self._life.ended()
+        self._free_copy()
         self.tools.prompts.ended(self.request.own_part)
         self._end_backup_work()
         if self._waiting is not None and self._waiting.active():
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -1,8 +1,10 @@
 """Endpoints, as the platform's protocol reaches them."""
 
+import msgspec
 from twisted.internet.defer import Deferred
 
-from sesamearch.forwarding.request import EndpointClient
+from sesamearch.base.log import logger
+from sesamearch.forwarding.request import EndpointClient, MemoryCopy
 from sesamearch.platform.headers import (
     decode_answer,
     encode_request,
@@ -19,6 +21,11 @@
 __all__ = ["PlatformEndpointClient"]
 
 REPORT_PATH = b"/sesamearch/report"
+MOVE_PATH = b"/sesamearch/kv-move"
+HANDLE_PATH = b"/sesamearch/kv-handle/"
+COPY_TIMEOUT_S = 1.0
+OK = 200
+_JSON = (b"Content-Type", b"application/json")
 # Endpoints close idle connections; one that is used just then is lost.
 IDLE_USE_RATIO = 0.6
 UNSTATED_IDLE_S = 0.4
@@ -54,6 +61,69 @@
         self._listener.answer_lost(loss)
 
 
+class _Move(msgspec.Struct):
+    """Content of a call to copy a run's memory.
+
+    Parameters
+    ----------
+    id : str
+        Of the request that runs.
+    target : str
+        ``ip:port`` of the engine that is to hold the copy.
+    last : bool
+        Whether the run is to stop.
+    """
+
+    id: str
+    target: str
+    last: bool = False
+
+
+class _Moved(msgspec.Struct):
+    handle: str
+
+
+_decode_moved = msgspec.json.Decoder(_Moved).decode
+
+
+class _Copying(AnswerReceiver):
+    """Waits for the handle of a copy."""
+
+    __slots__ = ("_body", "_status", "copied")
+
+    def __init__(self):
+        self.copied = Deferred()
+        self._status = 0
+        self._body = b""
+
+    def tell(self, handle):
+        """Give the handle, empty for none, to who waits."""
+        copied, self.copied = self.copied, None
+        if copied is not None:
+            copied.callback(handle)
+
+    def is_mine(self, head):
+        return True
+
+    def began(self, head):
+        self._status = head.status
+
+    def received(self, data):
+        self._body += data
+
+    def ended(self):
+        handle = ""
+        if self._status == OK:
+            try:
+                handle = _decode_moved(self._body).handle
+            except msgspec.DecodeError as error:
+                logger.warning("answer to a copy unreadable: {}", error)
+        self.tell(handle)
+
+    def lost(self, loss):
+        self.tell("")
+
+
 class _Probe(AnswerReceiver):
     """Waits for the first sign of life."""
 
@@ -114,6 +184,34 @@
         pool = self._pool(passage.endpoint)
         return pool.send(outgoing, receiver, passage.needs_fresh_connection)
 
+    def copy_memory(self, endpoint, request_id, target):
+        """Have an engine copy a run's memory; see ``EndpointClient``."""
+        body = msgspec.json.encode(_Move(request_id, target.address))
+        headers = [(b"Host", endpoint.address.encode()), _JSON]
+        copying = _Copying()
+        copied = copying.copied
+        outgoing = OutgoingRequest(b"POST", MOVE_PATH, headers, body)
+        sending = self._pool(endpoint).send(outgoing, copying, is_fresh=True)
+        timer = self._reactor.callLater(COPY_TIMEOUT_S, copying.tell, "")
+
+        def make_copy(handle):
+            if timer.active():
+                timer.cancel()
+            else:
+                sending.cancel()
+            if not handle:
+                return None
+            return MemoryCopy(target.address, endpoint.address, handle)
+
+        return copied.addCallback(make_copy)
+
+    def free_memory(self, endpoint, copy):
+        """Have an engine drop a copy; see ``EndpointClient``."""
+        headers = [(b"Host", endpoint.address.encode())]
+        path = HANDLE_PATH + copy.handle.encode()
+        outgoing = OutgoingRequest(b"DELETE", path, headers)
+        self._pool(endpoint).send(outgoing, _Copying(), is_fresh=True)
+
     def probe(self, endpoint, timeout_s):
         """Ask an engine for its report, and whether it answers at all."""
         headers = [(b"Host", endpoint.address.encode())]
--- a/src/sesamearch/platform/configuration.py
+++ b/src/sesamearch/platform/configuration.py
@@ -56,6 +56,7 @@
     # Tokens in one event of a stream.
     stride: int = 1
     backups: bool = False
+    moves: bool = False
 
 
 class _Service(msgspec.Struct, rename="kebab"):
@@ -145,7 +146,11 @@
     if engine is None:
         return ServiceSpec(service.name, service.max_conns)
     traits = EngineTraits(
-        engine.slots, engine.kv_capacity, engine.stride, engine.backups
+        engine.slots,
+        engine.kv_capacity,
+        engine.stride,
+        engine.backups,
+        engine.moves,
     )
     return ServiceSpec(service.name, service.max_conns, traits)
 
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -153,7 +153,7 @@
     if passage.backup_address:
         headers.append((b"X-Kv-Backup", passage.backup_address.encode()))
     if passage.copy is not None:
-        source = f"{passage.copy.address}/{passage.copy.handle}"
+        source = f"{passage.copy.source_address}/{passage.copy.handle}"
         headers.append((b"Kv-From", source.encode()))
     return OutgoingRequest(request.method, request.target, headers, request.body)
 
--- a/src/sesamearch/routing/table.py
+++ b/src/sesamearch/routing/table.py
@@ -84,12 +84,15 @@
         Tokens in one event.
     takes_backups : bool
         Whether a run's memory can be copied to another engine as it grows.
+    takes_moves : bool
+        Whether it can be copied by order while it runs.
     """
 
     slots: int
     memory_tokens: int
     event_tokens: int = 1
     takes_backups: bool = False
+    takes_moves: bool = False
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -163,7 +163,9 @@
     Attributes
     ----------
     copies : dict from str to int
-        Tokens held for runs of other engines, by request id.
+        Tokens held for runs of other engines, by request id or handle.
+    neighbours : dict from str to EngineStandin
+        Other engines by address, which copies are sent to.
     is_dark : bool
         Whether it sends nothing, without a reset.
     """
@@ -172,6 +174,7 @@
         super().__init__(clock, name, slots)
         self.events = events
         self.copies = {}
+        self.neighbours = {}
         self.is_dark = False
         self._works = []
 
@@ -182,6 +185,15 @@
         if head.target == b"/sesamearch/report":
             reply.answer(200, [], b'{"active": %d}' % self.running)
             return
+        if head.target == b"/sesamearch/kv-move":
+            self._copy(msgspec.json.decode(body), reply)
+            return
+        if head.method == b"DELETE":
+            handle = head.target.rpartition(b"/")[2].decode()
+            for engine in self.neighbours.values():
+                engine.copies.pop(handle, None)
+            reply.answer(200, [], b"{}")
+            return
         source = _text(head, b"kv-from")
         if source and source.rpartition("/")[2] not in self.copies:
             reply_headers = [
@@ -192,11 +204,26 @@
             return
         super().__call__(head, body, reply)
 
+    def _copy(self, content, reply):
+        """Copy the memory of a run to another engine."""
+        works = [w for w in self._works if w.request_id == content["id"]]
+        target = self.neighbours.get(content["target"])
+        if not works or works[-1].is_over:
+            reply.answer(404, [], b"{}")
+        elif target is None or target.is_dark:
+            reply.answer(503, [], b"{}")
+        else:
+            handle = f"h-{content['id']}"
+            target.copies[handle] = works[-1].memory_tokens
+            answer = {"handle": handle, "created": works[-1].events_made}
+            reply.answer(200, [], msgspec.json.encode(answer))
+
     def make_work(self, run, head, reply, headers):
         """Return the work on one generation."""
         tokens = int(_text(head, b"x-token-usage").partition(",")[0] or 0)
-        if _text(head, b"kv-from"):
-            del self.copies[run.request_id]
+        source = _text(head, b"kv-from")
+        if source:
+            del self.copies[source.rpartition("/")[2]]
             tokens = 0
         run.prompt_tokens = tokens
         work = _GenerationWork(self, run, reply, headers)
@@ -222,6 +249,26 @@
         self._next = 0 if run.after_event is None else run.after_event + 1
         self._timer = None
 
+    @property
+    def request_id(self):
+        """Str : id of the request."""
+        return self._run.request_id
+
+    @property
+    def is_over(self):
+        """Bool : whether the run ended."""
+        return bool(self._run.ended)
+
+    @property
+    def events_made(self):
+        """Int : events so far, with those of engines before."""
+        return self._next
+
+    @property
+    def memory_tokens(self):
+        """Int : tokens kept."""
+        return self._run.prompt_tokens + self._next
+
     def start(self):
         """Read the prompt."""
         delay_s = self._run.prompt_tokens / TOKENS_PER_S + EVENT_GAP_S
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -313,6 +313,54 @@
         self.assertEqual(runs, 1)
 
 
+class TestLostCopies(unittest.TestCase):
+    """The engine that keeps a copy dies before the one that runs."""
+
+    def setUp(self):
+        self.world = World(engines=6)
+        self.client = self.world.connect().send(draft_bytes())
+        self.world.run(0.3)
+        streams = self.world.fronts[0].dispatcher._streams
+        self.passage = next(iter(streams)).tries[0].passage
+        self.engine = self.find(self.passage.endpoint.address)
+
+    def find(self, address):
+        return next(e for e in self.world.engines if e.address == address)
+
+    def lose_backup(self):
+        keeper = self.find(self.passage.backup_address)
+        self.world.crash(keeper)
+        self.world.fronts[0]._health.unreachable(keeper.name)
+        self.world.run(0.1)
+        return keeper
+
+    def test_copy_is_made_elsewhere_and_used(self):
+        keeper = self.lose_backup()
+        holders = [e for e in self.world.engines if e.copies]
+        self.assertEqual(len(holders), 1)
+        self.assertIsNot(holders[0], keeper)
+        self.world.crash(self.engine)
+        self.world.run(2)
+        self.assertEqual(self.client.pieces, list(range(20)))
+        self.assertEqual([run.prompt_tokens for run in holders[0].runs], [0])
+
+    def test_no_copy_is_ordered_while_the_first_is_kept(self):
+        self.world.run(1)
+        self.assertEqual(self.world.fronts[0].counters.copies, 0)
+
+    def test_copy_is_dropped_at_the_end(self):
+        self.lose_backup()
+        self.world.run(2)
+        self.assertTrue(self.client.is_whole)
+        self.assertEqual([e.copies for e in self.world.engines], [{}] * 6)
+
+    def test_engine_that_cannot_copy_goes_on(self):
+        self.engine.neighbours = {}
+        self.lose_backup()
+        self.world.run(2)
+        self.assertEqual(self.client.pieces, list(range(20)))
+
+
 class TestConfiguration(unittest.TestCase):
     def setUp(self):
         self.world = World(routers=2)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -69,7 +69,9 @@
 
     def test_memory_of_engines(self):
         sent = encode(
-            decode(), backup_address="10.1.0.3:1", copy=MemoryCopy("10.1.0.4:1", "9c41")
+            decode(),
+            backup_address="10.1.0.3:1",
+            copy=MemoryCopy("10.1.0.5:1", "10.1.0.4:1", "9c41"),
         )
         self.assertEqual(sent[b"x-kv-backup"], b"10.1.0.3:1")
         self.assertEqual(sent[b"kv-from"], b"10.1.0.4:1/9c41")
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -13,7 +13,13 @@
 STORE = "10.9.0.1:8700"
 HOST = "desk.example"
 KEY = "key-of-bench"
-ENGINE = {"slots": 12, "kv-capacity": 88000, "stride": 8, "backups": True}
+ENGINE = {
+    "slots": 12,
+    "kv-capacity": 88000,
+    "stride": 8,
+    "backups": True,
+    "moves": True,
+}
 ROUTES = [
     {
         "name": "post",
@@ -216,6 +222,7 @@
     def __init__(self, routers=1, desks=2, engines=3):
         self.network = MemoryNetwork()
         self.sockets = {}
+        self.by_address = {}
         self.store = PlatformStoreStandin(self.network)
         self._serve(STORE, self.store)
         self.store.put("op/config", make_configuration())
@@ -258,6 +265,8 @@
     def add_engine(self, number, **more):
         worker = EngineStandin(self.network, f"engine-{number}")
         worker.address = f"10.2.0.{number + 1}:8000"
+        worker.neighbours = self.by_address
+        self.by_address[worker.address] = worker
         worker.factory = self._serve(worker.address, worker)
         self._list(worker.name, "models", worker.address, _zone(number), 12, **more)
         return worker
