--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -172,8 +172,19 @@
             <= engine.memory_tokens
         ]
 
+        troubled = self._troubled(primary.service)
+
         def cost(endpoint):
             load = self._loads.total(endpoint.name)
-            return load.memory_tokens + load.unread_tokens
+            is_troubled = endpoint.data_centre in troubled
+            return is_troubled, load.memory_tokens + load.unread_tokens
 
         return self._least(room, cost)
+
+    def _troubled(self, service):
+        """Return the data centres where engines went down: the others may follow."""
+        return {
+            endpoint.data_centre
+            for endpoint in self._fleet.serving(service)
+            if self._health.is_down(endpoint.name)
+        }
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -169,6 +169,21 @@
         self.assertIsNone(world.chooser.for_backup(primary, ENGINE, NEED, "r"))
 
 
+class TestCrashOfADataCentre(unittest.TestCase):
+    """Engines of one data centre go down one after the other."""
+
+    def test_no_copy_is_kept_where_engines_go_down(self):
+        world = World(6)
+        spare = Endpoint("s1", "10.0.1.1:1", "south", "models", "v1", slots=12)
+        endpoints = {**world.board.endpoints.value, "s1": spare}
+        world.board.endpoints.write(endpoints)
+        world.begin("s1", 0, 20_000)
+        world.health.unreachable("e1")
+        primary = endpoints["e0"]
+        backup = world.chooser.for_backup(primary, ENGINE, NEED, "r")
+        self.assertEqual(backup.name, "s1")
+
+
 class TestCalls(unittest.TestCase):
     """Many short calls on few workers."""
 
