Tell the age of hints, and count only those as members who send their beats here

Change: a hint carries the time since its router was heard by anybody; the youngest age counts, so the dead are forgotten everywhere and the living nowhere. Members are the routers whose beats this one gets by design.

Measured: three new tests of ages fail before; a fleet of ten logs no change in 30 s.

--- a/src/sesamearch/base/log.py
+++ b/src/sesamearch/base/log.py
@@ -11,7 +11,7 @@
 
 _FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%fZ} {record.level_name} {record.message}"
 QUEUE_BYTES = 1 << 20
-FLUSH_INTERVAL_S = 0.05
+FLUSH_INTERVAL_S = 0.15
 
 logger = logbook.Logger("sesamearch")
 _encode = msgspec.json.Encoder().encode
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -195,7 +195,7 @@
         )
 
     def _sample(self, count):
-        hints = self.roster.hints
+        hints = self.roster.aged_hints(self._reactor.seconds())
         return self._random.sample(hints, min(count, len(hints)))
 
     def _beat(self):
@@ -208,7 +208,7 @@
             targets = self._other_relays(self.roster.own.data_centre)
         self._beats += 1
         if self._beats % BEATS_A_STRANGER == 0:
-            targets = targets + self._sample(1)
+            targets = targets + [each.hint for each in self._sample(1)]
         self._send_each(targets, beat)
         if len(targets) < 2:
             for address in self._seeds:
@@ -247,19 +247,27 @@
         now_s = self._reactor.seconds()
         sender = beat.sender
         is_new = self.roster.heard(sender, now_s)
-        for hint in beat.hints:
-            self.roster.learn(hint, now_s)
-        self.roster.renew(beat.hints, now_s)
-        self._note_member(beat, now_s)
-        if is_new:
-            logger.info(MemberChanged(sender.name, "joined"))
+        for each in beat.hints:
+            self.roster.learn(each.hint, now_s, each.age_s)
+        if self._is_neighbour(sender, now_s):
+            self._note_member(beat, now_s)
         if is_new and len(beat.hints) < HINTS_A_BEAT:
             # It has just started: tell it at once who there is.
             self._send(sender.address, self._make_beat(self._sample(HINTS_AT_FIRST)))
         self._catch_up(beat, now_s)
 
+    def _is_neighbour(self, hint, now_s):
+        """Return whether a router sends its beats to this one all the time."""
+        if hint in self.roster.relays(hint.data_centre, now_s):
+            own = self.roster.own.data_centre
+            return hint.data_centre == own or self.roster.is_relay(now_s)
+        is_own = hint.data_centre == self.roster.own.data_centre
+        return is_own and self.roster.is_relay(now_s)
+
     def _note_member(self, beat, now_s):
         sender = beat.sender
+        if sender.name not in self._board.members.value:
+            logger.info(MemberChanged(sender.name, "joined"))
         member = Member(
             sender.name,
             sender.data_centre,
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -5,7 +5,7 @@
 from sesamearch.configuration.blackboard import Endpoint
 from sesamearch.forwarding.health import Suspicion
 from sesamearch.forwarding.load import EndpointLoad
-from sesamearch.membership.roster import Hint
+from sesamearch.membership.roster import AgedHint, Hint
 from sesamearch.routing.canary import RouteEvidence
 
 __all__ = [
@@ -41,7 +41,7 @@
         Store revision of the list of endpoints.
     list_digest : str
         Of its content: revisions rise without a change of the list.
-    hints : list of Hint
+    hints : list of AgedHint
         Some of the routers that the sender knows.
     """
 
@@ -51,7 +51,7 @@
     table_revision: int
     list_revision: int
     list_digest: str
-    hints: list[Hint]
+    hints: list[AgedHint]
 
 
 class TableWanted(msgspec.Struct, tag=True, frozen=True, array_like=True):
--- a/src/sesamearch/membership/roster.py
+++ b/src/sesamearch/membership/roster.py
@@ -8,13 +8,13 @@
 
 import msgspec
 
-__all__ = ["RELAYS", "Hint", "Roster"]
+__all__ = ["RELAYS", "AgedHint", "Hint", "Roster"]
 
 # Relays of a data centre.
 RELAYS = 2
 # A relay that is not heard for so long is passed over.
 SILENT_S = 1.3
-# A hint that nobody renewed is dropped.
+# A router that nobody heard for so long is dropped.
 FORGET_S = 20.0
 
 
@@ -38,14 +38,22 @@
     incarnation: int
 
 
+class AgedHint(msgspec.Struct, frozen=True, array_like=True):
+    """A hint with the time since the router itself was heard, by anybody."""
+
+    hint: Hint
+    age_s: float
+
+
 class _Entry:
     """What is known of one router."""
 
-    __slots__ = ("expected_s", "heard_s", "hint", "learned_s")
+    __slots__ = ("alive_s", "expected_s", "heard_s", "hint")
 
-    def __init__(self, hint, now_s):
+    def __init__(self, hint, alive_s):
         self.hint = hint
-        self.learned_s = now_s
+        # When it was last known to live, by this router or another.
+        self.alive_s = alive_s
         self.heard_s = None
         self.expected_s = None
 
@@ -70,15 +78,16 @@
         self.own = own
         self._entries = {}
 
-    def learn(self, hint, now_s):
-        """Take a hint; return whether it was news."""
-        if hint.name == self.own.name:
-            return False
+    def learn(self, hint, now_s, age_s=0.0):
+        """Take a hint that is `age_s` old."""
+        if hint.name == self.own.name or age_s > FORGET_S:
+            return
         known = self._entries.get(hint.name)
-        if known is not None and known.hint.incarnation >= hint.incarnation:
-            return False
-        self._entries[hint.name] = _Entry(hint, now_s)
-        return True
+        alive_s = now_s - age_s
+        if known is None or known.hint.incarnation < hint.incarnation:
+            self._entries[hint.name] = _Entry(hint, alive_s)
+        elif known.hint.incarnation == hint.incarnation:
+            known.alive_s = max(known.alive_s, alive_s)
 
     def heard(self, hint, now_s):
         """Take a message of a router itself; return whether it is heard first."""
@@ -87,23 +96,16 @@
         if entry is None or entry.hint.incarnation != hint.incarnation:
             return False
         is_first = entry.heard_s is None
-        entry.heard_s = entry.learned_s = now_s
+        entry.heard_s = entry.alive_s = now_s
         entry.expected_s = None
         return is_first
 
-    def renew(self, hints, now_s):
-        """Keep hints that other routers still tell from being forgotten."""
-        for hint in hints:
-            entry = self._entries.get(hint.name)
-            if entry is not None and not self._is_down(entry, now_s):
-                entry.learned_s = now_s
-
     def forget_old(self, now_s):
         """Drop routers of which nothing was told for long; return their names."""
         old = [
             name
             for name, entry in self._entries.items()
-            if now_s - entry.learned_s > FORGET_S
+            if now_s - entry.alive_s > FORGET_S
         ]
         for name in old:
             del self._entries[name]
@@ -114,6 +116,13 @@
         """List of Hint : all known routers but this one."""
         return [entry.hint for entry in self._entries.values()]
 
+    def aged_hints(self, now_s):
+        """Return all hints as a list of :class:`AgedHint`."""
+        return [
+            AgedHint(entry.hint, now_s - entry.alive_s)
+            for entry in self._entries.values()
+        ]
+
     @property
     def size(self):
         """Int : known routers with this one."""
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import logbook
+
+from sesamearch.base.record import MemberChanged
 from sesamearch.membership.fleet_message import LoadNews
 from tests.platform.world import (
     ROUTES,
@@ -44,6 +47,18 @@
     def setUp(self):
         self.world = FleetWorld(10)
 
+    def test_members_are_steady(self):
+        # At the start some took others for relays before they knew all.
+        self.world.run(5)
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            self.world.run(30)
+        changes = [r.msg for r in handler.records]
+        lines = [each for each in changes if isinstance(each, MemberChanged)]
+        self.assertEqual(lines, [])
+        sizes = {link.roster.size for link in self.world.links()}
+        self.assertEqual(sizes, {10})
+
     def test_two_a_data_centre(self):
         places = [link.roster.own.data_centre for link in self.world.relays()]
         self.assertEqual(sorted(places), ["east", "east", "west", "west"])
--- a/tests/membership/test_roster.py
+++ b/tests/membership/test_roster.py
@@ -72,8 +72,28 @@
         self.assertEqual(self.roster.forget_old(19.0), [])
         self.assertEqual(self.roster.forget_old(21.0), ["r1"])
 
-    def test_hint_that_is_told_again_is_kept(self):
+    def test_router_that_others_hear_is_kept(self):
         self.add("r1", now_s=0.0)
-        self.add("r1", now_s=15.0)
-        self.roster.renew([hint("r1")], 15.5)
+        self.roster.learn(hint("r1"), 15.0, age_s=1.0)
         self.assertEqual(self.roster.forget_old(30.0), [])
+        self.assertEqual(self.roster.forget_old(35.0), ["r1"])
+
+    def test_dead_router_is_forgotten_though_others_still_tell_of_it(self):
+        other = Roster(hint("other"))
+        other.heard(hint("r1"), 0.0)
+        self.roster.heard(hint("r1"), 0.0)
+        for second in range(1, 25):
+            for aged in other.aged_hints(second):
+                self.roster.learn(aged.hint, second, aged.age_s)
+            for aged in self.roster.aged_hints(second):
+                other.learn(aged.hint, second, aged.age_s)
+            self.roster.forget_old(second)
+            other.forget_old(second)
+        self.assertEqual((self.roster.size, other.size), (1, 1))
+
+    def test_stranger_that_was_never_heard_is_not_taken_for_dead(self):
+        for second in range(60):
+            self.roster.learn(hint("far", "west"), second, age_s=0.5)
+            self.roster.relays("west", second)
+            self.roster.forget_old(second)
+        self.assertEqual([each.name for each in self.roster.hints], ["far"])
