Use engines that are back under another name while the store is away

Weighed: taking the new name from any 421 (the address may belong to another service by then); asking the report (it does not name the process). Taken: an address is given to another service at the earliest `reuse-after-s` after a process's end, so a process that answers there within that time of the old one's last sign of life, less 0.15 s, is the one that crashed. A lost endpoint is asked at its health path 1.0 to 1.8 s after its last sign of life; all routers are told; the store's list decides once it is back.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -10,6 +10,7 @@
     "ConfigurationInForce",
     "Dependency",
     "EndpointChanged",
+    "EndpointReturned",
     "EndpointSuspected",
     "GenerationResumed",
     "Lifecycle",
@@ -189,8 +190,9 @@
     ----------
     endpoint, service : str
     state : str
-        ``ready``, ``leaving``, ``gone`` or ``lapsed``: kept until it had time to
-        return after an outage of the store.
+        ``ready``, ``leaving``, ``gone``, ``lapsed`` (kept until it had time to
+        return after an outage of the store) or ``unlisted`` (back under another
+        name before the store lists it).
     revision : int
         Of the list.
     """
@@ -217,6 +219,22 @@
     for_ms: int
 
 
+class EndpointReturned(_Record, frozen=True, tag="endpoint_returned"):
+    """An endpoint that was lost answers under another name.
+
+    Parameters
+    ----------
+    endpoint, name : str
+        The old name and the new one.
+    silent_ms : int
+        Since its last sign of life.
+    """
+
+    endpoint: str
+    name: str
+    silent_ms: int
+
+
 class MemberChanged(_Record, frozen=True, tag="member_changed"):
     """Another router was heard first, or is silent.
 
@@ -297,6 +315,7 @@
     ConfigurationInForce,
     EndpointChanged,
     EndpointSuspected,
+    EndpointReturned,
     MemberChanged,
     Dependency,
     RolloutChanged,
--- a/src/sesamearch/configuration/front.py
+++ b/src/sesamearch/configuration/front.py
@@ -22,6 +22,8 @@
         Requests that a bad version may get in a rollout.
     rollback_s : float
         Time after which a version that failed gets nothing more.
+    reuse_after_s : float
+        Time from an endpoint's end until another service may have its address.
     """
 
     drain_s: float = 2.0
@@ -32,6 +34,7 @@
     exposure_ratio: float = 0.1
     exposure_slack: float = 50.0
     rollback_s: float = 5.0
+    reuse_after_s: float = 2.0
 
 
 class FrontSettings(msgspec.Struct, frozen=True):
--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -4,6 +4,7 @@
 import random
 import signal
 
+import msgspec
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
@@ -30,8 +31,10 @@
 from sesamearch.forwarding.load import LoadBook
 from sesamearch.forwarding.pace import GenerationPace
 from sesamearch.forwarding.prompts import PromptPlaces
+from sesamearch.forwarding.returns import ReturnWatch
 from sesamearch.membership.fleet import FleetLink
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
+from sesamearch.membership.fleet_message import EndpointBack
 from sesamearch.membership.gossip import LoadGossip
 from sesamearch.membership.listing import EndpointListing
 from sesamearch.membership.sockets import PeerSockets
@@ -159,6 +162,14 @@
             canary,
             reactor,
         )
+        self._returns = ReturnWatch(
+            self._client,
+            reactor,
+            bounds.reuse_after_s,
+            self._health_path_of,
+            self._take_return,
+        )
+        self.board.endpoints.listen(self._returns.keep_only)
         data_centre = self._settings.data_centre
         tools = ForwardTools(
             self._client,
@@ -177,12 +188,24 @@
             GenerationPace(),
             budgets,
             self._conductor,
+            self._returns,
             reactor,
             self.counters,
             self._metrics,
         )
         self.dispatcher = Dispatcher(self.board, tools)
 
+    def _health_path_of(self, service):
+        spec = self.board.configuration.value.services.get(service)
+        return spec.health_path if spec else ""
+
+    def _take_return(self, endpoint, name):
+        """Use an endpoint under its new name, and tell the others."""
+        back = msgspec.structs.replace(endpoint, name=name, born_ms=0, leaving=False)
+        self._listing.add_unlisted(back)
+        if self._peers is not None:
+            self._peers.send_to_all(EndpointBack(back))
+
     def _count_routers(self):
         return self._peers.roster.size if self._peers is not None else 1
 
@@ -204,6 +227,7 @@
             self.board,
             self._reactor,
             lambda: self._store.regained_s,
+            lambda: self._store.is_reachable,
         )
         self._gossip = LoadGossip(
             self._settings.name,
@@ -324,6 +348,9 @@
         )
         self._gossip.join(self._peers)
         self._conductor.join(self._peers)
+        self._peers.handle(
+            EndpointBack, lambda news: self._listing.add_unlisted(news.endpoint)
+        )
         self._peers.start()
         logger.info(Dependency("peers", "regained", self._settings.peer.listen))
 
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -38,6 +38,7 @@
     pace : GenerationPace
     budgets : Budgets
     gate : VersionGate
+    returns : ReturnWatch
     clock : twisted.internet.interfaces.IReactorTime
     counters : ForwardCounters
     meter : Meter
@@ -52,6 +53,7 @@
     pace: object
     budgets: object
     gate: object
+    returns: object
     clock: object
     counters: object
     meter: object
@@ -108,10 +110,16 @@
     def answer_began(self, answer):
         """Take the head of the answer."""
         self.answer = answer
+        if answer.is_other_instance:
+            returns = self._exchange.tools.returns
+            returns.answered_as(self.endpoint, answer.instance)
+        else:
+            self._exchange.tools.returns.alive(self.endpoint.name)
         self._exchange.try_began(self)
 
     def answer_received(self, data):
         """Take a part of the body."""
+        self._exchange.tools.returns.alive(self.endpoint.name)
         self._exchange.try_received(self, data)
 
     def answer_ended(self):
@@ -122,6 +130,7 @@
     def answer_lost(self, loss):
         """Take note that no whole answer comes."""
         self.work.end()
+        self._exchange.tools.returns.lost(self.endpoint)
         self._exchange.try_lost(self, loss)
 
     def cancel(self):
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -138,6 +138,8 @@
         Whether the endpoint states that it did not run the request.
     is_other_instance : bool
         Whether another process has the endpoint's address now.
+    instance : str
+        Name of the process that answers, where it says so.
     is_signed : bool
         Whether it bears the endpoint's signature.
     load : LoadReport or None
@@ -148,6 +150,7 @@
     headers: list[tuple[bytes, bytes]]
     has_not_run: bool = False
     is_other_instance: bool = False
+    instance: str = ""
     is_signed: bool = False
     load: LoadReport | None = None
 
@@ -210,6 +213,22 @@
     def free_memory(self, endpoint, copy):
         """Have an engine drop a :class:`MemoryCopy` that it made."""
 
+    @abc.abstractmethod
+    def identify(self, endpoint, path, timeout_s):
+        """Ask who answers at an endpoint's address.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        path : str
+        timeout_s : float
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of str
+            Name of the process, empty if nobody answers.
+        """
+
     @abc.abstractmethod
     def probe(self, endpoint, timeout_s):
         """Ask an engine for a sign of life.
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -483,6 +483,7 @@
         """Close a silent try and go on elsewhere."""
         attempt.cancel()
         self._note_copy(attempt)
+        self.tools.returns.lost(attempt.endpoint)
         self.tools.health.unreachable(attempt.endpoint.name)
         self.drop(attempt, cause)
         self._send_again(ErrorKind.ENDPOINT_LOST, "engine silent")
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -11,6 +11,7 @@
 __all__ = [
     "FLEET_SCHEMA_VERSION",
     "Beat",
+    "EndpointBack",
     "EndpointsChanges",
     "EndpointsNews",
     "EndpointsWanted",
@@ -119,6 +120,12 @@
     prompts: dict[str, str]
 
 
+class EndpointBack(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Tells of an endpoint that is back under another name, unlisted yet."""
+
+    endpoint: Endpoint
+
+
 class RolloutNews(msgspec.Struct, tag=True, frozen=True, array_like=True):
     """Tells of a rollout, and what a router saw of it since it last told.
 
@@ -173,13 +180,13 @@
         Name of the router that it comes from.
     incarnation, sequence : int
         Tell copies of the same news, which come by two relays.
-    news : LoadNews, RolloutNews or RolloutVerdict
+    news : LoadNews, EndpointBack, RolloutNews or RolloutVerdict
     """
 
     origin: str
     incarnation: int
     sequence: int
-    news: LoadNews | RolloutNews | RolloutVerdict
+    news: LoadNews | EndpointBack | RolloutNews | RolloutVerdict
 
 
 FleetMessage = (
--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -6,11 +6,20 @@
 
 from sesamearch.base.log import logger
 from sesamearch.base.record import EndpointChanged
+from sesamearch.configuration.blackboard import Endpoint
 
 __all__ = ["EndpointListing"]
 
 # Entries that lapse in an outage of the store are written anew after its return.
 RETURN_GRACE_S = 2.3
+# While the store works, an endpoint that is back is listed sooner than this.
+UNLISTED_S = 4.0
+EXPIRY_INTERVAL_S = 1.0
+
+
+class _Unlisted(msgspec.Struct):
+    endpoint: Endpoint
+    until_s: float
 
 
 class EndpointListing:
@@ -22,6 +31,8 @@
     clock : twisted.internet.interfaces.IReactorTime
     store_regained_s : callable
         Gives when the store last came back, on this process's clock.
+    is_store_reachable : callable, optional
+        Gives whether the store answered the last call.
 
     Attributes
     ----------
@@ -30,13 +41,15 @@
         endpoints and the names that are gone.
     """
 
-    def __init__(self, board, clock, store_regained_s):
+    def __init__(self, board, clock, store_regained_s, is_store_reachable=lambda: True):
+        self._is_store_reachable = is_store_reachable
         self._board = board
         self._clock = clock
         self._store_regained_s = store_regained_s
         self.on_change = None
         self._listed = {}
         self._kept = {}
+        self._unlisted = {}
         self._revision = 0
         self._digest = ""
         self._expiry = None
@@ -60,12 +73,46 @@
         before, base_digest = self._listed, self._digest
         self._listed = endpoints
         self._digest = _digest(endpoints)
+        self._drop_unlisted()
         self._write()
         if self.on_change is not None:
             changed = [e for n, e in endpoints.items() if before.get(n) != e]
             gone = list(before.keys() - endpoints.keys())
             self.on_change(base_digest, revision, changed, gone)
 
+    def add_unlisted(self, endpoint):
+        """Add an endpoint that is back before the store lists it.
+
+        It stays until the store had time to list it.
+        """
+        if endpoint.name in self._listed:
+            return
+        until_s = self._clock.seconds() + UNLISTED_S
+        if not self._unlisted:
+            self._clock.callLater(UNLISTED_S, self._expire_unlisted)
+        self._unlisted[endpoint.name] = _Unlisted(endpoint, until_s)
+        self._log(endpoint, "unlisted")
+        self._write()
+
+    def _expire_unlisted(self):
+        known = len(self._unlisted)
+        self._drop_unlisted()
+        if len(self._unlisted) < known:
+            self._write()
+        if self._unlisted:
+            self._clock.callLater(EXPIRY_INTERVAL_S, self._expire_unlisted)
+
+    def _drop_unlisted(self):
+        """Drop what is listed now, and what the store should have listed."""
+        now_s = self._clock.seconds()
+        return_s = self._store_regained_s() + RETURN_GRACE_S
+        is_late = self._is_store_reachable() and now_s >= return_s
+        self._unlisted = {
+            name: each
+            for name, each in self._unlisted.items()
+            if name not in self._listed and not (is_late and now_s >= each.until_s)
+        }
+
     def _note_changes(self, endpoints):
         for name, endpoint in endpoints.items():
             known = self._listed.get(name)
@@ -102,7 +149,8 @@
         self._write()
 
     def _write(self):
-        self._board.endpoints.write({**self._kept, **self._listed})
+        unlisted = {name: each.endpoint for name, each in self._unlisted.items()}
+        self._board.endpoints.write({**unlisted, **self._kept, **self._listed})
 
     # Among routers.
 
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -8,6 +8,7 @@
 from sesamearch.platform.headers import (
     decode_answer,
     encode_request,
+    instance_of,
     keep_alive_s,
     request_id_of,
 )
@@ -156,6 +157,36 @@
         self._tell(False)
 
 
+class _Identity(AnswerReceiver):
+    """Waits for the name of the process that answers."""
+
+    __slots__ = ("told",)
+
+    def __init__(self):
+        self.told = Deferred()
+
+    def tell(self, name):
+        """Give the name, empty for none, to who waits."""
+        told, self.told = self.told, None
+        if told is not None:
+            told.callback(name)
+
+    def is_mine(self, head):
+        return True
+
+    def began(self, head):
+        self.tell(instance_of(head.headers) if head.status == OK else "")
+
+    def received(self, data):
+        """Ignore the content."""
+
+    def ended(self):
+        self.tell("")
+
+    def lost(self, loss):
+        self.tell("")
+
+
 class PlatformEndpointClient(EndpointClient):
     """Sends requests to endpoints over kept connections.
 
@@ -212,6 +243,23 @@
         outgoing = OutgoingRequest(b"DELETE", path, headers)
         self._pool(endpoint).send(outgoing, _Copying(), is_fresh=True)
 
+    def identify(self, endpoint, path, timeout_s):
+        """Ask who answers at an endpoint's address; see ``EndpointClient``."""
+        headers = [(b"Host", endpoint.address.encode())]
+        identity = _Identity()
+        told = identity.told
+        outgoing = OutgoingRequest(b"GET", path.encode(), headers)
+        sending = self._pool(endpoint).send(outgoing, identity, is_fresh=True)
+        timer = self._reactor.callLater(timeout_s, identity.tell, "")
+
+        def settle(name):
+            if timer.active():
+                timer.cancel()
+            sending.cancel()
+            return name
+
+        return told.addCallback(settle)
+
     def probe(self, endpoint, timeout_s):
         """Ask an engine for its report, and whether it answers at all."""
         headers = [(b"Host", endpoint.address.encode())]
--- a/src/sesamearch/platform/configuration.py
+++ b/src/sesamearch/platform/configuration.py
@@ -62,6 +62,7 @@
 class _Service(msgspec.Struct, rename="kebab"):
     name: str
     max_conns: int = 100
+    health_path: str = ""
     engine: _Engine | None = None
 
 
@@ -144,7 +145,9 @@
 def _make_service(service):
     engine = service.engine
     if engine is None:
-        return ServiceSpec(service.name, service.max_conns)
+        return ServiceSpec(
+            service.name, service.max_conns, health_path=service.health_path
+        )
     traits = EngineTraits(
         engine.slots,
         engine.kv_capacity,
@@ -152,7 +155,7 @@
         engine.backups,
         engine.moves,
     )
-    return ServiceSpec(service.name, service.max_conns, traits)
+    return ServiceSpec(service.name, service.max_conns, traits, service.health_path)
 
 
 def _make_limits(limits):
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -15,6 +15,7 @@
     "decode_answer",
     "decode_request",
     "encode_request",
+    "instance_of",
     "keep_alive_s",
     "request_id_of",
 ]
@@ -74,6 +75,11 @@
     return _text(headers, _REQUEST_ID)
 
 
+def instance_of(headers):
+    """Return the name of the process that answers, empty where it does not say."""
+    return _text(headers, _INSTANCE)
+
+
 def decode_request(head, body, now_s):
     """Decode a caller's request.
 
@@ -177,6 +183,7 @@
         headers=[pair for pair in headers if pair[0].lower() not in _NOT_RETURNED],
         has_not_run=first_value(headers, _NOT_RUN) is not None,
         is_other_instance=is_other_instance,
+        instance=instance_of(headers),
         is_signed=first_value(headers, _SIGNATURE) is not None,
         load=_load(_text(headers, _LOAD)),
     )
--- a/src/sesamearch/platform/settings.py
+++ b/src/sesamearch/platform/settings.py
@@ -125,6 +125,7 @@
         retry_slack=lines.number("bounds.budget-slack", default.retry_slack),
         exposure_ratio=lines.number("bounds.exposure-share", default.exposure_ratio),
         exposure_slack=lines.number("bounds.exposure-slack", default.exposure_slack),
+        reuse_after_s=lines.number("bounds.reuse-after-s", default.reuse_after_s),
         rollback_s=lines.seconds("bounds.rollback-ms", default.rollback_s),
     )
 
--- a/src/sesamearch/routing/table.py
+++ b/src/sesamearch/routing/table.py
@@ -105,11 +105,14 @@
         Connections that one endpoint accepts from all callers together.
     engine : EngineTraits or None
         None for a plain service.
+    health_path : str
+        Path at its endpoints that tells which process answers.
     """
 
     name: str
     max_connections: int
     engine: EngineTraits | None = None
+    health_path: str = ""
 
 
 class Organisation(msgspec.Struct, frozen=True):
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -78,6 +78,9 @@
 
     def __call__(self, head, body, reply):
         """Take one request."""
+        if head.target == b"/healthz":
+            reply.answer(200, [(b"X-Instance-Id", self.name.encode())], b"")
+            return
         wanted = _text(head, b"x-target-instance")
         headers = [(b"X-Attempt-Id", _text(head, b"x-attempt-id").encode())]
         if wanted and wanted != self.name:
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -361,6 +361,50 @@
         self.assertEqual(self.client.pieces, list(range(20)))
 
 
+class TestReturns(unittest.TestCase):
+    """Engines crash and start again under other names while the store is away."""
+
+    def setUp(self):
+        self.world = World(engines=1, routers=2)
+        (self.engine,) = self.world.engines
+        self.world.ask(draft_bytes("before", 100), wait_s=1)
+        self.world.store.refusal = 503
+
+    def restart(self, after_s):
+        self.world.connect().send(draft_bytes("cut", 100))
+        self.world.run(0.2)
+        self.world.crash(self.engine)
+        self.world.run(after_s)
+        self.engine.name = "engine-new"
+        self.world.network.listen(self.engine.address, self.engine.factory)
+        self.world.run(0.7)
+
+    def test_engine_that_is_back_soon_gets_work_of_all_routers(self):
+        self.restart(1.2)
+        for number in range(2):
+            data = draft_bytes(f"after{number}", 100)
+            client = self.world.ask(data, number, wait_s=1)
+            self.assertEqual(client.status, 200)
+            self.assertTrue(client.is_whole)
+
+    def test_address_that_may_belong_to_another_service_gets_none(self):
+        self.restart(2.1)
+        runs = len(self.engine.runs)
+        client = self.world.ask(draft_bytes("after", 100), wait_s=1)
+        self.assertNotEqual(client.status, 200)
+        self.assertEqual(len(self.engine.runs), runs)
+
+    def test_store_that_is_back_decides(self):
+        self.restart(1.2)
+        self.world.store.refusal = 0
+        self.world.store.remove("servers/engine-0")
+        self.world.run(7)
+        self.world.store.put("servers/other", b"{}")
+        self.world.run(0.5)
+        names = set(self.world.fronts[0].board.endpoints.value)
+        self.assertEqual(names, {"desk-0", "desk-1"})
+
+
 class TestConfiguration(unittest.TestCase):
     def setUp(self):
         self.world = World(routers=2)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -67,7 +67,12 @@
         "routes": list(routes),
         "services": [
             {"name": "desk", "health-path": "/healthz", "max-conns": 110},
-            {"name": "models", "max-conns": 160, "engine": ENGINE},
+            {
+                "name": "models",
+                "health-path": "/healthz",
+                "max-conns": 160,
+                "engine": ENGINE,
+            },
         ],
         "limits": {
             "max-header-bytes": 4096,
