--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -13,8 +13,8 @@
     TrySent,
 )
 from sesamearch.forwarding.request import ForwardListener
-from sesamearch.wire.caller import ReplyListener
 from sesamearch.wire.endpoint import Loss
+from sesamearch.wire.reply import ReplyListener
 
 __all__ = ["Exchange", "ForwardTools", "Try", "retry_after_s"]
 
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -14,10 +14,10 @@
 )
 from sesamearch.wire.endpoint import (
     AnswerReceiver,
-    ConnectionPool,
     Loss,
     OutgoingRequest,
 )
+from sesamearch.wire.pool import ConnectionPool
 
 __all__ = ["PlatformEndpointClient"]
 
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -1,7 +1,6 @@
 """The platform's key-value service, behind the product's ``Store``."""
 
 import base64
-import binascii
 from urllib.parse import quote
 
 import msgspec
@@ -11,86 +10,36 @@
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.log import logger
 from sesamearch.base.record import Dependency
-from sesamearch.store.store import KeyValue, Put, RangeReply, Store, TxnReply, Watch
-from sesamearch.wire.endpoint import AnswerReceiver, ConnectionPool, OutgoingRequest
+from sesamearch.platform.store_message import (
+    Conflict,
+    Expected,
+    NewItem,
+    StoreLease,
+    StoreRange,
+    StoreTtl,
+    Transaction,
+    Written,
+    decode_body,
+    key_values,
+)
+from sesamearch.platform.watch import PlatformWatch
+from sesamearch.store.store import RangeReply, Store, TxnReply
+from sesamearch.wire.endpoint import AnswerReceiver, OutgoingRequest
+from sesamearch.wire.pool import ConnectionPool
 
 __all__ = ["PlatformStore"]
 
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.7
-WATCH_WAIT_MS = 20_000
-# The answer to a watch that saw nothing may be late by so much.
-WATCH_MARGIN_S = 2.0
-# Each answered watch is a counted call: changes that come together share one.
-GATHER_S = 0.2
-RETRY_FIRST_S = 0.2
-RETRY_LONGEST_S = 1.0
 IDLE_REUSE_S = 2.0
 MS_PER_S = 1000.0
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 412
-HISTORY_GONE = 410
 _CANCELLED = "cancelled"
 _JSON = (b"Content-Type", b"application/json")
 
 
-class _Item(msgspec.Struct, rename="kebab"):
-    key: str
-    # Standard base64 of any bytes.
-    value: str = ""
-    # The item's last change; zero where it is told as absent.
-    revision: int = 0
-    lease: int = 0
-    removed: bool = False
-
-
-class _Range(msgspec.Struct, rename="kebab"):
-    entries: list[_Item]
-    # The store's revision, not that of an item.
-    store_revision: int
-    more_pages: bool = False
-
-
-class _Events(msgspec.Struct, rename="kebab"):
-    events: list[_Item]
-    store_revision: int
-
-
-class _Expected(msgspec.Struct):
-    key: str
-    revision: int
-
-
-class _NewItem(msgspec.Struct):
-    key: str
-    value: str
-    lease: int = 0
-
-
-class _Transaction(msgspec.Struct, rename="kebab"):
-    expected_revision: list[_Expected]
-    puts: list[_NewItem]
-    deletes: list[str]
-
-
-class _Written(msgspec.Struct):
-    revision: int
-
-
-class _Conflict(msgspec.Struct):
-    entries: list[_Item] = []
-
-
-class _Ttl(msgspec.Struct, rename="kebab"):
-    ttl_ms: int
-
-
-class _Lease(msgspec.Struct, rename="kebab"):
-    lease: int
-    ttl_ms: int
-
-
 class _Response(msgspec.Struct):
     status: int
     body: bytes
@@ -137,116 +86,6 @@
         self._settle(Err(Problem(ErrorKind.STORE_UNAVAILABLE, detail)))
 
 
-def _decode(body, kind):
-    try:
-        return Ok(msgspec.json.decode(body, type=kind, strict=False))
-    except msgspec.DecodeError as error:
-        return Err(Problem(ErrorKind.STORE_UNAVAILABLE, str(error)))
-
-
-def _key_value(item):
-    value = base64.b64decode(item.value, validate=True)
-    return KeyValue(item.key.encode(), value, item.revision, item.lease)
-
-
-def _key_values(items):
-    """Return what can be read: other writers may leave anything."""
-    found = []
-    for item in items:
-        try:
-            found.append(_key_value(item))
-        except (binascii.Error, ValueError) as error:
-            logger.warning("store item unreadable key={} error={}", item.key, error)
-    return found
-
-
-def _puts(events):
-    puts = []
-    for event in events:
-        if event.removed:
-            puts.append(Put(event.key.encode(), None))
-            continue
-        puts += [
-            Put(each.key, each.value, each.lease, each.mod_revision)
-            for each in _key_values([event])
-        ]
-    return puts
-
-
-class _PlatformWatch(Watch):
-    """Asks again and again for what has changed."""
-
-    __slots__ = (
-        "_called",
-        "_is_stopped",
-        "_path",
-        "_receiver",
-        "_retry",
-        "_retry_s",
-        "_revision",
-        "_store",
-    )
-
-    def __init__(self, store, prefix, revision, receiver):
-        self._store = store
-        self._path = b"/sesamearch/kv-watch?prefix=" + quote(prefix, safe="/").encode()
-        self._revision = revision
-        self._receiver = receiver
-        self._called = None
-        self._retry = None
-        self._retry_s = RETRY_FIRST_S
-        self._is_stopped = False
-        self._ask()
-
-    def cancel(self):
-        """Stop without calling the receiver again."""
-        self._is_stopped = True
-        if self._called is not None:
-            self._called.cancel()
-        if self._retry is not None and self._retry.active():
-            self._retry.cancel()
-
-    def _ask(self):
-        if self._is_stopped:
-            return
-        query = b"&after=%d&wait-ms=%d" % (self._revision, WATCH_WAIT_MS)
-        timeout_s = WATCH_WAIT_MS / MS_PER_S + WATCH_MARGIN_S
-        called = self._store.call(b"GET", self._path + query, timeout_s=timeout_s)
-        self._called = called
-        called.addCallback(self._take)
-
-    def _take(self, result):
-        if self._is_stopped:
-            return
-        status = result.unwrap().status if result.is_ok() else 0
-        if status == HISTORY_GONE:
-            self._is_stopped = True
-            self._receiver.ended()
-        elif status == OK:
-            self._take_events(_decode(result.unwrap().body, _Events))
-        else:
-            self._ask_later()
-
-    def _ask_later(self):
-        self._retry = self._store.clock.callLater(self._retry_s, self._ask)
-        self._retry_s = min(self._retry_s * 2, RETRY_LONGEST_S)
-
-    def _take_events(self, decoded):
-        if decoded.is_err():
-            logger.error("watch unreadable: {}", decoded.unwrap_err().detail)
-            self._ask_later()
-            return
-        reply = decoded.unwrap()
-        self._retry_s = RETRY_FIRST_S
-        self._revision = reply.store_revision
-        if not reply.events:
-            self._ask()
-            return
-        self._receiver.changed(_puts(reply.events), reply.store_revision)
-        if not self._is_stopped:
-            self._retry = self._store.clock.callLater(GATHER_S, self._ask)
-
-
 class PlatformStore(Store):
     """Calls of the platform's key-value service.
 
@@ -336,7 +175,7 @@
             result = await self._served(b"GET", page_path)
             if result.is_err():
                 return result
-            decoded = _decode(result.unwrap().body, _Range)
+            decoded = decode_body(result.unwrap().body, StoreRange)
             if decoded.is_err():
                 return decoded
             page = decoded.unwrap()
@@ -344,7 +183,7 @@
             # Pages are no snapshot: a watch from the first one misses nothing.
             revision = revision or page.store_revision
             if not page.more_pages or not page.entries:
-                return Ok(RangeReply(revision, _key_values(items)))
+                return Ok(RangeReply(revision, key_values(items)))
             after = quote(page.entries[-1].key, safe="/").encode()
 
     def txn(self, comparisons, puts):
@@ -352,8 +191,8 @@
         return _with_kind(Deferred.fromCoroutine(self._txn(comparisons, puts)))
 
     async def _txn(self, comparisons, puts):
-        content = _Transaction(
-            [_Expected(each.key.decode(), each.mod_revision) for each in comparisons],
+        content = Transaction(
+            [Expected(each.key.decode(), each.mod_revision) for each in comparisons],
             [_new_item(put) for put in puts if put.value is not None],
             [put.key.decode() for put in puts if put.value is None],
         )
@@ -362,10 +201,10 @@
             return result
         response = result.unwrap()
         if response.status == OK:
-            written = _decode(response.body, _Written)
+            written = decode_body(response.body, Written)
             return written.map(lambda reply: TxnReply(True, reply.revision, []))
         if response.status == CONFLICT:
-            return _decode(response.body, _Conflict).map(_conflict)
+            return decode_body(response.body, Conflict).map(_conflict)
         return Err(_unexpected(response))
 
     def grant_lease(self, ttl_s):
@@ -373,14 +212,14 @@
         return _with_kind(Deferred.fromCoroutine(self._grant_lease(ttl_s)))
 
     async def _grant_lease(self, ttl_s):
-        content = _Ttl(int(ttl_s * MS_PER_S))
+        content = StoreTtl(int(ttl_s * MS_PER_S))
         result = await self._served(b"POST", b"/sesamearch/kv-lease", content)
         if result.is_err():
             return result
         response = result.unwrap()
         if response.status != OK:
             return Err(_unexpected(response))
-        return _decode(response.body, _Lease).map(lambda reply: reply.lease)
+        return decode_body(response.body, StoreLease).map(lambda reply: reply.lease)
 
     def keep_lease(self, lease):
         """Renew a lease; see ``Store``."""
@@ -397,7 +236,7 @@
 
     def watch(self, prefix, revision, receiver):
         """Watch a prefix; see ``Store``."""
-        return _PlatformWatch(self, prefix, revision, receiver)
+        return PlatformWatch(self, prefix, revision, receiver)
 
 
 def _with_kind(done):
@@ -407,11 +246,11 @@
 
 def _new_item(put):
     value = base64.b64encode(put.value).decode()
-    return _NewItem(put.key.decode(), value, put.lease)
+    return NewItem(put.key.decode(), value, put.lease)
 
 
 def _conflict(reply):
-    found = _key_values([item for item in reply.entries if item.revision])
+    found = key_values([item for item in reply.entries if item.revision])
     return TxnReply(False, 0, found)
 
 
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from sesamearch.wire.caller import ReplyListener
 from sesamearch.wire.head import first_value
+from sesamearch.wire.reply import ReplyListener
 
 __all__ = ["EngineStandin", "ServiceStandin", "WorkerRun"]
 
--- a/tests/wire/test_endpoint.py
+++ b/tests/wire/test_endpoint.py
@@ -7,10 +7,10 @@
 from sesamearch.standin.network import MemoryNetwork
 from sesamearch.wire.endpoint import (
     AnswerReceiver,
-    ConnectionPool,
     Loss,
     OutgoingRequest,
 )
+from sesamearch.wire.pool import ConnectionPool
 
 ADDRESS = "10.0.0.2:80"
 
