--- a/src/sesamearch/base/__init__.py
+++ b/src/sesamearch/base/__init__.py
@@ -22,6 +22,7 @@
             "ConfigurationInForce",
             "Dependency",
             "EndpointChanged",
+            "EndpointReturned",
             "EndpointSuspected",
             "GenerationResumed",
             "Lifecycle",
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -8,6 +8,7 @@
         "budget": ["RetryBudget"],
         "call": ["CallExchange"],
         "choice": ["Chooser", "GenerationNeed"],
+        "copies": ["CopyKeeper"],
         "dispatcher": ["Budgets", "Dispatcher", "ForwardCounters"],
         "exchange": ["Exchange", "ForwardTools", "Try", "retry_after_s"],
         "fleet": ["Fleet"],
@@ -27,6 +28,7 @@
             "Passage",
             "PromptPart",
         ],
+        "returns": ["ReturnWatch"],
         "stream": ["StreamExchange"],
     },
 )
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -8,8 +8,9 @@
 from sesamearch.base.log import logger
 from sesamearch.base.record import GenerationResumed
 from sesamearch.forwarding.choice import GenerationNeed
+from sesamearch.forwarding.copies import CopyKeeper
 from sesamearch.forwarding.exchange import Exchange
-from sesamearch.forwarding.request import MemoryCopy, Passage
+from sesamearch.forwarding.request import Passage
 from sesamearch.wire.endpoint import Loss
 from sesamearch.wire.events import EventSplitter
 
@@ -24,8 +25,6 @@
 PROBE_TIMEOUT_S = 0.3
 RESUME_PROBE_S = 0.2
 RETRY_CHOICE_S = 0.05
-# A copy that was ordered is dropped by its holder after some seconds.
-COPY_INTERVAL_S = 1.2
 # Callers leave a stream that pauses for so long.
 LONGEST_PAUSE_S = 2.0
 REFUSE_ADVICE_S = 1.0
@@ -91,12 +90,6 @@
         self._is_broken = False
         self._has_copy = False
         self._is_prompt_read = False
-        self._backup = None
-        self._backup_name = ""
-        self._backup_work = None
-        self._is_copying = False
-        self._copied = None
-        self._copy_due_s = 0.0
         self._runs = 0
         self._probe_due_s = 0.0
         self._is_probing = False
@@ -105,6 +98,13 @@
             self.request.prompt_tokens,
             self.request.prompt_tokens + self.request.output_tokens,
         )
+        self._copies = CopyKeeper(
+            self.tools,
+            self.service,
+            self._need,
+            self.request.request_id,
+            self._is_usable,
+        )
 
     def start(self):
         """Send the first try, unless it could not bring anything in time."""
@@ -134,14 +134,16 @@
             return
         self.excluded.add(endpoint.name)
         self._runs += 1
-        backup = self._choose_backup(endpoint)
+        holder_address = ""
+        if self.route.is_resumable:
+            holder_address = self._copies.begin(endpoint)
         passage = Passage(
             endpoint,
             self.until_s,
             self.organisation.name if self.organisation else "",
             self._last_event,
             self._urgency(),
-            backup.address if backup else "",
+            holder_address,
             copy,
         )
         unread = 0 if copy else self._need.prompt_tokens
@@ -154,13 +156,10 @@
 
     def _choose(self):
         """Return the endpoint to send to and the memory to go on from."""
-        backup, self._backup = self._backup, None
         has_copy, self._has_copy = self._has_copy, False
-        self._end_backup_work()
-        if backup is not None and has_copy:
-            endpoint = self.tools.fleet.at_address(backup.holder_address)
-            if endpoint is not None and self._is_usable(endpoint):
-                return endpoint, backup
+        endpoint, copy = self._copies.take()
+        if endpoint is not None and has_copy:
+            return endpoint, copy
         endpoint = self._where_prompt_was_read() or self._choose_any()
         if endpoint is None and self.excluded:
             self.excluded.clear()
@@ -193,27 +192,6 @@
         is_admitted = self.tools.gate.admits(endpoint, self.request.request_id)
         return is_of_service and is_admitted and not endpoint.leaving and not is_down
 
-    def _choose_backup(self, endpoint):
-        if not self.route.is_resumable or not self.service.engine.takes_backups:
-            return None
-        backup = self.tools.chooser.for_backup(
-            endpoint, self.service.engine, self._need, self.request.request_id
-        )
-        if backup is not None:
-            self._backup = MemoryCopy(
-                backup.address, backup.address, self.request.request_id
-            )
-            self._backup_name = backup.name
-            self._backup_work = self.tools.loads.begin(
-                backup.name, 0, self._need.memory_tokens, running=0
-            )
-        return backup
-
-    def _end_backup_work(self):
-        work, self._backup_work = self._backup_work, None
-        if work is not None:
-            work.end()
-
     def _wait_for_endpoint(self):
         """Refuse, or look again soon where events were already passed on."""
         if self._has_head and self._pause_s() < LONGEST_PAUSE_S:
@@ -394,64 +372,6 @@
         else:
             self._give_up(kind, detail)
 
-    # A copy in place of one that was lost.
-
-    def _keep_copy(self, attempt):
-        """Make a copy where the engine that kept one is gone, and keep it fresh."""
-        if not self.service.engine.takes_moves or self._is_copying:
-            return
-        is_own = self._copied is not None and self._copied is self._backup
-        if is_own and self.now_s < self._copy_due_s:
-            return
-        holder = self.tools.fleet.find(self._backup_name)
-        if self._backup is not None and holder is not None and self._is_usable(holder):
-            if not is_own:
-                return
-        elif self.now_s < self._copy_due_s:
-            return
-        else:
-            holder = self._choose_holder(attempt)
-        self._copy_due_s = self.now_s + COPY_INTERVAL_S
-        if holder is not None:
-            self._copy(attempt, holder)
-
-    def _choose_holder(self, attempt):
-        self._backup = None
-        self._end_backup_work()
-        return self.tools.chooser.for_backup(
-            attempt.endpoint, self.service.engine, self._need, self.request.request_id
-        )
-
-    def _copy(self, attempt, holder):
-        self._is_copying = True
-        self.tools.counters.copies += 1
-        copied = self.tools.client.copy_memory(
-            attempt.endpoint, self.request.request_id, holder
-        )
-        copied.addCallback(self._take_copy, attempt, holder)
-
-    def _take_copy(self, copy, attempt, holder):
-        self._is_copying = False
-        if copy is None:
-            return
-        if not self._is_current(attempt):
-            self.tools.client.free_memory(attempt.endpoint, copy)
-            return
-        if self._backup_work is None:
-            self._backup_work = self.tools.loads.begin(
-                holder.name, 0, self._need.memory_tokens, running=0
-            )
-        self._backup = self._copied = copy
-        self._backup_name = holder.name
-
-    def _free_copy(self):
-        """Drop a copy that is not needed any more."""
-        if self._copied is None or self._copied is not self._backup:
-            return
-        source = self.tools.fleet.at_address(self._copied.source_address)
-        if source is not None:
-            self.tools.client.free_memory(source, self._copied)
-
     # Silence.
 
     def check(self):
@@ -463,7 +383,7 @@
             if self._silence_s(attempt) > self._stall_s():
                 self._leave(attempt, "stalled")
             else:
-                self._keep_copy(attempt)
+                self._copies.keep(attempt.endpoint)
         elif self.now_s >= self._probe_due_s and not self._is_probing:
             self._probe(attempt)
 
@@ -535,9 +455,8 @@
     def close(self):
         """End the generation."""
         self._life.ended()
-        self._free_copy()
+        self._copies.close()
         self.tools.prompts.ended(self.request.own_part)
-        self._end_backup_work()
         if self._waiting is not None and self._waiting.active():
             self._waiting.cancel()
         super().close()
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -11,6 +11,7 @@
         "fleet_message": [
             "FLEET_SCHEMA_VERSION",
             "Beat",
+            "EndpointBack",
             "EndpointsChanges",
             "EndpointsNews",
             "EndpointsWanted",
@@ -39,7 +40,7 @@
             "WantedSettlement",
         ],
         "peer": ["PeerLink"],
-        "roster": ["RELAYS", "Hint", "Roster"],
+        "roster": ["RELAYS", "AgedHint", "Hint", "Roster"],
         "sockets": ["PeerSockets"],
     },
 )
--- a/src/sesamearch/wire/__init__.py
+++ b/src/sesamearch/wire/__init__.py
@@ -5,19 +5,13 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
-        "caller": [
-            "CallerConnection",
-            "CallerFactory",
-            "CallerLimits",
-            "Reply",
-            "ReplyListener",
-        ],
+        "caller": ["CallerConnection", "CallerFactory", "CallerLimits"],
         "endpoint": [
             "AnswerReceiver",
-            "ConnectionPool",
             "Loss",
             "OutgoingRequest",
             "Sending",
+            "EndpointConnection",
             "keep_probing",
         ],
         "events": ["EventSplitter", "StreamEvent"],
@@ -30,5 +24,7 @@
             "first_value",
             "strip_hop_by_hop",
         ],
+        "pool": ["ConnectionPool"],
+        "reply": ["Reply", "ReplyListener"],
     },
 )
