Bound the cost of a choice, and add news to the sums of work

Change: of more than 24 usable endpoints 24 are drawn and compared; news replace a router's part of the sums. The benches that the sorting of the tests had broken run again, two are added: decisions and fleet.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,7 @@
 import yaml
 from tests.deployment import SERVICES, free_addresses
 
-from bench import micro
+from bench import forward, micro
 
 FLOOD_STREAMS = 20
 PACED_STREAMS = 200
@@ -172,7 +172,12 @@
     show("resident_with_200_streams", round(memory_mb, 1), "MB")
 
 
-BENCHES = {"flood": bench_flood, "paced": bench_paced, **micro.BENCHES}
+BENCHES = {
+    "flood": bench_flood,
+    "paced": bench_paced,
+    **micro.BENCHES,
+    **forward.BENCHES,
+}
 
 
 def main(names):
--- /dev/null
+++ b/bench/forward.py
@@ -0,0 +1,105 @@
+"""Benchmarks of the decisions on the platform's path, inside one process."""
+
+import random
+import time
+
+from tests.forwarding.test_choice import NEED
+from tests.membership.test_fleet import FleetWorld
+
+from bench.micro import show
+from sesamearch.configuration.blackboard import Blackboard, Endpoint
+from sesamearch.forwarding.choice import Chooser
+from sesamearch.forwarding.fleet import Fleet
+from sesamearch.forwarding.gate import OpenGate
+from sesamearch.forwarding.health import HealthBook
+from sesamearch.forwarding.load import EndpointLoad, LoadBook
+from sesamearch.routing.table import EngineTraits
+
+ENGINE = EngineTraits(12, 88_000, 8, takes_backups=True)
+ROUNDS = 2000
+MEASURED_S = 4
+DATA_CENTRES = 4
+
+
+class _Clock:
+    def seconds(self):
+        return 1.0
+
+
+def _make_chooser(engines, routers):
+    clock = _Clock()
+    board, health, loads = Blackboard(), HealthBook(clock), LoadBook(clock)
+    chooser = Chooser(
+        Fleet(board, health), loads, health, "dc-0", OpenGate(), random.Random(1)
+    )
+    endpoints = [
+        Endpoint(
+            f"e{n}", f"10.0.0.{n}:1", f"dc-{n % DATA_CENTRES}", "m", "v1", slots=12
+        )
+        for n in range(engines)
+    ]
+    board.endpoints.write({each.name: each for each in endpoints})
+    for router in range(routers):
+        names = [f"e{(router * 7 + n) % engines}" for n in range(2)]
+        loads.hear(f"r{router}", {name: EndpointLoad(1, 0, 9000) for name in names})
+    return chooser, endpoints, loads
+
+
+def _time_us(function):
+    begun_s = time.process_time()
+    for _ in range(ROUNDS):
+        function()
+    return (time.process_time() - begun_s) / ROUNDS * 1e6
+
+
+def bench_decisions():
+    """Cost of choosing an engine and a keeper, and of one router's news."""
+    for engines, routers in ((18, 8), (60, 83), (690, 162)):
+        chooser, endpoints, loads = _make_chooser(engines, routers)
+        size = {"engines": engines, "routers": routers}
+        costs = {
+            "choose_engine": lambda c=chooser: c.for_generation("m", ENGINE, NEED, "r"),
+            "choose_keeper": lambda c=chooser, e=endpoints: c.for_backup(
+                e[0], ENGINE, NEED, "r"
+            ),
+            "choose_call": lambda c=chooser: c.for_call("m", "r"),
+            "hear_news": lambda x=loads: x.hear("r1", {"e1": EndpointLoad(1, 0, 9000)}),
+        }
+        for name, function in costs.items():
+            target = "<= 200" if name.startswith("choose") else ""
+            show(name, round(_time_us(function), 1), "us", target, **size)
+
+
+def bench_fleet():
+    """Messages and bytes that routers send and hear, without requests."""
+    for routers in (9, 30, 83):
+        world = FleetWorld(routers)
+        world.run(6)
+        before = _counts(world)
+        world.run(MEASURED_S)
+        after = _counts(world)
+        for is_relay in (False, True):
+            names = [n for n in after if after[n][0] is is_relay and n in before]
+            if names:
+                _show_rates(routers, is_relay, [(before[n], after[n]) for n in names])
+
+
+def _counts(world):
+    counts = {}
+    for link in world.links():
+        sockets = world.sockets[link.roster.own.address]
+        messages = sockets.sent_messages + sockets.received_messages
+        counts[link.roster.own.name] = (link.is_relay, messages, sockets.sent_bytes)
+    return counts
+
+
+def _show_rates(routers, is_relay, pairs):
+    role = "relay" if is_relay else "router"
+    size = {"routers": routers, "role": role}
+    messages = [(b[1] - a[1]) / MEASURED_S for a, b in pairs]
+    sent_bytes = [(b[2] - a[2]) / MEASURED_S for a, b in pairs]
+    show("control_messages", round(sum(messages) / len(messages), 1), "1/s", **size)
+    show("control_sent", round(sum(sent_bytes) / len(sent_bytes)), "bytes/s", **size)
+
+
+BENCHES = {"decisions": bench_decisions, "fleet": bench_fleet}
--- a/bench/micro.py
+++ b/bench/micro.py
@@ -4,8 +4,8 @@
 import json
 import time
 
-from tests.test_claim_relay import RelayWorld
-from tests.test_gateway import GatewayCase
+from tests.callers.test_gateway import GatewayCase
+from tests.membership.test_claim_relay import RelayWorld
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.task import Clock, react
--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -6,6 +6,8 @@
 
 __all__ = ["Chooser", "GenerationNeed"]
 
+# Of more endpoints so many are drawn and compared: the cost of a choice is bounded.
+DRAWS = 24
 # A generation that runs waits for nearly all of the prompt that joins it.
 DELAYED_RATIO = 0.8
 # An endpoint whose slots or memory are taken makes the request wait for an end.
@@ -63,8 +65,10 @@
         ]
         if excluded or not found:
             found = self._spares(service, excluded) or found
-        up = [each for each in found if not self._health.is_down(each.name)]
-        return up or found
+        found = [e for e in found if not self._health.is_down(e.name)] or found
+        if len(found) > DRAWS:
+            found = self._random.sample(found, DRAWS)
+        return found
 
     def _spares(self, service, excluded):
         return [
--- a/src/sesamearch/forwarding/load.py
+++ b/src/sesamearch/forwarding/load.py
@@ -30,6 +30,10 @@
         self.unread_tokens += other.unread_tokens
         self.memory_tokens += other.memory_tokens
 
+    def negated(self):
+        """Return the load that takes this one away when it is added."""
+        return EndpointLoad(-self.running, -self.unread_tokens, -self.memory_tokens)
+
     @property
     def is_empty(self):
         """Bool : whether there is no work."""
@@ -127,17 +131,27 @@
         peer : str
         loads : dict from str to EndpointLoad
         """
+        self._forget(peer)
         self._peers[peer] = _PeerLoads(self._clock.seconds(), loads)
-        self._sum_others()
+        for name, load in loads.items():
+            self._others.setdefault(name, EndpointLoad()).add(load)
+
+    def _forget(self, peer):
+        """Take a router's work out of the sums."""
+        known = self._peers.pop(peer, None)
+        if known is None:
+            return
+        for name, load in known.loads.items():
+            self._others[name].add(load.negated())
+            if self._others[name].is_empty:
+                del self._others[name]
 
     def forget_silent(self):
         """Drop the work of routers that were not heard for a while."""
         oldest_s = self._clock.seconds() - PEER_TIMEOUT_S
         silent = [n for n, peer in self._peers.items() if peer.heard_s < oldest_s]
         for name in silent:
-            del self._peers[name]
-        if silent:
-            self._sum_others()
+            self._forget(name)
 
     def news_age_ms(self):
         """Return the age of the oldest news in use, in ms."""
@@ -146,12 +160,6 @@
         oldest_s = min(peer.heard_s for peer in self._peers.values())
         return round((self._clock.seconds() - oldest_s) * 1000)
 
-    def _sum_others(self):
-        self._others = {}
-        for peer in self._peers.values():
-            for name, load in peer.loads.items():
-                self._others.setdefault(name, EndpointLoad()).add(load)
-
     def total(self, name):
         """Return the :class:`EndpointLoad` of all routers at an endpoint."""
         total = EndpointLoad()
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -203,3 +203,22 @@
                 world.health.answered(name, number % 7 == 0)
             world.health.answered("e0", number % 2 == 0)
         self.assertNotEqual(world.call(), "e0")
+
+
+class TestManyEngines(unittest.TestCase):
+    """The cost of a choice does not grow with the fleet."""
+
+    def test_bounded_number_is_compared_and_an_idle_one_found(self):
+        world = World(200)
+        asked = []
+        total = world.loads.total
+
+        def count(name):
+            asked.append(name)
+            return total(name)
+
+        world.loads = type("Loads", (), {"total": staticmethod(count)})()
+        world.chooser._loads = world.loads
+        chosen = world.chooser.for_generation("models", ENGINE, NEED, "r")
+        self.assertLessEqual(len(asked), 24)
+        self.assertTrue(total(chosen.name).is_empty)
