Give the ports of a router a module of their own; read changed settings on SIGHUP

SIGHUP read nothing; it takes changed seeds, and says a fault of a file that cannot be read. Addresses and bounds stay those of the start, as no connection may be cut.

--- a/src/sesamearch/command/front.py
+++ b/src/sesamearch/command/front.py
@@ -27,10 +27,10 @@
     except OSError as error:
         print(f"{settings.listen}: {error}", file=sys.stderr)
         return EXIT_FAILED
-    return _run(settings, early_socket)
+    return _run(path, settings, early_socket)
 
 
-def _run(settings, early_socket):
+def _run(path, settings, early_socket):
     # Loaded when callers can connect already. The reactor is chosen first: most of
     # Twisted installs its default one.
     from sesamearch.base.log import set_up_records
@@ -45,7 +45,7 @@
     if started.is_err():
         print(started.unwrap_err().show(), file=sys.stderr)
         return EXIT_FAILED
-    front.handle_signals()
+    front.handle_signals(lambda: load_front_settings(path))
     reactor.run(installSignalHandlers=False)
     lines.flush()
     return 0
--- a/src/sesamearch/daemon/__init__.py
+++ b/src/sesamearch/daemon/__init__.py
@@ -8,6 +8,7 @@
         "drain": ["Drain"],
         "front": ["Front"],
         "front_metrics": ["FrontMetrics"],
+        "front_ports": ["FrontPorts"],
         "metrics": ["MetricsExport"],
         "operators_port": ["OperatorsPort", "RouterStatus"],
         "router": ["Router"],
--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -13,11 +13,12 @@
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.listener import listen_directly
 from sesamearch.base.log import FLUSH_INTERVAL_S, logger
-from sesamearch.base.record import Dependency, Lifecycle, RequestUnreadable
+from sesamearch.base.record import Dependency, Lifecycle
 from sesamearch.configuration.blackboard import Blackboard
 from sesamearch.configuration.settings import DrainSettings
 from sesamearch.daemon.drain import Drain
 from sesamearch.daemon.front_metrics import FrontMetrics
+from sesamearch.daemon.front_ports import FrontPorts
 from sesamearch.forwarding.choice import Chooser
 from sesamearch.forwarding.dispatcher import (
     CHECK_INTERVAL_S,
@@ -45,20 +46,16 @@
     OutcomeFollower,
     ServerFollower,
 )
-from sesamearch.platform.headers import decode_request
 from sesamearch.platform.rollout import PlatformRolloutRegister
 from sesamearch.platform.store import PlatformStore
 from sesamearch.rollout.conductor import TELL_INTERVAL_S as ROLLOUT_INTERVAL_S
 from sesamearch.rollout.conductor import RolloutConductor
 from sesamearch.routing.canary import CanarySettings
 from sesamearch.routing.table import RoutingTable
-from sesamearch.wire.caller import CallerFactory
 
 __all__ = ["Front"]
 
 KEYS_RETRY_S = 1.0
-# Callers who come while the first configuration is read are served with it.
-START_WAIT_S = 0.25
 GOSSIP_INTERVAL_S = 0.02
 TELL_INTERVAL_S = 0.25
 # The balancer asks once a second and turns away after two misses.
@@ -66,30 +63,6 @@
 # Before the process is killed: what is left then is cut, and its callers go on.
 HAND_OVER_MARGIN_S = 0.25
 FLUSH_S = 0.1
-# Loading the exporter takes a tenth of a second: callers go first.
-METRICS_DELAY_S = 2.0
-METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
-OK = 200
-UNAVAILABLE = 503
-
-
-class _CallerSide:
-    """Callers' connections, as the drain sees them."""
-
-    unsettled = 0
-
-    def __init__(self, factory, dispatcher):
-        self._factory = factory
-        self._dispatcher = dispatcher
-
-    @property
-    def in_flight(self):
-        """Int : connections in the middle of a request or an answer."""
-        return sum(not each.is_idle for each in self._factory.connections)
-
-    def hand_over(self):
-        """Cut generations: their callers go on elsewhere by their last event."""
-        self._dispatcher.hand_over()
 
 
 class Front:
@@ -116,7 +89,6 @@
         sockets_type=PeerSockets,
     ):
         self._reactor = reactor
-        self._listen = listen
         self._sockets_type = sockets_type
         self._settings = settings
         self._lines = lines
@@ -125,15 +97,10 @@
         self._store = PlatformStore(reactor, settings.store_address)
         self._peers = None
         self._outcomes = None
-        self._early_socket = None
-        self._is_open = False
         self._make_forwarding()
         self._make_membership()
-        self._factory = CallerFactory(
-            reactor, self._take_request, self._limits, self._unreadable
-        )
-        self._readiness = CallerFactory(
-            reactor, self._tell_readiness, self._limits, self._unreadable
+        self._ports = FrontPorts(
+            reactor, settings, self.board, self.dispatcher, self._metrics, listen
         )
         self._drain = self._make_drain()
         self._loops = self._make_loops()
@@ -247,9 +214,13 @@
             balancer_grace_s=BALANCER_GRACE_S,
             timeout_s=max(grace_s - HAND_OVER_MARGIN_S, BALANCER_GRACE_S),
         )
-        side = _CallerSide(self._factory, self.dispatcher)
         return Drain(
-            self.board, side, settings, self._reactor, self._turn_away, self._stop
+            self.board,
+            self._ports,
+            settings,
+            self._reactor,
+            self._ports.turn_away,
+            self._stop,
         )
 
     def _make_loops(self):
@@ -279,18 +250,10 @@
         """
         for follower in self._followers:
             follower.start()
-        self._early_socket = early_socket
-        self.board.configuration.listen(self._open_when_known)
-        self.board.endpoints.listen(self._open_when_known)
-        self._reactor.callLater(START_WAIT_S, self._open)
         try:
-            self._listen(
-                self._reactor, self._settings.readiness_listen, self._readiness
-            )
+            self._ports.start(early_socket)
         except CannotListenError as error:
             return Err(Problem(ErrorKind.UNREACHABLE, str(error)))
-        self.board.drain.listen(self._note_drain)
-        self._reactor.callLater(METRICS_DELAY_S, self._serve_metrics)
         for loop, interval_s in self._loops:
             loop.clock = self._reactor
             loop.start(interval_s, now=False)
@@ -302,33 +265,6 @@
         logger.info(Lifecycle("started", self._settings.listen))
         return Ok(None)
 
-    def _open_when_known(self, value):
-        if self._knows_enough:
-            self._open()
-
-    def _open(self):
-        """Accept callers, those who came since the socket listens first."""
-        if self._is_open:
-            return
-        self._is_open = True
-        logger.info(Lifecycle("open", self._settings.listen))
-        early_socket, self._early_socket = self._early_socket, None
-        self._listen(self._reactor, self._settings.listen, self._factory, early_socket)
-
-    def _serve_metrics(self):
-        self._metrics.load()
-        factory = CallerFactory(
-            self._reactor, self._tell_metrics, self._limits, self._unreadable
-        )
-        try:
-            self._listen(self._reactor, self._settings.metrics_listen, factory)
-        except CannotListenError as error:
-            logger.error("metrics cannot be served: {}", error)
-
-    def _tell_metrics(self, head, body, reply):
-        headers = [(b"Content-Type", METRICS_CONTENT_TYPE)]
-        reply.answer(OK, headers, self._metrics.render())
-
     async def _join_peers(self):
         while True:
             keys = await obtain_fleet_keys(self._store)
@@ -354,28 +290,38 @@
         self._peers.start()
         logger.info(Dependency("peers", "regained", self._settings.peer.listen))
 
-    def handle_signals(self):
-        """Drain on SIGTERM and SIGINT; SIGHUP changes nothing that is in force."""
+    def handle_signals(self, load_settings):
+        """Drain on SIGTERM and SIGINT, read the settings again on SIGHUP.
+
+        Parameters
+        ----------
+        load_settings : callable
+            Gives the ``Result`` of reading the settings.
+        """
 
         def ask(number, frame):
             self._reactor.callFromThread(self._drain.ask)
 
         def reload(number, frame):
-            self._reactor.callFromThread(self._reload)
+            self._reactor.callFromThread(self.reload, load_settings)
 
         signal.signal(signal.SIGTERM, ask)
         signal.signal(signal.SIGINT, ask)
         signal.signal(signal.SIGHUP, reload)
 
-    def _reload(self):
-        """Note changed settings: addresses and bounds stay those of the start."""
-        logger.info(Lifecycle("reloaded", "nothing that is in force changed"))
-
-    def _note_drain(self, phase):
-        self._factory.is_draining = phase.draining
+    def reload(self, load_settings):
+        """Take changed seeds; addresses and bounds stay those of the start.
 
-    def _turn_away(self):
-        self._factory.close_idle()
+        No connection is cut. Settings that cannot be read change nothing.
+        """
+        loaded = load_settings()
+        if loaded.is_err():
+            fault = loaded.unwrap_err()[0]
+            logger.error(Lifecycle("reload_failed", fault.show()))
+            return
+        if self._peers is not None:
+            self._peers.seeds = loaded.unwrap().peer.seeds
+        logger.info(Lifecycle("reloaded", "seeds"))
 
     def _stop(self):
         logger.info(Lifecycle("stopped"))
@@ -384,30 +330,6 @@
 
     # Work.
 
-    def _limits(self):
-        return self.board.configuration.value.limits
-
-    def _unreadable(self, status, detail):
-        self.counters.unreadable += 1
-        logger.info(RequestUnreadable(status, detail))
-
-    def _take_request(self, head, body, reply):
-        request = decode_request(head, body, self._reactor.seconds())
-        self.dispatcher.handle(request, reply)
-
-    @property
-    def is_ready(self):
-        """Bool : whether callers may come."""
-        return self._knows_enough and not self.board.drain.value.draining
-
-    @property
-    def _knows_enough(self):
-        is_known = self.board.configuration.value.revision > 0
-        return is_known and bool(self.board.endpoints.value)
-
-    def _tell_readiness(self, head, body, reply):
-        reply.answer(OK if self.is_ready else UNAVAILABLE, [], b"")
-
     def _tell(self):
         self._loads.forget_silent()
         self._prompts.forget_old()
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -112,6 +112,10 @@
         """Int : requests without a final answer."""
         return len(self._exchanges)
 
+    def note_unreadable(self):
+        """Count a request that could not be read."""
+        self._tools.counters.unreadable += 1
+
     def handle(self, request, reply):
         """Forward a :class:`CallerRequest` and answer through `reply`."""
         self._tools.counters.requests += 1
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -81,6 +81,12 @@
         Makes a ``Result`` of a routing table from what the operators wrote.
     sockets_type : type, optional
         See :class:`PeerSockets`.
+
+    Attributes
+    ----------
+    roster : Roster
+    seeds : list of str
+        Addresses that are told of this router while it knows few others.
     """
 
     def __init__(
@@ -97,7 +103,7 @@
         self._board = board
         self._listing = listing
         self._decode_table = decode_table
-        self._seeds = settings.peer.seeds
+        self.seeds = settings.peer.seeds
         own = Hint(
             settings.name,
             settings.peer.listen,
@@ -211,7 +217,7 @@
             targets = targets + [each.hint for each in self._sample(1)]
         self._send_each(targets, beat)
         if len(targets) < 2:
-            for address in self._seeds:
+            for address in self.seeds:
                 if address != self.roster.own.address:
                     self._send(address, beat)
 
@@ -236,7 +242,7 @@
             self._board.members.write(heard)
 
     def _close_unused(self):
-        known = {hint.address for hint in self.roster.hints} | set(self._seeds)
+        known = {hint.address for hint in self.roster.hints} | set(self.seeds)
         for address in self._sockets.addresses:
             if address not in known:
                 self._sockets.disconnect(address)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -2,6 +2,11 @@
 
 import unittest
 
+import msgspec
+from result import Err, Ok
+
+from sesamearch.base.schema import Fault
+from sesamearch.configuration.settings import PeerSettings
 from sesamearch.forwarding.load import EndpointLoad
 from tests.platform.world import (
     KEY,
@@ -527,6 +532,29 @@
         self.assertIn("10.0.0.2:8740", world.network._factories)
 
 
+class TestReload(unittest.TestCase):
+    def setUp(self):
+        self.world = World()
+        self.front = self.world.fronts[0]
+
+    def test_changed_seeds_are_taken_and_nothing_is_cut(self):
+        client = self.world.connect().send(draft_bytes())
+        self.world.run(0.2)
+        peer = PeerSettings("10.0.0.1:8748", "", ["10.0.0.7:8748"])
+        changed = msgspec.structs.replace(self.front._settings, peer=peer)
+        self.front.reload(lambda: Ok(changed))
+        self.assertEqual(self.front._peers.seeds, ["10.0.0.7:8748"])
+        self.world.run(2)
+        self.assertTrue(client.is_whole)
+
+    def test_settings_that_cannot_be_read_change_nothing(self):
+        seeds = self.front._peers.seeds
+        fault = Fault("settings.conf", "ip", "a value", "nothing")
+        self.front.reload(lambda: Err([fault]))
+        self.assertEqual(self.front._peers.seeds, seeds)
+        self.assertEqual(self.world.ask(request_bytes("/look/1")).status, 200)
+
+
 class TestHandOver(unittest.TestCase):
     """A router stops before its long generations end."""
 
