Find the engines that can be reached, whatever cannot

Change: connections that cannot be made cost neither a send nor the retry budget (40 at most); where two engines of a data centre cannot be reached the others come last. What another process's answer says of an old name is no trouble of the data centre. With all engines tried, the refusal comes at once; "not run" is said only where nothing ran. `explain` names the endpoints that gave no answer.

--- a/src/sesamearch/command/explain.py
+++ b/src/sesamearch/command/explain.py
@@ -131,15 +131,20 @@
 def _cause(lines):
     """Return a sentence on the last decision and what led to it."""
     losses = [x.record for x in lines if x.record.__struct_config__.tag == "try_lost"]
+    lost = {(loss.endpoint, loss.number) for loss in losses}
     met = ", then ".join(
         f"{loss.cause} at {loss.endpoint} after {loss.after_ms} ms" for loss in losses
     )
     last = lines[-1].record
     event = last.__struct_config__.tag
+    sent = [x.record for x in lines if x.record.__struct_config__.tag == "try_sent"]
+    silent = [s.endpoint for s in sent if (s.endpoint, s.number) not in lost]
     if event == "request_refused":
         reason = (
             f"refused with {last.status} ({last.cause}: {last.detail or 'no more'})"
         )
+        if silent:
+            reason += f", no answer of {' and '.join(silent)}"
     elif event == "request_ended":
         reason = f"{last.outcome} by {last.endpoint or 'this router'}, {last.status}"
     else:
--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -1,6 +1,7 @@
 """Choice of an endpoint for a request, by predicted wait."""
 
 import random
+from collections import Counter
 
 import msgspec
 
@@ -12,6 +13,9 @@
 DELAYED_RATIO = 0.8
 # An endpoint whose slots or memory are taken makes the request wait for an end.
 FULL_COST_TOKENS = 40_000
+# Where several engines cannot be reached the others mostly cannot either.
+TROUBLED_ENDPOINTS = 2
+TROUBLED_COST_TOKENS = 20_000
 # A cut between data centres breaks what runs in another one.
 REMOTE_COST_TOKENS = 2000
 REMOTE_COST_REQUESTS = 0.3
@@ -134,6 +138,7 @@
         names = [each.name for each in endpoints]
         baseline = self._health.baseline(names)
         slowness = self._health.slowness(names)
+        troubled = self._troubled(service)
 
         def cost(endpoint):
             load = self._loads.total(endpoint.name)
@@ -149,6 +154,8 @@
                 (ahead_tokens + delayed_tokens) * slowness.get(endpoint.name, 1.0)
                 + REMOTE_COST_TOKENS * is_remote
                 + FULL_COST_TOKENS * (is_full + excess)
+                + TROUBLED_COST_TOKENS
+                * (troubled[endpoint.data_centre] >= TROUBLED_ENDPOINTS)
             )
 
         return self._least(endpoints, cost)
@@ -180,15 +187,16 @@
 
         def cost(endpoint):
             load = self._loads.total(endpoint.name)
-            is_troubled = endpoint.data_centre in troubled
-            return is_troubled, load.memory_tokens + load.unread_tokens
+            return troubled[
+                endpoint.data_centre
+            ] > 0, load.memory_tokens + load.unread_tokens
 
         return self._least(room, cost)
 
     def _troubled(self, service):
-        """Return the data centres where engines went down: the others may follow."""
-        return {
+        """Return how many endpoints cannot be reached, by data centre."""
+        return Counter(
             endpoint.data_centre
             for endpoint in self._fleet.serving(service)
-            if self._health.is_down(endpoint.name)
-        }
+            if self._health.is_unreachable(endpoint.name)
+        )
--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -27,6 +27,7 @@
         "avoid_until_s",
         "failures",
         "gap_s",
+        "is_replaced",
         "outcomes",
     )
 
@@ -36,6 +37,7 @@
         self.outcomes = 0.0
         self.failures = 0.0
         self.gap_s = None
+        self.is_replaced = False
         self._counted_s = 0.0
 
     def decay(self, now_s):
@@ -91,6 +93,10 @@
         record = self._records.get(name)
         return record is not None and record.avoid_until_s > self._clock.seconds()
 
+    def is_unreachable(self, name):
+        """Return whether an endpoint is down and its address is still its own."""
+        return self.is_down(name) and not self._records[name].is_replaced
+
     def unreachable(self, name):
         """Note a connection that was refused, reset or silent."""
         record = self._record(name)
@@ -106,7 +112,9 @@
 
     def replaced(self, name):
         """Note that another process answered at an endpoint's address."""
-        self._record(name).avoid_until_s = self._clock.seconds() + REPLACED_S
+        record = self._record(name)
+        record.avoid_until_s = self._clock.seconds() + REPLACED_S
+        record.is_replaced = True
         self.has_news = True
         logger.info(EndpointSuspected(name, "replaced", round(REPLACED_S * 1000)))
 
@@ -115,6 +123,7 @@
         record = self._record(suspicion.name)
         left_s = min(suspicion.left_s, REPLACED_S)
         until_s = self._clock.seconds() + left_s
+        record.is_replaced |= left_s > AVOID_LONGEST_S
         record.avoid_until_s = max(record.avoid_until_s, until_s)
 
     def answered(self, name, is_failure):
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -30,6 +30,8 @@
 REFUSE_ADVICE_S = 1.0
 GAP_SMOOTHING = 0.1
 MAX_SENDS = 8
+# Connections that cannot be made cost no engine anything.
+MAX_UNCONNECTED = 40
 URGENCY_LEAST = 9
 
 
@@ -91,6 +93,8 @@
         self._has_copy = False
         self._is_prompt_read = False
         self._runs = 0
+        self._unconnected = 0
+        self._cause = ErrorKind.NO_ENDPOINT
         self._probe_due_s = 0.0
         self._is_probing = False
         self._waiting = None
@@ -160,11 +164,7 @@
         endpoint, copy = self._copies.take()
         if endpoint is not None and has_copy:
             return endpoint, copy
-        endpoint = self._where_prompt_was_read() or self._choose_any()
-        if endpoint is None and self.excluded:
-            self.excluded.clear()
-            endpoint = self._choose_any()
-        return endpoint, None
+        return self._where_prompt_was_read() or self._choose_any(), None
 
     def _where_prompt_was_read(self):
         """Return the engine that need not read the prompt of who goes on."""
@@ -195,9 +195,10 @@
     def _wait_for_endpoint(self):
         """Refuse, or look again soon where events were already passed on."""
         if self._has_head and self._pause_s() < LONGEST_PAUSE_S:
+            self.excluded.clear()
             self._waiting = self.tools.clock.callLater(RETRY_CHOICE_S, self._send)
         else:
-            self._give_up(ErrorKind.NO_ENDPOINT, "no engine is available")
+            self._give_up(self._cause, "no engine is available")
 
     def _pause_s(self):
         since_s = self._last_event_s or self.request.received_s
@@ -205,24 +206,38 @@
 
     def _send_again(self, kind, detail):
         """Send to another engine after a try brought nothing, or give up."""
+        self._cause = kind
+        self._note_break()
+        if self._has_head and self._last_event is None:
+            # Events without numbers: there is no way to say where to go on.
+            self._cut()
+            return
+        sent = self.tried - self._unconnected
+        has_left = self._runs < self.route.max_attempts and sent < MAX_SENDS
+        if has_left and self.left_s() > 0 and self.may_repeat():
+            self._send()
+        else:
+            self._give_up(kind, detail)
+
+    def _note_break(self):
         if self._has_head:
             self._is_broken = True
             self._life.broke()
-            if self._last_event is None:
-                # Events without numbers: there is no way to say where to go on.
-                self._cut()
-                return
-        has_left = self._runs < self.route.max_attempts and self.tried < MAX_SENDS
-        if has_left and self.left_s() > 0 and self.may_repeat():
+
+    def _send_elsewhere(self):
+        """Send after a connection could not be made: no engine saw the request."""
+        if self._unconnected < MAX_UNCONNECTED and self.left_s() > 0:
+            self._note_break()
             self._send()
         else:
-            self._give_up(kind, detail)
+            self._send_again(ErrorKind.NO_ENDPOINT, "no engine can be reached")
 
     def _give_up(self, kind, detail):
         if self._has_head:
             self._cut()
         else:
-            if self._runs and kind is ErrorKind.NO_ENDPOINT:
+            if self._runs:
+                # It may have run somewhere: "not run" would be a promise.
                 kind = ErrorKind.ENDPOINT_LOST
             self.refuse(kind, detail, REFUSE_ADVICE_S)
 
@@ -353,9 +368,13 @@
         self.note_loss(attempt, loss)
         self._note_copy(attempt)
         self.drop(attempt, loss.value, attempt.answer.status if attempt.answer else 0)
-        if loss is Loss.NOT_CONNECTED or attempt.is_promise:
+        if loss is Loss.NOT_CONNECTED:
             self._runs -= 1
-            self._send_again(ErrorKind.NO_ENDPOINT, "no engine can be reached")
+            self._unconnected += 1
+            self._send_elsewhere()
+        elif attempt.is_promise:
+            self._runs -= 1
+            self._send_again(ErrorKind.OVERLOADED, "engines are busy")
         else:
             self._recover(ErrorKind.ENDPOINT_LOST, "engine lost")
 
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -52,6 +52,13 @@
             self.world.ask(request_bytes("/post/1", "lost", method="POST"))
         self.assertIn("closed_unanswered at desk-", self.story("lost").cause)
 
+    def test_silent_worker_is_named(self):
+        for desk in self.world.desks:
+            desk.fault = "mute"
+        with self.handler.applicationbound():
+            self.world.ask(request_bytes("/post/1", "mute", method="POST"))
+        self.assertRegex(self.story("mute").cause, "504.*no answer of desk-")
+
     def test_generation_that_was_resumed(self):
         with self.handler.applicationbound():
             client = self.world.connect().send(draft_bytes("broken"))
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -172,6 +172,22 @@
 class TestCrashOfADataCentre(unittest.TestCase):
     """Engines of one data centre go down one after the other."""
 
+    def test_engines_where_others_cannot_be_reached_come_last(self):
+        world = World(8)
+        for name in ("e0", "e2"):
+            world.health.unreachable(name)
+        for name in ("e1", "e3", "e5", "e7"):
+            world.begin(name).prompt_was_read()
+        self.assertIn(world.choose(), {"e1", "e3", "e5", "e7"})
+
+    def test_engines_that_are_back_under_other_names_are_no_trouble(self):
+        world = World(8)
+        for name in ("e0", "e2"):
+            world.health.replaced(name)
+        for name in ("e1", "e3", "e5", "e7"):
+            world.begin(name).prompt_was_read()
+        self.assertIn(world.choose(), {"e4", "e6"})
+
     def test_no_copy_is_kept_where_engines_go_down(self):
         world = World(6)
         spare = Endpoint("s1", "10.0.1.1:1", "south", "models", "v1", slots=12)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -292,6 +292,13 @@
         client = self.world.ask(draft_bytes(Last_Event_Id="11"), wait_s=2)
         self.assertEqual(client.pieces, list(range(12, 20)))
 
+    def test_one_engine_left_of_many_is_found(self):
+        world = World(engines=24)
+        for engine in world.engines[:-1]:
+            world.crash(engine)
+        client = world.ask(draft_bytes(), wait_s=2)
+        self.assertTrue(client.is_whole)
+
     def test_no_engine_left_is_refused_with_advice(self):
         for engine in self.world.engines:
             self.world.crash(engine)
