--- a/src/sesamearch/command/operator.py
+++ b/src/sesamearch/command/operator.py
@@ -17,6 +17,8 @@
 )
 from sesamearch.configuration.configuration import collect
 from sesamearch.configuration.settings import StoreSettings, load_settings
+from sesamearch.platform.deploy import check_deploy
+from sesamearch.platform.settings import load_front_settings
 
 __all__ = ["add_check", "add_history", "add_move", "add_publish", "add_status"]
 
@@ -27,17 +29,26 @@
         commands,
         "check",
         _run_check,
-        "Check the service files below a folder, or a router's settings.",
+        "Check the service files below a folder, a router's settings, or the files "
+        "by which a platform runs it.",
         "sesamearch check services/",
     )
     parser.add_argument("folder", nargs="?", metavar="DIR")
     parser.add_argument("--settings", metavar="FILE")
+    parser.add_argument(
+        "--platform-settings", metavar="FILE", help="as the platform writes them"
+    )
+    parser.add_argument("--deploy", metavar="FILE", help="such as deploy/system.toml")
     add_format(parser)
 
 
 def _run_check(options):
     if options.settings:
         checked = load_settings(options.settings)
+    elif options.platform_settings:
+        checked = load_front_settings(options.platform_settings)
+    elif options.deploy:
+        checked = check_deploy(options.deploy)
     else:
         checked = collect(options.folder or ".")
     if checked.is_err():
