Notice a store that was silent, and ask its watches anew

The wait of 20 s was the only limit.

Ruled out: keep-alive probes of the kernel (the store's machine answers them); shorter waits (two calls each few seconds and relay at the full price).

Change: while something is watched a stale read, a tenth of the price, is made each 0.7 s; one that is answered after one that was not renews all watches.

--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -31,11 +31,16 @@
 
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.7
+PING_INTERVAL_S = 0.7
+PING_TIMEOUT_S = 0.7
+# A stale copy will do, at a tenth of the price.
+PING_PATH = b"/sesamearch/kv-key?key=sesamearch/peer-keys&stale-ok=1"
 IDLE_REUSE_S = 2.0
 MS_PER_S = 1000.0
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 412
+REFUSALS = (429, 503)
 _CANCELLED = "cancelled"
 _JSON = (b"Content-Type", b"application/json")
 
@@ -111,6 +116,9 @@
         self.is_reachable = True
         self.regained_s = float("-inf")
         self.calls = 0
+        self._watches = set()
+        self._next_ping = None
+        self._has_missed_ping = False
         self._host = address.encode()
         self._pool = ConnectionPool(
             reactor, address, lambda head: IDLE_REUSE_S, CONNECT_TIMEOUT_S
@@ -141,7 +149,7 @@
             timer.cancel()
         if result.is_err() and result.unwrap_err().detail == _CANCELLED:
             return result
-        is_served = result.is_ok() and result.unwrap().status not in (429, 503)
+        is_served = result.is_ok() and result.unwrap().status not in REFUSALS
         if is_served != self.is_reachable:
             self._note_change(is_served, result)
         return result
@@ -158,7 +166,7 @@
     async def _served(self, method, path, content=None):
         """Return the response, or an error for one that says that nothing was done."""
         result = await self.call(method, path, content)
-        if result.is_ok() and result.unwrap().status in (429, 503):
+        if result.is_ok() and result.unwrap().status in REFUSALS:
             detail = f"status {result.unwrap().status}"
             return Err(Problem(ErrorKind.STORE_UNAVAILABLE, detail))
         return result
@@ -236,7 +244,33 @@
 
     def watch(self, prefix, revision, receiver):
         """Watch a prefix; see ``Store``."""
-        return PlatformWatch(self, prefix, revision, receiver)
+        watch = PlatformWatch(self, prefix, revision, receiver)
+        self._watches.add(watch)
+        if self._next_ping is None:
+            self._next_ping = self.clock.callLater(PING_INTERVAL_S, self._ping)
+        return watch
+
+    def forget(self, watch):
+        """Take note that a watch ended."""
+        self._watches.discard(watch)
+
+    # A store that is silent, or a connection that is, answers no waiting call even
+    # after its return: only a call that is answered at once tells.
+
+    def _ping(self):
+        self._next_ping = None
+        if self._watches:
+            called = self.call(b"GET", PING_PATH, timeout_s=PING_TIMEOUT_S)
+            called.addCallback(self._take_ping)
+
+    def _take_ping(self, result):
+        is_served = result.is_ok() and result.unwrap().status not in REFUSALS
+        if is_served and self._has_missed_ping:
+            for watch in list(self._watches):
+                watch.renew()
+        self._has_missed_ping = not is_served
+        if self._next_ping is None:
+            self._next_ping = self.clock.callLater(PING_INTERVAL_S, self._ping)
 
 
 def _with_kind(done):
--- a/src/sesamearch/platform/watch.py
+++ b/src/sesamearch/platform/watch.py
@@ -57,11 +57,18 @@
     def cancel(self):
         """Stop without calling the receiver again."""
         self._is_stopped = True
+        self._store.forget(self)
         if self._called is not None:
             self._called.cancel()
         if self._retry is not None and self._retry.active():
             self._retry.cancel()
 
+    def renew(self):
+        """Ask anew: an answer to the waiting call may never come."""
+        self._retry_s = RETRY_FIRST_S
+        if self._called is not None:
+            self._called.cancel()
+
     def _ask(self):
         if self._is_stopped:
             return
@@ -77,6 +84,7 @@
         status = result.unwrap().status if result.is_ok() else 0
         if status == HISTORY_GONE:
             self._is_stopped = True
+            self._store.forget(self)
             self._receiver.ended()
         elif status == OK:
             self._take_events(decode_body(result.unwrap().body, StoreEvents))
--- a/src/sesamearch/standin/network.py
+++ b/src/sesamearch/standin/network.py
@@ -12,6 +12,8 @@
 __all__ = ["MemoryNetwork", "MemoryTransport"]
 
 LATENCY_S = 0.0005
+# After one second idle, two probes a second apart.
+PROBED_S = 3.0
 
 
 class _Handle:
@@ -40,6 +42,7 @@
         self.peer = None
         self.is_open = True
         self.is_silent = False
+        self.is_probed = False
         self.written_bytes = 0
 
     def _later(self, function, *arguments):
@@ -103,13 +106,17 @@
 
     def go_silent(self):
         """Lose everything from now on, at both ends, without a reset."""
-        self.is_silent = self.peer.is_silent = True
+        for end in (self, self.peer):
+            end.is_silent = True
+            if end.is_probed:
+                self._network.callLater(PROBED_S, end.closed, ConnectionLost())
 
     def setTcpNoDelay(self, enabled):
         """Ignore the option."""
 
     def setTcpKeepAlive(self, enabled):
-        """Ignore the option."""
+        """Have a silent peer noticed after a while."""
+        self.is_probed = enabled
 
     def getHandle(self):
         """Return an object that takes options."""
