--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -141,6 +141,11 @@
         world = World(4)
         self.assertEqual({world.choose() for _ in range(20)}, {"e0", "e2"})
 
+    def test_prompt_that_is_nearly_read_here_goes_before_an_idle_remote_engine(self):
+        world = World(2)
+        world.loads.hear("other", {"e0": EndpointLoad(0, 1500, 0)})
+        self.assertEqual(world.choose(), "e0")
+
     def test_another_data_centre_is_taken_before_generations_are_delayed(self):
         world = World(2)
         world.begin("e0").prompt_was_read()
@@ -162,6 +167,16 @@
         backup = world.chooser.for_backup(primary, ENGINE, NEED, "r")
         self.assertEqual(backup.data_centre, "east")
 
+    def test_backup_of_a_remote_primary_lies_here_though_a_third_place_is_idle(self):
+        world = World(4)
+        spare = Endpoint("s1", "10.0.1.1:1", "south", "models", "v1", slots=12)
+        world.board.endpoints.write({**world.board.endpoints.value, "s1": spare})
+        for name in ("e0", "e2"):
+            world.begin(name, 0, 9000)
+        primary = world.board.endpoints.value["e1"]
+        backup = world.chooser.for_backup(primary, ENGINE, NEED, "r")
+        self.assertEqual(backup.data_centre, "east")
+
     def test_backup_needs_room(self):
         world = World(2)
         world.begin("e1", 0, 85_000)
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -5,7 +5,11 @@
 import logbook
 
 from sesamearch.base.record import MemberChanged
-from sesamearch.membership.fleet_message import LoadNews
+from sesamearch.membership.fleet_message import (
+    EndpointsWanted,
+    LoadNews,
+    TableWanted,
+)
 from tests.platform.world import (
     ROUTES,
     World,
@@ -71,6 +75,17 @@
         self.world.run(0.6)
         self.assertEqual(self.world.revisions(), {8})
 
+    def test_relays_whose_own_watch_is_only_later_ask_nobody(self):
+        asked = []
+        for link in self.world.relays():
+            for kind in (TableWanted, EndpointsWanted):
+                link._takers[kind] = asked.append
+        self.world.store.put("op/config", make_configuration(8))
+        self.world.relist(self.world.desks[0], "desk", 0, state="draining")
+        self.world.run(2)
+        relays = {link.roster.own.address for link in self.world.relays()}
+        self.assertEqual([each for each in asked if each.address in relays], [])
+
     def test_leaving_endpoint_reaches_all_at_once(self):
         self.world.relist(self.world.desks[0], "desk", 0, state="draining")
         self.world.run(0.1)
