Add a fault soak of real routers on loopback

Change: soak/ plays seeded plans: routers (deploy/start.py), a store and endpoints as processes, a proxy on twisted.protocols.portforward before each endpoint, each router's callers and each router's store; signals, restarts and changes overlap, and callers keep their connections until the process is gone. Every third seed holds planned work alone, which no caller may notice. Promises are judged from what callers and endpoints saw, and bounds of time only for routers that nothing disturbed. Ruled out: faults of the time of day (routers read the monotonic clock alone, but for the stamps of log lines); faults on the links between routers (each announces the address that it listens on; SIGSTOP and kills reach them).

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 VENV ?= .venv
 PYTHON ?= python3
+SEEDS ?= 1-6
+JOBS ?= 2
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test lint bench format study-resume study-moves
+.PHONY: demo test lint bench soak format study-resume study-moves
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +30,9 @@
 bench: $(READY)
 	$(BIN)/python -m bench
 
+soak: $(READY)
+	$(BIN)/python -m soak --seeds $(SEEDS) --jobs $(JOBS)
+
 study-resume: $(READY)
 	$(BIN)/python -m bench.resume
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real routers, stand-ins as processes, faults from outside, promises."""
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,186 @@
+"""What a run injects and when, drawn from its seed."""
+
+import random
+from enum import StrEnum
+
+import msgspec
+
+__all__ = ["EVENTS", "FaultKind", "FaultPlan", "PlannedFault", "Size", "draw_plan"]
+
+# Series overlap: the mean pause between two beginnings is shorter than most faults.
+MEAN_PAUSE_S = 0.45
+FIRST_FAULT_S = 0.5
+PLANNED_WORK_EVERY = 3
+# Of one generation.
+EVENTS = 30
+
+
+class FaultKind(StrEnum):
+    """What is done to a process or a link."""
+
+    ROUTER_KILL = "router_kill"
+    ROUTER_TERM = "router_term"
+    ROUTER_PAUSE = "router_pause"
+    ROUTER_HUP = "router_hup"
+    ENDPOINT_CRASH = "endpoint_crash"
+    ENDPOINT_PAUSE = "endpoint_pause"
+    ENDPOINT_LEAVE = "endpoint_leave"
+    ENDPOINT_FAILING = "endpoint_failing"
+    ENDPOINT_MUTE = "endpoint_mute"
+    ENDPOINT_RESET = "endpoint_reset"
+    ENDPOINT_TRUNCATE = "endpoint_truncate"
+    STORE_PAUSE = "store_pause"
+    STORE_REFUSE = "store_refuse"
+    STORE_SILENT = "store_silent"
+    STORE_LOST_ANSWERS = "store_lost_answers"
+    STORE_FORGET = "store_forget"
+    STORE_LINK_DELAY = "store_link_delay"
+    STORE_LINK_CUT = "store_link_cut"
+    STORE_LINK_RESET = "store_link_reset"
+    ENDPOINT_LINK_DELAY = "endpoint_link_delay"
+    ENDPOINT_LINK_CUT = "endpoint_link_cut"
+    ENDPOINT_LINK_CUT_BACK = "endpoint_link_cut_back"
+    ENDPOINT_LINK_RESET = "endpoint_link_reset"
+    ENDPOINT_LINK_DEAD = "endpoint_link_dead"
+    CALLER_LINK_DELAY = "caller_link_delay"
+    CALLER_LINK_RESET = "caller_link_reset"
+    CALLER_LINK_DEAD = "caller_link_dead"
+    CONFIGURATION = "configuration"
+
+    @property
+    def target(self):
+        """Str : ``router``, ``endpoint``, ``store`` or ``operator``."""
+        if self is FaultKind.CONFIGURATION:
+            return "operator"
+        first = self.value.partition("_")[0]
+        if self.value.startswith(("store_link", "caller_link")):
+            return "router"
+        return first
+
+    @property
+    def is_planned_work(self):
+        """Bool : whether no caller may notice it."""
+        return self in PLANNED_WORK
+
+
+PLANNED_WORK = (
+    FaultKind.ROUTER_TERM,
+    FaultKind.ROUTER_HUP,
+    FaultKind.ENDPOINT_LEAVE,
+    FaultKind.CONFIGURATION,
+)
+# At once or lasting: seconds at least and at most.
+LASTING_S = {
+    FaultKind.ROUTER_PAUSE: (0.2, 4.0),
+    FaultKind.ENDPOINT_PAUSE: (0.2, 3.0),
+    FaultKind.STORE_PAUSE: (0.2, 4.0),
+    FaultKind.STORE_REFUSE: (0.5, 4.0),
+    FaultKind.STORE_SILENT: (0.5, 4.0),
+    FaultKind.ENDPOINT_FAILING: (0.5, 4.0),
+    FaultKind.ENDPOINT_MUTE: (0.5, 3.0),
+    FaultKind.ENDPOINT_RESET: (0.5, 3.0),
+    FaultKind.ENDPOINT_TRUNCATE: (0.5, 3.0),
+    FaultKind.STORE_LINK_DELAY: (0.5, 4.0),
+    FaultKind.STORE_LINK_CUT: (0.5, 4.0),
+    FaultKind.ENDPOINT_LINK_DELAY: (0.5, 3.0),
+    FaultKind.ENDPOINT_LINK_CUT: (0.3, 3.0),
+    FaultKind.ENDPOINT_LINK_CUT_BACK: (0.3, 3.0),
+    FaultKind.CALLER_LINK_DELAY: (0.5, 3.0),
+}
+
+
+class Size(msgspec.Struct, frozen=True):
+    """How many processes a run has.
+
+    Parameters
+    ----------
+    routers, services, engines : int
+    """
+
+    routers: int = 4
+    services: int = 3
+    engines: int = 4
+
+    @property
+    def endpoints(self):
+        """Int : services and engines."""
+        return self.services + self.engines
+
+
+class PlannedFault(msgspec.Struct, frozen=True):
+    """One fault of a run.
+
+    Parameters
+    ----------
+    kind : FaultKind
+    number : int
+        Of the router or endpoint it is done to.
+    at_s : float
+        From the start of the callers.
+    for_s : float
+        Zero for what happens at once.
+    """
+
+    kind: FaultKind
+    number: int
+    at_s: float
+    for_s: float
+
+
+class FaultPlan(msgspec.Struct, frozen=True):
+    """All faults of a run, in the order of their beginning.
+
+    Parameters
+    ----------
+    seed : int
+    size : Size
+    faults_s : float
+        Until when faults begin.
+    faults : list of PlannedFault
+    """
+
+    seed: int
+    size: Size
+    faults_s: float
+    faults: list[PlannedFault]
+
+    @property
+    def is_planned_work(self):
+        """Bool : whether the run holds nothing but planned work."""
+        return all(fault.kind.is_planned_work for fault in self.faults)
+
+
+def draw_plan(seed, size, faults_s):
+    """Draw the faults of a run.
+
+    Every third seed holds planned work alone, which no caller may notice.
+
+    Parameters
+    ----------
+    seed : int
+    size : Size
+    faults_s : float
+
+    Returns
+    -------
+    FaultPlan
+    """
+    chance = random.Random(seed)
+    is_calm = seed % PLANNED_WORK_EVERY == 0
+    kinds = list(PLANNED_WORK if is_calm else FaultKind)
+    counts = {
+        "router": size.routers,
+        "endpoint": size.endpoints,
+        "store": 1,
+        "operator": 1,
+    }
+    faults = []
+    at_s = FIRST_FAULT_S
+    while at_s < faults_s:
+        kind = chance.choice(kinds)
+        number = chance.randrange(counts[kind.target])
+        least_s, most_s = LASTING_S.get(kind, (0.0, 0.0))
+        for_s = chance.uniform(least_s, most_s)
+        faults.append(PlannedFault(kind, number, round(at_s, 3), round(for_s, 3)))
+        at_s += chance.expovariate(1 / MEAN_PAUSE_S)
+    return FaultPlan(seed, size, faults_s, faults)
--- /dev/null
+++ b/soak/report.py
@@ -0,0 +1,65 @@
+"""What one run showed."""
+
+from collections import Counter
+
+import msgspec
+
+from soak.caller import RequestKind
+from soak.promise import Violation
+
+__all__ = ["Report", "make_report"]
+
+
+class Report(msgspec.Struct):
+    """What one run showed.
+
+    Parameters
+    ----------
+    seed, requests, served, drafts, drafts_served : int
+    faults, checks, statuses : dict from str to int
+    violations : list of Violation
+    """
+
+    seed: int
+    requests: int
+    served: int
+    drafts: int
+    drafts_served: int
+    faults: dict[str, int]
+    checks: dict[str, int]
+    statuses: dict[str, int]
+    violations: list[Violation]
+
+
+def make_report(plan, history, violations):
+    """Return the report of a run.
+
+    Parameters
+    ----------
+    plan : soak.plan.FaultPlan
+    history : soak.promise.History
+    violations : list of Violation
+
+    Returns
+    -------
+    Report
+    """
+    attempts = history.attempts.values()
+    served = [each for each in attempts if each.is_whole and each.status == 200]
+    drafts = [each for each in attempts if each.kind is RequestKind.DRAFT]
+    drafts_served = [each for each in served if each.kind is RequestKind.DRAFT]
+    statuses = Counter(
+        f"{each.kind.value} {each.status if each.is_whole else 'cut'}"
+        for each in attempts
+    )
+    return Report(
+        plan.seed,
+        len(attempts),
+        len(served),
+        len(drafts),
+        len(drafts_served),
+        Counter(fault.kind.value for fault in plan.faults),
+        history.checks,
+        statuses,
+        violations,
+    )
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,169 @@
+"""One run: start, disturb, recover, judge; ``python -m soak.run --seed N``."""
+
+import argparse
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+from sesamearch.base.reactor import install_steady_reactor
+
+reactor = install_steady_reactor()
+
+import msgspec  # noqa: E402
+from twisted.internet.defer import Deferred  # noqa: E402
+from twisted.internet.task import LoopingCall, deferLater  # noqa: E402
+
+from soak.caller import RequestKind  # noqa: E402
+from soak.deployment import Deployment  # noqa: E402
+from soak.injector import Injector  # noqa: E402
+from soak.plan import EVENTS, Size, draw_plan  # noqa: E402
+from soak.promise import Bounds, History, Violation, judge  # noqa: E402
+from soak.report import make_report  # noqa: E402
+from soak.traffic import PROBE_INTERVAL_S, Traffic  # noqa: E402
+
+START_TIMEOUT_S = 40.0
+RECOVERY_S = 12.0
+RECOVERY_INTERVAL_S = 0.5
+LAST_ANSWERS_S = 14.0
+RATES = {RequestKind.POST: 15.0, RequestKind.LOOK: 10.0, RequestKind.DRAFT: 3.0}
+
+
+class SoakRun:
+    """One run of a plan.
+
+    Parameters
+    ----------
+    plan : soak.plan.FaultPlan
+    folder : pathlib.Path
+    """
+
+    def __init__(self, plan, folder):
+        self._plan = plan
+        self.history = History(EVENTS)
+        self.deployment = Deployment(reactor, plan.size, folder, self.history)
+        chance = random.Random(plan.seed)
+        self._traffic = Traffic(reactor, self.deployment, chance, RATES)
+        self._injector = Injector(reactor, self.deployment)
+        self._probing = LoopingCall(self._traffic.probe)
+        self._own_violations = []
+
+    async def play(self):
+        """Play the plan.
+
+        Returns
+        -------
+        Report
+        """
+        try:
+            if await self._start():
+                await self._disturb()
+                await self._recover()
+                await self._finish()
+            else:
+                self._own_violations.append(Violation("start", "", "not all ready"))
+        finally:
+            self._end()
+        self._keep_attempts()
+        violations = judge(self.history, Bounds()) + self._own_violations
+        violations += [
+            Violation("own end", "", text) for text in self.deployment.own_ends
+        ]
+        return make_report(self._plan, self.history, violations)
+
+    def _keep_attempts(self):
+        lines = [attempt.to_line() for attempt in self.history.attempts.values()]
+        path = self.deployment.folder / "attempts.log"
+        path.write_text("\n".join(lines) + "\n")
+
+    async def _start(self):
+        await self.deployment.begin()
+        self._probing.start(PROBE_INTERVAL_S)
+        routers = self._plan.size.routers
+        until_s = reactor.seconds() + START_TIMEOUT_S
+        while self._traffic.ready < routers and reactor.seconds() < until_s:
+            await deferLater(reactor, PROBE_INTERVAL_S)
+        return self._traffic.ready == routers
+
+    async def _disturb(self):
+        self._traffic.start()
+        for fault in self._plan.faults:
+            reactor.callLater(fault.at_s, self._injector.inject, fault)
+        longest_s = max(
+            (fault.at_s + fault.for_s for fault in self._plan.faults), default=0.0
+        )
+        await deferLater(reactor, max(self._plan.faults_s, longest_s))
+
+    async def _recover(self):
+        """Wait until each router serves again, for as long as is allowed."""
+        until_s = reactor.seconds() + RECOVERY_S
+        while reactor.seconds() < until_s:
+            if await self._all_serve():
+                return
+        detail = f"not all of {self._plan.size.routers} routers serve"
+        self._own_violations.append(Violation("recovery", "", detail))
+
+    async def _all_serve(self):
+        attempts = [
+            self._traffic.ask(kind, router)
+            for router in self.deployment.routers
+            for kind in (RequestKind.POST, RequestKind.LOOK)
+        ]
+        await deferLater(reactor, RECOVERY_INTERVAL_S)
+        self.history.checks["recovery"] += 1
+        return all(each.is_whole and each.status == 200 for each in attempts)
+
+    async def _finish(self):
+        self._traffic.stop()
+        until_s = reactor.seconds() + LAST_ANSWERS_S
+        while self._traffic.running and reactor.seconds() < until_s:
+            await deferLater(reactor, RECOVERY_INTERVAL_S)
+
+    def _end(self):
+        if self._probing.running:
+            self._probing.stop()
+        self.deployment.end()
+
+
+def _parse(arguments):
+    parser = argparse.ArgumentParser(prog="python -m soak.run", description=__doc__)
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--seconds", type=float, default=10.0, help="of faults")
+    parser.add_argument("--routers", type=int, default=Size().routers)
+    parser.add_argument("--services", type=int, default=Size().services)
+    parser.add_argument("--engines", type=int, default=Size().engines)
+    parser.add_argument("--folder", help="for settings and logs; temporary otherwise")
+    return parser.parse_args(arguments)
+
+
+def main(arguments):
+    """Play one seed and print its report as JSON."""
+    options = _parse(arguments)
+    size = Size(options.routers, options.services, options.engines)
+    plan = draw_plan(options.seed, size, options.seconds)
+    folder = Path(options.folder or tempfile.mkdtemp(prefix="soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "plan.json").write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
+    reports = []
+    run = SoakRun(plan, folder)
+
+    def finished(report):
+        reports.append(report)
+        reactor.stop()
+
+    def failed(failure):
+        failure.printTraceback(sys.stderr)
+        reactor.stop()
+
+    reactor.callWhenRunning(
+        lambda: Deferred.fromCoroutine(run.play()).addCallbacks(finished, failed)
+    )
+    reactor.run()
+    if not reports:
+        return 2
+    sys.stdout.buffer.write(msgspec.json.encode(reports[0]) + b"\n")
+    return 1 if reports[0].violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -27,6 +27,8 @@
         That had to be read.
     ended : str
         ``whole``, ``left`` or ``crashed``; empty while it runs.
+    number : int
+        Of the run at this worker, from one.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     began_s: float
     prompt_tokens: int = 0
     ended: str = ""
+    number: int = 0
 
 
 def _text(head, name):
@@ -102,6 +105,7 @@
             self.clock.seconds(),
         )
         self.runs.append(run)
+        run.number = len(self.runs)
         self.running += 1
         signature = f"sig.{self.name}.{run.request_id}".encode()
         work = self.make_work(
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -190,10 +190,9 @@
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
         f"X-Attempt-Id: {request_id}",
-        f"Authorization: Token {KEY}",
     ]
     named = {name.replace("_", "-"): value for name, value in headers.items()}
-    fields = {"X-Deadline-Ms": "1500", **named}
+    fields = {"Authorization": f"Token {KEY}", "X-Deadline-Ms": "1500", **named}
     if body or method == "POST":
         fields.setdefault("Content-Length", str(len(body)))
     for name, value in fields.items():
