Hold a reload that is asked for while a router starts or ends

SIGHUP has its default action, the end of the process, until the handler stands half a second after the start, and again when the interpreter takes its handlers away before it ends. Ruled out: a crash (no trace in the log, no exit code: ended by a signal). Change: deploy/start.py blocks the signal in its first statement, and it is let through when the handler stands, so that a reload asked for meanwhile is done; blocked again after the reactor stopped. What remains is the interpreter's own start, some 20 ms. Test: a settings file that is a FIFO holds the start while the signal comes; before: ended by signal 1, after: reads on, exit code 2 for the settings.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -1,11 +1,15 @@
 """Start a router where the platform runs it: sources and libraries lie beside it."""
 
+import signal
 import sys
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "src"))
 
+# Held until its handler stands: a reload asked for during the start would end it.
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
 from sesamearch.command.front import main  # noqa: E402
 
 sys.exit(main())
--- a/src/sesamearch/command/front.py
+++ b/src/sesamearch/command/front.py
@@ -1,6 +1,7 @@
 """The router daemon as the platform starts it."""
 
 import os
+import signal
 import sys
 import time
 
@@ -47,5 +48,7 @@
         return EXIT_FAILED
     front.handle_signals(lambda: load_front_settings(path))
     reactor.run(installSignalHandlers=False)
+    # The interpreter takes its handlers away before it ends.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     lines.flush()
     return 0
--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -308,6 +308,8 @@
         signal.signal(signal.SIGTERM, ask)
         signal.signal(signal.SIGINT, ask)
         signal.signal(signal.SIGHUP, reload)
+        # One that came during the start is handled now: see deploy/start.py.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
     def reload(self, load_settings):
         """Take changed seeds; addresses and bounds stay those of the start.
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -182,6 +182,24 @@
         self.assertEqual(pieces(received), list(range(EVENTS)))
         self.assertEqual(router.process.wait(PATIENCE_S), 0)
 
+    def test_reload_asked_for_during_the_start_does_not_end_the_process(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "settings.conf")
+            os.mkfifo(path)
+            process = subprocess.Popen(
+                [sys.executable, "deploy/start.py"],
+                cwd=ROOT,
+                env={**os.environ, "SESAMEARCH_SETTINGS": path},
+                stderr=subprocess.PIPE,
+            )
+            # Opens when the process begins to read its settings.
+            with open(path, "w") as settings:
+                process.send_signal(signal.SIGHUP)
+                settings.write("zone=east\n")
+            complaint = process.communicate(timeout=PATIENCE_S)[1]
+        self.assertEqual(process.returncode, 2)
+        self.assertIn(b"node-name", complaint)
+
     def test_settings_that_cannot_be_read_end_the_process_with_a_reason(self):
         done = subprocess.run(
             [sys.executable, "deploy/start.py"],
