Share failures of endpoints within a data centre; let flapping ones come back slowly

And one answer wiped out an endpoint's history, so that one which goes down and up by turns was back after 0.8 s each time. Change: routers tell the outcomes of endpoints that fail some, in the news of load, four times a second at most; those of the same data centre count them. The time of avoidance decays with a half-life of 8 s instead of ending at the first answer. Tests (fail before, all six): test_health TestFlappingEndpoint and TestSharedFailures, test_front TestSickEndpoint.

--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -198,6 +198,7 @@
         )
         self._gossip = LoadGossip(
             self._settings.name,
+            self._settings.data_centre,
             self._loads,
             self._health,
             self._prompts,
--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -5,7 +5,7 @@
 from sesamearch.base.log import logger
 from sesamearch.base.record import EndpointSuspected
 
-__all__ = ["EndpointHealth", "HealthBook", "Suspicion"]
+__all__ = ["EndpointHealth", "HealthBook", "Outcomes", "Suspicion"]
 
 AVOID_FIRST_S = 0.8
 AVOID_LONGEST_S = 5.0
@@ -14,6 +14,10 @@
 # Outcomes are counted with a decay: an endpoint that mends is forgiven.
 OUTCOME_HALF_LIFE_S = 3.0
 MIN_OUTCOMES = 4.0
+# Below so many recent failures an endpoint is nothing to tell of.
+TOLD_FAILURES = 0.25
+# An endpoint that goes down and up by turns is avoided longer each time.
+AVOID_HALF_LIFE_S = 8.0
 FAILURE_EXCESS_RATIO = 0.25
 PACE_SMOOTHING = 0.2
 
@@ -25,15 +29,21 @@
         "_counted_s",
         "avoid_s",
         "avoid_until_s",
+        "avoided_s",
         "failures",
         "gap_s",
         "is_replaced",
         "outcomes",
+        "untold_failures",
+        "untold_outcomes",
     )
 
     def __init__(self):
+        self.untold_outcomes = 0.0
+        self.untold_failures = 0.0
         self.avoid_s = 0.0
         self.avoid_until_s = 0.0
+        self.avoided_s = 0.0
         self.outcomes = 0.0
         self.failures = 0.0
         self.gap_s = None
@@ -46,6 +56,13 @@
         self._counted_s = now_s
         self.outcomes *= factor
         self.failures *= factor
+        self.untold_outcomes *= factor
+        self.untold_failures *= factor
+
+    def count(self, outcomes, failures):
+        """Add to what was counted."""
+        self.outcomes += outcomes
+        self.failures += failures
 
     @property
     def failure_ratio(self):
@@ -53,6 +70,14 @@
         return self.failures / self.outcomes if self.outcomes else 0.0
 
 
+class Outcomes(msgspec.Struct, frozen=True, array_like=True):
+    """What a router saw of an endpoint since it last told; decayed, so no integers."""
+
+    name: str
+    outcomes: float
+    failures: float
+
+
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
     """An endpoint that a router holds for dead, and for how much longer."""
 
@@ -71,14 +96,17 @@
     ----------
     has_news : bool
         Whether an endpoint became suspect since the others were last told.
+    has_failures : bool
+        Whether an endpoint failed since the others were last told.
     """
 
-    __slots__ = ("_clock", "_records", "has_news")
+    __slots__ = ("_clock", "_records", "has_failures", "has_news")
 
     def __init__(self, clock):
         self._clock = clock
         self._records = {}
         self.has_news = False
+        self.has_failures = False
 
     def _record(self, name):
         return self._records.setdefault(name, EndpointHealth())
@@ -103,7 +131,10 @@
         now_s = self._clock.seconds()
         if record.avoid_until_s > now_s:
             return
-        record.avoid_s = min(max(record.avoid_s * 2, AVOID_FIRST_S), AVOID_LONGEST_S)
+        calm_s = now_s - record.avoided_s
+        before_s = record.avoid_s * 0.5 ** (calm_s / AVOID_HALF_LIFE_S)
+        record.avoid_s = min(max(before_s * 2, AVOID_FIRST_S), AVOID_LONGEST_S)
+        record.avoided_s = now_s
         record.avoid_until_s = now_s + record.avoid_s
         self.has_news = True
         logger.info(
@@ -128,19 +159,45 @@
 
     def answered(self, name, is_failure):
         """Count an answer."""
-        record = self._record(name)
-        record.decay(self._clock.seconds())
-        record.outcomes += 1
-        record.failures += is_failure
+        record = self._count(name, is_failure)
         if not is_failure:
-            record.avoid_s = record.avoid_until_s = 0.0
+            record.avoid_until_s = 0.0
 
     def failed(self, name):
         """Count a request that got no whole answer."""
+        self._count(name, True)
+
+    def _count(self, name, is_failure):
         record = self._record(name)
         record.decay(self._clock.seconds())
-        record.outcomes += 1
-        record.failures += 1
+        record.count(1, is_failure)
+        record.untold_outcomes += 1
+        record.untold_failures += is_failure
+        self.has_failures |= is_failure
+        return record
+
+    def take_untold(self):
+        """Return the list of :class:`Outcomes` to tell, and count them as told.
+
+        Endpoints without a failure are nothing to tell of.
+        """
+        now_s = self._clock.seconds()
+        self.has_failures = False
+        untold = []
+        for name, record in self._records.items():
+            record.decay(now_s)
+            if record.untold_outcomes and record.failures >= TOLD_FAILURES:
+                untold.append(
+                    Outcomes(name, record.untold_outcomes, record.untold_failures)
+                )
+                record.untold_outcomes = record.untold_failures = 0.0
+        return untold
+
+    def hear_outcomes(self, outcomes):
+        """Count an :class:`Outcomes` of another router."""
+        record = self._record(outcomes.name)
+        record.decay(self._clock.seconds())
+        record.count(outcomes.outcomes, outcomes.failures)
 
     def paced(self, name, gap_s):
         """Take the mean time between two events of a generation that ended."""
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from sesamearch.configuration.blackboard import Endpoint
-from sesamearch.forwarding.health import Suspicion
+from sesamearch.forwarding.health import Outcomes, Suspicion
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.roster import AgedHint, Hint
 from sesamearch.routing.canary import RouteEvidence
@@ -112,12 +112,17 @@
     suspicions : list of Suspicion
     prompts : dict from str to str
         Endpoint that reads or has read a prompt, by the prompt's last part.
+    data_centre : str
+        Of the sender: an endpoint may be sick for one data centre only.
+    outcomes : list of Outcomes
     """
 
     name: str
     loads: dict[str, EndpointLoad]
     suspicions: list[Suspicion]
     prompts: dict[str, str]
+    data_centre: str = ""
+    outcomes: list[Outcomes] = []
 
 
 class EndpointBack(msgspec.Struct, tag=True, frozen=True, array_like=True):
--- a/src/sesamearch/membership/gossip.py
+++ b/src/sesamearch/membership/gossip.py
@@ -1,4 +1,4 @@
-"""Work in flight and suspicions, told among the routers."""
+"""Work in flight, suspicions and failures, told among the routers."""
 
 from sesamearch.membership.fleet_message import LoadNews
 
@@ -12,7 +12,7 @@
 
     Parameters
     ----------
-    name : str
+    name, data_centre : str
         Of this router.
     loads : LoadBook
     health : HealthBook
@@ -22,6 +22,7 @@
 
     __slots__ = (
         "_clock",
+        "_data_centre",
         "_health",
         "_loads",
         "_name",
@@ -31,7 +32,8 @@
         "_was_empty",
     )
 
-    def __init__(self, name, loads, health, prompts, clock):
+    def __init__(self, name, data_centre, loads, health, prompts, clock):
+        self._data_centre = data_centre
         self._clock = clock
         self._renew_s = 0.0
         self._prompts = prompts
@@ -52,8 +54,8 @@
             self.tell()
 
     def renew(self):
-        """Tell the others again what they would forget."""
-        if self._clock.seconds() >= self._renew_s:
+        """Tell the others of failures, and again what they would forget."""
+        if self._health.has_failures or self._clock.seconds() >= self._renew_s:
             self.tell()
 
     def tell(self):
@@ -64,16 +66,24 @@
             return
         loads = self._loads.generations()
         suspicions = self._health.suspicions()
-        is_empty = not loads and not suspicions
+        outcomes = self._health.take_untold()
+        is_empty = not loads and not suspicions and not outcomes
         if is_empty and self._was_empty:
             return
         self._was_empty = is_empty
         prompts = self._prompts.running()
-        self._peers.send_to_all(LoadNews(self._name, loads, suspicions, prompts))
+        self._peers.send_to_all(
+            LoadNews(
+                self._name, loads, suspicions, prompts, self._data_centre, outcomes
+            )
+        )
 
     def _take(self, message):
         self._loads.hear(message.name, message.loads)
         for suspicion in message.suspicions:
             self._health.hear(suspicion)
+        if message.data_centre == self._data_centre:
+            for outcomes in message.outcomes:
+                self._health.hear_outcomes(outcomes)
         for part, endpoint in message.prompts.items():
             self._prompts.hear(part, endpoint)
--- a/tests/forwarding/test_health.py
+++ b/tests/forwarding/test_health.py
@@ -72,3 +72,76 @@
         self.assertGreater(self.health.excess("e1", 0), 0)
         self.clock.advance(30)
         self.assertEqual(self.health.excess("e1", 0), 0)
+
+
+class TestFlappingEndpoint(unittest.TestCase):
+    """An endpoint that goes down and up by turns, 1.4 s each."""
+
+    TURN_S = 1.4
+
+    def test_it_is_avoided_longer_each_time_though_it_answers_between(self):
+        clock = Clock()
+        health = HealthBook(clock)
+        avoided_s = []
+        for _ in range(3):
+            health.unreachable("e1")
+            began_s = clock.seconds()
+            while health.is_down("e1"):
+                clock.advance(0.05)
+            avoided_s.append(clock.seconds() - began_s)
+            health.answered("e1", False)
+            clock.advance(self.TURN_S)
+        self.assertLess(avoided_s[0] * 1.5, avoided_s[1])
+        self.assertLess(avoided_s[1] * 1.2, avoided_s[2])
+
+    def test_its_past_is_forgotten_after_a_while(self):
+        clock = Clock()
+        health = HealthBook(clock)
+        for _ in range(3):
+            health.unreachable("e1")
+            clock.advance(6)
+        clock.advance(60)
+        health.unreachable("e1")
+        clock.advance(0.9)
+        self.assertFalse(health.is_down("e1"))
+
+
+class TestSharedFailures(unittest.TestCase):
+    """A large fleet, of which each router sends one endpoint few requests."""
+
+    ROUTERS = 20
+
+    def setUp(self):
+        self.clock = Clock()
+        self.books = [HealthBook(self.clock) for _ in range(self.ROUTERS)]
+
+    def tell_all(self):
+        for book in self.books:
+            untold = book.take_untold()
+            for other in self.books:
+                if other is not book:
+                    for outcomes in untold:
+                        other.hear_outcomes(outcomes)
+
+    def test_one_failure_each_stands_out_for_all(self):
+        for book in self.books[:5]:
+            book.failed("sick")
+        for book in self.books:
+            book.answered("well", False)
+        self.tell_all()
+        for book in self.books:
+            self.assertGreater(book.excess("sick", 0), 0)
+            self.assertEqual(book.excess("well", 0), 0)
+
+    def test_outcomes_are_told_once_and_not_told_on(self):
+        self.books[0].failed("sick")
+        self.tell_all()
+        self.assertEqual([book.take_untold() for book in self.books], [[]] * 20)
+
+    def test_answers_of_an_endpoint_that_fails_some_are_told_too(self):
+        self.books[0].failed("e1")
+        self.tell_all()
+        for book in self.books:
+            book.answered("e1", False)
+        self.tell_all()
+        self.assertEqual(self.books[1].excess("e1", 0), 0)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -487,6 +487,19 @@
         self.assertEqual(len(self.world.sockets), 2)
 
 
+class TestSickEndpoint(unittest.TestCase):
+    def test_its_failures_are_known_in_the_data_centre_and_not_beyond(self):
+        world = World(routers=3, desks=3)
+        world.run(2)
+        world.desks[0].fault = "reset"
+        for number in range(20):
+            world.ask(request_bytes("/look/1", f"r{number}"), wait_s=0.1)
+        world.run(0.5)
+        name = world.desks[0].name
+        ratios = [front._health.baseline([name]) for front in world.fronts]
+        self.assertEqual(ratios, [1.0, 0.0, 1.0])
+
+
 class TestDrain(unittest.TestCase):
     def setUp(self):
         self.world = World()
