Keep lines of failures when the log's reader is slow, and bound lines between flushes

A blocked pipe had been tried on the queue alone. Tests: test_log (two, fail before for want of the parameter); test_front TestBlockedOutput: a whole router writes to a full pipe, 100 requests are each answered in 50 ms of virtual time, drops are counted and said when the pipe is read. The latter also passes on the old queue.

--- a/src/sesamearch/base/__init__.py
+++ b/src/sesamearch/base/__init__.py
@@ -27,6 +27,7 @@
             "GenerationResumed",
             "Lifecycle",
             "MemberChanged",
+            "Record",
             "RequestEnded",
             "RequestRefused",
             "RequestUnreadable",
--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -15,6 +15,7 @@
     "GenerationResumed",
     "Lifecycle",
     "MemberChanged",
+    "Record",
     "RequestEnded",
     "RequestRefused",
     "RequestUnreadable",
@@ -24,11 +25,16 @@
 ]
 
 
-class _Record(msgspec.Struct, frozen=True, omit_defaults=True, tag_field="event"):
+class Record(msgspec.Struct, frozen=True, omit_defaults=True, tag_field="event"):
     """Base of the records: a stable event name and typed fields."""
 
+    @property
+    def is_routine(self):
+        """Bool : whether it tells of something that went well, as most do."""
+        return False
 
-class TrySent(_Record, frozen=True, tag="try_sent"):
+
+class TrySent(Record, frozen=True, tag="try_sent"):
     """A request was sent to an endpoint.
 
     Parameters
@@ -60,8 +66,13 @@
     copy: str = ""
     after_event: int | None = None
 
+    @property
+    def is_routine(self):
+        """Bool : always."""
+        return True
+
 
-class TryLost(_Record, frozen=True, tag="try_lost"):
+class TryLost(Record, frozen=True, tag="try_lost"):
     """A request got no usable answer from an endpoint.
 
     Parameters
@@ -83,7 +94,7 @@
     after_ms: int
 
 
-class GenerationResumed(_Record, frozen=True, tag="generation_resumed"):
+class GenerationResumed(Record, frozen=True, tag="generation_resumed"):
     """A generation went on at another engine.
 
     Parameters
@@ -101,7 +112,7 @@
     pause_ms: int
 
 
-class RequestRefused(_Record, frozen=True, tag="request_refused"):
+class RequestRefused(Record, frozen=True, tag="request_refused"):
     """A request got an error of this router's own.
 
     Parameters
@@ -126,7 +137,7 @@
     revision: int
 
 
-class RequestEnded(_Record, frozen=True, tag="request_ended"):
+class RequestEnded(Record, frozen=True, tag="request_ended"):
     """A request ended with an endpoint's answer, or without its caller.
 
     Parameters
@@ -151,8 +162,13 @@
     first_ms: int = 0
     events: int = 0
 
+    @property
+    def is_routine(self):
+        """Bool : whether the caller got an answer."""
+        return self.outcome == "answered"
+
 
-class RequestUnreadable(_Record, frozen=True, tag="request_unreadable"):
+class RequestUnreadable(Record, frozen=True, tag="request_unreadable"):
     """A request could not be read.
 
     Parameters
@@ -165,7 +181,7 @@
     detail: str
 
 
-class ConfigurationInForce(_Record, frozen=True, tag="configuration_in_force"):
+class ConfigurationInForce(Record, frozen=True, tag="configuration_in_force"):
     """A newer configuration is in force.
 
     Parameters
@@ -183,7 +199,7 @@
     organisations: int = 0
 
 
-class EndpointChanged(_Record, frozen=True, tag="endpoint_changed"):
+class EndpointChanged(Record, frozen=True, tag="endpoint_changed"):
     """The list of endpoints changed.
 
     Parameters
@@ -203,7 +219,7 @@
     revision: int
 
 
-class EndpointSuspected(_Record, frozen=True, tag="endpoint_suspected"):
+class EndpointSuspected(Record, frozen=True, tag="endpoint_suspected"):
     """An endpoint gets no work for a while.
 
     Parameters
@@ -219,7 +235,7 @@
     for_ms: int
 
 
-class EndpointReturned(_Record, frozen=True, tag="endpoint_returned"):
+class EndpointReturned(Record, frozen=True, tag="endpoint_returned"):
     """An endpoint that was lost answers under another name.
 
     Parameters
@@ -235,7 +251,7 @@
     silent_ms: int
 
 
-class MemberChanged(_Record, frozen=True, tag="member_changed"):
+class MemberChanged(Record, frozen=True, tag="member_changed"):
     """Another router was heard first, or is silent.
 
     Parameters
@@ -249,7 +265,7 @@
     state: str
 
 
-class Dependency(_Record, frozen=True, tag="dependency"):
+class Dependency(Record, frozen=True, tag="dependency"):
     """What a router depends on was lost or regained.
 
     Parameters
@@ -266,7 +282,7 @@
     cause: str = ""
 
 
-class RolloutChanged(_Record, frozen=True, tag="rollout_changed"):
+class RolloutChanged(Record, frozen=True, tag="rollout_changed"):
     """A rollout began or ended for this router.
 
     Parameters
@@ -292,7 +308,7 @@
     to_new: int = 0
 
 
-class Lifecycle(_Record, frozen=True, tag="lifecycle"):
+class Lifecycle(Record, frozen=True, tag="lifecycle"):
     """The process started, opened, reloaded, drains or stopped.
 
     Parameters
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -13,7 +13,7 @@
         "exchange": ["Exchange", "ForwardTools", "Try", "retry_after_s"],
         "fleet": ["Fleet"],
         "gate": ["OpenGate", "VersionGate"],
-        "health": ["EndpointHealth", "HealthBook", "Suspicion"],
+        "health": ["EndpointHealth", "HealthBook", "Outcomes", "Suspicion"],
         "load": ["EndpointLoad", "LoadBook", "Work"],
         "meter": ["Meter", "NoMeter"],
         "pace": ["GenerationPace"],
--- a/tests/base/test_log.py
+++ b/tests/base/test_log.py
@@ -39,11 +39,36 @@
         self.assertTrue(all(each == line for each in lines if b"event" not in each))
         self.assertEqual(json.loads(lines[-1])["count"], self.queue.dropped)
 
+    def test_failures_are_kept_where_no_room_is_left_for_what_went_well(self):
+        line = b"x" * 999
+        for _ in range(150):
+            self.queue.put(line, is_routine=True)
+        self.assertEqual(self.queue.dropped, 50)
+        for _ in range(50):
+            self.queue.put(line)
+        self.assertEqual(self.queue.dropped, 50)
+
+    def test_lines_between_two_flushes_are_bounded(self):
+        queue = LineQueue(self.writer, limit_lines=10)
+        for _ in range(8):
+            queue.put(b"well", is_routine=True)
+        for _ in range(8):
+            queue.put(b"failed")
+        self.assertEqual(queue.dropped, 6)
+        queue.flush()
+        queue.put(b"well", is_routine=True)
+        queue.flush()
+        received = os.read(self.reader, 1 << 16)
+        self.assertEqual(received.count(b"failed"), 5)
+        self.assertEqual(received.count(b"well"), 5 + 1)
+
 
 class TestRecordHandler(unittest.TestCase):
     def test_record_is_one_json_object_with_its_event(self):
         lines = []
-        queue = type("Queue", (), {"put": lambda self, line: lines.append(line)})()
+        queue = type(
+            "Queue", (), {"put": lambda self, line, is_routine: lines.append(line)}
+        )()
         with RecordHandler(queue, "router-1", lambda: 12.5).applicationbound():
             logger.info(TryLost("r1", "e1", 1, "stalled", 0, 350))
             logger.warning("store lost cause={}", "silence")
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -22,7 +22,7 @@
     def __init__(self):
         self.data = b"a line of something else\n"
 
-    def put(self, line):
+    def put(self, line, is_routine=False):
         self.data += b"  12.5000 router-0 " + line + b"\n"
 
 
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -1,10 +1,12 @@
 """A router between raw callers, workers and the platform's store."""
 
+import os
 import unittest
 
 import msgspec
 from result import Err, Ok
 
+from sesamearch.base.log import LineQueue, RecordHandler
 from sesamearch.base.schema import Fault
 from sesamearch.configuration.settings import PeerSettings
 from sesamearch.forwarding.load import EndpointLoad
@@ -500,6 +502,51 @@
         self.assertEqual(ratios, [1.0, 0.0, 1.0])
 
 
+class TestBlockedOutput(unittest.TestCase):
+    """Nobody reads the pipe that the log goes to."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.reader, False)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.lines = LineQueue(self.writer, limit_bytes=20_000)
+        handler = RecordHandler(self.lines, "router-0", lambda: 0.0)
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+
+    def test_requests_are_served_as_fast_and_dropped_lines_are_counted(self):
+        world = World()
+        world.fronts[0]._lines = self.lines
+        while pipe_takes(self.writer):
+            pass
+        for number in range(100):
+            client = world.ask(request_bytes("/look/1", f"r{number}"), wait_s=0.05)
+            self.assertEqual(client.status, 200)
+        self.assertGreater(self.lines.dropped, 50)
+        received = b""
+        for _ in range(10):
+            received += read_pipe(self.reader)
+            world.run(0.2)
+        self.assertIn(b"lines_dropped", received)
+
+
+def read_pipe(descriptor):
+    """Return what a pipe holds."""
+    try:
+        return os.read(descriptor, 1 << 20)
+    except BlockingIOError:
+        return b""
+
+
+def pipe_takes(descriptor):
+    """Fill a pipe; return whether it took anything."""
+    try:
+        return os.write(descriptor, b"x" * 4096) > 0
+    except BlockingIOError:
+        return False
+
+
 class TestDrain(unittest.TestCase):
     def setUp(self):
         self.world = World()
