--- a/src/sesamearch/command/main.py
+++ b/src/sesamearch/command/main.py
@@ -32,12 +32,12 @@
 
 def main(arguments=None):
     """Run the command line and return its exit code."""
-    parser = _make_parser()
+    parser = make_parser()
     options = parser.parse_args(arguments)
     return options.run(options)
 
 
-def _make_parser():
+def make_parser():
     parser = argparse.ArgumentParser(
         prog="sesamearch",
         description="Serve long generations from engines that fail.",
