--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -9,6 +9,8 @@
 
 # Of more endpoints so many are drawn and compared: the cost of a choice is bounded.
 DRAWS = 24
+# Drawn before they are looked at, so that a few that cannot be used leave enough.
+FIRST_DRAWS = 2 * DRAWS
 # A generation that runs waits for nearly all of the prompt that joins it.
 DELAYED_RATIO = 0.8
 # An endpoint whose slots or memory are taken makes the request wait for an end.
@@ -62,24 +64,31 @@
         self._random = rng or random.Random()
 
     def _candidates(self, service, excluded, request_id):
-        found = [
-            endpoint
-            for endpoint in self._fleet.serving(service)
-            if endpoint.name not in excluded and self._gate.admits(endpoint, request_id)
-        ]
-        if excluded or not found:
-            found = self._spares(service, excluded) or found
-        found = [e for e in found if not self._health.is_down(e.name)] or found
+        """Return endpoints to compare, some of them where there are many."""
+        serving = self._fleet.serving(service)
+        if len(serving) > FIRST_DRAWS:
+            drawn = self._random.sample(serving, FIRST_DRAWS)
+            found = self._up(self._allowed(drawn, excluded, request_id))
+            if found:
+                return found[:DRAWS]
+        allowed = self._allowed(serving, excluded, request_id)
+        found = self._up(allowed) or allowed
         if len(found) > DRAWS:
             found = self._random.sample(found, DRAWS)
         return found
 
-    def _spares(self, service, excluded):
-        return [
-            endpoint
-            for endpoint in self._fleet.serving(service)
-            if endpoint.name not in excluded and self._gate.is_spare(endpoint)
-        ]
+    def _allowed(self, endpoints, excluded, request_id):
+        """Return those that a request may go to, again if some were tried."""
+        rest = [each for each in endpoints if each.name not in excluded]
+        if excluded:
+            spares = [each for each in rest if self._gate.is_spare(each)]
+            if spares:
+                return spares
+        admitted = [each for each in rest if self._gate.admits(each, request_id)]
+        return admitted or [each for each in rest if self._gate.is_spare(each)]
+
+    def _up(self, endpoints):
+        return [each for each in endpoints if not self._health.is_down(each.name)]
 
     def _least(self, endpoints, cost):
         if not endpoints:
@@ -195,8 +204,9 @@
 
     def _troubled(self, service):
         """Return how many endpoints cannot be reached, by data centre."""
-        return Counter(
-            endpoint.data_centre
-            for endpoint in self._fleet.serving(service)
-            if self._health.is_unreachable(endpoint.name)
-        )
+        places = Counter()
+        for name in self._health.unreachable_names():
+            endpoint = self._fleet.find(name)
+            if endpoint is not None and endpoint.service == service:
+                places[endpoint.data_centre] += not endpoint.leaving
+        return places
--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -100,10 +100,12 @@
         Whether an endpoint failed since the others were last told.
     """
 
-    __slots__ = ("_clock", "_records", "has_failures", "has_news")
+    __slots__ = ("_avoided", "_clock", "_records", "has_failures", "has_news")
 
     def __init__(self, clock):
         self._clock = clock
+        # Names that are to be avoided, or were.
+        self._avoided = set()
         self._records = {}
         self.has_news = False
         self.has_failures = False
@@ -121,9 +123,10 @@
         record = self._records.get(name)
         return record is not None and record.avoid_until_s > self._clock.seconds()
 
-    def is_unreachable(self, name):
-        """Return whether an endpoint is down and its address is still its own."""
-        return self.is_down(name) and not self._records[name].is_replaced
+    def unreachable_names(self):
+        """Return the endpoints that are down and whose addresses are their own."""
+        self._avoided = {name for name in self._avoided if self.is_down(name)}
+        return [name for name in self._avoided if not self._records[name].is_replaced]
 
     def unreachable(self, name):
         """Note a connection that was refused, reset or silent."""
@@ -135,6 +138,7 @@
         before_s = record.avoid_s * 0.5 ** (calm_s / AVOID_HALF_LIFE_S)
         record.avoid_s = min(max(before_s * 2, AVOID_FIRST_S), AVOID_LONGEST_S)
         record.avoided_s = now_s
+        self._avoided.add(name)
         record.avoid_until_s = now_s + record.avoid_s
         self.has_news = True
         logger.info(
@@ -144,6 +148,7 @@
     def replaced(self, name):
         """Note that another process answered at an endpoint's address."""
         record = self._record(name)
+        self._avoided.add(name)
         record.avoid_until_s = self._clock.seconds() + REPLACED_S
         record.is_replaced = True
         self.has_news = True
@@ -152,6 +157,7 @@
     def hear(self, suspicion):
         """Take a :class:`Suspicion` of another router."""
         record = self._record(suspicion.name)
+        self._avoided.add(suspicion.name)
         left_s = min(suspicion.left_s, REPLACED_S)
         until_s = self._clock.seconds() + left_s
         record.is_replaced |= left_s > AVOID_LONGEST_S
