Have relays hand on news in bundles

Cause: a relay handed on each piece of news by itself. Weighed: sums of a data centre's work by its relays, with which content would not grow either (two relays' sums of other moments, and a receiver's own work in them, have to be told apart; not done), and bundles. Change: relays hand on what comes within 40 ms together; what comes after a pause leaves at once, so nothing is later where news are rare. What a router hears is bounded by 25 bundles a second from each of its two relays, and these relays' own news. Ruled out for now: bytes, which grow with the fleet as before.

--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -5,12 +5,14 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "bundle": ["BUNDLE_INTERVAL_S", "NewsBundle"],
         "claim_relay": ["ClaimRelay", "choose_writer"],
         "fleet": ["FleetLink"],
         "fleet_keys": ["FLEET_KEYS_KEY", "obtain_fleet_keys"],
         "fleet_message": [
             "FLEET_SCHEMA_VERSION",
             "Beat",
+            "Bundle",
             "EndpointBack",
             "EndpointsChanges",
             "EndpointsNews",
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -14,9 +14,11 @@
 from sesamearch.base.log import logger
 from sesamearch.base.record import ConfigurationInForce, MemberChanged
 from sesamearch.configuration.blackboard import Member
+from sesamearch.membership.bundle import NewsBundle
 from sesamearch.membership.fleet_message import (
     FLEET_SCHEMA_VERSION,
     Beat,
+    Bundle,
     EndpointsChanges,
     EndpointsNews,
     EndpointsWanted,
@@ -116,6 +118,8 @@
         self._handlers = {}
         self._seen = {}
         self._sequence = 0
+        self._for_members = NewsBundle(reactor, self._send_to_members)
+        self._for_relays = NewsBundle(reactor, self._send_to_relays)
         # By name: routers choose differently, and a run can be repeated.
         self._random = random.Random(own.name)
         self._beats = 0
@@ -124,6 +128,7 @@
         self._beater.clock = reactor
         self._takers = {
             Beat: self._take_beat,
+            Bundle: self._take_bundle,
             TableWanted: self._take_table_wanted,
             TableNews: self._take_table,
             EndpointsWanted: self._take_list_wanted,
@@ -144,6 +149,8 @@
         """Close the link."""
         if self._beater.running:
             self._beater.stop()
+        self._for_members.stop()
+        self._for_relays.stop()
         self._sockets.stop()
 
     def handle(self, news_type, handler):
@@ -362,7 +369,7 @@
         if spread.origin == self.roster.own.name or not self._is_unseen(spread):
             return
         if self.is_relay:
-            self._send_each(self._relay_targets(spread), spread)
+            self._hand_on(spread)
         handler = self._handlers.get(type(spread.news))
         if handler is not None:
             handler(spread.news)
@@ -373,21 +380,31 @@
             seen = self._seen[spread.origin] = _Seen(spread.incarnation)
         return seen.incarnation == spread.incarnation and seen.add(spread.sequence)
 
-    def _relay_targets(self, spread):
-        """Return who does not get a piece of news from its origin."""
+    def _take_bundle(self, bundle):
+        for spread in bundle.spreads:
+            self._take_spread(spread)
+
+    def _hand_on(self, spread):
+        """Send a piece of news to who does not get it from its origin."""
         now_s = self._reactor.seconds()
         own = self.roster.own.data_centre
         origin = next((h for h in self.roster.hints if h.name == spread.origin), None)
         is_from_here = origin is not None and origin.data_centre == own
         if is_from_here and origin in self.roster.relays(own, now_s):
-            return []
-        relays = self.roster.relays(own, now_s)
-        members = [
-            hint
-            for hint in self._own_members()
-            if hint.name != spread.origin and hint not in relays
-        ]
-        return members + self._remote_relays() if is_from_here else members
+            return
+        self._for_members.add(spread)
+        if is_from_here:
+            self._for_relays.add(spread)
+
+    def _send_to_members(self, spreads):
+        relays = self.roster.relays(
+            self.roster.own.data_centre, self._reactor.seconds()
+        )
+        members = [hint for hint in self._own_members() if hint not in relays]
+        self._send_each(members, Bundle(spreads))
+
+    def _send_to_relays(self, spreads):
+        self._send_each(self._remote_relays(), Bundle(spreads))
 
     def _take(self, data):
         try:
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -11,6 +11,7 @@
 __all__ = [
     "FLEET_SCHEMA_VERSION",
     "Beat",
+    "Bundle",
     "EndpointBack",
     "EndpointsChanges",
     "EndpointsNews",
@@ -194,8 +195,15 @@
     news: LoadNews | EndpointBack | RolloutNews | RolloutVerdict
 
 
+class Bundle(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Pieces of news that a relay hands on together."""
+
+    spreads: list[Spread]
+
+
 FleetMessage = (
     Beat
+    | Bundle
     | TableWanted
     | TableNews
     | EndpointsWanted
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -5,6 +5,7 @@
 import logbook
 
 from sesamearch.base.record import MemberChanged
+from sesamearch.membership.bundle import BUNDLE_INTERVAL_S
 from sesamearch.membership.fleet_message import (
     EndpointsWanted,
     LoadNews,
@@ -111,6 +112,24 @@
             names.discard(origin.roster.own.name)
             self.assertEqual(sorted(heard), sorted(names))
 
+    def test_messages_heard_are_bounded_however_many_news_there_are(self):
+        """Load that changes all the time at every router."""
+        listener = next(x for x in self.world.links() if not x.is_relay)
+        heard = []
+        listener.handle(LoadNews, lambda news: heard.append(news.name))
+        sockets = self.world.sockets[listener.roster.own.address]
+        before = sockets.received_messages
+        others = [link for link in self.world.links() if link is not listener]
+        for _ in range(100):
+            for link in others:
+                link.send_to_all(LoadNews("x", {}, [], {}))
+            self.world.run(0.01)
+        self.world.run(0.1)
+        self.assertEqual(len(heard), 100 * len(others))
+        own_relays, beats = 2, 10
+        bound = own_relays * (1.1 / BUNDLE_INTERVAL_S + 100) + beats
+        self.assertLess(sockets.received_messages - before, bound)
+
     def test_work_of_a_router_is_known_to_all(self):
         self.world.connect(3).send(draft_bytes(prompt_tokens=4000))
         self.world.run(0.2)
