--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -67,6 +67,7 @@
 
     def start(self):
         """Start its process."""
+        self._deployment.disturb(router=self.number, is_planned_work=True)
         self.is_expected_to_end = False
         self.process = RouterProcess(self._deployment.reactor, self._path, self._log)
         self.process.ended = self._ended
