Close the callers' port when a router decides to end

After a drain a router finds nothing in flight, logs 'stopped', and ends its reactor 0.1 s later, for the last log lines; meanwhile it still accepted connections, and cut what came on them. Ruled out: kept connections (closed when the grace for the balancer is over); the endpoint (its run was aborted by the router). Change: the port is closed, and connections that idle, when the end is decided; what is not read is not passed on. Test: TestDrain.test_nothing_is_taken_once_the_end_is_decided fails before.

--- a/src/sesamearch/daemon/front.py
+++ b/src/sesamearch/daemon/front.py
@@ -336,6 +336,7 @@
 
     def _stop(self):
         logger.info(Lifecycle("stopped"))
+        self._ports.close()
         self._flush()
         self._reactor.callLater(FLUSH_S, self._reactor.stop)
 
--- a/src/sesamearch/daemon/front_ports.py
+++ b/src/sesamearch/daemon/front_ports.py
@@ -46,6 +46,7 @@
         self._listen = listen
         self._early_socket = None
         self._is_open = False
+        self._port = None
         self._callers = self._make_factory(self._take_request)
 
     def _make_factory(self, handler):
@@ -102,7 +103,9 @@
         self._is_open = True
         logger.info(Lifecycle("open", self._settings.listen))
         early_socket, self._early_socket = self._early_socket, None
-        self._listen(self._reactor, self._settings.listen, self._callers, early_socket)
+        self._port = self._listen(
+            self._reactor, self._settings.listen, self._callers, early_socket
+        )
 
     # Drain.
 
@@ -122,6 +125,12 @@
         """Close the connections that wait for a request."""
         self._callers.close_idle()
 
+    def close(self):
+        """Take no request any more: what came now would be cut."""
+        if self._port is not None:
+            self._port.stopListening()
+        self.turn_away()
+
     # The balancer and the collector.
 
     @property
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -570,6 +570,12 @@
         self.assertEqual(client.pieces, list(range(20)))
         self.assertTrue(client.is_whole)
 
+    def test_nothing_is_taken_once_the_end_is_decided(self):
+        self.front.shut_down()
+        self.world.run(3)
+        late = self.world.connect()
+        self.assertIsNone(late.transport)
+
     def test_not_ready_and_still_serving(self):
         self.front.shut_down()
         ready = self.world.connect(port=8749).send(b"GET / HTTP/1.1\r\nHost: r\r\n\r\n")
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -325,8 +325,18 @@
         self.network.dark.add(worker.address)
 
 
+class _ListeningPort:
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+
+    def stopListening(self):
+        self._network.close(self._address)
+
+
 def _listen(reactor, address, factory, early_socket=None):
     reactor.listen(address, factory)
+    return _ListeningPort(reactor, address)
 
 
 def _zone(number):
