Keep a generation running in the test of a late shutdown

The test keeps a generation running, so that the router still drains, and demands the same refusal and that only that generation ran.

--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -659,12 +659,17 @@
         self.assertEqual(engine.served, ["first", "second"])
 
     def test_generation_that_could_not_end_is_refused_late_in_a_shutdown(self):
+        for engine in self.world.engines:
+            engine.events = 200
+        self.world.connect().send(draft_bytes("running"))
+        self.world.run(0.2)
         self.world.fronts[0].shut_down()
         self.world.run(3)
-        client = self.world.ask(draft_bytes(), wait_s=0.1)
+        client = self.world.ask(draft_bytes("late"), wait_s=0.1)
         self.assertEqual(client.status, 503)
         self.assertIn(b"Retry-After: 0.050", client.received)
-        self.assertEqual([each.runs for each in self.world.engines], [[]] * 4)
+        served = [name for engine in self.world.engines for name in engine.served]
+        self.assertEqual(served, ["running"])
 
     def test_prompt_that_cannot_be_read_in_time_is_refused_at_once(self):
         for number in range(10):
