--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -29,6 +29,12 @@
             "PromptPart",
         ],
         "returns": ["ReturnWatch"],
+        "silence": [
+            "PROBE_INTERVAL_S",
+            "RESUME_PROBE_S",
+            "EventRhythm",
+            "SilenceWatch",
+        ],
         "stream": ["StreamExchange"],
     },
 )
--- /dev/null
+++ b/src/sesamearch/forwarding/silence.py
@@ -0,0 +1,124 @@
+"""Engines that fall silent: told from their rhythm, or asked for a sign of life."""
+
+__all__ = ["PROBE_INTERVAL_S", "RESUME_PROBE_S", "EventRhythm", "SilenceWatch"]
+
+# Silence of a running engine: a share of the pause that callers accept, but never
+# so short that the engine's own rhythm is taken for silence.
+STALL_GOAL_RATIO = 0.5
+STALL_GAPS = 5.0
+GAP_SMOOTHING = 0.1
+# An engine that reads a prompt says nothing: it is asked for a sign of life.
+PROBE_INTERVAL_S = 0.5
+PROBE_TIMEOUT_S = 0.3
+RESUME_PROBE_S = 0.2
+
+
+class EventRhythm:
+    """When the events of a generation came.
+
+    Attributes
+    ----------
+    last_s : float or None
+        When the last one came.
+    mean_gap_s : float
+        Zero before the second one.
+    events : int
+    """
+
+    __slots__ = ("events", "last_s", "mean_gap_s")
+
+    def __init__(self):
+        self.last_s = None
+        self.mean_gap_s = 0.0
+        self.events = 0
+
+    def note(self, count, now_s):
+        """Take events that came together."""
+        if self.last_s is not None:
+            gap_s = (now_s - self.last_s) / count
+            self.mean_gap_s += GAP_SMOOTHING * (gap_s - self.mean_gap_s)
+        self.last_s = now_s
+        self.events += count
+
+    def has_event_of(self, attempt):
+        """Return whether events came since a try was sent."""
+        return self.last_s is not None and self.last_s > attempt.sent_s
+
+
+class SilenceWatch:
+    """Watches one generation's engine.
+
+    Parameters
+    ----------
+    tools : ForwardTools
+    gap_goal_s : float
+        Longest pause that callers accept.
+    rhythm : EventRhythm
+    is_current : callable
+        Gives whether a :class:`Try` still counts.
+    leave : callable
+        Called with a silent :class:`Try` and the cause.
+    """
+
+    __slots__ = (
+        "_gap_goal_s",
+        "_is_current",
+        "_is_probing",
+        "_leave",
+        "_probe_due_s",
+        "_rhythm",
+        "_tools",
+    )
+
+    def __init__(self, tools, gap_goal_s, rhythm, is_current, leave):
+        self._tools = tools
+        self._gap_goal_s = gap_goal_s
+        self._rhythm = rhythm
+        self._is_current = is_current
+        self._leave = leave
+        self._probe_due_s = 0.0
+        self._is_probing = False
+
+    def expect(self, patience_s):
+        """Begin to wait for the first event of a try."""
+        self._probe_due_s = self._tools.clock.seconds() + patience_s
+
+    def check(self, attempt):
+        """Look whether an engine is silent.
+
+        Parameters
+        ----------
+        attempt : Try
+
+        Returns
+        -------
+        bool
+            Whether the engine runs and is heard.
+        """
+        now_s = self._tools.clock.seconds()
+        if attempt.answer is not None and self._rhythm.has_event_of(attempt):
+            if now_s - self._rhythm.last_s <= self._stall_s():
+                return True
+            self._leave(attempt, "stalled")
+        elif now_s >= self._probe_due_s and not self._is_probing:
+            self._probe(attempt)
+        return False
+
+    def _stall_s(self):
+        return max(
+            self._gap_goal_s * STALL_GOAL_RATIO, self._rhythm.mean_gap_s * STALL_GAPS
+        )
+
+    def _probe(self, attempt):
+        self._is_probing = True
+        self._tools.counters.probes += 1
+        answered = self._tools.client.probe(attempt.endpoint, PROBE_TIMEOUT_S)
+        answered.addCallback(self._take_probe, attempt)
+
+    def _take_probe(self, is_alive, attempt):
+        self._is_probing = False
+        self._probe_due_s = self._tools.clock.seconds() + PROBE_INTERVAL_S
+        if not self._is_current(attempt) or self._rhythm.has_event_of(attempt):
+            return
+        if not is_alive:
+            self._leave(attempt, "silent")
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -11,24 +11,21 @@
 from sesamearch.forwarding.copies import CopyKeeper
 from sesamearch.forwarding.exchange import Exchange
 from sesamearch.forwarding.request import Passage
+from sesamearch.forwarding.silence import (
+    PROBE_INTERVAL_S,
+    RESUME_PROBE_S,
+    EventRhythm,
+    SilenceWatch,
+)
 from sesamearch.wire.endpoint import Loss
 from sesamearch.wire.events import EventSplitter
 
 __all__ = ["StreamExchange"]
 
-# Silence of a running engine: a share of the pause that callers accept, but never
-# so short that the engine's own rhythm is taken for silence.
-STALL_GOAL_RATIO = 0.5
-STALL_GAPS = 5.0
-# An engine that reads a prompt says nothing: it is asked for a sign of life.
-PROBE_INTERVAL_S = 0.5
-PROBE_TIMEOUT_S = 0.3
-RESUME_PROBE_S = 0.2
 RETRY_CHOICE_S = 0.05
 # Callers leave a stream that pauses for so long.
 LONGEST_PAUSE_S = 2.0
 REFUSE_ADVICE_S = 1.0
-GAP_SMOOTHING = 0.1
 MAX_SENDS = 8
 # Connections that cannot be made cost no engine anything.
 MAX_UNCONNECTED = 40
@@ -84,10 +81,15 @@
         self._life = _machine(self)
         self._splitter = EventSplitter()
         self._last_event = self.request.after_event
-        self._last_event_s = None
         self._first_ms = 0
-        self._events = 0
-        self._mean_gap_s = 0.0
+        self._rhythm = EventRhythm()
+        self._silence = SilenceWatch(
+            self.tools,
+            self.route.gap_goal_s,
+            self._rhythm,
+            self._is_current,
+            self._leave,
+        )
         self._has_head = False
         self._is_broken = False
         self._has_copy = False
@@ -95,8 +97,6 @@
         self._runs = 0
         self._unconnected = 0
         self._cause = ErrorKind.NO_ENDPOINT
-        self._probe_due_s = 0.0
-        self._is_probing = False
         self._waiting = None
         self._need = GenerationNeed(
             self.request.prompt_tokens,
@@ -152,8 +152,7 @@
         )
         unread = 0 if copy else self._need.prompt_tokens
         work = self.tools.loads.begin(endpoint.name, unread, self._need.memory_tokens)
-        patience_s = RESUME_PROBE_S if self._has_head else PROBE_INTERVAL_S
-        self._probe_due_s = self.now_s + patience_s
+        self._silence.expect(RESUME_PROBE_S if self._has_head else PROBE_INTERVAL_S)
         self._splitter = EventSplitter()
         self.tools.prompts.began(self.request.own_part, endpoint.name)
         self.send(passage, work)
@@ -201,7 +200,7 @@
             self._give_up(self._cause, "no engine is available")
 
     def _pause_s(self):
-        since_s = self._last_event_s or self.request.received_s
+        since_s = self._rhythm.last_s or self.request.received_s
         return self.now_s - since_s
 
     def _send_again(self, kind, detail):
@@ -244,7 +243,7 @@
     def _cut(self):
         """End an answer midway; the caller may go on elsewhere by its last event."""
         self.tools.counters.streams_cut += 1
-        self.log_end("cut", None, 0, self._first_ms, self._events)
+        self.log_end("cut", None, 0, self._first_ms, self._rhythm.events)
         self.reply.abort()
         self.close()
 
@@ -286,7 +285,7 @@
             self._is_broken = False
             self._life.went_on()
             self.reply.relieve(attempt.sending.producer)
-        self._note_time(len(events))
+        self._rhythm.note(len(events), self.now_s)
         self.reply.write(b"".join(event.data for event in events))
 
     def _start_answer(self, attempt):
@@ -301,14 +300,6 @@
         self.reply.start(answer.status, answer.headers, answer.reason)
         self.reply.relieve(attempt.sending.producer)
 
-    def _note_time(self, count):
-        now_s = self.now_s
-        if self._last_event_s is not None:
-            gap_s = (now_s - self._last_event_s) / count
-            self._mean_gap_s += GAP_SMOOTHING * (gap_s - self._mean_gap_s)
-        self._last_event_s = now_s
-        self._events += count
-
     def try_ended(self, attempt):
         """Take the end of an engine's answer."""
         if not self._is_current(attempt):
@@ -351,12 +342,16 @@
             self._recover(ErrorKind.ENDPOINT_LOST, "answer broke off")
             return
         self.tools.health.answered(attempt.endpoint.name, False)
-        if attempt.number == 1 and self._mean_gap_s:
-            self.tools.health.paced(attempt.endpoint.name, self._mean_gap_s)
+        if attempt.number == 1 and self._rhythm.mean_gap_s:
+            self.tools.health.paced(attempt.endpoint.name, self._rhythm.mean_gap_s)
         if not self._has_head:
             self._start_answer(attempt)
         self.log_end(
-            "answered", attempt, attempt.answer.status, self._first_ms, self._events
+            "answered",
+            attempt,
+            attempt.answer.status,
+            self._first_ms,
+            self._rhythm.events,
         )
         self.reply.finish()
         self.close()
@@ -383,7 +378,7 @@
 
         Engines copy the memory of what runs, and nothing of a prompt being read.
         """
-        self._has_copy = self._is_running(attempt)
+        self._has_copy = self._rhythm.has_event_of(attempt)
 
     def _recover(self, kind, detail):
         if self.route.is_resumable:
@@ -398,25 +393,8 @@
         if self.is_over or not self.tries or not self.route.is_resumable:
             return
         attempt = self.tries[0]
-        if attempt.answer is not None and self._is_running(attempt):
-            if self._silence_s(attempt) > self._stall_s():
-                self._leave(attempt, "stalled")
-            else:
-                self._copies.keep(attempt.endpoint)
-        elif self.now_s >= self._probe_due_s and not self._is_probing:
-            self._probe(attempt)
-
-    def _is_running(self, attempt):
-        """Return whether events of this try have been passed on."""
-        return self._last_event_s is not None and self._last_event_s > attempt.sent_s
-
-    def _silence_s(self, attempt):
-        return self.now_s - max(self._last_event_s, attempt.sent_s)
-
-    def _stall_s(self):
-        return max(
-            self.route.gap_goal_s * STALL_GOAL_RATIO, self._mean_gap_s * STALL_GAPS
-        )
+        if self._silence.check(attempt):
+            self._copies.keep(attempt.endpoint)
 
     def _leave(self, attempt, cause):
         """Close a silent try and go on elsewhere."""
@@ -427,20 +405,6 @@
         self.drop(attempt, cause)
         self._send_again(ErrorKind.ENDPOINT_LOST, "engine silent")
 
-    def _probe(self, attempt):
-        self._is_probing = True
-        self.tools.counters.probes += 1
-        answered = self.tools.client.probe(attempt.endpoint, PROBE_TIMEOUT_S)
-        answered.addCallback(self._take_probe, attempt)
-
-    def _take_probe(self, is_alive, attempt):
-        self._is_probing = False
-        self._probe_due_s = self.now_s + PROBE_INTERVAL_S
-        if not self._is_current(attempt) or self._is_running(attempt):
-            return
-        if not is_alive:
-            self._leave(attempt, "silent")
-
     # The end.
 
     def _log_resumed(self):
