Name a soak's addresses, and write a router's settings in one place

Groups of addresses were unpacked by position, and the settings file of a router on loopback stood twice, in the soak and in tests/platform/test_processes.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,7 +3,7 @@
 import signal
 
 import msgspec
-from tests.deployment import free_addresses
+from tests.deployment import RouterAddresses, free_addresses, platform_settings
 from tests.platform.world import KEY, make_configuration
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
@@ -22,9 +22,9 @@
 # As the stand-ins' platform does: the end of an endpoint's last run included.
 LEAVE_S = 4.0
 GRACE_S = 8.0
-LINK_MBPS = 1000.0
 ADDRESSES_OF_ROUTER = 6
 ADDRESSES_OF_ENDPOINT = 2
+SEEDS = 3
 
 
 def zone_of(number):
@@ -32,33 +32,36 @@
     return "east" if number % 2 == 0 else "west"
 
 
+class RouterPlaces(msgspec.Struct, frozen=True):
+    """Addresses of a router, and of the proxies before it and before its store."""
+
+    own: RouterAddresses
+    public: str
+    store: str
+
+
+class EndpointPlaces(msgspec.Struct, frozen=True):
+    """Address of an endpoint, and of the proxy that others know it by."""
+
+    own: str
+    public: str
+
+
 class Router:
     """One VM with its router, its links to callers and to the store."""
 
-    def __init__(self, deployment, number, addresses, seeds):
+    def __init__(self, deployment, number, places, seeds):
         self._deployment = deployment
         self.number = number
-        listen, self.readiness, control, metrics, public, store = addresses
-        self.address = public
+        self.readiness = places.own.readiness
+        self.address = places.public
         reactor = deployment.reactor
-        self.callers = Link(reactor, public, listen)
-        self.store = Link(reactor, store, deployment.store_address)
-        port = metrics.rpartition(":")[2]
-        settings = {
-            "node-name": f"edge-{number}",
-            "zone": zone_of(number),
-            "ip": "127.0.0.1",
-            "listen.frontend": listen,
-            "listen.readiness": self.readiness,
-            "listen.control-plane": control,
-            "internal-ports": f"{port},{port}",
-            "seeds": ",".join(seeds),
-            "limits.link-mbps": str(LINK_MBPS),
-            "platform.address": store,
-        }
+        self.callers = Link(reactor, places.public, places.own.listen)
+        self.store = Link(reactor, places.store, deployment.store_address)
         self._path = deployment.folder / f"settings-{number}.conf"
-        text = "".join(f"{key}={value}\n" for key, value in settings.items())
-        self._path.write_text(text)
+        self._path.write_text(
+            platform_settings(number, places.own, seeds, places.store)
+        )
         self._log = (deployment.folder / f"router-{number}.log").open("ab")
         self.process = None
         self.is_expected_to_end = False
@@ -105,12 +108,12 @@
 class Endpoint:
     """One endpoint's place, with the incarnations that follow each other there."""
 
-    def __init__(self, deployment, number, kind, addresses):
+    def __init__(self, deployment, number, kind, places):
         self._deployment = deployment
         self.number = number
         self._kind = kind
-        self._address, self._public = addresses
-        self.link = Link(deployment.reactor, self._public, self._address)
+        self._places = places
+        self.link = Link(deployment.reactor, places.public, places.own)
         self._incarnation = 0
         self.name = ""
         self.process = None
@@ -123,7 +126,7 @@
         self.name = f"{self._kind}-{self.number}-{self._incarnation}"
         self.is_leaving = False
         deployment = self._deployment
-        arguments = [self._kind, self.name, self._address, self._public]
+        arguments = [self._kind, self.name, self._places.own, self._places.public]
         arguments += [zone_of(self.number), deployment.store_address]
         self.process = StandinProcess(
             deployment.reactor, arguments, deployment.take, deployment.log
@@ -183,8 +186,14 @@
         self.store.start()
         self._operator = PlatformStore(reactor, self.store_address)
         self._version = 0
-        self._endpoint_addresses = _groups(addresses[1:count], ADDRESSES_OF_ENDPOINT)
-        self._router_addresses = _groups(addresses[count:], ADDRESSES_OF_ROUTER)
+        self._endpoint_places = [
+            EndpointPlaces(*group)
+            for group in _groups(addresses[1:count], ADDRESSES_OF_ENDPOINT)
+        ]
+        self._router_places = [
+            RouterPlaces(RouterAddresses(*own), public, store)
+            for *own, public, store in _groups(addresses[count:], ADDRESSES_OF_ROUTER)
+        ]
         self._size = size
         self.endpoints = []
         self.routers = []
@@ -198,12 +207,12 @@
         self._start_all()
 
     def _start_all(self):
-        for number, pair in enumerate(self._endpoint_addresses):
+        for number, places in enumerate(self._endpoint_places):
             kind = "desk" if number < self._size.services else "models"
-            self.endpoints.append(Endpoint(self, number, kind, pair))
-        seeds = [group[2] for group in self._router_addresses[:3]]
-        for number, group in enumerate(self._router_addresses):
-            self.routers.append(Router(self, number, group, seeds))
+            self.endpoints.append(Endpoint(self, number, kind, places))
+        seeds = [places.own.control for places in self._router_places[:SEEDS]]
+        for number, places in enumerate(self._router_places):
+            self.routers.append(Router(self, number, places, seeds))
 
     def take(self, note):
         """Take a stand-in's note."""
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -8,6 +8,7 @@
 import tempfile
 from pathlib import Path
 
+import msgspec
 import treq
 import yaml
 from twisted.internet import reactor
@@ -38,6 +39,33 @@
     return addresses
 
 
+class RouterAddresses(msgspec.Struct, frozen=True):
+    """Where a router of the platform listens, as ``ip:port``."""
+
+    listen: str
+    readiness: str
+    control: str
+    metrics: str
+
+
+def platform_settings(number, addresses, seeds, store):
+    """Return the platform's settings file of one router on loopback."""
+    port = addresses.metrics.rpartition(":")[2]
+    settings = {
+        "node-name": f"edge-{number}",
+        "zone": "east" if number % 2 == 0 else "west",
+        "ip": "127.0.0.1",
+        "listen.frontend": addresses.listen,
+        "listen.readiness": addresses.readiness,
+        "listen.control-plane": addresses.control,
+        "internal-ports": f"{port},{port}",
+        "seeds": ",".join(seeds),
+        "limits.link-mbps": "1000.0",
+        "platform.address": store,
+    }
+    return "".join(f"{key}={value}\n" for key, value in settings.items())
+
+
 async def answers(url):
     try:
         response = await treq.get(url, timeout=2, persistent=False)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -11,7 +11,7 @@
 import unittest
 from pathlib import Path
 
-from tests.deployment import free_addresses
+from tests.deployment import RouterAddresses, free_addresses, platform_settings
 from tests.platform.world import draft_bytes, request_bytes
 
 ROOT = Path(__file__).parents[2]
@@ -26,22 +26,10 @@
     """One router process."""
 
     def __init__(self, number, folder, addresses, seeds, store):
-        self.listen, self.readiness, self.control, metrics = addresses
-        port = metrics.rpartition(":")[2]
-        settings = {
-            "node-name": f"edge-{number}",
-            "zone": "east" if number % 2 == 0 else "west",
-            "ip": "127.0.0.1",
-            "listen.frontend": self.listen,
-            "listen.readiness": self.readiness,
-            "listen.control-plane": self.control,
-            "internal-ports": f"{port},{port}",
-            "seeds": ",".join(seeds),
-            "limits.link-mbps": "1000.0",
-            "platform.address": store,
-        }
+        self.listen = addresses.listen
+        self.readiness = addresses.readiness
         path = folder / f"settings-{number}.conf"
-        path.write_text("".join(f"{k}={v}\n" for k, v in settings.items()))
+        path.write_text(platform_settings(number, addresses, seeds, store))
         self.log = folder / f"router-{number}.log"
         self.start(path)
 
@@ -106,8 +94,8 @@
         )
         self.addCleanup(self.end, self.standins)
         self.standins.stdout.readline()
-        groups = [own[4 * n : 4 * n + 4] for n in range(ROUTERS)]
-        seeds = [group[2] for group in groups]
+        groups = [RouterAddresses(*own[4 * n : 4 * n + 4]) for n in range(ROUTERS)]
+        seeds = [group.control for group in groups]
         self.routers = []
         for number, group in enumerate(groups):
             router = Router(number, Path(folder.name), group, seeds, store)
