--- a/deploy/start.py
+++ b/deploy/start.py
@@ -7,7 +7,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "src"))
 
-# Held until its handler stands: a reload asked for during the start would end it.
+# Held back until its handler stands: by default the signal ends the process.
 signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 from sesamearch.command.front import main  # noqa: E402
