Claim ports for processes under test, outside the kernel's own range

Change: a run claims blocks of 256 ports below that range by holding the first of each. Test: two claims at once share no port (new).

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -27,16 +27,45 @@
 TRIES = 300
 TRY_INTERVAL_S = 0.1
 API_KEY = "demo-key"
+FIRST_PORT = 10_000
+EPHEMERAL_PORT = 32_768
+BLOCK_PORTS = 256
+
+
+def claim_ports():
+    """Yield ports that no other process which asks here gets while this one lives.
+
+    They lie below the ports that the kernel gives to connections, since one of those
+    may be taken before the process that is to listen there has started. The first
+    port of a block is held to claim the others.
+    """
+    claims = []
+    for first in range(FIRST_PORT, EPHEMERAL_PORT - BLOCK_PORTS, BLOCK_PORTS):
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", first))
+        except OSError:
+            claim.close()
+            continue
+        claims.append(claim)
+        yield from filter(_is_free, range(first + 1, first + BLOCK_PORTS))
+
+
+def _is_free(port):
+    with socket.socket() as one:
+        try:
+            one.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+_ports = claim_ports()
 
 
 def free_addresses(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
-    for one in sockets:
-        one.close()
-    return addresses
+    """Return addresses on loopback that nobody listens on; see ``claim_ports``."""
+    return [f"127.0.0.1:{next(_ports)}" for _ in range(count)]
 
 
 class RouterAddresses(msgspec.Struct, frozen=True):
