Double the stall limit after each stall of a generation

Cause: an engine was abandoned after half of the allowed pause, however often that had happened. A generation whose events come 0.65 s apart on every engine, inside the 0.7 s that callers accept, was abandoned by all five engines in turn and then cut off.

Ruled out: a longer limit from the start (a dead engine would be found too late to resume within the allowed pause), and no limit on the last attempt (a dead engine would then hold its caller until the deadline, although the caller could resume elsewhere).

Change: each stall doubles the limit, up to 2 s.

Conclusion: a slow sound stream costs one extra run. A second real stall of the same generation is found after 0.7 s instead of 0.35 s.

--- a/src/sesamearch/forwarding/stall.py
+++ b/src/sesamearch/forwarding/stall.py
@@ -6,6 +6,9 @@
 # accept, but for no less than a multiple of its mean gap between events.
 STALL_GOAL_RATIO = 0.5
 STALL_GAPS = 5.0
+# Each stall doubles the limit, since a generation that is slow on every engine would
+# otherwise use up its attempts. A longer pause is a stall in any case.
+MAX_STALL_S = 2.0
 GAP_SMOOTHING = 0.1
 # An engine sends nothing while it reads a prompt, so it is probed.
 PROBE_INTERVAL_S = 0.5
@@ -67,6 +70,7 @@
         "_is_current",
         "_is_probing",
         "_probe_due_s",
+        "_stalls",
         "_timing",
         "_tools",
     )
@@ -79,6 +83,7 @@
         self._abandon = abandon
         self._probe_due_s = 0.0
         self._is_probing = False
+        self._stalls = 0
 
     def schedule_probe(self, delay_s):
         """Schedule the first probe of a new try."""
@@ -100,15 +105,16 @@
         if attempt.answer is not None and self._timing.has_event_of(attempt):
             if now_s - self._timing.last_s <= self._stall_s():
                 return True
+            self._stalls += 1
             self._abandon(attempt, "stalled")
         elif now_s >= self._probe_due_s and not self._is_probing:
             self._probe(attempt)
         return False
 
     def _stall_s(self):
-        return max(
-            self._gap_goal_s * STALL_GOAL_RATIO, self._timing.mean_gap_s * STALL_GAPS
-        )
+        goal_s = self._gap_goal_s * STALL_GOAL_RATIO
+        limit_s = max(goal_s, self._timing.mean_gap_s * STALL_GAPS)
+        return min(limit_s * 2**self._stalls, max(MAX_STALL_S, goal_s))
 
     def _probe(self, attempt):
         self._is_probing = True
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -187,6 +187,8 @@
 
     Attributes
     ----------
+    event_interval_s : float
+        Time between two events of a generation.
     copies : dict from str to int
         Number of tokens in each KV cache copy that other engines sent, by the handle
         of the copy.
@@ -199,6 +201,7 @@
     def __init__(self, clock, name, slots=12, events=DEFAULT_EVENTS):
         super().__init__(clock, name, slots)
         self.events = events
+        self.event_interval_s = EVENT_INTERVAL_S
         self.copies = {}
         self.neighbours = {}
         self.is_unresponsive = False
@@ -317,7 +320,7 @@
                 b"id: %d\ndata: piece %d\n\n" % (self._next_event, self._next_event)
             )
         self._next_event += 1
-        self._timer = engine.clock.callLater(EVENT_INTERVAL_S, self._send_event)
+        self._timer = engine.clock.callLater(engine.event_interval_s, self._send_event)
 
     def _stop(self, outcome):
         if self._timer is not None and self._timer.active():
--- a/tests/forwarding/test_stall.py
+++ b/tests/forwarding/test_stall.py
@@ -75,6 +75,12 @@
         self.probes[0].callback(False)
         self.assertEqual(self.abandoned, [])
 
+    def test_each_stall_doubles_the_limit(self):
+        for limit_s in (0.35, 0.7, 1.4, 2.0, 2.0):
+            self.run_engine()
+            self.assertTrue(self.wait(limit_s - 0.02))
+            self.assertFalse(self.wait(0.04))
+
     def test_running_engine_is_abandoned_after_half_of_the_accepted_pause(self):
         self.run_engine()
         self.assertTrue(self.wait(0.3))
--- a/tests/platform/test_router.py
+++ b/tests/platform/test_router.py
@@ -247,6 +247,14 @@
         self.world.run(2)
         self.assertEqual(client.event_ids, list(range(20)))
 
+    def test_generation_that_is_slow_on_every_engine_is_completed(self):
+        for engine in self.world.engines:
+            engine.event_interval_s = 0.65
+        client = self.world.send_request(draft_bytes(), wait_s=20)
+        self.assertEqual(client.event_ids, list(range(20)))
+        self.assertTrue(client.is_complete)
+        self.assertLessEqual(sum(len(each.runs) for each in self.world.engines), 2)
+
     def test_generation_resumes_after_a_stall_during_prefill(self):
         client = self.world.connect().send(draft_bytes(prompt_tokens=8000))
         self.world.run(0.2)
