Bound answers that never end, and judge streams by events

Cause: bytes without end were kept or searched without bound.

Change: one bound for the buffered body of an answer, one for an event with the comments before it, one for bytes before the awaited answer begins, one each for responses to copies and of the store. An answer beyond its bound is a lost try: the connection is closed, the endpoint gets a failure, the request is sent on where that is allowed. The splitter searches each byte once. Comments and blank lines are forwarded with the next event and are no progress. The receivers of copies, probes and names share one timeout; the request that frees a copy had none.

--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -13,8 +13,6 @@
 HEDGE_DELAY_RATIO = 0.6
 # Refused sends do not count as runs, so they need a limit of their own.
 MAX_SENDS = 4
-# Larger answers are streamed to the caller.
-MAX_BUFFERED_BODY_BYTES = 64 << 10
 RETRY_AFTER_S = 0.25
 
 
@@ -34,7 +32,6 @@
         self._cause = ErrorKind.NO_ENDPOINT
         self._failure = None
         self._streamed_try = None
-        self._buffered_bytes = 0
 
     def start(self):
         """Send the first try."""
@@ -101,17 +98,15 @@
         """Ignore the head of an answer until its body arrives."""
 
     def try_received(self, attempt, data):
-        """Buffer a part of an answer, or stream the answer if it is long."""
+        """Buffer a part of an answer; a long success is streamed to the caller."""
         if self._streamed_try is attempt:
             self.reply.write(data)
+        elif attempt.buffer(data):
             return
-        attempt.body.append(data)
-        size_bytes = sum(map(len, attempt.body))
-        if size_bytes > MAX_BUFFERED_BODY_BYTES and self._may_stream(attempt):
+        elif attempt.answer.is_success:
             self._start_streaming(attempt)
-
-    def _may_stream(self, attempt):
-        return self._streamed_try is None and attempt.answer.is_success
+        else:
+            self.reject_body(attempt, Loss.TOO_LARGE)
 
     def _start_streaming(self, attempt):
         self._streamed_try = attempt
@@ -120,7 +115,7 @@
             other.cancel()
         answer = attempt.answer
         self.reply.start(answer.status, answer.headers, answer.reason)
-        self.reply.write(b"".join(attempt.body))
+        self.reply.write(attempt.body)
         self.reply.set_producer(attempt.pending_request.producer)
 
     def try_ended(self, attempt):
@@ -178,8 +173,9 @@
         if self._streamed_try is attempt:
             self.reply.finish()
         else:
-            body = b"".join(attempt.body)
-            self.reply.answer(answer.status, answer.headers, body, answer.reason)
+            self.reply.answer(
+                answer.status, answer.headers, attempt.body, answer.reason
+            )
         self.close()
 
     def expire(self, kind):
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -19,6 +19,8 @@
 __all__ = ["Exchange", "ForwardTools", "Try", "retry_after_s"]
 
 PROBLEM_HEADERS = [(b"Content-Type", b"application/problem+json")]
+# Largest body that is buffered for one answer.
+MAX_BUFFERED_BODY_BYTES = 64 << 10
 # Upper bound of Retry-After, as a share of the time until the caller's deadline.
 RETRY_AFTER_RATIO = 0.3
 MIN_RETRY_AFTER_S = 0.05
@@ -78,9 +80,10 @@
     """
 
     __slots__ = (
+        "_body",
         "_exchange",
         "answer",
-        "body",
+        "buffered_bytes",
         "number",
         "options",
         "pending_request",
@@ -96,7 +99,8 @@
         self.sent_s = sent_s
         self.pending_request = None
         self.answer = None
-        self.body = []
+        self.buffered_bytes = 0
+        self._body = []
 
     @property
     def endpoint(self):
@@ -109,6 +113,17 @@
         answer = self.answer
         return answer is not None and (answer.has_not_run or answer.is_other_instance)
 
+    def buffer(self, data):
+        """Keep a part of the body; return whether the whole is still small enough."""
+        self._body.append(data)
+        self.buffered_bytes += len(data)
+        return self.buffered_bytes <= MAX_BUFFERED_BODY_BYTES
+
+    @property
+    def body(self):
+        """Bytes : the buffered part of the body."""
+        return b"".join(self._body)
+
     def answer_began(self, answer):
         """Handle the head of the answer."""
         self.answer = answer
@@ -281,6 +296,11 @@
         took_s = self.now_s - attempt.sent_s
         self.tools.gate.answered(attempt.endpoint, self.route.name, is_failure, took_s)
 
+    def reject_body(self, attempt, loss):
+        """Cancel a try whose body cannot be used, and handle it as a lost one."""
+        attempt.cancel()
+        self.try_lost(attempt, loss)
+
     def cancel_tries(self):
         """Cancel all tries that still run."""
         tries, self.tries = self.tries, []
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -18,7 +18,7 @@
     StallDetector,
 )
 from sesamearch.wire.endpoint import Loss
-from sesamearch.wire.events import EventSplitter
+from sesamearch.wire.events import EventError, EventSplitter
 
 __all__ = ["StreamExchange"]
 
@@ -262,12 +262,18 @@
 
     def try_received(self, attempt, data):
         """Forward the complete events."""
-        if not self._is_current(attempt) or attempt.has_not_run:
+        if not self._is_current(attempt):
+            return
+        if attempt.has_not_run or not attempt.answer.is_success:
+            if not attempt.buffer(data):
+                self.reject_body(attempt, Loss.TOO_LARGE)
             return
-        if not attempt.answer.is_success:
-            attempt.body.append(data)
+        try:
+            received = self._splitter.feed(data)
+        except EventError:
+            self.reject_body(attempt, Loss.MALFORMED)
             return
-        events = [e for e in self._splitter.feed(data) if self._accept_event(e)]
+        events = [event for event in received if self._accept_event(event)]
         if events:
             self._forward_events(attempt, events)
 
@@ -335,8 +341,7 @@
             return
         answer = attempt.answer
         self.log_end("answered", attempt, answer.status)
-        body = b"".join(attempt.body)
-        self.reply.answer(answer.status, answer.headers, body, answer.reason)
+        self.reply.answer(answer.status, answer.headers, attempt.body, answer.reason)
         self.close()
 
     def _finish(self, attempt):
@@ -358,6 +363,7 @@
             self._first_ms,
             self._timing.events,
         )
+        self.reply.write(self._splitter.take_rest())
         self.reply.finish()
         self.close()
 
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -1,5 +1,7 @@
 """Client for endpoints that speak the platform's protocol."""
 
+import abc
+
 import msgspec
 from twisted.internet.defer import Deferred
 
@@ -25,6 +27,7 @@
 COPY_PATH = b"/sesamearch/kv-move"
 HANDLE_PATH = b"/sesamearch/kv-handle/"
 COPY_TIMEOUT_S = 1.0
+MAX_COPY_RESPONSE_BYTES = 16 << 10
 OK = 200
 _JSON = (b"Content-Type", b"application/json")
 # Endpoints close idle connections, and a request that is sent at that moment is lost.
@@ -88,104 +91,131 @@
 _decode_copy_response = msgspec.json.Decoder(_CopyResponse).decode
 
 
-class _CopyReceiver(ResponseReceiver):
-    """Receives the handle of a memory copy."""
+class _TimedReceiver(ResponseReceiver):
+    """Resolves a Deferred once; the request is cancelled after a timeout."""
 
-    __slots__ = ("_body", "_status", "copied")
+    __slots__ = ("_pending_request", "_timer", "answered")
 
     def __init__(self):
-        self.copied = Deferred()
-        self._status = 0
-        self._body = b""
+        self.answered = Deferred()
+        self._pending_request = None
+        self._timer = None
+
+    def start(self, pending_request, clock, timeout_s):
+        """Cancel the request after `timeout_s` unless its response ended."""
+        self._pending_request = pending_request
+        if not pending_request.is_over:
+            self._timer = clock.callLater(timeout_s, self.give_up)
+
+    def resolve(self, result):
+        """Fire the Deferred; later calls have no effect."""
+        answered, self.answered = self.answered, None
+        if answered is not None:
+            answered.callback(result)
 
-    def resolve(self, handle):
-        """Fire the Deferred once with the handle; empty if the copy failed."""
-        copied, self.copied = self.copied, None
-        if copied is not None:
-            copied.callback(handle)
+    def give_up(self):
+        """Cancel the request, and resolve without an answer."""
+        self._stop_timer()
+        self._pending_request.cancel()
+        self.resolve(self.without_answer())
+
+    def _stop_timer(self):
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    @abc.abstractmethod
+    def without_answer(self):
+        """Return the result if there is no answer."""
 
     def matches_request(self, head):
         return True
 
-    def began(self, head):
-        self._status = head.status
-
     def received(self, data):
-        self._body += data
+        """Ignore the body."""
 
     def ended(self):
-        handle = ""
-        if self._status == OK:
-            try:
-                handle = _decode_copy_response(self._body).handle
-            except msgspec.DecodeError as error:
-                logger.warning("cannot decode response to memory copy: {}", error)
-        self.resolve(handle)
+        self._stop_timer()
+        self.resolve(self.without_answer())
 
     def lost(self, loss):
-        self.resolve("")
+        self._stop_timer()
+        self.resolve(self.without_answer())
 
 
-class _ProbeReceiver(ResponseReceiver):
-    """Receives the response to a probe; even a malformed one shows a live engine."""
+class _CopyReceiver(_TimedReceiver):
+    """Receives the handle of a memory copy; empty if the copy failed."""
 
-    __slots__ = ("answered",)
+    __slots__ = ("_body", "_status")
 
     def __init__(self):
-        self.answered = Deferred()
-
-    def _resolve(self, is_alive):
-        answered, self.answered = self.answered, None
-        if answered is not None:
-            answered.callback(is_alive)
+        super().__init__()
+        self._status = 0
+        self._body = b""
 
-    def matches_request(self, head):
-        return True
+    def without_answer(self):
+        return ""
 
     def began(self, head):
-        self._resolve(True)
+        self._status = head.status
 
     def received(self, data):
-        """Ignore the body: the head has already shown that the engine is alive."""
+        self._body += data
+        if len(self._body) > MAX_COPY_RESPONSE_BYTES:
+            self.give_up()
 
     def ended(self):
-        self._resolve(True)
+        self.resolve(self._handle())
+        super().ended()
 
-    def lost(self, loss):
-        self._resolve(loss is Loss.MALFORMED)
+    def _handle(self):
+        if self._status != OK:
+            return ""
+        try:
+            return _decode_copy_response(self._body).handle
+        except msgspec.DecodeError as error:
+            logger.warning("cannot decode response to memory copy: {}", error)
+            return ""
 
-    def timed_out(self):
-        self._resolve(False)
 
+class _FreeReceiver(_TimedReceiver):
+    """Receives the response to a request to drop a copy, and ignores it."""
 
-class _IdentityReceiver(ResponseReceiver):
-    """Receives the name of the process that responds."""
+    __slots__ = ()
 
-    __slots__ = ("identified",)
+    def without_answer(self):
+        return None
 
-    def __init__(self):
-        self.identified = Deferred()
+    def began(self, head):
+        """Ignore the status: the engine drops the copy by itself after some time."""
 
-    def resolve(self, name):
-        """Fire the Deferred once with the name; empty if it is unknown."""
-        identified, self.identified = self.identified, None
-        if identified is not None:
-            identified.callback(name)
 
-    def matches_request(self, head):
-        return True
+class _ProbeReceiver(_TimedReceiver):
+    """Receives the response to a probe; even a malformed one shows a live engine."""
 
-    def began(self, head):
-        self.resolve(instance_of(head.headers) if head.status == OK else "")
+    __slots__ = ()
 
-    def received(self, data):
-        """Ignore the body."""
+    def without_answer(self):
+        return False
 
-    def ended(self):
-        self.resolve("")
+    def began(self, head):
+        self.resolve(True)
 
     def lost(self, loss):
-        self.resolve("")
+        self.resolve(loss is Loss.MALFORMED)
+        super().lost(loss)
+
+
+class _IdentityReceiver(_TimedReceiver):
+    """Receives the name of the process that responds; empty if it is unknown."""
+
+    __slots__ = ()
+
+    def without_answer(self):
+        return ""
+
+    def began(self, head):
+        self.resolve(instance_of(head.headers) if head.status == OK else "")
+        self.give_up()
 
 
 class PlatformEndpointClient(EndpointClient):
@@ -220,19 +250,10 @@
         """Have an engine copy a generation's memory; see ``EndpointClient``."""
         body = msgspec.json.encode(_CopyRequest(request_id, target.address))
         headers = [(b"Host", endpoint.address.encode()), _JSON]
-        receiver = _CopyReceiver()
-        copied = receiver.copied
         outgoing = OutgoingRequest(b"POST", COPY_PATH, headers, body)
-        pending_request = self._pool(endpoint).send(
-            outgoing, receiver, force_new_connection=True
-        )
-        timer = self._reactor.callLater(COPY_TIMEOUT_S, receiver.resolve, "")
+        copied = self._ask(endpoint, outgoing, _CopyReceiver(), COPY_TIMEOUT_S)
 
         def make_copy(handle):
-            if timer.active():
-                timer.cancel()
-            else:
-                pending_request.cancel()
             if not handle:
                 return None
             return MemoryCopy(target.address, endpoint.address, handle)
@@ -244,47 +265,31 @@
         headers = [(b"Host", endpoint.address.encode())]
         path = HANDLE_PATH + copy.handle.encode()
         outgoing = OutgoingRequest(b"DELETE", path, headers)
-        self._pool(endpoint).send(outgoing, _CopyReceiver(), force_new_connection=True)
+        self._ask(endpoint, outgoing, _FreeReceiver(), COPY_TIMEOUT_S)
 
     def identify(self, endpoint, path, timeout_s):
         """Ask which process responds at an address; see ``EndpointClient``."""
         headers = [(b"Host", endpoint.address.encode())]
-        receiver = _IdentityReceiver()
-        identified = receiver.identified
         outgoing = OutgoingRequest(b"GET", path.encode(), headers)
-        pending_request = self._pool(endpoint).send(
-            outgoing, receiver, force_new_connection=True
-        )
-        timer = self._reactor.callLater(timeout_s, receiver.resolve, "")
-
-        def settle(name):
-            if timer.active():
-                timer.cancel()
-            pending_request.cancel()
-            return name
-
-        return identified.addCallback(settle)
+        return self._ask(endpoint, outgoing, _IdentityReceiver(), timeout_s)
 
     def probe(self, endpoint, timeout_s):
         """Probe an engine by requesting its report; see ``EndpointClient``."""
         headers = [(b"Host", endpoint.address.encode())]
         outgoing = OutgoingRequest(b"GET", REPORT_PATH, headers)
-        receiver = _ProbeReceiver()
+        return self._ask(endpoint, outgoing, _ProbeReceiver(), timeout_s)
+
+    def _ask(self, endpoint, outgoing, receiver, timeout_s):
+        """Send a request on a new connection; return the Deferred of its receiver.
+
+        A pooled connection may be broken although its endpoint is alive.
+        """
         answered = receiver.answered
-        # A pooled connection may be broken although its endpoint is alive.
         pending_request = self._pool(endpoint).send(
             outgoing, receiver, force_new_connection=True
         )
-        timer = self._reactor.callLater(timeout_s, receiver.timed_out)
-
-        def settle(is_alive):
-            if timer.active():
-                timer.cancel()
-            else:
-                pending_request.cancel()
-            return is_alive
-
-        return answered.addCallback(settle)
+        receiver.start(pending_request, self._reactor, timeout_s)
+        return answered
 
     def discard_unlisted(self, endpoints):
         """Close the pools of endpoints that are no longer listed.
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -36,6 +36,8 @@
 # A ping accepts a stale value, which costs a tenth of a consistent read.
 PING_PATH = b"/sesamearch/kv-key?key=sesamearch/peer-keys&stale-ok=1"
 IDLE_TIMEOUT_S = 2.0
+# A page of keys or a list of events is at most some MB in base64.
+MAX_RESPONSE_BYTES = 16 << 20
 MS_PER_S = 1000.0
 OK = 200
 NOT_FOUND = 404
@@ -53,13 +55,14 @@
 class _Call(ResponseReceiver):
     """Collects the response to one call."""
 
-    __slots__ = ("_body", "_head", "done", "pending_request")
+    __slots__ = ("_body", "_body_bytes", "_head", "done", "pending_request")
 
     def __init__(self):
         self.done = Deferred(self._cancel)
         self.pending_request = None
         self._head = None
         self._body = []
+        self._body_bytes = 0
 
     def _resolve(self, result):
         done, self.done = self.done, None
@@ -74,6 +77,9 @@
 
     def received(self, data):
         self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_RESPONSE_BYTES:
+            self.fail("response too large")
 
     def ended(self):
         self._resolve(Ok(_Response(self._head.status, b"".join(self._body))))
--- a/src/sesamearch/wire/__init__.py
+++ b/src/sesamearch/wire/__init__.py
@@ -14,7 +14,7 @@
             "EndpointConnection",
             "enable_keepalive",
         ],
-        "events": ["EventSplitter", "StreamEvent"],
+        "events": ["EventError", "EventSplitter", "StreamEvent"],
         "head": [
             "HOP_BY_HOP",
             "ResponseHead",
--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -24,6 +24,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MAX_HEAD_BYTES = 64 << 10
+# A response that belongs to an earlier request is skipped up to this size.
+MAX_UNMATCHED_BYTES = 256 << 10
 # Some peers respond before they have read a long body and go on reading it
 # afterwards, so a connection that sent a longer body is not reused.
 MAX_REUSE_BODY_BYTES = 32 << 10
@@ -39,6 +41,7 @@
     CLOSED_UNANSWERED = "closed_unanswered"
     CLOSED_MIDWAY = "closed_midway"
     MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
 
 
 class OutgoingRequest(msgspec.Struct, frozen=True):
@@ -148,6 +151,7 @@
         self._request = None
         self._pending_request = None
         self._is_matching = False
+        self._unmatched_bytes = 0
         self._head = None
         self.idle_until_s = 0.0
         self.is_closed = False
@@ -160,6 +164,7 @@
         """Send a request whose response goes to ``pending_request.receiver``."""
         self._request = request
         self._pending_request = pending_request
+        self._unmatched_bytes = 0
         pending_request.bind(connection=self)
         self.transport.write(self._begin_codec())
 
@@ -191,8 +196,13 @@
             # the next one.
             self.abort()
             return
+        if not self._is_matching:
+            self._unmatched_bytes += len(data)
         self._codec.receive_data(data)
         self._read()
+        has_waited = self._pending_request is not None and not self._is_matching
+        if has_waited and self._unmatched_bytes > MAX_UNMATCHED_BYTES:
+            self._fail(Loss.MALFORMED)
 
     def _read(self):
         try:
--- a/src/sesamearch/wire/events.py
+++ b/src/sesamearch/wire/events.py
@@ -4,19 +4,29 @@
 
 import msgspec
 
-__all__ = ["EventSplitter", "StreamEvent"]
-
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+__all__ = ["EventError", "EventSplitter", "StreamEvent"]
+
+# Largest event, with the comments before it, that is buffered.
+MAX_EVENT_BYTES = 256 << 10
+_BLOCK_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# Bytes of a block end that may already be at the end of the buffer.
+_BLOCK_END_OVERLAP_BYTES = 3
+_EVENT_FIELD = re.compile(rb"(?:\A|[\r\n])(?:data|id)(?=[:\r\n]|\Z)")
 _EVENT_ID = re.compile(rb"(?:\A|[\r\n])id: ?(\d+)[ \t]*(?=[\r\n]|\Z)")
 
 
+class EventError(Exception):
+    """An event does not end within ``MAX_EVENT_BYTES``."""
+
+
 class StreamEvent(msgspec.Struct, frozen=True):
     """One complete event.
 
     Parameters
     ----------
     data : bytes
-        The event as received, with the blank line that ends it.
+        The event as received, with the comments before it and the blank line that
+        ends it.
     number : int or None
         The event's id, if that is a number.
     """
@@ -26,30 +36,60 @@
 
 
 class EventSplitter:
-    """Splits a body into events; an incomplete last event is never returned."""
+    """Splits a body into events; an incomplete last event is never returned.
 
-    __slots__ = ("_partial",)
+    A block of comments or blank lines is no event, since an engine that sends nothing
+    else makes no progress. It is returned together with the event that follows.
+    """
+
+    __slots__ = ("_block_start", "_buffer", "_searched")
 
     def __init__(self):
-        self._partial = b""
+        self._buffer = bytearray()
+        self._block_start = 0
+        self._searched = 0
 
     @property
     def has_partial_event(self):
         """Bool : whether an incomplete event is buffered."""
-        return bool(self._partial.strip())
+        return bool(self._buffer[self._block_start :].strip())
 
     def feed(self, data):
-        """Add bytes; return the list of :class:`StreamEvent` that they complete."""
-        data = self._partial + data
+        """Add bytes; return the list of :class:`StreamEvent` that they complete.
+
+        Raises
+        ------
+        EventError
+            If the buffered event exceeds ``MAX_EVENT_BYTES``.
+        """
+        self._buffer += data
         events = []
         start = 0
-        for end in _EVENT_END.finditer(data):
-            events.append(_make_event(data[start : end.end()]))
-            start = end.end()
-        self._partial = data[start:]
+        for end in _BLOCK_END.finditer(self._buffer, self._searched):
+            block = bytes(self._buffer[self._block_start : end.end()])
+            self._block_start = end.end()
+            if _EVENT_FIELD.search(block):
+                whole = bytes(self._buffer[start : end.end()])
+                events.append(_make_event(whole, block))
+                start = end.end()
+        self._discard(start)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventError(f"no event within {len(self._buffer)} bytes")
         return events
 
+    def _discard(self, length):
+        del self._buffer[:length]
+        self._block_start -= length
+        unsearched = len(self._buffer) - _BLOCK_END_OVERLAP_BYTES
+        self._searched = max(self._block_start, unsearched)
+
+    def take_rest(self):
+        """Remove and return the comments and blank lines after the last event."""
+        rest = bytes(self._buffer[: self._block_start])
+        self._discard(self._block_start)
+        return rest
+
 
-def _make_event(data):
-    found = _EVENT_ID.search(data)
+def _make_event(data, block):
+    found = _EVENT_ID.search(block)
     return StreamEvent(data, int(found.group(1)) if found else None)
--- a/tests/wire/test_events.py
+++ b/tests/wire/test_events.py
@@ -1,6 +1,6 @@
 import unittest
 
-from sesamearch.wire.events import EventSplitter
+from sesamearch.wire.events import MAX_EVENT_BYTES, EventError, EventSplitter
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\n"
 
@@ -26,3 +26,34 @@
             data = b"".join(event.data for event in events)
             numbers = [e.number for e in events if e.number is not None]
             self.assertEqual((data, numbers), (STREAM, [1, 2]))
+
+    def test_comments_and_blank_lines_are_no_events(self):
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b": ping\n\n" * 5 + b"\n\n\r\n\r\n"), [])
+        (event,) = splitter.feed(b"id: 1\ndata: a\n\n: after\n\n")
+        self.assertEqual(event.number, 1)
+        self.assertTrue(event.data.startswith(b": ping\n\n"))
+        self.assertTrue(event.data.endswith(b"data: a\n\n"))
+        self.assertFalse(splitter.has_partial_event)
+        self.assertEqual(splitter.take_rest(), b": after\n\n")
+
+    def test_comments_do_not_change_the_bytes(self):
+        data = b": a\n\nid: 1\ndata: a\n\n: b\n\n: c\r\n\r\nid: 2\ndata: b\n\n: d\n\n"
+        for cut in range(len(data)):
+            splitter = EventSplitter()
+            events = splitter.feed(data[:cut]) + splitter.feed(data[cut:])
+            received = b"".join(event.data for event in events)
+            self.assertEqual(received + splitter.take_rest(), data)
+            self.assertEqual([event.number for event in events], [1, 2])
+
+    def test_event_without_end_is_an_error(self):
+        splitter = EventSplitter()
+        with self.assertRaises(EventError):
+            for _ in range(2 * MAX_EVENT_BYTES // 1024):
+                splitter.feed(b"data: x\n" * 128)
+
+    def test_comments_without_end_are_an_error(self):
+        splitter = EventSplitter()
+        with self.assertRaises(EventError):
+            for _ in range(2 * MAX_EVENT_BYTES // 1024):
+                splitter.feed(b": ping\n\n" * 128)
