Keep pipelined requests in order and end planned stops in time

Cause, found by tests that look for requests cut by a planned stop: 1. Between the end of an answer and the next turn of the reactor, the bytes of pipelined requests were held by a timer only. The connection looked idle, so the close of idle connections in a shutdown dropped a request that had been received; and bytes that arrived in that turn were read before the ones received earlier. 2. A router that got calls until the end never found itself without a request in flight.

Ruled out: to stop listening when the drain refuses. Where less than half of a data centre's VMs are ready, the balancer sends callers to all of them, and a reset costs callers their one retry without any advice.

Change: pending bytes stay with the connection, which is not idle until they are read. In a drain, a request whose deadline lies beyond the hand-over is refused with 503 and has not run; until now this held for generations only. The hand-over is 0.4 s before the end of the grace instead of 0.25 s, so that the process exits by itself.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -62,8 +62,8 @@
 # two failed probes.
 BALANCER_GRACE_S = 2.6
 # Generations are handed over this long before the platform kills the process, so that
-# their callers can resume at another router.
-HAND_OVER_MARGIN_S = 0.25
+# their callers can resume at another router and the process exits by itself.
+HAND_OVER_MARGIN_S = 0.4
 # Time for the connections to send what is still buffered.
 STOP_DELAY_S = 0.1
 
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -145,8 +145,9 @@
         if exchange_type is StreamExchange:
             self._streams.add(exchange)
         self._tools.budgets.count_request(exchange.service.name)
-        if exchange_type is StreamExchange and self._board.drain.value.refusing:
-            # The shutdown would cut off this generation, because it arrives so late in
+        phase = self._board.drain.value
+        if phase.refusing and exchange.deadline_s > phase.hand_over_s:
+            # The shutdown could cut off this request, because it arrives so late in
             # the drain. Generations that arrive earlier are accepted: if one is cut
             # off, its caller resumes it at another router. That router knows where the
             # prompt is cached, because routers send each other the prompt locations of
--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -57,6 +57,7 @@
         self._reply = None
         self._reader = self._new_reader()
         self._pending = []
+        self._is_resuming = False
         self._timer = None
         self._deadline_s = 0.0
         self._idle_since_s = self._clock.seconds()
@@ -116,8 +117,11 @@
     @property
     def is_idle(self):
         """Bool : whether no request is being received or answered."""
-        return (
-            self._reply is None and self._codec is None and not self._reader.has_begun
+        return not (
+            self._reply is not None
+            or self._codec is not None
+            or self._reader.has_begun
+            or self._is_resuming
         )
 
     # Reading.
@@ -126,7 +130,7 @@
         """Read bytes from the caller, or buffer them while a request is answered."""
         if self._is_closing:
             return
-        if self._reply is not None:
+        if self._reply is not None or self._is_resuming:
             self._buffer_pipelined(data)
             return
         self._advance(data)
@@ -261,18 +265,21 @@
 
     def _next_request(self):
         rest, _ = self._codec.trailing_data
-        buffered = bytes(rest) + b"".join(self._pending)
         self._codec = None
-        self._pending = []
+        if rest:
+            self._pending.insert(0, bytes(rest))
         self._reader = self._new_reader()
         self._wait_idle()
         self.transport.resumeProducing()
-        if buffered:
-            self._clock.callLater(0, self._feed_buffered, buffered)
-
-    def _feed_buffered(self, data):
-        if not self._is_closing:
-            self.dataReceived(data)
+        if self._pending:
+            # Bytes that arrive until then are buffered behind these.
+            self._is_resuming = True
+            self._clock.callLater(0, self._feed_pending)
+
+    def _feed_pending(self):
+        self._is_resuming = False
+        data, self._pending = b"".join(self._pending), []
+        self.dataReceived(data)
 
     def abort(self):
         """Reset the connection."""
--- a/tests/wire/test_caller.py
+++ b/tests/wire/test_caller.py
@@ -105,6 +105,29 @@
             client.received.index(b"first"), client.received.index(b"second")
         )
 
+    def pipeline_and_answer(self, second):
+        """Answer the first of two requests; return the server's connection."""
+        self.server.is_answering = False
+        self.client = self.server.send(GET + second)
+        self.server.is_answering = True
+        (connection,) = self.server.factory.connections
+        self.server.replies[0].answer(200, [], b"first")
+        return connection
+
+    def test_pipelined_request_survives_the_close_of_idle_connections(self):
+        self.pipeline_and_answer(GET)
+        self.server.factory.close_idle()
+        self.server.network.run(0.1)
+        self.assertEqual(self.client.statuses, [200, 200])
+
+    def test_bytes_that_arrive_before_pipelined_ones_are_read_stay_in_order(self):
+        second = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+        connection = self.pipeline_and_answer(second[:-4])
+        connection.dataReceived(second[-4:])
+        self.server.network.run(0.1)
+        self.assertEqual(self.client.statuses, [200, 200])
+        self.assertEqual(self.server.requests[1], (b"POST", b"/b", b"hello"))
+
     def test_listener_is_notified_when_the_caller_disconnects(self):
         self.server.is_answering = False
         client = self.server.send(GET)
