Share the retry budget among the routers by use

Cause: the slack of 150 retries in ten seconds was split evenly. With 195 routers each had 0.77 of it, and a router whose generations broke together cut them off while the fleet used little. Nothing in the logs told a cut for want of budget from any other.

Ruled out: leases of parts granted by relays (a relay that takes over must wait until the grants of the last one have left the window, 15 s in which most routers have nothing), and loans between routers (many more links).

Change: routers report the totals of their requests and retries with the load updates that they send anyway. A router may exceed its even part while the retries that it knows of are below three quarters of the fleet's; it sends none beyond the fleet's budget. Only data centres heard from within 2.5 s share their part, and a router that has just started keeps to its even part for one window. A denied retry has a log line and a counter.

Bound: with reports delivered at once the fleet keeps its budget in every sliding window, but for one even part and one retry for each restart within the window; while it is cut in two, each half knows its own retries only. Late reports add what was sent meanwhile.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -19,6 +19,7 @@
     "RequestEnded",
     "RequestRefused",
     "RequestUnreadable",
+    "RetryDenied",
     "RolloutChanged",
     "TryLost",
     "TrySent",
@@ -101,6 +102,23 @@
     after_ms: int
 
 
+class RetryDenied(Record, frozen=True, tag="retry_denied"):
+    """A request was not sent again because the retry budget was used up.
+
+    Parameters
+    ----------
+    request, service : str
+        Request ID and name of the service.
+    own, known : int
+        Recent retries of this router, and of all routers as far as it knows.
+    """
+
+    request: str
+    service: str
+    own: int
+    known: int
+
+
 class GenerationResumed(Record, frozen=True, tag="generation_resumed"):
     """A generation resumed at another engine.
 
@@ -356,6 +374,7 @@
 RECORDS = (
     TrySent,
     TryLost,
+    RetryDenied,
     GenerationResumed,
     RequestRefused,
     RequestEnded,
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -19,12 +19,12 @@
 from sesamearch.daemon.drain import Drain
 from sesamearch.daemon.platform_metrics import PlatformMetrics
 from sesamearch.daemon.platform_ports import PlatformPorts
+from sesamearch.forwarding.budget import FleetView, RetryBudgets
 from sesamearch.forwarding.choice import Chooser
 from sesamearch.forwarding.dispatcher import (
     CHECK_INTERVAL_S,
     Dispatcher,
     ForwardCounters,
-    RetryBudgets,
 )
 from sesamearch.forwarding.endpoint_index import EndpointIndex
 from sesamearch.forwarding.exchange import ForwardTools
@@ -117,12 +117,12 @@
         endpoint_index = EndpointIndex(self.board, self._health)
         self._client = PlatformEndpointClient(reactor)
         self.board.endpoints.listen(self._client.discard_unlisted)
-        budgets = RetryBudgets(
+        self._budgets = RetryBudgets(
             reactor,
             bounds.retry_ratio,
             bounds.retry_window_s,
             bounds.retry_slack,
-            self._count_routers,
+            self._view_fleet,
         )
         canary = CanarySettings(bounds.exposure_ratio, bounds.exposure_slack)
         self._rollout_controller = RolloutController(
@@ -156,7 +156,7 @@
             self._health,
             self._prompts,
             GenerationPace(),
-            budgets,
+            self._budgets,
             self._rollout_controller,
             self._restart_detector,
             reactor,
@@ -178,8 +178,11 @@
         if self._peers is not None:
             self._peers.send_to_all(EndpointRestarted(restarted))
 
-    def _count_routers(self):
-        return self._peers.member_list.size if self._peers is not None else 1
+    def _view_fleet(self):
+        if self._peers is None:
+            return FleetView(1, frozenset([self._settings.data_centre]))
+        members = self._peers.member_list
+        return FleetView(members.size, frozenset(members.data_centres))
 
     def _gauges(self):
         board = self.board
@@ -207,6 +210,7 @@
             self._loads,
             self._health,
             self._prompts,
+            self._budgets,
             self._reactor,
         )
         self._followers = [
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -5,11 +5,11 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
-        "budget": ["RetryBudget"],
+        "budget": ["FleetView", "RetryBudget", "RetryBudgets", "RetryUse"],
         "call": ["CallExchange"],
         "choice": ["Chooser", "GenerationNeed"],
         "copies": ["CopyManager"],
-        "dispatcher": ["Dispatcher", "ForwardCounters", "RetryBudgets"],
+        "dispatcher": ["Dispatcher", "ForwardCounters"],
         "exchange": ["Exchange", "ForwardTools", "Try", "retry_after_s"],
         "endpoint_index": ["EndpointIndex"],
         "gate": ["OpenGate", "VersionGate"],
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -5,13 +5,12 @@
 from sesamearch.base.errors import ErrorKind
 from sesamearch.base.log import logger
 from sesamearch.base.record import RequestRefused
-from sesamearch.forwarding.budget import RetryBudget
 from sesamearch.forwarding.call import CallExchange
 from sesamearch.forwarding.exchange import PROBLEM_HEADERS
 from sesamearch.forwarding.stream import StreamExchange
 from sesamearch.routing.table import RouteKind, ServiceSpec
 
-__all__ = ["Dispatcher", "ForwardCounters", "RetryBudgets"]
+__all__ = ["Dispatcher", "ForwardCounters"]
 
 CHECK_INTERVAL_S = 0.05
 _HASH_VALUES = 1 << 64
@@ -34,6 +33,8 @@
         Copies of engine memory that were requested.
     probes : int
         Health probes sent to silent engines.
+    retries_denied : int
+        Retries that the retry budget did not allow.
     unreadable : int
         Requests that could not be parsed.
     """
@@ -45,6 +46,7 @@
         "refusals",
         "requests",
         "resumes",
+        "retries_denied",
         "streams_cut",
         "tries",
         "tries_lost",
@@ -56,40 +58,6 @@
             setattr(self, name, 0)
 
 
-class RetryBudgets:
-    """Retry budgets by service.
-
-    Parameters
-    ----------
-    clock : twisted.internet.interfaces.IReactorTime
-    ratio, window_s, slack : float
-        See :class:`RetryBudget`.
-    count_routers : callable
-        Returns the number of routers that share the slack.
-    """
-
-    __slots__ = ("_budgets", "_clock", "_count_routers", "_parameters")
-
-    def __init__(self, clock, ratio, window_s, slack, count_routers):
-        self._clock = clock
-        self._parameters = (ratio, window_s, slack)
-        self._count_routers = count_routers
-        self._budgets = {}
-
-    def _budget(self, service):
-        if service not in self._budgets:
-            self._budgets[service] = RetryBudget(self._clock, *self._parameters)
-        return self._budgets[service]
-
-    def count_request(self, service):
-        """Count a request of a caller for a service."""
-        self._budget(service).count_request()
-
-    def take(self, service):
-        """Take one retry from the budget of a service; return whether one was left."""
-        return self._budget(service).take(self._count_routers())
-
-
 class Dispatcher:
     """Starts an exchange for each request and tracks it until its end.
 
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -9,6 +9,7 @@
 from sesamearch.base.record import (
     RequestEnded,
     RequestRefused,
+    RetryDenied,
     TryLost,
     TrySent,
 )
@@ -229,7 +230,14 @@
 
     def spend_retry(self):
         """Take one retry from the service's budget; return whether one was left."""
-        return self.tools.budgets.take(self.service.name)
+        service = self.service.name
+        budgets = self.tools.budgets
+        if budgets.take(service):
+            return True
+        self.tools.counters.retries_denied += 1
+        own, known = budgets.recent_retries(service)
+        logger.info(RetryDenied(self.request.request_id, service, own, known))
+        return False
 
     def send(self, options, work):
         """Send the request to one endpoint and return the :class:`Try`."""
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.forwarding.budget import RetryUse
 from sesamearch.forwarding.health import Outcomes, Suspicion
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.member_list import AgedRouterInfo, RouterInfo
@@ -127,6 +128,10 @@
         Data centre of the sender. Only its routers use the outcomes, because an
         endpoint may fail for a single data centre.
     outcomes : list of Outcomes
+    epoch : int
+        Distinguishes processes of the sender's name.
+    retry_use : dict from str to RetryUse
+        Requests and retries of the sender by service.
     """
 
     name: str
@@ -135,6 +140,8 @@
     prompts: dict[str, str]
     data_centre: str = ""
     outcomes: list[Outcomes] = []
+    epoch: int = 0
+    retry_use: dict[str, RetryUse] = {}
 
 
 class EndpointRestarted(
--- a/src/sesamearch/membership/gossip.py
+++ b/src/sesamearch/membership/gossip.py
@@ -19,10 +19,12 @@
     loads : LoadTracker
     health : HealthTracker
     prompts : PromptLocations
+    budgets : RetryBudgets
     clock : twisted.internet.interfaces.IReactorTime
     """
 
     __slots__ = (
+        "_budgets",
         "_clock",
         "_data_centre",
         "_health",
@@ -34,7 +36,8 @@
         "_was_empty",
     )
 
-    def __init__(self, name, data_centre, loads, health, prompts, clock):
+    def __init__(self, name, data_centre, loads, health, prompts, budgets, clock):
+        self._budgets = budgets
         self._data_centre = data_centre
         self._clock = clock
         self._refresh_s = 0.0
@@ -76,7 +79,14 @@
         prompts = self._prompts.running()
         self._peers.send_to_all(
             LoadUpdate(
-                self._name, loads, suspicions, prompts, self._data_centre, outcomes
+                self._name,
+                loads,
+                suspicions,
+                prompts,
+                self._data_centre,
+                outcomes,
+                self._peers.member_list.own.incarnation,
+                self._budgets.use(),
             )
         )
 
@@ -89,3 +99,6 @@
                 self._health.add_outcomes(outcomes)
         for part, endpoint in message.prompts.items():
             self._prompts.update(part, endpoint)
+        self._budgets.update(
+            message.name, message.data_centre, message.epoch, message.retry_use
+        )
--- a/tests/platform/test_router.py
+++ b/tests/platform/test_router.py
@@ -719,3 +719,26 @@
         self.assertIn(b'outcome="unknown-service"', scrape.received)
         self.assertIn(b"sesamearch_request_seconds_bucket", scrape.received)
         self.assertIn(b"sesamearch_configuration_revision 7", scrape.received)
+
+
+class TestRetryBudget(unittest.TestCase):
+    def test_router_with_many_broken_generations_uses_the_others_parts(self):
+        world = World(routers=8, engines=12)
+        # The routers share what all know of, once they know a whole window.
+        world.run(10)
+        for engine in world.engines:
+            engine.events = 600
+        clients = [
+            world.connect().send(draft_bytes(f"r{number}")) for number in range(40)
+        ]
+        # News from both data centres.
+        others = [world.connect(each).send(draft_bytes(f"o{each}")) for each in (1, 2)]
+        # Older requests no longer add to the budget.
+        world.run(12)
+        slack = world.routers[0]._settings.bounds.retry_slack
+        self.assertGreater(len(clients), 2 * slack / len(world.routers))
+        for engine in world.engines:
+            engine.crash()
+        world.run(1)
+        self.assertFalse(any(client.is_closed for client in clients + others))
+        self.assertEqual(world.routers[0].counters.retries_denied, 0)
