Hear routers that restart after the time of day was set back

Cause: a process's incarnation is the time of day of its start. After the time of day was set back by 2.4 s, a router that restarted within that time had a lower incarnation than its predecessor: the others dropped its heartbeats until they forgot the name (20 s) and its broadcasts for good, so that its load, suspicions and retries were unknown. Sequence numbers of forgotten routers were never removed.

Change: a process with another incarnation replaces a predecessor that has been silent for longer than a relay's timeout, and information that is older than what is known never replaces it. Sequence numbers and reports of retries go with the router's entry.

Ruled out: the steady clock (it starts anew with the VM), a counter in the store (a write at each start).

Tests: test_fleet.TestTimeOfDay and one in test_member_list, both failed before; the existing test of late messages of an earlier process holds.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -358,6 +358,8 @@
     def _update(self):
         self._loads.drop_silent_peers()
         self._prompts.drop_expired()
+        if self._peers is not None:
+            self._budgets.discard_unknown(self._peers.member_list.names)
         self._gossip.refresh()
         self._update_followers()
 
--- a/src/sesamearch/forwarding/budget.py
+++ b/src/sesamearch/forwarding/budget.py
@@ -145,6 +145,14 @@
         self._retries.add()
         return True
 
+    def discard_unknown(self, routers):
+        """Discard the reports of routers that are not among the given names.
+
+        What they reported still counts until it leaves the window.
+        """
+        for router in self._reported.keys() - routers:
+            del self._reported[router]
+
     def recent_retries(self):
         """Return this router's recent retries, and all that it knows of."""
         own = self._retries.recent
@@ -236,6 +244,11 @@
         live = sum(heard_s >= now_s - NEWS_TIMEOUT_S for heard_s in heard)
         return live / len(data_centres)
 
+    def discard_unknown(self, routers):
+        """Discard the reports of routers that are not among the given names."""
+        for budget in self._budgets.values():
+            budget.discard_unknown(routers)
+
     def recent_retries(self, service):
         """Return the recent retries of a service; see :class:`RetryBudget`."""
         return self._budget(service).recent_retries()
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -27,7 +27,7 @@
     TableRequest,
     TableResponse,
 )
-from sesamearch.membership.member_list import MemberList, RouterInfo
+from sesamearch.membership.member_list import RELAY_TIMEOUT_S, MemberList, RouterInfo
 from sesamearch.membership.sockets import PeerSockets
 
 __all__ = ["FleetLink"]
@@ -52,9 +52,10 @@
 class _SeenSequences:
     """Sequence numbers of the broadcasts received from one origin."""
 
-    __slots__ = ("incarnation", "newest", "numbers")
+    __slots__ = ("heard_s", "incarnation", "newest", "numbers")
 
     def __init__(self, incarnation):
+        self.heard_s = 0.0
         self.incarnation = incarnation
         self.newest = -1
         self.numbers = set()
@@ -245,6 +246,7 @@
         now_s = self._reactor.seconds()
         for name in self.member_list.remove_expired(now_s):
             logger.info(MemberChanged(name, "forgotten"))
+            self._seen.pop(name, None)
         self._close_unused()
         members = self._board.members.value
         live = {
@@ -395,12 +397,24 @@
             handler(broadcast.update)
 
     def _is_new(self, broadcast):
+        now_s = self._reactor.seconds()
         seen = self._seen.get(broadcast.origin)
-        if seen is None or seen.incarnation < broadcast.incarnation:
+        if seen is None or self._is_later_process(broadcast, seen, now_s):
             seen = self._seen[broadcast.origin] = _SeenSequences(broadcast.incarnation)
-        return seen.incarnation == broadcast.incarnation and seen.add(
-            broadcast.sequence
-        )
+        if seen.incarnation != broadcast.incarnation:
+            return False
+        seen.heard_s = now_s
+        return seen.add(broadcast.sequence)
+
+    def _is_later_process(self, broadcast, seen, now_s):
+        """Return whether a broadcast is from a later process of its origin's name.
+
+        Its incarnation may be lower if the time of day was set back between the starts.
+        """
+        if broadcast.incarnation > seen.incarnation:
+            return True
+        is_other = broadcast.incarnation != seen.incarnation
+        return is_other and now_s - seen.heard_s > RELAY_TIMEOUT_S
 
     def _on_batch(self, batch):
         for broadcast in batch.broadcasts:
--- a/src/sesamearch/membership/member_list.py
+++ b/src/sesamearch/membership/member_list.py
@@ -9,7 +9,13 @@
 
 import msgspec
 
-__all__ = ["RELAYS_PER_DATA_CENTRE", "AgedRouterInfo", "MemberList", "RouterInfo"]
+__all__ = [
+    "RELAYS_PER_DATA_CENTRE",
+    "RELAY_TIMEOUT_S",
+    "AgedRouterInfo",
+    "MemberList",
+    "RouterInfo",
+]
 
 RELAYS_PER_DATA_CENTRE = 2
 # A relay that sends no message for this long is replaced.
@@ -28,7 +34,8 @@
     link_mbps : int
         Bandwidth of its network link; the routers with the highest bandwidth relay.
     incarnation : int
-        Distinguishes processes of the same name; a later start has a higher number.
+        Distinguishes processes of the same name; a later start has a higher number
+        unless the time of day was set back meanwhile.
     """
 
     name: str
@@ -64,6 +71,18 @@
     return -router.link_mbps, digest
 
 
+def _replaces(router, alive_s, known):
+    """Return whether a router is a later process than the known one of its name.
+
+    Incarnations order two processes, but one that started after the time of day was
+    set back has a lower number than its silent predecessor.
+    """
+    if router.incarnation > known.router.incarnation:
+        return alive_s >= known.alive_s
+    is_other = router.incarnation != known.router.incarnation
+    return is_other and alive_s - known.alive_s > RELAY_TIMEOUT_S
+
+
 class MemberList:
     """The known routers and the relays among them.
 
@@ -104,7 +123,7 @@
             return
         known = self._entries.get(router.name)
         alive_s = now_s - age_s
-        if known is None or known.router.incarnation < router.incarnation:
+        if known is None or _replaces(router, alive_s, known):
             self._set(_Entry(router, alive_s))
         elif known.router.incarnation == router.incarnation:
             known.alive_s = max(known.alive_s, alive_s)
@@ -136,6 +155,11 @@
         entry = self._entries.get(name)
         return entry.router if entry is not None else None
 
+    @property
+    def names(self):
+        """Set of str : names of all known routers except this one."""
+        return self._entries.keys()
+
     @property
     def routers(self):
         """List of RouterInfo : all known routers except this one."""
--- a/tests/forwarding/test_budget.py
+++ b/tests/forwarding/test_budget.py
@@ -79,6 +79,11 @@
         self.report("r1", 2, epoch=2)
         self.assertEqual(sum(self.budget.take(10, 1.0) for _ in range(50)), 15)
 
+    def test_retries_of_a_router_that_is_gone_still_count(self):
+        self.report("r1", 12)
+        self.budget.discard_unknown({"r2"})
+        self.assertEqual(sum(self.budget.take(10, 1.0) for _ in range(50)), 3)
+
     def test_requests_of_other_routers_add_to_the_shared_budget(self):
         self.report("r1", 0, requests=20)
         self.assertEqual(sum(self.budget.take(10, 1.0) for _ in range(50)), 22)
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -1,10 +1,12 @@
 """A fleet of routers in two data centres: relays, broadcasts and message rates."""
 
 import unittest
+from unittest import mock
 
 import logbook
 
 from sesamearch.base.record import MemberChanged
+from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.broadcast_batcher import BATCH_INTERVAL_S
 from sesamearch.membership.fleet_message import (
     EndpointsRequest,
@@ -19,6 +21,8 @@
     request_bytes,
 )
 
+BUSY = EndpointLoad(2, 0, 0)
+
 
 class FleetWorld(World):
     """Many routers, alternately in two data centres."""
@@ -221,3 +225,25 @@
         large, calls = self.message_rate(32)
         self.assertLess(large, 1.2 * small)
         self.assertLessEqual(calls, 8)
+
+
+class TestTimeOfDay(unittest.TestCase):
+    def test_router_restarted_after_the_time_of_day_was_set_back_is_heard(self):
+        world = FleetWorld(6)
+        old = world.routers.pop()
+        old._peers.send_to_all(LoadUpdate("router-5", {"engine-0": BUSY}, [], {}))
+        world.run(0.1)
+        old._peers.stop()
+        world.network.close(old._settings.listen)
+        world.network.close(old._settings.readiness_listen)
+        with mock.patch("sesamearch.membership.fleet.time.time_ns", return_value=1):
+            world.run(1.5)
+            restarted = world.add_router(5)
+            world.run(3)
+        loads = {"engine-0": EndpointLoad(7, 0, 0)}
+        restarted._peers.send_to_all(LoadUpdate("router-5", loads, [], {}))
+        world.run(0.1)
+        running = {r._loads.total("engine-0").running for r in world.routers}
+        self.assertEqual(running, {7})
+        known = world.routers[0]._peers.member_list.find("router-5")
+        self.assertEqual(known.incarnation, 1)
--- a/tests/membership/test_member_list.py
+++ b/tests/membership/test_member_list.py
@@ -95,6 +95,14 @@
         )
         self.assertEqual(self.member_list.routers[0].incarnation, 3)
 
+    def test_process_started_after_the_time_of_day_was_set_back(self):
+        self.member_list.record_message(router("r1", incarnation=5), 0.0)
+        restarted = router("r1", incarnation=3)
+        self.assertTrue(self.member_list.record_message(restarted, 2.0))
+        # Routers that have not heard of the restart still pass the old process on.
+        self.member_list.merge(router("r1", incarnation=5), 2.5, age_s=2.5)
+        self.assertEqual(self.member_list.find("r1"), restarted)
+
     def test_router_that_nobody_hears_from_is_removed(self):
         self.add("r1")
         self.assertEqual(self.member_list.remove_expired(19.0), [])
