Mend three faults that a second failure showed

The time now starts again with the later return, for at most 10 s after the entry lapsed. - An unexpected error while a rollout's final state was written left the controller believing that a write was under way, so a good version was never completed by that router. - The first move of a service whose write failed raised an exception instead of an error, since there was no stored move to name.

Ruled out: keeping lapsed endpoints for as long as the store is away; a router that the store turns away would send to endpoints that are gone for good.

--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -13,6 +13,9 @@
 # Endpoints whose entries expired during a store outage write them again within this
 # time after the outage.
 REREGISTRATION_GRACE_S = 2.3
+# Endpoints whose entries expired are kept no longer than this, however many outages
+# follow each other.
+MAX_LAPSE_S = 10.0
 # A restarted endpoint appears in the store's list within this time, unless there is an
 # outage. After this time an endpoint that is still unlisted is dropped, but not during
 # a store outage or within REREGISTRATION_GRACE_S after it.
@@ -25,6 +28,11 @@
     until_s: float
 
 
+class _Lapsed(msgspec.Struct):
+    endpoint: Endpoint
+    until_s: float
+
+
 class EndpointListing:
     """Keeps the endpoints on the blackboard equal to the newest known list.
 
@@ -137,24 +145,38 @@
             del self._lapsed[name]
         if self._clock.seconds() >= grace_end_s:
             return
+        until_s = self._clock.seconds() + MAX_LAPSE_S
         for name in self._listed.keys() - endpoints.keys():
             if not self._listed[name].leaving:
-                self._lapsed[name] = self._listed[name]
+                self._lapsed[name] = _Lapsed(self._listed[name], until_s)
                 self._log(self._listed[name], "lapsed")
         if self._lapsed and self._expiry is None:
             delay_s = grace_end_s - self._clock.seconds()
             self._expiry = self._clock.callLater(delay_s, self._drop_lapsed)
 
     def _drop_lapsed(self):
+        """Drop the endpoints that had time to re-register since the last outage."""
         self._expiry = None
-        for endpoint in self._lapsed.values():
-            self._log(endpoint, "gone")
-        self._lapsed = {}
-        self._write()
+        now_s = self._clock.seconds()
+        grace_s = self._store_regained_s() + REREGISTRATION_GRACE_S - now_s
+        if not self._is_store_reachable():
+            grace_s = REREGISTRATION_GRACE_S
+        kept = {}
+        for name, lapsed in self._lapsed.items():
+            if grace_s > 0 and now_s < lapsed.until_s:
+                kept[name] = lapsed
+            else:
+                self._log(lapsed.endpoint, "gone")
+        if len(kept) < len(self._lapsed):
+            self._lapsed = kept
+            self._write()
+        if kept:
+            self._expiry = self._clock.callLater(grace_s, self._drop_lapsed)
 
     def _write(self):
         unlisted = {name: each.endpoint for name, each in self._unlisted.items()}
-        self._board.endpoints.write({**unlisted, **self._lapsed, **self._listed})
+        lapsed = {name: each.endpoint for name, each in self._lapsed.items()}
+        self._board.endpoints.write({**unlisted, **lapsed, **self._listed})
 
     # Exchange with other routers.
 
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -393,11 +393,12 @@
         if rollout.is_writing and write == self._end_complete:
             return
         rollout.is_writing = True
-        Deferred.fromCoroutine(self._write_until_done(rollout, write)).addErrback(
-            lambda failure: logger.error(
-                "writing the rollout state failed: {}", failure.value
-            )
-        )
+
+        def fail(failure):
+            rollout.is_writing = False
+            logger.error("writing the rollout state failed: {}", failure.value)
+
+        Deferred.fromCoroutine(self._write_until_done(rollout, write)).addErrback(fail)
 
     async def _write_until_done(self, rollout, write):
         while self.rollouts.get(rollout.order.service) is rollout:
--- a/src/sesamearch/rollout/move_controller.py
+++ b/src/sesamearch/rollout/move_controller.py
@@ -315,6 +315,9 @@
 
 
 def _conflict(current):
+    if current is None:
+        detail = "the write failed, and no move is stored"
+        return Problem(ErrorKind.STORE_UNAVAILABLE, detail)
     detail = f"the stored move is by {current.operator}, state {current.state.value}"
     return Problem(ErrorKind.CONFIGURATION_CONFLICT, detail)
 
--- a/tests/membership/test_listing.py
+++ b/tests/membership/test_listing.py
@@ -46,6 +46,34 @@
         self.clock.advance(0.5)
         self.assertEqual(self.names, ["e1"])
 
+    def lapse(self):
+        self.is_reachable = True
+        self.listing = EndpointListing(
+            self.board, self.clock, lambda: self.regained_s, lambda: self.is_reachable
+        )
+        self.listing.apply_snapshot(listed(endpoint("e1"), endpoint("e2")), 10)
+        self.clock.advance(100)
+        self.regained_s = 100.0
+        self.listing.apply_snapshot(listed(endpoint("e1")), 11)
+        self.clock.advance(1.0)
+        self.is_reachable = False
+
+    def test_second_outage_within_the_grace_time_extends_it(self):
+        self.lapse()
+        self.clock.pump([0.1] * 30)
+        self.assertEqual(self.names, ["e1", "e2"])
+        self.is_reachable = True
+        self.regained_s = self.clock.seconds()
+        self.clock.pump([0.1] * 20)
+        self.assertEqual(self.names, ["e1", "e2"])
+        self.clock.pump([0.1] * 30)
+        self.assertEqual(self.names, ["e1"])
+
+    def test_lapsed_endpoint_is_dropped_in_a_long_outage(self):
+        self.lapse()
+        self.clock.pump([0.1] * 115)
+        self.assertEqual(self.names, ["e1"])
+
     def test_leaving_endpoint_is_not_kept(self):
         self.clock.advance(100)
         self.regained_s = 100.0
--- a/tests/platform/test_rollout.py
+++ b/tests/platform/test_rollout.py
@@ -185,3 +185,20 @@
         self.world.run(3)
         later = self.world.store.state.items[b"status/rollout/desk"].mod_revision
         self.assertEqual(revision, later)
+
+    def test_completion_is_written_again_after_an_unexpected_error(self):
+        registers = [each._rollout_controller._register for each in self.world.routers]
+        writes = [register.end for register in registers]
+
+        def fail(order, state):
+            raise ValueError("unexpected")
+
+        self.order_rollout()
+        self.send_requests(DURATION_S - 2.5)
+        for register in registers:
+            register.end = fail
+        self.send_requests(1.5)
+        for register, write in zip(registers, writes, strict=True):
+            register.end = write
+        self.send_requests(1.5)
+        self.assertEqual(self.status()["state"], "complete")
--- a/tests/rollout/test_move.py
+++ b/tests/rollout/test_move.py
@@ -4,7 +4,8 @@
 import unittest
 
 from automat import NoTransition
-from twisted.internet.defer import Deferred
+from result import Err
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
 from sesamearch.base.errors import ErrorKind
@@ -369,6 +370,13 @@
         self.world.run_for(1)
         return results[0]
 
+    def test_failed_write_of_a_first_move_is_reported(self):
+        self.world.faults.state.txn([], [Put(record_key("drafting"), None)])
+        store = FakeStore(Process(self.world.clock, "cli"), self.world.faults, 0.004)
+        store.txn = lambda *arguments: succeed(Err(ErrorKind.STORE_UNAVAILABLE))
+        failed = self.finish(start_move(store, make_record()))
+        self.assertIs(failed.unwrap_err().kind, ErrorKind.STORE_UNAVAILABLE)
+
     def test_second_move_is_refused_until_the_first_is_aborted(self):
         store = FakeStore(Process(self.world.clock, "cli"), self.world.faults, 0.004)
         refused = self.finish(start_move(store, make_record()))
