--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -157,6 +157,11 @@
         Time since the request was received.
     revision : int
         Revision of the configuration that routed the request.
+    host, path : str
+        Host and beginning of the path of a request that matched no route.
+    routes, in_force_ms : int
+        Number of routes for a request that matched none, and for how long this router
+        has had that configuration.
     """
 
     request: str
@@ -167,6 +172,10 @@
     tries: int
     took_ms: int
     revision: int
+    host: str = ""
+    path: str = ""
+    routes: int = 0
+    in_force_ms: int = 0
 
 
 class RequestEnded(Record, frozen=True, tag="request_ended"):
--- a/src/sesamearch/command/explain.py
+++ b/src/sesamearch/command/explain.py
@@ -1,5 +1,6 @@
 """The ``explain`` command: trace one request through the logs of several routers."""
 
+import contextlib
 import re
 import sys
 from pathlib import Path
@@ -15,6 +16,7 @@
 # request.
 CONTEXT_S = 10.0
 _OBJECT = re.compile(rb"\{.*\}")
+EXIT_BAD_INPUT = 2
 EXIT_NOT_FOUND = 3
 
 
@@ -149,6 +151,11 @@
         reason = (
             f"refused with {last.status} ({last.cause}: {last.detail or 'no detail'})"
         )
+        if last.host:
+            reason += (
+                f": {last.host}{last.path} matched none of {last.routes} routes of "
+                f"revision {last.revision}, in force for {last.in_force_ms} ms"
+            )
         if unanswered:
             reason += f", no answer from {' and '.join(unanswered)}"
     elif event == "request_ended":
@@ -186,10 +193,16 @@
 
 
 def _run_explain(options):
-    files = [Path(name).open("rb") for name in options.files] or [sys.stdin.buffer]
-    explanation = explain_request(options.request, read_entries(files))
-    for file in files:
-        file.close()
+    with contextlib.ExitStack() as stack:
+        files = []
+        for name in options.files:
+            try:
+                files.append(stack.enter_context(Path(name).open("rb")))
+            except OSError as error:
+                print(f"sesamearch: cannot read {name}: {error}", file=sys.stderr)
+                return EXIT_BAD_INPUT
+        entries = read_entries(files or [sys.stdin.buffer])
+        explanation = explain_request(options.request, entries)
     if explanation is None:
         print(f"sesamearch: no log entry for {options.request}", file=sys.stderr)
         return EXIT_NOT_FOUND
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -2,6 +2,8 @@
 
 import hashlib
 
+import msgspec
+
 from sesamearch.base.errors import ErrorKind
 from sesamearch.base.log import logger
 from sesamearch.base.record import RequestRefused
@@ -14,6 +16,8 @@
 
 CHECK_INTERVAL_S = 0.05
 _HASH_VALUES = 1 << 64
+# Longest host and path of an unmatched request that are logged.
+MAX_LOGGED_CHARACTERS = 64
 
 
 class ForwardCounters:
@@ -68,11 +72,13 @@
     tools : ForwardTools
     """
 
-    __slots__ = ("_board", "_exchanges", "_streams", "_tools")
+    __slots__ = ("_board", "_exchanges", "_in_force_s", "_streams", "_tools")
 
     def __init__(self, board, tools):
         self._board = board
         self._tools = tools
+        self._in_force_s = tools.clock.seconds()
+        board.configuration.listen(self._note_configuration)
         self._exchanges = set()
         self._streams = set()
 
@@ -81,6 +87,9 @@
         """Int : number of requests without a final answer."""
         return len(self._exchanges)
 
+    def _note_configuration(self, table):
+        self._in_force_s = self._tools.clock.seconds()
+
     def note_unreadable(self):
         """Count a request that could not be parsed."""
         self._tools.counters.unreadable += 1
@@ -129,23 +138,35 @@
         self._tools.meter.request_ended(
             route.name if route else "", problem.kind.value, 0.0
         )
-        logger.info(
-            RequestRefused(
-                request.request_id,
-                route.name if route else "",
-                problem.kind.value,
-                problem.answer.status,
-                "",
-                0,
-                0,
-                table.revision,
-            )
+        record = RequestRefused(
+            request.request_id,
+            route.name if route else "",
+            problem.kind.value,
+            problem.answer.status,
+            "",
+            0,
+            0,
+            table.revision,
         )
+        if route is None:
+            record = self._describe_unmatched(record, request, table)
+        logger.info(record)
         headers = list(PROBLEM_HEADERS)
         if problem.retry_delay_s is not None:
             headers.append((b"Retry-After", b"%.3f" % problem.retry_delay_s))
         reply.answer(problem.answer.status, headers, problem.to_json())
 
+    def _describe_unmatched(self, record, request, table):
+        """Add what tells a wrong address of a caller from a stale configuration."""
+        in_force_s = self._tools.clock.seconds() - self._in_force_s
+        return msgspec.structs.replace(
+            record,
+            host=request.host[:MAX_LOGGED_CHARACTERS],
+            path=request.path[:MAX_LOGGED_CHARACTERS],
+            routes=len(table.routes),
+            in_force_ms=round(in_force_s * 1000),
+        )
+
     def _ended(self, exchange):
         self._exchanges.discard(exchange)
         self._streams.discard(exchange)
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -92,6 +92,33 @@
         self.assertNotIn(b"secret-body", self.log.data)
         self.assertNotIn(b"key-of-bench", self.log.data)
 
+    def test_unmatched_address_is_told_from_a_stale_configuration(self):
+        self.world.run(3)
+        data = request_bytes("/nowhere/else/", "lost", X_Deadline_Ms="1500")
+        with self.handler.applicationbound():
+            self.world.send_request(data)
+        self.assertRegex(
+            self.explain("lost").cause,
+            r"404.*desk.example/nowhere/else/ matched none of 3 routes of revision 7, "
+            r"in force for 3\d\d\d ms",
+        )
+
+    def test_long_addresses_are_cut_off_in_the_log(self):
+        with self.handler.applicationbound():
+            self.world.send_request(request_bytes("/" + "x" * 2000, "long"))
+        self.assertLess(len(self.log.data), 1000)
+
+    def test_missing_file_is_reported(self):
+        done = subprocess.run(
+            [sys.executable, "-m", "sesamearch", "explain", "one", "/nonexistent.log"],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("cannot read /nonexistent.log", done.stderr)
+        self.assertNotIn("Traceback", done.stderr)
+
     def test_command(self):
         with self.handler.applicationbound():
             self.world.send_request(request_bytes("/look/1", "one"))
