Start with half the calls of the store

Cause: a router that started made seven calls: two reads of the peer keys around a write that all but one lose, two reads of op/ and servers/, and two watches that it dropped half a second later, when it had found its relays.

Change: the peer keys, which never change, are read with a stale read (a tenth of the price); a lost write uses the keys that its refusal returns; the first watch begins one second after the first read, by which time all but the relays have paused it. What changes within that second is reported by the watch, whose revision is that of the read, or comes from the relays.

Ruled out: stale reads of op/ and servers/ (a leaving endpoint could be used until the relays say so).

Test: test_fleet.TestCost, failed before.

Two new tests check a change within the first second.

--- a/src/sesamearch/configuration/follower.py
+++ b/src/sesamearch/configuration/follower.py
@@ -58,6 +58,9 @@
     clock : twisted.internet.interfaces.IReactorTime
     max_retry_delay_s : float
         Upper bound of the backoff between two attempts to read.
+    first_watch_delay_s : float
+        Time between the first read and the watch. A follower that is paused meanwhile
+        never watches; otherwise the watch reports what changed since the read.
 
     Attributes
     ----------
@@ -69,8 +72,16 @@
         Store revision of the last write of each existing key.
     """
 
-    def __init__(self, store, prefix, clock, max_retry_delay_s=MAX_RETRY_DELAY_S):
+    def __init__(
+        self,
+        store,
+        prefix,
+        clock,
+        max_retry_delay_s=MAX_RETRY_DELAY_S,
+        first_watch_delay_s=0.0,
+    ):
         self._max_retry_delay_s = max_retry_delay_s
+        self._watch_delay_s = first_watch_delay_s
         self.revision = 0
         self.revisions = {}
         self._store = store
@@ -78,7 +89,7 @@
         self._clock = clock
         self._items = {}
         self._watch = None
-        self._retry = None
+        self._timer = None
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._is_stopped = False
         self._is_paused = False
@@ -86,7 +97,7 @@
 
     def start(self):
         """Read the prefix and start to watch it."""
-        self._retry = None
+        self._timer = None
         self._store.range(self._prefix).addCallback(self._handle_range)
 
     def pause(self):
@@ -110,9 +121,9 @@
     def _halt(self):
         if self._watch is not None:
             self._watch.cancel()
-        if self._retry is not None:
-            self._retry.cancel()
-        self._watch = self._retry = None
+        if self._timer is not None:
+            self._timer.cancel()
+        self._watch = self._timer = None
 
     def _handle_range(self, result):
         if self._is_stopped or self._is_paused or self._watch is not None:
@@ -127,7 +138,15 @@
         self.revisions = {item.key: item.mod_revision for item in reply.items}
         self.revision = reply.revision
         self.apply_snapshot(self._items)
-        self._watch = self._store.watch(self._prefix, reply.revision, self)
+        delay_s, self._watch_delay_s = self._watch_delay_s, 0.0
+        if delay_s:
+            self._timer = self._clock.callLater(delay_s, self._start_watch)
+        else:
+            self._start_watch()
+
+    def _start_watch(self):
+        self._timer = None
+        self._watch = self._store.watch(self._prefix, self.revision, self)
 
     def changed(self, puts, revision):
         """Apply changes from the watch."""
@@ -144,10 +163,10 @@
     def ended(self):
         """Read the prefix again after the backoff."""
         self._watch = None
-        if self._is_paused or self._retry is not None:
+        if self._is_paused or self._timer is not None:
             return
         self._set_current(False)
-        self._retry = self._clock.callLater(self._retry_delay_s, self.start)
+        self._timer = self._clock.callLater(self._retry_delay_s, self.start)
         self._retry_delay_s = min(self._retry_delay_s * 2, self._max_retry_delay_s)
 
     def _set_current(self, is_current):
--- a/src/sesamearch/membership/fleet_keys.py
+++ b/src/sesamearch/membership/fleet_keys.py
@@ -23,9 +23,13 @@
     -------
     result.Result[PeerKeys, ErrorKind]
     """
-    found = await _read(store)
-    if found.is_err() or found.unwrap() is not None:
+    # The keys never change, so that an older value is as good; it costs less.
+    found = await store.range(FLEET_KEYS_KEY, allow_stale=True)
+    if found.is_err():
         return found
+    keys = _find(found.unwrap().items)
+    if keys.is_err() or keys.unwrap() is not None:
+        return keys
     public, secret = (key.decode() for key in zmq.curve_keypair())
     keys = PeerKeys(public, secret, [public])
     put = Put(FLEET_KEYS_KEY, keys.to_json())
@@ -34,17 +38,22 @@
         return Ok(keys)
     # Another router wrote keys first, or the response to this write was lost: use the
     # stored keys.
-    found = await _read(store)
-    if found.is_ok() and found.unwrap() is None:
+    if written.is_ok():
+        stored = written.unwrap().found
+    else:
+        found = await store.range(FLEET_KEYS_KEY)
+        if found.is_err():
+            return found
+        stored = found.unwrap().items
+    keys = _find(stored)
+    if keys.is_ok() and keys.unwrap() is None:
         return Err(ErrorKind.STORE_UNAVAILABLE)
-    return found
+    return keys
 
 
-async def _read(store):
-    result = await store.range(FLEET_KEYS_KEY)
-    if result.is_err():
-        return result
-    for item in result.unwrap().items:
+def _find(items):
+    """Return ``Result[PeerKeys or None, ErrorKind]``."""
+    for item in items:
         if item.key == FLEET_KEYS_KEY:
             return decode_peer_keys(item.value)
     return Ok(None)
--- a/src/sesamearch/platform/followers.py
+++ b/src/sesamearch/platform/followers.py
@@ -16,6 +16,8 @@
 
 OPERATOR_PREFIX = b"op/"
 MAX_RETRY_DELAY_S = 1.0
+# Most routers join a relay within this time after their start and need no watch.
+FIRST_WATCH_DELAY_S = 1.0
 
 
 class OperatorFollower(Follower):
@@ -30,7 +32,9 @@
     """
 
     def __init__(self, store, board, rollout_controller, clock):
-        super().__init__(store, OPERATOR_PREFIX, clock, MAX_RETRY_DELAY_S)
+        super().__init__(
+            store, OPERATOR_PREFIX, clock, MAX_RETRY_DELAY_S, FIRST_WATCH_DELAY_S
+        )
         self._board = board
         self._rollout_controller = rollout_controller
         self._last_value = None
@@ -116,7 +120,9 @@
     """
 
     def __init__(self, store, listing, clock):
-        super().__init__(store, ENDPOINT_PREFIX, clock, MAX_RETRY_DELAY_S)
+        super().__init__(
+            store, ENDPOINT_PREFIX, clock, MAX_RETRY_DELAY_S, FIRST_WATCH_DELAY_S
+        )
         self._listing = listing
         self._decoded = {}
         self.skipped_entries = 0
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -33,8 +33,9 @@
 CONNECT_TIMEOUT_S = 0.7
 PING_INTERVAL_S = 0.7
 PING_TIMEOUT_S = 0.7
-# A ping accepts a stale value, which costs a tenth of a consistent read.
-PING_PATH = b"/sesamearch/kv-key?key=sesamearch/peer-keys&stale-ok=1"
+# A stale read costs a tenth of a consistent one.
+STALE_OPTION = b"&stale-ok=1"
+PING_PATH = b"/sesamearch/kv-key?key=sesamearch/peer-keys" + STALE_OPTION
 IDLE_TIMEOUT_S = 2.0
 # A page of keys or a list of events is at most some MB in base64.
 MAX_RESPONSE_BYTES = 16 << 20
@@ -178,12 +179,15 @@
             return Err(Problem(ErrorKind.STORE_UNAVAILABLE, detail))
         return result
 
-    def range(self, prefix):
+    def range(self, prefix, allow_stale=False):
         """Read all keys with a prefix, page by page; see ``Store``."""
-        return _with_error_kind(Deferred.fromCoroutine(self._range(prefix)))
+        read = Deferred.fromCoroutine(self._range(prefix, allow_stale))
+        return _with_error_kind(read)
 
-    async def _range(self, prefix):
+    async def _range(self, prefix, allow_stale):
         path = b"/sesamearch/kv-range?prefix=" + quote(prefix, safe="/").encode()
+        if allow_stale:
+            path += STALE_OPTION
         items, revision, after = [], 0, b""
         while True:
             page_path = path + (b"&after=" + after if after else b"")
--- a/src/sesamearch/replay/store.py
+++ b/src/sesamearch/replay/store.py
@@ -78,7 +78,7 @@
         faults.clock.callLater(self._latency_s / 2, work)
         return done
 
-    def range(self, prefix):
+    def range(self, prefix, allow_stale=False):
         """Read all keys with a prefix."""
         return self._call(self._faults.state.range, prefix)
 
--- a/src/sesamearch/store/etcd.py
+++ b/src/sesamearch/store/etcd.py
@@ -222,9 +222,13 @@
         self._address = next(self._addresses)
         return Err(ErrorKind.STORE_UNAVAILABLE)
 
-    def range(self, prefix):
-        """Read all keys with a prefix."""
-        body = {"key": _to_base64(prefix), "range_end": _to_base64(prefix_end(prefix))}
+    def range(self, prefix, allow_stale=False):
+        """Read all keys with a prefix; see ``Store``."""
+        body = {
+            "key": _to_base64(prefix),
+            "range_end": _to_base64(prefix_end(prefix)),
+            "serializable": allow_stale,
+        }
         request = self._post("kv/range", body, _Range)
         return request.addCallback(lambda result: result.map(_range_reply))
 
--- a/src/sesamearch/store/store.py
+++ b/src/sesamearch/store/store.py
@@ -141,8 +141,11 @@
     """
 
     @abc.abstractmethod
-    def range(self, prefix):
-        """Read all keys with a prefix; the result is a :class:`RangeReply`."""
+    def range(self, prefix, allow_stale=False):
+        """Read all keys with a prefix; the result is a :class:`RangeReply`.
+
+        With `allow_stale`, an older state may be returned, which may cost less.
+        """
 
     @abc.abstractmethod
     def txn(self, comparisons, puts):
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -226,6 +226,12 @@
         self.assertLess(large, 1.2 * small)
         self.assertLessEqual(calls, 8)
 
+    def test_start_of_a_fleet_costs_few_calls_of_the_store(self):
+        calls = FleetWorld(16).store.calls
+        self.assertEqual(calls["kv-range"], 3 * 16)
+        self.assertEqual(calls["kv-watch"], 2 * 4)
+        self.assertLessEqual(calls["kv-txn"], 16)
+
 
 class TestTimeOfDay(unittest.TestCase):
     def test_router_restarted_after_the_time_of_day_was_set_back_is_heard(self):
--- a/tests/platform/test_router.py
+++ b/tests/platform/test_router.py
@@ -634,6 +634,24 @@
         world.run(0.3)
         self.assertIn("10.0.0.2:8740", world.network._factories)
 
+    def test_change_in_the_first_second_is_put_in_force_after_it(self):
+        world = World()
+        world.add_router(1)
+        world.run(0.02)
+        world.store.put("op/config", make_configuration(8))
+        world.run(1.2)
+        revision = world.routers[0].board.configuration.value.revision
+        self.assertEqual(revision, 8)
+
+    def test_router_without_peers_follows_the_store_after_the_first_second(self):
+        world = World(routers=0)
+        world.routers.append(world.add_router(0))
+        world.run(0.02)
+        world.store.put("op/config", make_configuration(8))
+        world.run(1.2)
+        revision = world.routers[0].board.configuration.value.revision
+        self.assertEqual(revision, 8)
+
 
 class TestReload(unittest.TestCase):
     def setUp(self):
