Find a stall early enough to resume within the accepted pause

Ruled out: a lower factor (an engine that reads prompts between tokens has gaps of several times its mean); a cap for all engines (one whose usual gap is 0.2 s would be abandoned; a test guards that).

Change: where five gaps lie within the accepted pause, the limit is at most 0.6 of it.

Test: one in test_stall, failed before.

--- a/src/sesamearch/forwarding/stall.py
+++ b/src/sesamearch/forwarding/stall.py
@@ -3,9 +3,11 @@
 __all__ = ["PROBE_INTERVAL_S", "RESUME_PROBE_DELAY_S", "EventTiming", "StallDetector"]
 
 # A running engine stalls when it is silent for a share of the pause that callers
-# accept, but for no less than a multiple of its mean gap between events.
+# accept, but for no less than a multiple of its mean gap between events. Where that
+# multiple is within the accepted pause, the limit leaves time to resume within it.
 STALL_GOAL_RATIO = 0.5
 STALL_GAPS = 5.0
+MAX_STALL_GOAL_RATIO = 0.6
 # Each stall doubles the limit, since a generation that is slow on every engine would
 # otherwise use up its attempts. A longer pause is a stall in any case.
 MAX_STALL_S = 2.0
@@ -114,6 +116,8 @@
     def _stall_s(self):
         goal_s = self._gap_goal_s * STALL_GOAL_RATIO
         limit_s = max(goal_s, self._timing.mean_gap_s * STALL_GAPS)
+        if limit_s <= self._gap_goal_s:
+            limit_s = min(limit_s, self._gap_goal_s * MAX_STALL_GOAL_RATIO)
         return min(limit_s * 2**self._stalls, max(MAX_STALL_S, goal_s))
 
     def _probe(self, attempt):
--- a/tests/forwarding/test_stall.py
+++ b/tests/forwarding/test_stall.py
@@ -87,6 +87,11 @@
         self.assertFalse(self.wait(0.1))
         self.assertEqual((self.abandoned, self.probes), (["stalled"], []))
 
+    def test_limit_leaves_time_to_resume_within_the_accepted_pause(self):
+        self.run_engine(gap_s=0.13)
+        self.assertTrue(self.wait(0.4))
+        self.assertFalse(self.wait(0.04))
+
     def test_slow_engine_is_not_taken_for_stalled(self):
         self.run_engine(gap_s=0.2)
         self.assertTrue(self.wait(0.8))
