Avoid data centres that do not answer

Ruled out: a longer avoidance of each engine (ten of them are ten timeouts, and the first second after the cut would still avoid them); silence of the other data centres' relays (only relays notice it, after 3 s).

Change: two endpoints of a data centre that did not answer, with no answer from there in between, make it unreachable for this router: requests, backups and resumes go elsewhere as long as there is an elsewhere. Refused connections are no evidence: the VM is there. One log line at each change.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -13,6 +13,7 @@
 from sesamearch.forwarding.gate import OpenGate
 from sesamearch.forwarding.health import HealthTracker
 from sesamearch.forwarding.load import EndpointLoad, LoadTracker
+from sesamearch.forwarding.outage import OutageDetector
 from sesamearch.routing.table import EngineTraits
 
 ENGINE = EngineTraits(12, 88_000, 8, supports_backups=True)
@@ -35,6 +36,7 @@
         health,
         "dc-0",
         OpenGate(),
+        OutageDetector(None, clock, lambda: board.endpoints.value, random.Random(1)),
         random.Random(1),
     )
     endpoints = [
--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -8,6 +8,7 @@
 __all__ = [
     "RECORDS",
     "ConfigurationInForce",
+    "DataCentreReachability",
     "Dependency",
     "EndpointChanged",
     "EndpointReturned",
@@ -365,6 +366,20 @@
     to_new: int = 0
 
 
+class DataCentreReachability(Record, frozen=True, tag="data_centre_reachability"):
+    """A data centre's endpoints stopped to answer this router, or answer again.
+
+    Parameters
+    ----------
+    data_centre : str
+    state : str
+        ``unreachable`` or ``reachable``.
+    """
+
+    data_centre: str
+    state: str
+
+
 class Lifecycle(Record, frozen=True, tag="lifecycle"):
     """The process started, opened its port, reloaded its settings or stopped.
 
@@ -393,6 +408,7 @@
     EndpointSuspected,
     EndpointReturned,
     MemberChanged,
+    DataCentreReachability,
     Dependency,
     RolloutChanged,
     Lifecycle,
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -30,6 +30,7 @@
 from sesamearch.forwarding.exchange import ForwardTools
 from sesamearch.forwarding.health import HealthTracker
 from sesamearch.forwarding.load import LoadTracker
+from sesamearch.forwarding.outage import OutageDetector
 from sesamearch.forwarding.pace import GenerationPace
 from sesamearch.forwarding.prompts import PromptLocations
 from sesamearch.forwarding.restarts import RestartDetector
@@ -141,6 +142,10 @@
         )
         self.board.endpoints.listen(self._restart_detector.discard_unlisted)
         data_centre = self._settings.data_centre
+        rng = random.Random(self._settings.name)
+        self._outages = OutageDetector(
+            self._client, reactor, lambda: self.board.endpoints.value, rng
+        )
         tools = ForwardTools(
             self._client,
             Chooser(
@@ -149,7 +154,8 @@
                 self._health,
                 data_centre,
                 self._rollout_controller,
-                random.Random(self._settings.name),
+                self._outages,
+                rng,
             ),
             endpoint_index,
             self._loads,
@@ -159,6 +165,7 @@
             self._budgets,
             self._rollout_controller,
             self._restart_detector,
+            self._outages,
             reactor,
             self.counters,
             self._metrics,
@@ -175,6 +182,7 @@
             endpoint, name=name, born_ms=0, leaving=False
         )
         self._listing.add_unlisted(restarted)
+        self._outages.note_alive(restarted)
         if self._peers is not None:
             self._peers.send_to_all(EndpointRestarted(restarted))
 
@@ -357,6 +365,7 @@
 
     def _update(self):
         self._loads.drop_silent_peers()
+        self._outages.check()
         self._prompts.drop_expired()
         if self._peers is not None:
             self._budgets.discard_unknown(self._peers.member_list.names)
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -16,6 +16,7 @@
         "health": ["EndpointHealth", "HealthTracker", "Outcomes", "Suspicion"],
         "load": ["EndpointLoad", "LoadTracker", "Work"],
         "meter": ["Meter", "NoMeter"],
+        "outage": ["OutageDetector"],
         "pace": ["GenerationPace"],
         "prompts": ["PromptLocations"],
         "request": [
--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -57,6 +57,7 @@
         Data centre of this router.
     gate : VersionGate
         Decides which versions a request may go to.
+    outages : OutageDetector
     rng : random.Random, optional
     """
 
@@ -66,10 +67,14 @@
         "_gate",
         "_health",
         "_loads",
+        "_outages",
         "_random",
     )
 
-    def __init__(self, endpoint_index, loads, health, data_centre, gate, rng=None):
+    def __init__(
+        self, endpoint_index, loads, health, data_centre, gate, outages, rng=None
+    ):
+        self._outages = outages
         self._gate = gate
         self._endpoint_index = endpoint_index
         self._loads = loads
@@ -80,7 +85,8 @@
     def _candidates(self, service, excluded, request_id):
         """Return the endpoints to compare: a sample if there are many.
 
-        Endpoints that are down are included only if all endpoints are down.
+        Endpoints that are down or in an unreachable data centre are included only if
+        there are no others.
         """
         serving = self._endpoint_index.serving(service)
         if len(serving) > SAMPLE_SIZE:
@@ -108,7 +114,12 @@
         return admitted or [each for each in rest if self._gate.is_fallback(each)]
 
     def _reachable(self, endpoints):
-        return [each for each in endpoints if not self._health.is_down(each.name)]
+        return [
+            each
+            for each in endpoints
+            if not self._health.is_down(each.name)
+            and not self._outages.is_unreachable(each.data_centre)
+        ]
 
     def _cheapest(self, endpoints, cost):
         if not endpoints:
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -20,6 +20,8 @@
 __all__ = ["Exchange", "ForwardTools", "Try", "retry_after_s"]
 
 PROBLEM_HEADERS = [(b"Content-Type", b"application/problem+json")]
+# An endpoint that fails sooner refused the connection, so its VM can be reached.
+MIN_SILENCE_S = 0.25
 # Largest body that is buffered for one answer.
 MAX_BUFFERED_BODY_BYTES = 64 << 10
 # Upper bound of Retry-After, as a share of the time until the caller's deadline.
@@ -42,6 +44,7 @@
     budgets : RetryBudgets
     gate : VersionGate
     restarts : RestartDetector
+    outages : OutageDetector
     clock : twisted.internet.interfaces.IReactorTime
     counters : ForwardCounters
     meter : Meter
@@ -57,6 +60,7 @@
     budgets: object
     gate: object
     restarts: object
+    outages: object
     clock: object
     counters: object
     meter: object
@@ -128,6 +132,7 @@
     def answer_began(self, answer):
         """Handle the head of the answer."""
         self.answer = answer
+        self._exchange.tools.outages.note_alive(self.endpoint)
         if answer.is_other_instance:
             restarts = self._exchange.tools.restarts
             restarts.note_new_name(self.endpoint, answer.instance)
@@ -138,6 +143,7 @@
     def answer_received(self, data):
         """Handle a part of the body."""
         self._exchange.tools.restarts.note_alive(self.endpoint.name)
+        self._exchange.tools.outages.note_alive(self.endpoint)
         self._exchange.try_received(self, data)
 
     def answer_ended(self):
@@ -292,6 +298,8 @@
         name = attempt.endpoint.name
         if loss is Loss.NOT_CONNECTED:
             self.tools.health.note_unreachable(name)
+            if self.now_s - attempt.sent_s >= MIN_SILENCE_S:
+                self.tools.outages.note_unreachable(attempt.endpoint)
         else:
             self.tools.health.note_failure(name)
             self.note_answer(attempt, True)
@@ -403,6 +411,8 @@
         """
         for attempt in attempts:
             self.tools.health.note_failure(attempt.endpoint.name)
+            if attempt.answer is None and self.now_s - attempt.sent_s >= MIN_SILENCE_S:
+                self.tools.outages.note_unreachable(attempt.endpoint)
             self.note_answer(attempt, False)
 
     def _timed_out(self):
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -190,6 +190,7 @@
     def _is_usable(self, endpoint):
         is_of_service = endpoint.service == self.service.name
         is_down = self.tools.health.is_down(endpoint.name)
+        is_down |= self.tools.outages.is_unreachable(endpoint.data_centre)
         is_admitted = self.tools.gate.admits(endpoint, self.request.request_id)
         return is_of_service and is_admitted and not endpoint.leaving and not is_down
 
@@ -413,6 +414,7 @@
         self._note_copy(attempt)
         self.tools.restarts.note_lost(attempt.endpoint)
         self.tools.health.note_unreachable(attempt.endpoint.name)
+        self.tools.outages.note_unreachable(attempt.endpoint)
         self.drop(attempt, cause)
         self._send_again(ErrorKind.ENDPOINT_LOST, "engine silent")
 
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -12,6 +12,7 @@
 from sesamearch.forwarding.health import HealthTracker
 from sesamearch.forwarding.load import EndpointLoad, LoadTracker
 from sesamearch.routing.table import EngineTraits
+from tests.forwarding.test_outage import make_outages
 
 ENGINE = EngineTraits(slots=12, memory_tokens=88_000, event_tokens=8)
 NEED = GenerationNeed(8000, 9000)
@@ -25,6 +26,7 @@
         self.board = Blackboard()
         self.health = HealthTracker(self.clock)
         self.loads = LoadTracker(self.clock)
+        self.outages = make_outages(self.clock, self.board)
         endpoint_index = EndpointIndex(self.board, self.health)
         self.chooser = Chooser(
             endpoint_index,
@@ -32,6 +34,7 @@
             self.health,
             "east",
             OpenGate(),
+            self.outages,
             random.Random(1),
         )
         endpoints = [
@@ -157,6 +160,31 @@
         self.assertEqual(world.choose(), "e1")
 
 
+class TestDataCentreCutOff(unittest.TestCase):
+    """The engines of another data centre do not answer; the near ones are loaded."""
+
+    def setUp(self):
+        self.world = World(8)
+        for name in ("e0", "e2", "e4", "e6"):
+            for _ in range(8):
+                self.world.begin(name)
+        endpoints = self.world.board.endpoints.value
+        for name in ("e1", "e3"):
+            self.world.outages.note_unreachable(endpoints[name])
+
+    def test_loaded_engine_that_can_be_reached_is_chosen(self):
+        self.assertIn(self.world.choose(), {"e0", "e2", "e4", "e6"})
+
+    def test_cut_off_engine_is_chosen_if_there_is_no_other(self):
+        near = {"e0", "e2", "e4", "e6"}
+        self.assertIn(self.world.choose(near), {"e1", "e3", "e5", "e7"})
+
+    def test_answer_from_the_data_centre_ends_the_avoidance(self):
+        endpoint = self.world.board.endpoints.value["e5"]
+        self.world.outages.note_alive(endpoint)
+        self.assertIn(self.world.choose(), {"e1", "e3", "e5", "e7"})
+
+
 class TestBackups(unittest.TestCase):
     """Backups must survive the crash of a whole data centre."""
 
--- a/tests/platform/test_router.py
+++ b/tests/platform/test_router.py
@@ -216,6 +216,11 @@
         self.assertEqual(ended, ["left"])
 
 
+def is_west(worker):
+    """Return whether a worker of a ``World`` is in the data centre ``west``."""
+    return int(worker.name.rpartition("-")[2]) % 2 == 1
+
+
 class TestInterruptedGenerations(unittest.TestCase):
     def setUp(self):
         self.world = World(engines=4)
@@ -339,6 +344,45 @@
         self.assertEqual(runs, 1)
 
 
+class TestDataCentreCutOff(unittest.TestCase):
+    """A router in the east loses the west, without resets."""
+
+    def setUp(self):
+        self.world = World(desks=4, engines=12)
+        self.west = [w for w in self.world.engines + self.world.desks if is_west(w)]
+        # The near engines are busy, so that the ones in the west are preferred.
+        east = [each for each in self.world.engines if each not in self.west]
+        load = {each.name: EndpointLoad(9, 60_000, 70_000) for each in east}
+        self.loads = load
+        for worker in self.west:
+            self.world.make_unresponsive(worker)
+
+    def start(self, request_id):
+        self.world.routers[0]._loads.update("other", self.loads)
+        return self.world.connect().send(draft_bytes(request_id))
+
+    def test_later_generations_wait_for_no_timeout(self):
+        first = self.start("first")
+        self.world.run(2.5)
+        self.assertTrue(first.event_ids)
+        sent = self.world.routers[0].counters.tries_lost
+        clients = [self.start(f"r{number}") for number in range(5)]
+        self.world.run(0.3)
+        self.assertTrue(all(client.event_ids for client in clients))
+        self.assertEqual(self.world.routers[0].counters.tries_lost, sent)
+
+    def test_the_data_centre_is_used_again_soon_after_the_cut(self):
+        self.start("first")
+        self.world.run(2.5)
+        for worker in self.west:
+            worker.is_unresponsive = False
+            self.world.network.blackholed.discard(worker.address)
+        self.world.run(1.5)
+        self.start("later")
+        self.world.run(0.5)
+        self.assertTrue(any("later" in worker.served for worker in self.west))
+
+
 class TestLostCopies(unittest.TestCase):
     """The engine with the backup copy crashes before the one that runs the request."""
 
