--- a/tests/wire/test_endpoint.py
+++ b/tests/wire/test_endpoint.py
@@ -121,6 +121,44 @@
         self.send_bytes(response(2, b"own"))
         self.assertEqual((second.outcome, second.body), ("complete", b"own"))
 
+    def test_late_duplicate_in_pieces_of_the_same_length_as_the_own_response(self):
+        self.send_request(1)
+        self.send_bytes(response(1))
+        second = self.send_request(2)
+        late = response(1, b"late")
+        own = response(2, b"mine")
+        self.assertEqual(len(late), len(own))
+        for piece in (late[:7], late[7:-2], late[-2:] + own[:9], own[9:]):
+            self.assertIsNone(second.outcome)
+            self.send_bytes(piece)
+        self.assertEqual((second.outcome, second.body), ("complete", b"mine"))
+
+    def test_first_half_of_a_duplicate_on_an_idle_connection_closes_it(self):
+        self.send_request(1)
+        self.send_bytes(response(1))
+        self.send_bytes(response(1)[:10])
+        second = self.send_request(2)
+        self.send_bytes(response(2, b"own"))
+        self.assertEqual((second.body, self.connection_count), (b"own", 2))
+
+    def test_duplicate_behind_an_early_response_to_a_long_body(self):
+        self.send_request(1, b"x" * 100_000, b"POST")
+        self.send_bytes(response(1) + response(1, b"again"))
+        second = self.send_request(2)
+        self.send_bytes(response(2, b"own"))
+        self.assertEqual((second.body, self.connection_count), (b"own", 2))
+
+    def test_duplicate_that_breaks_off_is_not_completed_by_the_own_response(self):
+        self.send_request(1)
+        self.send_bytes(response(1))
+        second = self.send_request(2)
+        self.send_bytes(response(1, b"a longer one")[:-6])
+        self.send_bytes(response(2, b"own"))
+        self.assertNotEqual(second.outcome, "complete")
+        self.factory.protocols[0].transport.loseConnection()
+        self.network.run(0.02)
+        self.assertIsInstance(second.outcome, Loss)
+
     def test_late_and_matching_response_in_one_read(self):
         self.send_request(1)
         self.send_bytes(response(1))
