--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -6,6 +6,7 @@
     __name__,
     submod_attrs={
         "broadcast_batcher": ["BATCH_INTERVAL_S", "BroadcastBatcher"],
+        "broadcasts": ["Broadcasts"],
         "claim_relay": ["ClaimRelay", "choose_writer"],
         "fleet": ["FleetLink"],
         "fleet_keys": ["FLEET_KEYS_KEY", "obtain_fleet_keys"],
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -14,7 +14,7 @@
 from sesamearch.base.log import logger
 from sesamearch.base.record import ConfigurationInForce, MemberChanged
 from sesamearch.configuration.blackboard import Member
-from sesamearch.membership.broadcast_batcher import BroadcastBatcher
+from sesamearch.membership.broadcasts import Broadcasts
 from sesamearch.membership.fleet_message import (
     FLEET_SCHEMA_VERSION,
     Broadcast,
@@ -27,7 +27,7 @@
     TableRequest,
     TableResponse,
 )
-from sesamearch.membership.member_list import RELAY_TIMEOUT_S, MemberList, RouterInfo
+from sesamearch.membership.member_list import MemberList, RouterInfo
 from sesamearch.membership.sockets import PeerSockets
 
 __all__ = ["FleetLink"]
@@ -41,37 +41,12 @@
 # All relays get a change from the store at nearly the same time, so a router requests
 # only what it still lacks after this delay.
 CATCH_UP_DELAY_S = 0.15
-# Sequence numbers kept for each origin, to drop duplicate broadcasts.
-DEDUPLICATION_WINDOW = 64
 MEMBER_TIMEOUT_S = 3.0
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(FleetMessage).decode
 
 
-class _SeenSequences:
-    """Sequence numbers of the broadcasts received from one origin."""
-
-    __slots__ = ("heard_s", "incarnation", "newest", "numbers")
-
-    def __init__(self, incarnation):
-        self.heard_s = 0.0
-        self.incarnation = incarnation
-        self.newest = -1
-        self.numbers = set()
-
-    def add(self, sequence):
-        """Record a number; return whether it is new."""
-        if sequence <= self.newest - DEDUPLICATION_WINDOW or sequence in self.numbers:
-            return False
-        self.numbers.add(sequence)
-        self.newest = max(self.newest, sequence)
-        if len(self.numbers) > 2 * DEDUPLICATION_WINDOW:
-            oldest = self.newest - DEDUPLICATION_WINDOW
-            self.numbers = {number for number in self.numbers if number > oldest}
-        return True
-
-
 class FleetLink:
     """Exchanges heartbeats and updates with the other routers.
 
@@ -119,11 +94,7 @@
         )
         self.member_list = MemberList(own)
         self._sockets = sockets_type(reactor, own.address, keys, self._on_message)
-        self._update_handlers = {}
-        self._seen = {}
-        self._sequence = 0
-        self._local_batcher = BroadcastBatcher(reactor, self._send_to_local_routers)
-        self._remote_batcher = BroadcastBatcher(reactor, self._send_to_remote_relays)
+        self._broadcasts = Broadcasts(reactor, self.member_list, self._send_to_each)
         # Seeded by name, so that routers sample differently and tests are repeatable.
         self._random = random.Random(own.name)
         self._heartbeat_count = 0
@@ -132,13 +103,13 @@
         self._heartbeat_loop.clock = reactor
         self._message_handlers = {
             FleetHeartbeat: self._on_heartbeat,
-            BroadcastBatch: self._on_batch,
+            BroadcastBatch: self._broadcasts.receive_batch,
             TableRequest: self._on_table_request,
             TableResponse: self._on_table_response,
             EndpointsRequest: self._on_endpoints_request,
             EndpointsSnapshot: self._on_endpoints_snapshot,
             EndpointsDelta: self._on_endpoints_delta,
-            Broadcast: self._on_broadcast,
+            Broadcast: self._broadcasts.receive,
         }
 
     def start(self):
@@ -153,13 +124,16 @@
         """Stop sending and close the sockets."""
         if self._heartbeat_loop.running:
             self._heartbeat_loop.stop()
-        self._local_batcher.stop()
-        self._remote_batcher.stop()
+        self._broadcasts.stop()
         self._sockets.stop()
 
     def handle(self, update_type, handler):
         """Call `handler` with each broadcast update of a type."""
-        self._update_handlers[update_type] = handler
+        self._broadcasts.handle(update_type, handler)
+
+    def send_to_all(self, update):
+        """Broadcast an update to every router."""
+        self._broadcasts.send_to_all(update)
 
     @property
     def is_relay(self):
@@ -186,23 +160,6 @@
             self._sockets.connect(router.address)
             self._sockets.send(router.address, data)
 
-    def _other_relays(self, data_centre):
-        now_s = self._reactor.seconds()
-        relays = self.member_list.relays(data_centre, now_s)
-        return [router for router in relays if router is not self.member_list.own]
-
-    def _remote_relays(self):
-        own = self.member_list.own.data_centre
-        data_centres = self.member_list.data_centres - {own}
-        return [
-            router
-            for data_centre in data_centres
-            for router in self._other_relays(data_centre)
-        ]
-
-    def _local_routers(self):
-        return self.member_list.in_data_centre(self.member_list.own.data_centre)
-
     # Heartbeats.
 
     def _make_heartbeat(self, routers):
@@ -225,10 +182,7 @@
         self._sockets.poll()
         self._drop_silent_members()
         heartbeat = self._make_heartbeat(self._sample_routers(ROUTERS_PER_HEARTBEAT))
-        if self.is_relay:
-            targets = self._local_routers() + self._remote_relays()
-        else:
-            targets = self._other_relays(self.member_list.own.data_centre)
+        targets = self.member_list.direct_peers(self._reactor.seconds())
         self._heartbeat_count += 1
         if self._heartbeat_count % HEARTBEATS_PER_RANDOM_TARGET == 0:
             targets = targets + [each.router for each in self._sample_routers(1)]
@@ -246,7 +200,7 @@
         now_s = self._reactor.seconds()
         for name in self.member_list.remove_expired(now_s):
             logger.info(MemberChanged(name, "forgotten"))
-            self._seen.pop(name, None)
+            self._broadcasts.forget(name)
         self._close_unused()
         members = self._board.members.value
         live = {
@@ -367,81 +321,14 @@
         """Send endpoint changes to the data centre's routers if this one relays."""
         if self.is_relay:
             delta = EndpointsDelta(base_digest, revision, changed, removed)
-            self._send_to_each(self._local_routers(), delta)
+            own = self.member_list.own.data_centre
+            self._send_to_each(self.member_list.in_data_centre(own), delta)
 
     def _on_endpoints_delta(self, message):
         self._listing.apply_changes(
             message.base_digest, message.revision, message.changed, message.removed
         )
 
-    # Broadcasts.
-
-    def send_to_all(self, update):
-        """Broadcast an update to every router."""
-        own = self.member_list.own
-        self._sequence += 1
-        broadcast = Broadcast(own.name, own.incarnation, self._sequence, update)
-        if self.is_relay:
-            targets = self._local_routers() + self._remote_relays()
-        else:
-            targets = self._other_relays(own.data_centre)
-        self._send_to_each(targets, broadcast)
-
-    def _on_broadcast(self, broadcast):
-        if broadcast.origin == self.member_list.own.name or not self._is_new(broadcast):
-            return
-        if self.is_relay:
-            self._forward(broadcast)
-        handler = self._update_handlers.get(type(broadcast.update))
-        if handler is not None:
-            handler(broadcast.update)
-
-    def _is_new(self, broadcast):
-        now_s = self._reactor.seconds()
-        seen = self._seen.get(broadcast.origin)
-        if seen is None or self._is_later_process(broadcast, seen, now_s):
-            seen = self._seen[broadcast.origin] = _SeenSequences(broadcast.incarnation)
-        if seen.incarnation != broadcast.incarnation:
-            return False
-        seen.heard_s = now_s
-        return seen.add(broadcast.sequence)
-
-    def _is_later_process(self, broadcast, seen, now_s):
-        """Return whether a broadcast is from a later process of its origin's name.
-
-        Its incarnation may be lower if the time of day was set back between the starts.
-        """
-        if broadcast.incarnation > seen.incarnation:
-            return True
-        is_other = broadcast.incarnation != seen.incarnation
-        return is_other and now_s - seen.heard_s > RELAY_TIMEOUT_S
-
-    def _on_batch(self, batch):
-        for broadcast in batch.broadcasts:
-            self._on_broadcast(broadcast)
-
-    def _forward(self, broadcast):
-        """Forward a broadcast to the routers that its origin does not send it to."""
-        now_s = self._reactor.seconds()
-        own = self.member_list.own.data_centre
-        origin = self.member_list.find(broadcast.origin)
-        is_local = origin is not None and origin.data_centre == own
-        if is_local and origin in self.member_list.relays(own, now_s):
-            return
-        self._local_batcher.add(broadcast)
-        if is_local:
-            self._remote_batcher.add(broadcast)
-
-    def _send_to_local_routers(self, broadcasts):
-        relays = self.member_list.relays(
-            self.member_list.own.data_centre, self._reactor.seconds()
-        )
-        others = [router for router in self._local_routers() if router not in relays]
-        self._send_to_each(others, BroadcastBatch(broadcasts))
-
-    def _send_to_remote_relays(self, broadcasts):
-        self._send_to_each(self._remote_relays(), BroadcastBatch(broadcasts))
-
     def _on_message(self, data):
         try:
             message = _decode(data)
--- a/src/sesamearch/membership/member_list.py
+++ b/src/sesamearch/membership/member_list.py
@@ -220,6 +220,31 @@
                 chosen.append(router)
         return chosen
 
+    def other_relays(self, data_centre, now_s):
+        """Return the routers that relay for a data centre, without this one."""
+        return [
+            each for each in self.relays(data_centre, now_s) if each is not self.own
+        ]
+
+    def remote_relays(self, now_s):
+        """Return the routers that relay for the other data centres."""
+        return [
+            router
+            for data_centre in self._ranked.keys() - {self.own.data_centre}
+            for router in self.other_relays(data_centre, now_s)
+        ]
+
+    def direct_peers(self, now_s):
+        """Return the routers that this one sends its messages to.
+
+        A relay sends to its data centre and to the other relays, any other router to
+        the relays of its data centre only.
+        """
+        own = self.own.data_centre
+        if self.is_relay(now_s):
+            return self.in_data_centre(own) + self.remote_relays(now_s)
+        return self.other_relays(own, now_s)
+
     def is_relay(self, now_s):
         """Return whether this router relays for its data centre."""
         return self.own in self.relays(self.own.data_centre, now_s)
