Judge a stall after a normal flow like the first

Cause: the limit doubled with each stall of a generation and never came back.

Change: after eight events without a stall the limit is that of the first again. A generation that is slow on every engine is still completed by two runs: by then its mean gap carries the limit.

--- a/src/sesamearch/forwarding/stall.py
+++ b/src/sesamearch/forwarding/stall.py
@@ -11,6 +11,9 @@
 # Each stall doubles the limit, since a generation that is slow on every engine would
 # otherwise use up its attempts. A longer pause is a stall in any case.
 MAX_STALL_S = 2.0
+# After so many events without a stall, the mean gap tells how slow the engine is, and
+# the next stall is judged like the first.
+EVENTS_TO_RECOVER = 8
 GAP_SMOOTHING = 0.1
 # An engine sends nothing while it reads a prompt, so it is probed.
 PROBE_INTERVAL_S = 0.5
@@ -68,6 +71,7 @@
 
     __slots__ = (
         "_abandon",
+        "_events_at_stall",
         "_gap_goal_s",
         "_is_current",
         "_is_probing",
@@ -86,6 +90,7 @@
         self._probe_due_s = 0.0
         self._is_probing = False
         self._stalls = 0
+        self._events_at_stall = 0
 
     def schedule_probe(self, delay_s):
         """Schedule the first probe of a new try."""
@@ -105,9 +110,12 @@
         """
         now_s = self._tools.clock.seconds()
         if attempt.answer is not None and self._timing.has_event_of(attempt):
+            if self._timing.events - self._events_at_stall >= EVENTS_TO_RECOVER:
+                self._stalls = 0
             if now_s - self._timing.last_s <= self._stall_s():
                 return True
             self._stalls += 1
+            self._events_at_stall = self._timing.events
             self._abandon(attempt, "stalled")
         elif now_s >= self._probe_due_s and not self._is_probing:
             self._probe(attempt)
--- a/tests/forwarding/test_stall.py
+++ b/tests/forwarding/test_stall.py
@@ -5,6 +5,7 @@
 from twisted.internet.task import Clock
 
 from sesamearch.forwarding.stall import (
+    EVENTS_TO_RECOVER,
     PROBE_INTERVAL_S,
     EventTiming,
     StallDetector,
@@ -76,10 +77,18 @@
         self.assertEqual(self.abandoned, [])
 
     def test_each_stall_doubles_the_limit(self):
+        self.run_engine()
         for limit_s in (0.35, 0.7, 1.4, 2.0, 2.0):
-            self.run_engine()
+            self.timing.mean_gap_s = 0.05
             self.assertTrue(self.wait(limit_s - 0.02))
             self.assertFalse(self.wait(0.04))
+            self.run_engine(events=EVENTS_TO_RECOVER - 1)
+
+    def test_stall_after_a_normal_flow_is_found_as_early_as_the_first(self):
+        for _ in range(3):
+            self.run_engine()
+            self.assertTrue(self.wait(0.33))
+            self.assertFalse(self.wait(0.04))
 
     def test_running_engine_is_abandoned_after_half_of_the_accepted_pause(self):
         self.run_engine()
