Do not forget live routers in a fleet of hundreds

Cause: what breaks down at 195 VMs. A router hears from its relays at first hand and of all others by four random entries in each heartbeat, so an entry was refreshed each ten seconds on average, from relays whose own entries were as old; after 20 s without news a router was forgotten, its links closed, and met again later. Everything that counts routers or looks for relays worked on views that changed all the time.

Change: heartbeats carry eight entries, in turn instead of at random; relays tell the other data centres of their own routers, whom they hear themselves; the time after which a router is forgotten grows by 0.1 s for each router.

Ruled out: the whole list in each heartbeat (14 KB to each router, 2.5 times a second), a long fixed timeout (dead routers would be kept in small fleets).

Shown by test_member_list.TestLargeFleet, 195 member lists for 60 s in plain code: none is forgotten. Heartbeats grow by some 300 bytes.

--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -27,13 +27,13 @@
     TableRequest,
     TableResponse,
 )
-from sesamearch.membership.member_list import MemberList, RouterInfo
+from sesamearch.membership.member_list import MemberList, RouterCycle, RouterInfo
 from sesamearch.membership.sockets import PeerSockets
 
 __all__ = ["FleetLink"]
 
 HEARTBEAT_INTERVAL_S = 0.4
-ROUTERS_PER_HEARTBEAT = 4
+ROUTERS_PER_HEARTBEAT = 8
 # One heartbeat in this many also goes to a random router, so that
 # information about routers reaches the whole fleet.
 HEARTBEATS_PER_RANDOM_TARGET = 5
@@ -97,6 +97,10 @@
         self._broadcasts = Broadcasts(reactor, self.member_list, self._send_to_each)
         # Seeded by name, so that routers sample differently and tests are repeatable.
         self._random = random.Random(own.name)
+        self._all_routers = RouterCycle(self.member_list, self._random)
+        self._local_routers = RouterCycle(
+            self.member_list, self._random, own.data_centre
+        )
         self._heartbeat_count = 0
         self._catch_up_since_s = None
         self._heartbeat_loop = LoopingCall(self._send_heartbeat)
@@ -181,16 +185,27 @@
     def _send_heartbeat(self):
         self._sockets.poll()
         self._drop_silent_members()
-        heartbeat = self._make_heartbeat(self._sample_routers(ROUTERS_PER_HEARTBEAT))
-        targets = self.member_list.direct_peers(self._reactor.seconds())
+        now_s = self._reactor.seconds()
+        remote = self.member_list.remote_relays(now_s) if self.is_relay else []
+        near = [r for r in self.member_list.direct_peers(now_s) if r not in remote]
         self._heartbeat_count += 1
         if self._heartbeat_count % HEARTBEATS_PER_RANDOM_TARGET == 0:
-            targets = targets + [each.router for each in self._sample_routers(1)]
-        self._send_to_each(targets, heartbeat)
-        if len(targets) < 2:
-            for address in self.seeds:
-                if address != self.member_list.own.address:
-                    self._send(address, heartbeat)
+            near += [each.router for each in self._sample_routers(1)]
+        heartbeat = self._make_heartbeat(
+            self._all_routers.take(ROUTERS_PER_HEARTBEAT, now_s)
+        )
+        self._send_to_each(near, heartbeat)
+        if remote:
+            # A relay hears from its own data centre at first hand.
+            routers = self._local_routers.take(ROUTERS_PER_HEARTBEAT, now_s)
+            self._send_to_each(remote, self._make_heartbeat(routers))
+        if len(near) + len(remote) < 2:
+            self._send_to_seeds(heartbeat)
+
+    def _send_to_seeds(self, heartbeat):
+        for address in self.seeds:
+            if address != self.member_list.own.address:
+                self._send(address, heartbeat)
 
     def _send_heartbeat_if_relay(self):
         if self.is_relay:
--- a/src/sesamearch/membership/member_list.py
+++ b/src/sesamearch/membership/member_list.py
@@ -14,14 +14,17 @@
     "RELAY_TIMEOUT_S",
     "AgedRouterInfo",
     "MemberList",
+    "RouterCycle",
     "RouterInfo",
 ]
 
 RELAYS_PER_DATA_CENTRE = 2
 # A relay that sends no message for this long is replaced.
 RELAY_TIMEOUT_S = 1.3
-# A router that no router has heard from for this long is removed.
+# A router that no router has heard from for this long is removed. Routers pass on some
+# of the fleet at a time, so what they know of each other is older in a larger fleet.
 FORGET_TIMEOUT_S = 20.0
+FORGET_TIMEOUT_PER_ROUTER_S = 0.1
 
 
 class RouterInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -119,7 +122,7 @@
 
     def merge(self, router, now_s, age_s=0.0):
         """Merge information about a router that was last heard from `age_s` ago."""
-        if router.name == self.own.name or age_s > FORGET_TIMEOUT_S:
+        if router.name == self.own.name or age_s > self._forget_timeout_s:
             return
         known = self._entries.get(router.name)
         alive_s = now_s - age_s
@@ -139,12 +142,16 @@
         entry.expected_s = None
         return is_first
 
+    @property
+    def _forget_timeout_s(self):
+        return FORGET_TIMEOUT_S + FORGET_TIMEOUT_PER_ROUTER_S * self.size
+
     def remove_expired(self, now_s):
         """Remove the routers that timed out, and return their names."""
         expired = [
             name
             for name, entry in self._entries.items()
-            if now_s - entry.alive_s > FORGET_TIMEOUT_S
+            if now_s - entry.alive_s > self._forget_timeout_s
         ]
         for name in expired:
             self._remove(name)
@@ -172,6 +179,13 @@
             for entry in self._entries.values()
         ]
 
+    def aged_router(self, name, now_s):
+        """Return another router as an :class:`AgedRouterInfo`, or None."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return None
+        return AgedRouterInfo(entry.router, now_s - entry.alive_s)
+
     @property
     def size(self):
         """Int : number of known routers, this one included."""
@@ -255,3 +269,45 @@
             self.is_live(router.name, now_s)
             for router in self.relays(self.own.data_centre, now_s)
         )
+
+
+class RouterCycle:
+    """Passes over the known routers in turn, to tell others of some at a time.
+
+    Each pass has another order, so that two relays tell of different routers.
+
+    Parameters
+    ----------
+    member_list : MemberList
+    rng : random.Random
+    data_centre : str or None
+        Only routers of this data centre; by default all.
+    """
+
+    __slots__ = ("_data_centre", "_member_list", "_names", "_random")
+
+    def __init__(self, member_list, rng, data_centre=None):
+        self._member_list = member_list
+        self._random = rng
+        self._data_centre = data_centre
+        self._names = []
+
+    def take(self, count, now_s):
+        """Return the next `count` routers, or fewer at the end of a pass.
+
+        Returns
+        -------
+        list of AgedRouterInfo
+        """
+        if not self._names:
+            self._names = self._all_names()
+            self._random.shuffle(self._names)
+        taken, self._names = self._names[:count], self._names[count:]
+        found = [self._member_list.aged_router(name, now_s) for name in taken]
+        return [each for each in found if each is not None]
+
+    def _all_names(self):
+        if self._data_centre is None:
+            return sorted(self._member_list.names)
+        routers = self._member_list.in_data_centre(self._data_centre)
+        return [router.name for router in routers]
--- a/tests/membership/test_member_list.py
+++ b/tests/membership/test_member_list.py
@@ -1,8 +1,10 @@
+import random
 import unittest
 from unittest import mock
 
 from sesamearch.membership import member_list
-from sesamearch.membership.member_list import MemberList, RouterInfo
+from sesamearch.membership.fleet import HEARTBEAT_INTERVAL_S, ROUTERS_PER_HEARTBEAT
+from sesamearch.membership.member_list import MemberList, RouterCycle, RouterInfo
 
 
 def router(name, data_centre="east", link_mbps=10, incarnation=1):
@@ -133,3 +135,46 @@
             self.member_list.relays("west", second)
             self.member_list.remove_expired(second)
         self.assertEqual([each.name for each in self.member_list.routers], ["far"])
+
+
+class TestLargeFleet(unittest.TestCase):
+    """A fleet of hundreds of routers, which hear of most others at second hand."""
+
+    ROUTERS, DATA_CENTRES, SECONDS = 195, 6, 60
+
+    def setUp(self):
+        self.lists = [
+            MemberList(router(f"r{n}", f"dc{n % self.DATA_CENTRES}", 200 - n))
+            for n in range(self.ROUTERS)
+        ]
+        self.by_name = {each.own.name: each for each in self.lists}
+        self.cycles = {
+            each.own.name: (
+                RouterCycle(each, random.Random(each.own.name)),
+                RouterCycle(each, random.Random(each.own.name), each.own.data_centre),
+            )
+            for each in self.lists
+        }
+        for each in self.lists:
+            for other in self.lists:
+                each.merge(other.own, 0.0)
+
+    def beat(self, sender, now_s):
+        everyone, local = self.cycles[sender.own.name]
+        remote = sender.remote_relays(now_s) if sender.is_relay(now_s) else []
+        near = [r for r in sender.direct_peers(now_s) if r not in remote]
+        for targets, cycle in ((near, everyone), (remote, local)):
+            routers = cycle.take(ROUTERS_PER_HEARTBEAT, now_s) if targets else []
+            for target in targets:
+                receiver = self.by_name[target.name]
+                receiver.record_message(sender.own, now_s)
+                for aged in routers:
+                    receiver.merge(aged.router, now_s, aged.age_s)
+
+    def test_live_routers_are_not_forgotten(self):
+        for step in range(round(self.SECONDS / HEARTBEAT_INTERVAL_S)):
+            now_s = step * HEARTBEAT_INTERVAL_S
+            for sender in self.lists:
+                self.beat(sender, now_s)
+                self.assertEqual(sender.remove_expired(now_s), [])
+        self.assertEqual({each.size for each in self.lists}, {self.ROUTERS})
