Let one relay of a data centre watch the store where time allows

Engines that warm up change their entries all the time, so each of twelve relays made a call for servers/ as soon as 0.2 s after the last one.

Change: where leaving endpoints must be known within 3 s or more, the second relay of a data centre stands by while the first one is live, not draining and says in its heartbeats that it watches and reaches the store.

Ruled out: standing by on the small sites (silence of 1.3 s, a read and a push come too near their 2 s), and by the store's refusals alone (a relay that the store turns away would leave its data centre blind).

Tests: test_fleet.TestStandby: one watcher a data centre; a leaving endpoint known to all in 2.5 s after both first relays fell silent; the second relay watches when the first loses the store or drains. The first of them fails on the code before, where all relays watch.

--- a/src/sesamearch/configuration/blackboard.py
+++ b/src/sesamearch/configuration/blackboard.py
@@ -87,6 +87,8 @@
         Whether the router is shutting down.
     heard_s : float
         Time of its last heartbeat, on this process's clock.
+    follows_store : bool
+        Whether the router watches the store and reaches it.
     """
 
     name: str
@@ -96,6 +98,7 @@
     configuration_revision: int
     draining: bool
     heard_s: float
+    follows_store: bool = False
 
 
 class DrainPhase(msgspec.Struct, frozen=True):
--- a/src/sesamearch/configuration/follower.py
+++ b/src/sesamearch/configuration/follower.py
@@ -95,6 +95,11 @@
         self._is_paused = False
         self.is_current = False
 
+    @property
+    def is_watching(self):
+        """Bool : whether a watch reports the changes of the prefix."""
+        return self._watch is not None
+
     def start(self):
         """Read the prefix and start to watch it."""
         self._timer = None
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -58,6 +58,9 @@
 
 KEYS_RETRY_DELAY_S = 1.0
 GOSSIP_INTERVAL_S = 0.02
+# Changes in the store are gathered for this share of the time in which a leaving
+# endpoint must be known to all.
+BATCH_DELAY_RATIO = 0.1
 UPDATE_INTERVAL_S = 0.25
 # The load balancer probes readiness once per second, and stops sending requests after
 # two failed probes.
@@ -98,7 +101,11 @@
         self._lines = lines
         self.board = Blackboard(RoutingTable())
         self.counters = ForwardCounters()
-        self._store = PlatformStore(reactor, settings.store_address)
+        self._store = PlatformStore(
+            reactor,
+            settings.store_address,
+            settings.bounds.drain_s * BATCH_DELAY_RATIO,
+        )
         self._peers = None
         self._outcome_follower = None
         self._make_forwarding()
@@ -302,6 +309,7 @@
             decode_configuration,
             self._sockets_type,
         )
+        self._peers.follows_store = self._follows_store
         self._gossip.join(self._peers)
         self._rollout_controller.join(self._peers)
         self._peers.handle(
@@ -388,6 +396,10 @@
             else:
                 follower.pause()
 
+    def _follows_store(self):
+        is_watching = all(follower.is_watching for follower in self._followers)
+        return self._store.is_reachable and is_watching
+
     def _update_rollouts(self):
         if self._rollout_controller.rollouts and self._outcome_follower is None:
             # The follower starts only with the first rollout, since the platform counts
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -42,6 +42,9 @@
 # only what it still lacks after this delay.
 CATCH_UP_DELAY_S = 0.15
 MEMBER_TIMEOUT_S = 3.0
+# A relay that stands by notices the silence of the other one, reads the store and tells
+# the routers within this time.
+STANDBY_MIN_DRAIN_S = 3.0
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(FleetMessage).decode
@@ -65,6 +68,8 @@
     Attributes
     ----------
     member_list : MemberList
+    follows_store : callable
+        Returns whether this router watches the store and reaches it.
     seeds : list of str
         Addresses that also get heartbeats while this router has fewer than two others
         to send them to.
@@ -85,6 +90,8 @@
         self._listing = listing
         self._decode_table = decode_table
         self.seeds = settings.peer.seeds
+        self.follows_store = lambda: False
+        self._may_stand_by = settings.bounds.drain_s >= STANDBY_MIN_DRAIN_S
         own = RouterInfo(
             settings.name,
             settings.peer.listen,
@@ -146,10 +153,27 @@
 
     @property
     def must_watch_store(self):
-        """Bool : whether this router must watch the store itself."""
+        """Bool : whether this router must watch the store itself.
+
+        The first relay of a data centre does. The other one does too, unless it may
+        stand by and the first one is live and follows the store.
+        """
         now_s = self._reactor.seconds()
-        return self.member_list.is_relay(now_s) or not self.member_list.has_live_relay(
-            now_s
+        own = self.member_list.own
+        relays = self.member_list.relays(own.data_centre, now_s)
+        if own not in relays:
+            return not self.member_list.has_live_relay(now_s)
+        if own is relays[0] or not self._may_stand_by:
+            return True
+        return not self._is_following(relays[0], now_s)
+
+    def _is_following(self, router, now_s):
+        member = self._board.members.value.get(router.name)
+        is_live = self.member_list.is_live(router.name, now_s)
+        return (
+            is_live
+            and member is not None
+            and (member.follows_store and not member.draining)
         )
 
     # Sending and targets.
@@ -176,6 +200,7 @@
             revision,
             digest,
             routers,
+            self.follows_store(),
         )
 
     def _sample_routers(self, count):
@@ -274,6 +299,7 @@
             heartbeat.table_revision,
             heartbeat.is_draining,
             now_s,
+            heartbeat.follows_store,
         )
         members = self._board.members.value
         self._board.members.write({**members, sender.name: member})
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -46,6 +46,8 @@
         Digest of that list, since its revision also rises without a change of content.
     routers : list of AgedRouterInfo
         A sample of the routers that the sender knows.
+    follows_store : bool
+        Whether the sender watches the store and reaches it.
     """
 
     schema_version: int
@@ -55,6 +57,7 @@
     list_revision: int
     list_digest: str
     routers: list[AgedRouterInfo]
+    follows_store: bool = False
 
 
 class TableRequest(msgspec.Struct, tag="TableWanted", frozen=True, array_like=True):
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -37,6 +37,7 @@
 STALE_OPTION = b"&stale-ok=1"
 PING_PATH = b"/sesamearch/kv-key?key=sesamearch/peer-keys" + STALE_OPTION
 IDLE_TIMEOUT_S = 2.0
+BATCH_DELAY_S = 0.2
 # A page of keys or a list of events is at most some MB in base64.
 MAX_RESPONSE_BYTES = 16 << 20
 MS_PER_S = 1000.0
@@ -106,6 +107,9 @@
     reactor : twisted.internet.interfaces.IReactorTCP
     address : str
         ``ip:port``.
+    batch_delay_s : float
+        Time from a watch's response to its next call. The platform counts each call,
+        and one response then reports all changes that occur shortly after each other.
 
     Attributes
     ----------
@@ -119,8 +123,9 @@
         Number of calls made; the platform meters each call.
     """
 
-    def __init__(self, reactor, address):
+    def __init__(self, reactor, address, batch_delay_s=BATCH_DELAY_S):
         self.clock = reactor
+        self.batch_delay_s = batch_delay_s
         self.is_reachable = True
         self.regained_s = float("-inf")
         self.calls = 0
--- a/src/sesamearch/platform/watch.py
+++ b/src/sesamearch/platform/watch.py
@@ -11,9 +11,6 @@
 WAIT_MS = 20_000
 # Time within which the store must respond after the wait has ended.
 TIMEOUT_MARGIN_S = 2.0
-# The platform counts each call, so the watch waits this long before the next one. A
-# single response then reports all changes that occur shortly after each other.
-BATCH_DELAY_S = 0.2
 INITIAL_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.0
 MS_PER_S = 1000.0
@@ -111,4 +108,5 @@
             return
         self._receiver.changed(decode_events(reply.events), reply.store_revision)
         if not self._is_stopped:
-            self._retry = self._store.clock.callLater(BATCH_DELAY_S, self._send_call)
+            delay_s = self._store.batch_delay_s
+            self._retry = self._store.clock.callLater(delay_s, self._send_call)
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -6,6 +6,7 @@
 import logbook
 
 from sesamearch.base.record import MemberChanged
+from sesamearch.configuration.platform_settings import PlatformBounds
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.broadcast_batcher import BATCH_INTERVAL_S
 from sesamearch.membership.fleet_message import (
@@ -253,3 +254,70 @@
         self.assertEqual(running, {7})
         known = world.routers[0]._peers.member_list.find("router-5")
         self.assertEqual(known.incarnation, 1)
+
+
+class StandbyWorld(FleetWorld):
+    """A fleet whose second relays may stand by."""
+
+    bounds = PlatformBounds(drain_s=4.0)
+
+
+class TestStandby(unittest.TestCase):
+    """Of the two relays of a data centre, one watches the store."""
+
+    def setUp(self):
+        self.world = StandbyWorld(10)
+
+    def watchers(self):
+        return [
+            router
+            for router in self.world.routers
+            if all(follower.is_watching for follower in router._followers)
+        ]
+
+    def first_relay(self, data_centre="east"):
+        (router,) = [
+            each
+            for each in self.watchers()
+            if each._settings.data_centre == data_centre
+        ]
+        return router
+
+    def test_one_router_of_each_data_centre_watches(self):
+        data_centres = [each._settings.data_centre for each in self.watchers()]
+        self.assertEqual(sorted(data_centres), ["east", "west"])
+        self.assertEqual(len(self.world.store.pending), 2 * 2)
+
+    def test_leaving_endpoint_is_known_in_time_after_the_relay_fell_silent(self):
+        self.world.cut_sockets(self.first_relay("east"))
+        self.world.cut_sockets(self.first_relay("west"))
+        cut = {each.name for each in self.cut_routers()}
+        self.world.update_entry(self.world.desks[0], "desk", 0, state="draining")
+        self.world.run(2.5)
+        known = {
+            router.board.endpoints.value["desk-0"].leaving
+            for router in self.world.routers
+            if router._settings.name not in cut
+        }
+        self.assertEqual(known, {True})
+
+    def cut_routers(self):
+        return [
+            router._settings
+            for router in self.world.routers
+            if self.world.sockets[router._settings.peer.listen].is_cut
+        ]
+
+    def test_second_relay_watches_if_the_first_one_loses_the_store(self):
+        first = self.first_relay()
+        first._peers.follows_store = lambda: False
+        self.world.run(1.5)
+        east = [e for e in self.watchers() if e._settings.data_centre == "east"]
+        self.assertEqual(len(east), 2)
+
+    def test_second_relay_watches_if_the_first_one_drains(self):
+        first = self.first_relay()
+        first.shut_down()
+        self.world.run(1.0)
+        east = [e for e in self.watchers() if e._settings.data_centre == "east"]
+        self.assertEqual(len(east), 2)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -2,7 +2,10 @@
 
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from sesamearch.configuration.platform_settings import PlatformRouterSettings
+from sesamearch.configuration.platform_settings import (
+    PlatformBounds,
+    PlatformRouterSettings,
+)
 from sesamearch.configuration.settings import PeerSettings
 from sesamearch.daemon.platform_router import PlatformRouter
 from sesamearch.standin.network import MemoryNetwork
@@ -219,6 +222,8 @@
 class World:
     """A store, workers and routers that share one network.
 
+    Subclasses may change ``bounds``, the platform's limits for the routers.
+
     Parameters
     ----------
     routers : int
@@ -227,6 +232,8 @@
         alternately in two data centres.
     """
 
+    bounds = PlatformBounds()
+
     def __init__(self, routers=1, desks=2, engines=3):
         self.network = MemoryNetwork()
         self.sockets = {}
@@ -297,6 +304,7 @@
             metrics_listen=f"10.0.0.{number + 1}:7200",
             store_address=STORE,
             peer=PeerSettings(f"10.0.0.{number + 1}:8748", "", ["10.0.0.1:8748"]),
+            bounds=self.bounds,
         )
         sockets_type = type("Sockets", (MemorySockets,), {"world": self})
         router = PlatformRouter(
