Forward a load update within a data centre by one relay

Cause: both relays of a data centre forwarded every broadcast to its routers, so that each got it twice.

Change: the first relay forwards load updates within the data centre, the other one if the first has been silent for a relay's timeout. All else, such as the evidence of rollouts, which is not sent again, is forwarded by both, and so is everything to the other data centres.

Ruled out: halves by origin (as many messages, each half as long). The price: load updates of 1.3 s are lost within a data centre when its first relay dies; each router sends its load again within 1.5 s.

Tests: test_fleet.TestForwarding: no duplicates at routers that do not relay (failed before), all reached two seconds after the first relay was cut off.

--- a/src/sesamearch/membership/broadcasts.py
+++ b/src/sesamearch/membership/broadcasts.py
@@ -1,7 +1,7 @@
 """Broadcasts to all routers of the fleet, forwarded by the relays."""
 
 from sesamearch.membership.broadcast_batcher import BroadcastBatcher
-from sesamearch.membership.fleet_message import Broadcast, BroadcastBatch
+from sesamearch.membership.fleet_message import Broadcast, BroadcastBatch, LoadUpdate
 from sesamearch.membership.member_list import RELAY_TIMEOUT_S
 
 __all__ = ["Broadcasts"]
@@ -104,17 +104,31 @@
         return seen.add(broadcast.sequence)
 
     def _forward(self, broadcast):
-        """Forward a broadcast to the routers that its origin does not send it to."""
+        """Forward a broadcast to the routers that its origin does not send it to.
+
+        Within the data centre, load updates are forwarded by the first live relay only,
+        since each replaces the one before. All else is forwarded by both relays, so
+        that the loss of one delays nothing.
+        """
         now_s = self._clock.seconds()
-        own = self._member_list.own.data_centre
+        own = self._member_list.own
         origin = self._member_list.find(broadcast.origin)
-        is_local = origin is not None and origin.data_centre == own
-        if is_local and origin in self._member_list.relays(own, now_s):
+        is_local = origin is not None and origin.data_centre == own.data_centre
+        relays = self._member_list.relays(own.data_centre, now_s)
+        if is_local and origin in relays:
             return
-        self._local_batcher.add(broadcast)
+        if not isinstance(broadcast.update, LoadUpdate) or self._is_first(relays):
+            self._local_batcher.add(broadcast)
         if is_local:
             self._remote_batcher.add(broadcast)
 
+    def _is_first(self, relays):
+        """Return whether this router is the first of the live relays."""
+        first = relays[0]
+        now_s = self._clock.seconds()
+        is_live = self._member_list.is_live(first.name, now_s)
+        return first is self._member_list.own or not is_live
+
     def _send_to_local_routers(self, broadcasts):
         own = self._member_list.own.data_centre
         relays = self._member_list.relays(own, self._clock.seconds())
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -10,6 +10,8 @@
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.broadcast_batcher import BATCH_INTERVAL_S
 from sesamearch.membership.fleet_message import (
+    Broadcast,
+    BroadcastBatch,
     EndpointsRequest,
     LoadUpdate,
     TableRequest,
@@ -262,6 +264,59 @@
     bounds = PlatformBounds(drain_s=4.0)
 
 
+class TestForwarding(unittest.TestCase):
+    """Each router gets a broadcast once from its relays, also after a relay is lost."""
+
+    def setUp(self):
+        self.world = FleetWorld(10)
+        self.received = []
+        for link in self.world.links():
+            self.record(link)
+
+    def record(self, link):
+        name = link.member_list.own.name
+        handlers = link._message_handlers
+        receive, receive_batch = handlers[Broadcast], handlers[BroadcastBatch]
+
+        def note(broadcast):
+            self.received.append(name)
+            receive(broadcast)
+
+        def note_batch(batch):
+            self.received += [name] * len(batch.broadcasts)
+            receive_batch(batch)
+
+        handlers[Broadcast], handlers[BroadcastBatch] = note, note_batch
+
+    def send(self):
+        self.received.clear()
+        origin = next(x for x in self.world.links() if not x.is_relay)
+        origin.send_to_all(LoadUpdate("x", {}, [], {}))
+        self.world.run(0.2)
+        return origin
+
+    def test_routers_that_do_not_relay_get_no_duplicates(self):
+        origin = self.send()
+        for link in self.world.links():
+            if link is not origin and not link.is_relay:
+                name = link.member_list.own.name
+                self.assertEqual(self.received.count(name), 1, name)
+
+    def test_second_relay_forwards_when_the_first_is_lost(self):
+        first = next(
+            link
+            for link in self.world.links()
+            if link.member_list.relays("west", self.world.network.seconds())[0]
+            is link.member_list.own
+        )
+        self.world.sockets[first.member_list.own.address].is_cut = True
+        self.world.run(2.0)
+        origin = self.send()
+        links = {link.member_list.own.name for link in self.world.links()}
+        lost = {first.member_list.own.name, origin.member_list.own.name}
+        self.assertEqual(set(self.received) - lost, links - lost)
+
+
 class TestStandby(unittest.TestCase):
     """Of the two relays of a data centre, one watches the store."""
 
