--- a/src/sesamearch/forwarding/budget.py
+++ b/src/sesamearch/forwarding/budget.py
@@ -111,7 +111,7 @@
         self._retries = _SlidingCount(clock, window_s)
         self._other_requests = _SlidingCount(clock, window_s)
         self._other_retries = _SlidingCount(clock, window_s)
-        # Epoch and last report by the name of the router.
+        # Epoch and last report of each router by its name.
         self._reported = {}
 
     def count_request(self):
@@ -205,7 +205,7 @@
         "_budgets",
         "_clock",
         "_heard_s",
-        "_is_informed_s",
+        "_sharing_begins_s",
         "_parameters",
         "_view_fleet",
     )
@@ -218,7 +218,7 @@
         self._heard_s = {}
         # Until then, this process may not know all retries of the last window, such as
         # those that it sent itself before a restart.
-        self._is_informed_s = clock.seconds() + window_s
+        self._sharing_begins_s = clock.seconds() + window_s
 
     def _budget(self, service):
         if service not in self._budgets:
@@ -238,7 +238,7 @@
     def _live_ratio(self, data_centres):
         """Return the share of the data centres whose reports are up to date."""
         now_s = self._clock.seconds()
-        if now_s < self._is_informed_s:
+        if now_s < self._sharing_begins_s:
             return 0.0
         heard = [self._heard_s.get(each, float("-inf")) for each in data_centres]
         live = sum(heard_s >= now_s - NEWS_TIMEOUT_S for heard_s in heard)
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -170,11 +170,9 @@
     def _is_following(self, router, now_s):
         member = self._board.members.value.get(router.name)
         is_live = self.member_list.is_live(router.name, now_s)
-        return (
-            is_live
-            and member is not None
-            and (member.follows_store and not member.draining)
-        )
+        if member is None or not is_live:
+            return False
+        return member.follows_store and not member.draining
 
     # Sending and targets.
 
--- a/src/sesamearch/membership/member_list.py
+++ b/src/sesamearch/membership/member_list.py
@@ -244,7 +244,7 @@
         """Return the routers that relay for the other data centres."""
         return [
             router
-            for data_centre in self._ranked.keys() - {self.own.data_centre}
+            for data_centre in sorted(self._ranked.keys() - {self.own.data_centre})
             for router in self.other_relays(data_centre, now_s)
         ]
 
