--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -11,6 +11,7 @@
 PREFILL_TOKENS_PER_S = 8000.0
 EVENT_INTERVAL_S = 0.03
 DEFAULT_EVENTS = 20
+OK = 200
 
 
 class WorkerRun(msgspec.Struct):
@@ -86,7 +87,7 @@
         self.work_s = work_s
         self.runs = []
         self.running = 0
-        self.status = 200
+        self.status = OK
         self.fault = ""
         self.is_healthy = True
 
@@ -189,6 +190,8 @@
     ----------
     event_interval_s : float
         Time between two events of a generation.
+    prefill_tokens_per_s : float
+        Prompt tokens that are read in a second.
     copies : dict from str to int
         Number of tokens in each KV cache copy that other engines sent, by the handle
         of the copy.
@@ -202,6 +205,7 @@
         super().__init__(clock, name, slots)
         self.events = events
         self.event_interval_s = EVENT_INTERVAL_S
+        self.prefill_tokens_per_s = PREFILL_TOKENS_PER_S
         self.copies = {}
         self.neighbours = {}
         self.is_unresponsive = False
@@ -300,12 +304,20 @@
 
     def start(self):
         """Prefill the prompt, then stream the events."""
-        delay_s = self._run.prompt_tokens / PREFILL_TOKENS_PER_S + EVENT_INTERVAL_S
-        self._timer = self._engine.clock.callLater(delay_s, self._begin_response)
+        engine = self._engine
+        delay_s = self._run.prompt_tokens / engine.prefill_tokens_per_s
+        self._timer = engine.clock.callLater(
+            delay_s + EVENT_INTERVAL_S, self._begin_response
+        )
 
     def _begin_response(self):
-        if not self._engine.is_unresponsive:
-            self._reply.start(200, self._headers)
+        engine = self._engine
+        if engine.status != OK:
+            engine.ended(self._run, "whole")
+            self._reply.answer(engine.status, self._headers, b"")
+            return
+        if not engine.is_unresponsive:
+            self._reply.start(OK, self._headers)
         self._send_event()
 
     def _send_event(self):
