Judge a rollout by what all routers see, also of answers still open

Cause: absence of evidence completed a rollout. A generation's time was judged to its first event only; a slow answer counted when it came, so that the fast ones voted first; slow needed five answers of the old version on the route at the same router since the order; and five good answers of any route were enough to complete.

Change: each try has an observer. It records failures, the time to the first event and the time between events; what still runs is recorded once it exceeds the limit. Times travel as counts by bucket, so that the limit (twice the old version's median of the route) comes from all routers, and each router also sends what it saw of the old version before the order. A measure is judged by route and over all routes. Good now needs a likelihood ratio of 20 to 1 for the version in each measure, and no recent evidence of that size against it: a completed rollout cannot be undone, a reverted one can be ordered again. What one endpoint breaks off at once counts as one failure.

--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -12,7 +12,7 @@
         "dispatcher": ["Dispatcher", "ForwardCounters"],
         "exchange": ["Exchange", "ForwardTools", "Try", "retry_after_s"],
         "endpoint_index": ["EndpointIndex"],
-        "gate": ["OpenGate", "VersionGate"],
+        "gate": ["OpenGate", "TryObserver", "VersionGate"],
         "health": ["EndpointHealth", "HealthTracker", "Outcomes", "Suspicion"],
         "load": ["EndpointLoad", "LoadTracker", "Work"],
         "meter": ["Meter", "NoMeter"],
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -128,7 +128,7 @@
         answer = attempt.answer
         is_failure = answer.status >= 500
         self.tools.health.note_answer(attempt.endpoint.name, is_failure)
-        self.note_answer(attempt, is_failure)
+        attempt.observer.answered(is_failure)
         if is_failure and self._is_idempotent:
             self._failure = attempt
             self.drop(attempt, "failed", answer.status)
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -81,6 +81,7 @@
     number : int
         Number of the try within its request, from 1.
     work : Work
+    observer : TryObserver
     sent_s : float
     """
 
@@ -90,17 +91,19 @@
         "answer",
         "buffered_bytes",
         "number",
+        "observer",
         "options",
         "pending_request",
         "sent_s",
         "work",
     )
 
-    def __init__(self, exchange, options, number, work, sent_s):
+    def __init__(self, exchange, options, number, work, observer, sent_s):
         self._exchange = exchange
         self.options = options
         self.number = number
         self.work = work
+        self.observer = observer
         self.sent_s = sent_s
         self.pending_request = None
         self.answer = None
@@ -150,16 +153,19 @@
         """Handle the end of a complete answer."""
         self.work.end()
         self._exchange.try_ended(self)
+        self.observer.ended()
 
     def answer_lost(self, loss):
         """Handle the loss of the answer."""
         self.work.end()
+        self.observer.ended()
         self._exchange.tools.restarts.note_lost(self.endpoint)
         self._exchange.try_lost(self, loss)
 
     def cancel(self):
         """Close the connection to the endpoint, so that it stops working."""
         self.work.end()
+        self.observer.ended()
         self.pending_request.cancel()
 
 
@@ -248,7 +254,9 @@
     def send(self, options, work):
         """Send the request to one endpoint and return the :class:`Try`."""
         self.try_count += 1
-        attempt = Try(self, options, self.try_count, work, self.now_s)
+        is_resumed = options.after_event is not None
+        observer = self.tools.gate.sent(options.endpoint, self.route.name, is_resumed)
+        attempt = Try(self, options, self.try_count, work, observer, self.now_s)
         self.tries.append(attempt)
         load = self.tools.loads.total(options.endpoint.name)
         logger.info(
@@ -266,7 +274,6 @@
             )
         )
         self.tools.counters.tries += 1
-        self.tools.gate.sent(options.endpoint)
         attempt.pending_request = self.tools.client.forward(
             self.request, options, attempt
         )
@@ -291,9 +298,9 @@
         )
 
     def note_loss(self, attempt, loss):
-        """Report a lost answer to the health tracker and the version gate.
+        """Report a lost answer to the health tracker and the observer of the try.
 
-        A failed connection is not reported to the gate: no version got the request.
+        A failed connection is not reported to the observer: no version got the request.
         """
         name = attempt.endpoint.name
         if loss is Loss.NOT_CONNECTED:
@@ -302,15 +309,7 @@
                 self.tools.outages.note_unreachable(attempt.endpoint)
         else:
             self.tools.health.note_failure(name)
-            self.note_answer(attempt, True)
-
-    def note_answer(self, attempt, is_failure):
-        """Report the outcome of a try to the version gate.
-
-        During a rollout, the gate uses it to judge the new version.
-        """
-        took_s = self.now_s - attempt.sent_s
-        self.tools.gate.answered(attempt.endpoint, self.route.name, is_failure, took_s)
+            attempt.observer.lost()
 
     def reject_body(self, attempt, loss):
         """Cancel a try whose body cannot be used, and handle it as a lost one."""
@@ -406,14 +405,14 @@
     def note_no_answer(self, attempts):
         """Record tries that are unanswered at the deadline or when another try ends.
 
-        Each counts as a failure of its endpoint. To the version gate it is reported as
-        an answer after the time waited so far, which may count as slow.
+        Each counts as a failure of its endpoint. To a rollout the time waited so far
+        may count as slow.
         """
         for attempt in attempts:
             self.tools.health.note_failure(attempt.endpoint.name)
             if attempt.answer is None and self.now_s - attempt.sent_s >= MIN_SILENCE_S:
                 self.tools.outages.note_unreachable(attempt.endpoint)
-            self.note_answer(attempt, False)
+            attempt.observer.unanswered()
 
     def _timed_out(self):
         if self.is_over:
--- a/src/sesamearch/forwarding/gate.py
+++ b/src/sesamearch/forwarding/gate.py
@@ -2,7 +2,50 @@
 
 import abc
 
-__all__ = ["OpenGate", "VersionGate"]
+__all__ = ["OpenGate", "TryObserver", "VersionGate"]
+
+
+class TryObserver(abc.ABC):
+    """Records how one try goes, as evidence on the version of its endpoint."""
+
+    @abc.abstractmethod
+    def answered(self, is_failure):
+        """Record the whole answer, or the first event of a generation."""
+
+    @abc.abstractmethod
+    def received_events(self, count):
+        """Record events of a generation that arrived together."""
+
+    @abc.abstractmethod
+    def unanswered(self):
+        """Record that no answer came for as long as the try was given."""
+
+    @abc.abstractmethod
+    def lost(self):
+        """Record that the endpoint broke the answer off or fell silent."""
+
+    @abc.abstractmethod
+    def ended(self):
+        """Stop to observe the try, however it ended."""
+
+
+class _NoObserver(TryObserver):
+    """Records nothing."""
+
+    def answered(self, is_failure):
+        """Ignore the answer."""
+
+    def received_events(self, count):
+        """Ignore the events."""
+
+    def unanswered(self):
+        """Ignore the silence."""
+
+    def lost(self):
+        """Ignore the loss."""
+
+    def ended(self):
+        """Ignore the end."""
 
 
 class VersionGate(abc.ABC):
@@ -24,27 +67,29 @@
         """
 
     @abc.abstractmethod
-    def sent(self, endpoint):
-        """Count a request that is sent to an endpoint."""
-
-    @abc.abstractmethod
-    def answered(self, endpoint, route, is_failure, took_s):
-        """Record the outcome of a request that an endpoint got.
+    def sent(self, endpoint, route, is_resumed):
+        """Count a request that is sent to an endpoint.
 
         Parameters
         ----------
         endpoint : Endpoint
         route : str
             Name of the route.
-        is_failure : bool
-        took_s : float
-            Time to the answer; for a generation, to its first event.
+        is_resumed : bool
+            Whether a generation goes on after an event. The time to its next event
+            depends on what the engine kept of it.
+
+        Returns
+        -------
+        TryObserver
         """
 
 
 class OpenGate(VersionGate):
     """Admits every request, for use without rollouts."""
 
+    _observer = _NoObserver()
+
     def admits(self, endpoint, request_id):
         """Return True."""
         return True
@@ -53,8 +98,6 @@
         """Return True."""
         return True
 
-    def sent(self, endpoint):
-        """Ignore the request."""
-
-    def answered(self, endpoint, route, is_failure, took_s):
-        """Ignore the outcome."""
+    def sent(self, endpoint, route, is_resumed):
+        """Return an observer that records nothing."""
+        return self._observer
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -290,7 +290,8 @@
     def _forward_events(self, attempt, events):
         if not attempt.work.is_read:
             attempt.work.prompt_was_read()
-            self.note_answer(attempt, False)
+            attempt.observer.answered(is_failure=False)
+        attempt.observer.received_events(len(events))
         if not self._has_head:
             self._start_answer(attempt)
         elif self._is_broken:
@@ -334,7 +335,7 @@
 
     def _handle_failure(self, attempt):
         self.tools.health.note_answer(attempt.endpoint.name, True)
-        self.note_answer(attempt, True)
+        attempt.observer.answered(is_failure=True)
         self.drop(attempt, "failed", attempt.answer.status)
         can_repeat = self.route.is_resumable and self._runs < self.route.max_attempts
         if self._has_head or (can_repeat and attempt.answer.status >= 500):
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -7,7 +7,7 @@
 from sesamearch.forwarding.health import Outcomes, Suspicion
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.member_list import AgedRouterInfo, RouterInfo
-from sesamearch.routing.canary import RouteEvidence
+from sesamearch.routing.canary_evidence import RouteEvidence
 
 __all__ = [
     "FLEET_SCHEMA_VERSION",
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -1,6 +1,7 @@
 """Controller of the rollouts in progress: every router limits, judges and ends them."""
 
 import abc
+import functools
 import hashlib
 from typing import Protocol
 
@@ -11,8 +12,10 @@
 from sesamearch.base.record import RolloutChanged
 from sesamearch.forwarding.gate import VersionGate
 from sesamearch.membership.fleet_message import RolloutUpdate, RolloutVerdict
+from sesamearch.rollout.observer import ServiceObserver
 from sesamearch.rollout.order import RolloutOrder, RolloutState
-from sesamearch.routing.canary import CanaryPlan, Evidence, Verdict
+from sesamearch.routing.canary import CanaryPlan
+from sesamearch.routing.canary_evidence import Evidence, Verdict
 
 __all__ = ["Rollout", "RolloutController", "RolloutRegister"]
 
@@ -174,6 +177,7 @@
         self._settings = settings
         self._clock = clock
         self._peers = None
+        self._observers = {}
         self.rollouts = {}
 
     def join(self, peers):
@@ -202,6 +206,7 @@
             return known
         rollout = Rollout(order, self._settings, begun_s)
         self.rollouts[order.service] = rollout
+        self._observer(order.service).begin(order.target)
         self._log(rollout, "order")
         self._write(rollout, self._register.begin)
         return rollout
@@ -260,21 +265,24 @@
             return True
         return endpoint.version != rollout.order.target
 
-    def sent(self, endpoint):
-        """Count a request that is sent to an endpoint."""
+    def sent(self, endpoint, route, is_resumed):
+        """Count a request that is sent to an endpoint, and observe it."""
         rollout = self.rollouts.get(endpoint.service)
         if rollout is not None:
             rollout.requests += 1
             rollout.to_new += endpoint.version == rollout.order.target
-
-    def answered(self, endpoint, route, is_failure, took_s):
-        """Record the result of a request; send a failure of the new version at once."""
-        rollout = self.rollouts.get(endpoint.service)
-        if rollout is None:
-            return
-        is_new = endpoint.version == rollout.order.target
-        rollout.evidence.answered(route, is_new, is_failure, took_s)
-        if is_new and is_failure:
+        return self._observer(endpoint.service).observe(endpoint, route, is_resumed)
+
+    def _observer(self, service):
+        if service not in self._observers:
+            on_failure = functools.partial(self._handle_failure, service)
+            self._observers[service] = ServiceObserver(self._clock, on_failure)
+        return self._observers[service]
+
+    def _handle_failure(self, service, version):
+        """Send a failure of the new version to the other routers at once."""
+        rollout = self.rollouts[service]
+        if version == rollout.order.target:
             self._send_update(rollout)
 
     # Evidence
@@ -283,11 +291,13 @@
         """Send new evidence to the other routers; complete rollouts that are due."""
         for rollout in self.rollouts.values():
             if rollout.state is RolloutState.IN_PROGRESS:
+                observer = self._observer(rollout.order.service)
+                observer.check_open(rollout.evidence)
                 self._send_update(rollout)
                 self._complete_if_due(rollout)
 
     def _send_update(self, rollout):
-        counts = rollout.evidence.pop_counts()
+        counts = self._observer(rollout.order.service).pop_counts()
         now_s = self._clock.seconds()
         if not (counts or rollout.requests) and now_s < rollout.next_resend_s:
             return
@@ -329,6 +339,7 @@
         if rollout.state is RolloutState.REVERTED:
             return
         rollout.state_machine.marked_bad()
+        self._observer(rollout.order.service).end()
         self._log(rollout, cause)
         if cause != "written":
             self._broadcast_verdict(rollout, is_bad=True)
--- a/src/sesamearch/routing/__init__.py
+++ b/src/sesamearch/routing/__init__.py
@@ -5,12 +5,14 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
-        "canary": [
-            "CanaryPlan",
-            "CanarySettings",
+        "canary": ["CanaryPlan", "CanarySettings"],
+        "canary_evidence": [
             "Evidence",
+            "Measure",
             "RouteEvidence",
+            "TimeCount",
             "Verdict",
+            "time_bucket",
         ],
         "evidence": [
             "BadEvent",
--- a/src/sesamearch/routing/canary.py
+++ b/src/sesamearch/routing/canary.py
@@ -1,20 +1,11 @@
-"""Decisions of a canary rollout: the new version's traffic share and the verdict.
+"""The share of a service's traffic that a new version gets in a canary rollout.
 
 Nothing here does I/O or reads a clock; the caller passes the time.
 """
 
-import enum
-import math
-
 import msgspec
 
-__all__ = [
-    "CanaryPlan",
-    "CanarySettings",
-    "Evidence",
-    "RouteEvidence",
-    "Verdict",
-]
+__all__ = ["CanaryPlan", "CanarySettings"]
 
 # Part of the allowed exposure that the plan uses, and part of that in the first phase.
 USED_EXPOSURE_RATIO = 0.7
@@ -31,28 +22,6 @@
 # enough that few requests follow before the deadline, and long enough to retry a lost
 # write of the completion.
 COMPLETION_MARGIN_S = 1.0
-# The failure ratio that is assumed of a bad version: three times that of the old one,
-# and at least this much above it.
-BAD_FAILURE_RATIO = 3.0
-BAD_FAILURE_EXCESS_RATIO = 0.2
-MIN_FAILURE_RATIO = 0.03
-PRIOR_FAILURES = 2
-PRIOR_ANSWERS = 6
-MAX_FAILURE_RATIO = 0.9
-# The verdict is bad at a likelihood ratio of 600 to 1.
-BAD_SCORE_THRESHOLD = math.log(600)
-SLOW_RATIO = 2.5
-MAX_TIME_SAMPLES = 64
-MIN_TIME_SAMPLES = 5
-MIN_GOOD_ANSWERS = 5
-
-
-class Verdict(enum.Enum):
-    """What the evidence says about a new version."""
-
-    OPEN = "open"
-    BAD = "bad"
-    GOOD = "good"
 
 
 class CanarySettings(msgspec.Struct, frozen=True):
@@ -120,129 +89,3 @@
         if remaining_s <= 0:
             return 0.0
         return max(0.0, min(1.0, (usable - self.to_new) / (rate * remaining_s)))
-
-
-class RouteEvidence(msgspec.Struct, array_like=True):
-    """Counts of one route since the last update to the other routers.
-
-    Parameters
-    ----------
-    route : str
-    new_answers, new_failures, new_slow : int
-        All, failed and slow answers of the new version.
-    old_answers, old_failures, old_slow : int
-        The same for all other versions.
-    """
-
-    route: str
-    new_answers: int = 0
-    new_failures: int = 0
-    new_slow: int = 0
-    old_answers: int = 0
-    old_failures: int = 0
-    old_slow: int = 0
-
-
-class _SequentialTest:
-    """A sequential test of one kind of event, for or against the new version.
-
-    The score is a CUSUM of log-likelihood ratios: it never falls below zero, so that
-    good answers do not outweigh a fault that begins later.
-    """
-
-    __slots__ = ("_old_bad", "_old_total", "score")
-
-    def __init__(self):
-        self._old_total = 0
-        self._old_bad = 0
-        self.score = 0.0
-
-    def add_counts(self, new_total, new_bad, old_total, old_bad):
-        self._old_total += old_total
-        self._old_bad += old_bad
-        # The prior assumes frequent failures until the old version has many answers.
-        old_ratio = (self._old_bad + PRIOR_FAILURES) / (self._old_total + PRIOR_ANSWERS)
-        old_ratio = min(max(old_ratio, MIN_FAILURE_RATIO), MAX_FAILURE_RATIO / 2)
-        bad_ratio = min(
-            max(old_ratio * BAD_FAILURE_RATIO, old_ratio + BAD_FAILURE_EXCESS_RATIO),
-            MAX_FAILURE_RATIO,
-        )
-        self.score += new_bad * math.log(bad_ratio / old_ratio)
-        self.score += (new_total - new_bad) * math.log(
-            (1 - bad_ratio) / (1 - old_ratio)
-        )
-        self.score = max(0.0, self.score)
-
-
-class Evidence:
-    """What all routers saw of the versions of one service."""
-
-    __slots__ = ("_failures", "_slow", "_times_s", "_unsent", "good_answers")
-
-    def __init__(self):
-        self._failures = {}
-        self._slow = {}
-        self._unsent = {}
-        self._times_s = {}
-        self.good_answers = 0
-
-    def answered(self, route, is_new, is_failure, took_s):
-        """Count an answer that this router got, for the next :meth:`pop_counts`."""
-        counts = self._unsent.setdefault(route, RouteEvidence(route))
-        is_slow = not is_failure and self._is_slow(route, is_new, took_s)
-        if is_new:
-            counts.new_answers += 1
-            counts.new_failures += is_failure
-            counts.new_slow += is_slow
-        else:
-            counts.old_answers += 1
-            counts.old_failures += is_failure
-            counts.old_slow += is_slow
-
-    def _is_slow(self, route, is_new, took_s):
-        """Return whether an answer is slow against the median of the old version."""
-        times_s = self._times_s.setdefault(route, [])
-        is_slow = False
-        if len(times_s) >= MIN_TIME_SAMPLES:
-            is_slow = took_s > SLOW_RATIO * sorted(times_s)[len(times_s) // 2]
-        if not is_new:
-            times_s.append(took_s)
-            del times_s[:-MAX_TIME_SAMPLES]
-        return is_slow
-
-    def pop_counts(self):
-        """Return and reset the counts of this router's answers since the last call.
-
-        The caller sends them to the other routers and passes each to
-        :meth:`add_counts`; until then they do not affect the verdict.
-        """
-        counts, self._unsent = list(self._unsent.values()), {}
-        return counts
-
-    def add_counts(self, counts):
-        """Add a :class:`RouteEvidence` from this router or another one."""
-        self.good_answers += counts.new_answers - counts.new_failures - counts.new_slow
-        self._failures.setdefault(counts.route, _SequentialTest()).add_counts(
-            counts.new_answers,
-            counts.new_failures,
-            counts.old_answers,
-            counts.old_failures,
-        )
-        self._slow.setdefault(counts.route, _SequentialTest()).add_counts(
-            counts.new_answers, counts.new_slow, counts.old_answers, counts.old_slow
-        )
-
-    @property
-    def score(self):
-        """Float : score of the test with the strongest evidence against the version."""
-        tests = [*self._failures.values(), *self._slow.values()]
-        return max((test.score for test in tests), default=0.0)
-
-    @property
-    def verdict(self):
-        """Verdict : conclusion from the evidence so far."""
-        if self.score >= BAD_SCORE_THRESHOLD:
-            return Verdict.BAD
-        if self.good_answers >= MIN_GOOD_ANSWERS:
-            return Verdict.GOOD
-        return Verdict.OPEN
