Do not take back a good version for a route that few requests use

Cause: the route with 0.2 generations a second had fewer than five answers of the old version, so times of the new one stayed unjudged there, and any unjudged time kept the version from being good, with a likelihood of 270 to 1 for it on the other route.

Change: up to a fifth of the measurements may lack a reference; a fault on such a route alone harms few, and failures there still count. The test failed before (open, not good).

--- a/src/sesamearch/routing/__init__.py
+++ b/src/sesamearch/routing/__init__.py
@@ -10,6 +10,8 @@
             "Evidence",
             "Measure",
             "RouteEvidence",
+            "Sample",
+            "Support",
             "TimeCount",
             "Verdict",
             "time_bucket",
--- a/src/sesamearch/routing/canary_evidence.py
+++ b/src/sesamearch/routing/canary_evidence.py
@@ -18,6 +18,8 @@
     "Evidence",
     "Measure",
     "RouteEvidence",
+    "Sample",
+    "Support",
     "TimeCount",
     "Verdict",
     "time_bucket",
@@ -36,6 +38,8 @@
 # A time is slow if it is this many buckets, a factor of two, above the median.
 SLOW_BUCKETS = 8
 MIN_REFERENCE_TIMES = 5
+# Part of the new version's measurements that may lack a reference in a good version.
+MAX_UNJUDGED_RATIO = 0.2
 MIN_TIME_S = 1e-4
 # The verdict is bad at a likelihood ratio of 600 to 1, at any time.
 BAD_SCORE = math.log(600)
@@ -126,13 +130,38 @@
         return self.new_pace if is_new else self.old_pace
 
 
-class _Sample(msgspec.Struct, frozen=True):
+class Sample(msgspec.Struct, frozen=True):
     """Numbers of answers of both versions, and of the bad ones among them."""
 
-    new: int
-    new_bad: int
-    old: int
-    old_bad: int
+    new: int = 0
+    new_bad: int = 0
+    old: int = 0
+    old_bad: int = 0
+
+    def plus(self, other):
+        """Return the sum with another sample."""
+        return Sample(
+            self.new + other.new,
+            self.new_bad + other.new_bad,
+            self.old + other.old,
+            self.old_bad + other.old_bad,
+        )
+
+
+class Support(msgspec.Struct, frozen=True):
+    """Evidence for the new version by one measure over all routes.
+
+    Parameters
+    ----------
+    measure : Measure
+    strength : float
+        Logarithm of the likelihood ratio in favour of the version.
+    sample : Sample
+    """
+
+    measure: Measure
+    strength: float
+    sample: Sample
 
 
 class _SequentialTest:
@@ -145,21 +174,22 @@
         do not outweigh a fault that begins later.
     total : float
         Their plain sum, negative if the evidence is for the version.
+    sample : Sample
+        All that was added.
     """
 
-    __slots__ = ("_old_bad", "_old_total", "score", "total")
+    __slots__ = ("sample", "score", "total")
 
     def __init__(self):
-        self._old_total = 0
-        self._old_bad = 0
+        self.sample = Sample()
         self.score = 0.0
         self.total = 0.0
 
     def add(self, sample):
-        self._old_total += sample.old
-        self._old_bad += sample.old_bad
+        self.sample = self.sample.plus(sample)
         # The prior assumes frequent failures until the old version has many answers.
-        old_ratio = (self._old_bad + PRIOR_FAILURES) / (self._old_total + PRIOR_ANSWERS)
+        old_bad = self.sample.old_bad + PRIOR_FAILURES
+        old_ratio = old_bad / (self.sample.old + PRIOR_ANSWERS)
         old_ratio = min(max(old_ratio, MIN_FAILURE_RATIO), MAX_FAILURE_RATIO / 2)
         bad_ratio = min(
             max(old_ratio * BAD_FAILURE_RATIO, old_ratio + BAD_FAILURE_EXCESS_RATIO),
@@ -187,15 +217,15 @@
         self._kept_old = []
 
     def add(self, new, old):
-        """Add lists of :class:`TimeCount`; return the :class:`_Sample` to judge."""
+        """Add lists of :class:`TimeCount`; return the :class:`Sample` to judge."""
         for time in old:
             self._old[time.bucket] += time.count
         self._kept_new += new
         self._kept_old += old
         limit = self.limit_bucket
         if limit is None:
-            return _Sample(0, 0, 0, 0)
-        sample = _Sample(
+            return Sample()
+        sample = Sample(
             _total(self._kept_new),
             _slow(self._kept_new, limit),
             _total(self._kept_old),
@@ -205,9 +235,9 @@
         return sample
 
     @property
-    def has_unjudged(self):
-        """Bool : whether times of the new version wait for the median."""
-        return bool(self._kept_new)
+    def unjudged(self):
+        """Int : number of times of the new version that wait for the median."""
+        return _total(self._kept_new)
 
     @property
     def limit_bucket(self):
@@ -248,7 +278,7 @@
 
     def add_counts(self, counts):
         """Add a :class:`RouteEvidence` from this router or another one."""
-        outcomes = _Sample(
+        outcomes = Sample(
             counts.new_answers,
             counts.new_failures,
             counts.old_answers,
@@ -279,26 +309,35 @@
         return max((test.score for test in tests), default=0.0)
 
     @property
-    def support(self):
-        """Float : evidence for the version, by the measure that has least of it."""
+    def weakest(self):
+        """Support or None : the measure with the least evidence for the version."""
+        supports = [
+            Support(measure, -test.total, test.sample)
+            for measure, test in self._all_routes.items()
+        ]
+        return min(supports, key=lambda each: each.strength, default=None)
+
+    def _is_supported(self):
         if Measure.FAILURE not in self._all_routes or self._lacks_reference():
-            return 0.0
-        return min(-test.total for test in self._all_routes.values())
+            return False
+        return self.weakest.strength >= GOOD_SCORE
 
     def _lacks_reference(self):
         """Return whether the old version answers, but too seldom to compare times.
 
-        If it does not answer at all, there is nothing to fall back on, and failures
-        alone decide.
+        Routes with few requests may lack a reference. If the old version does not
+        answer at all, there is nothing to fall back on, and failures alone decide.
         """
-        unjudged = any(test.has_unjudged for test in self._times.values())
-        return self._has_old_answers and unjudged
+        unjudged = sum(test.unjudged for test in self._times.values())
+        judged = sum(test.sample.new for test in self._all_routes.values())
+        limit = MAX_UNJUDGED_RATIO * (unjudged + judged)
+        return self._has_old_answers and unjudged > limit
 
     @property
     def verdict(self):
         """Verdict : conclusion from the evidence so far."""
         if self.score >= BAD_SCORE:
             return Verdict.BAD
-        if self.support >= GOOD_SCORE and self.score < GOOD_SCORE:
+        if self._is_supported() and self.score < GOOD_SCORE:
             return Verdict.GOOD
         return Verdict.OPEN
--- a/tests/routing/test_canary_evidence.py
+++ b/tests/routing/test_canary_evidence.py
@@ -141,6 +141,15 @@
         evidence.add_counts(count_answers("r", 20, is_new=True))
         self.assertIs(evidence.verdict, Verdict.GOOD)
 
+    # Guards against reverting a good version for a route that few requests use.
+    def test_rare_route_without_a_reference_does_not_prevent_a_good_verdict(self):
+        evidence = Evidence()
+        evidence.add_counts(count_answers("r", 100, is_new=False))
+        evidence.add_counts(count_answers("r", 20, is_new=True))
+        evidence.add_counts(count_answers("rare", 2, is_new=False))
+        evidence.add_counts(count_answers("rare", 3, is_new=True))
+        self.assertIs(evidence.verdict, Verdict.GOOD)
+
     # Guards against calling a version good whose times are not known.
     def test_answers_without_times_are_not_enough(self):
         evidence = Evidence()
