Let the store decide how a rollout without enough evidence ends

What callers would see: 503 from a router, with endpoints of the completed version free.

Cause: a router that had missed the others' updates reverted at once by itself when the rollout was due. Where another one had completed it, the store said complete and the old endpoints stopped, but a reverted router never uses the version again.

Change: any router that has seen enough may complete until half a second before the deadline; after that a revert for lack of evidence is written first and applied when the store answers. A version that was judged bad is still reverted at once by each router. The log tells the measure with the least evidence for the version, and its counts.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -348,13 +348,20 @@
         Revision of the operator's order for the rollout.
     cause : str
         ``order`` (begun by the operator's order), ``evidence`` (the target version is
-        bad), ``peer`` (reverted by another router), ``written`` (the store contains
-        the outcome) or ``unproved`` (when due, there was too little evidence for the
-        target version, or no endpoint that runs it).
+        bad), ``peer`` (reverted by another router) or ``written`` (the store contains
+        the outcome). A rollout for whose target version there is too little evidence
+        when it is due, or no endpoint that runs it, is reverted as ``written``.
     score : float
         Strength of the evidence against the target version.
     to_new : int
         Requests that all routers sent to the target version.
+    support : float
+        Strength of the evidence for the target version, by its weakest measure.
+    weakest : str
+        That measure: ``failure``, ``first`` (time to the first event or answer) or
+        ``pace`` (time between events); empty without evidence.
+    new_answers, new_bad, old_answers, old_bad : int
+        Answers of both versions by that measure, and the bad ones among them.
     """
 
     service: str
@@ -364,6 +371,12 @@
     cause: str
     score: float = 0.0
     to_new: int = 0
+    support: float = 0.0
+    weakest: str = ""
+    new_answers: int = 0
+    new_bad: int = 0
+    old_answers: int = 0
+    old_bad: int = 0
 
 
 class DataCentreReachability(Record, frozen=True, tag="data_centre_reachability"):
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -5,6 +5,7 @@
 import hashlib
 from typing import Protocol
 
+import msgspec
 from automat import TypeMachineBuilder
 from twisted.internet.defer import Deferred
 
@@ -153,6 +154,32 @@
     return int.from_bytes(digest, "big") / _HASH_VALUES
 
 
+def _describe(rollout, cause):
+    """Return the log record of a change of state, with what decided it."""
+    order, evidence = rollout.order, rollout.evidence
+    record = RolloutChanged(
+        order.service,
+        order.target,
+        rollout.state.value,
+        order.revision,
+        cause,
+        round(evidence.score, 1),
+        rollout.plan.to_new,
+    )
+    weakest = evidence.weakest
+    if weakest is None:
+        return record
+    return msgspec.structs.replace(
+        record,
+        support=round(weakest.strength, 1),
+        weakest=weakest.measure.value,
+        new_answers=weakest.sample.new,
+        new_bad=weakest.sample.new_bad,
+        old_answers=weakest.sample.old,
+        old_bad=weakest.sample.old_bad,
+    )
+
+
 class RolloutController(VersionGate):
     """Runs the rollouts that operators ordered.
 
@@ -212,17 +239,7 @@
         return rollout
 
     def _log(self, rollout, cause):
-        logger.info(
-            RolloutChanged(
-                rollout.order.service,
-                rollout.order.target,
-                rollout.state.value,
-                rollout.order.revision,
-                cause,
-                round(rollout.evidence.score, 1),
-                rollout.plan.to_new,
-            )
-        )
+        logger.info(_describe(rollout, cause))
 
     def apply_outcomes(self, outcomes):
         """Complete or revert the rollouts for which the store has a final state.
@@ -361,15 +378,15 @@
             self._complete(rollout)
 
     def _complete_if_due(self, rollout):
-        if (
-            self._clock.seconds()
-            < rollout.plan.completion_s + self._completion_delay_s()
-        ):
+        now_s, plan = self._clock.seconds(), rollout.plan
+        if now_s < plan.completion_s + self._completion_delay_s():
             return
         if rollout.evidence.verdict is Verdict.GOOD and self._has_target(rollout):
             self._write(rollout, self._end_complete)
-        else:
-            self._revert(rollout, "unproved")
+        elif now_s >= plan.last_s:
+            # Not reverted here until the store says so: another router may have seen
+            # enough and completed the rollout.
+            self._write(rollout, self._end_unproved)
 
     def _completion_delay_s(self):
         names = sorted([*self._board.members.value, self._name])
@@ -391,6 +408,9 @@
     def _end_reverted(self, order):
         return self._register.end(order, RolloutState.REVERTED)
 
+    def _end_unproved(self, order):
+        return self._register.end(order, RolloutState.REVERTED)
+
     def _end_complete(self, order):
         return self._register.end(order, RolloutState.COMPLETE)
 
@@ -398,10 +418,10 @@
         """Write a state and apply the stored one; retry until the store answers.
 
         The stored state may differ from the one written here, because another router
-        may have written first. A completion is skipped while another write is pending,
-        because :meth:`share_evidence` tries it again.
+        may have written first. The end of a rollout that is due is skipped while
+        another write is pending, because :meth:`share_evidence` tries it again.
         """
-        if rollout.is_writing and write == self._end_complete:
+        if rollout.is_writing and write in (self._end_complete, self._end_unproved):
             return
         rollout.is_writing = True
 
@@ -417,8 +437,10 @@
             if result.is_ok():
                 rollout.is_writing = False
                 self._apply_outcome(result.unwrap())
-                if rollout.state is RolloutState.COMPLETE:
-                    self._broadcast_verdict(rollout, is_bad=False)
+                if write in (self._end_complete, self._end_unproved):
+                    self._broadcast_verdict(
+                        rollout, rollout.state is RolloutState.REVERTED
+                    )
                 return
             pause = Deferred()
             self._clock.callLater(WRITE_RETRY_S, pause.callback, None)
--- a/src/sesamearch/routing/canary.py
+++ b/src/sesamearch/routing/canary.py
@@ -22,6 +22,9 @@
 # enough that few requests follow before the deadline, and long enough to retry a lost
 # write of the completion.
 COMPLETION_MARGIN_S = 1.0
+# Until this long before the deadline, any router that has seen enough may complete the
+# rollout. A router that missed updates of others must not revert it sooner.
+REVERT_MARGIN_S = 0.5
 
 
 class CanarySettings(msgspec.Struct, frozen=True):
@@ -66,6 +69,11 @@
         """Float : when the rollout completes unless the version is judged bad."""
         return max(self._begun_s, self._deadline_s - COMPLETION_MARGIN_S)
 
+    @property
+    def last_s(self):
+        """Float : when a rollout that is not complete is reverted."""
+        return max(self._begun_s, self._deadline_s - REVERT_MARGIN_S)
+
     def count(self, requests, to_new):
         """Add to the number of requests to the service, from any router."""
         self.requests += requests
--- a/tests/platform/test_rollout.py
+++ b/tests/platform/test_rollout.py
@@ -26,11 +26,11 @@
         item = self.world.store.state.items.get(b"status/rollout/desk")
         return msgspec.json.decode(item.value) if item else None
 
-    def send_requests(self, seconds, per_s=40, path="/look/1"):
+    def send_requests(self, seconds, per_s=40, path="/look/1", routers=3):
         clients = []
         for _ in range(int(seconds * per_s)):
             self.request_count += 1
-            client = self.world.connect(self.request_count % 3)
+            client = self.world.connect(self.request_count % routers)
             client.send(request_bytes(path, f"q{self.request_count}"))
             clients.append(client)
             self.world.run(max(0.0, 1 / per_s - 0.01))
@@ -157,6 +157,19 @@
 
 
 class TestRaces(RolloutTestCase):
+    # Guards against a router that reverts alone what the others have completed.
+    def test_router_without_the_others_evidence_uses_the_completed_version(self):
+        self.world.sockets["10.0.0.3:8748"].is_cut = True
+        self.order_rollout()
+        self.send_requests(DURATION_S - 1.2, routers=2)
+        self.world.run(1.5)
+        self.assertEqual(self.status()["state"], "complete")
+        for desk in self.world.desks:
+            self.world.store.remove(f"servers/{desk.name}")
+        self.world.run(1.0)
+        clients = self.send_requests(1)
+        self.assertEqual({client.status for client in clients}, {200})
+
     def test_lost_responses_to_writes(self):
         self.world.store.lost_answers = 3
         self.order_rollout()
