Weigh both errors of a rollout, and use the allowed exposure early

Cause: the same ratio, 20 to 1, was asked of all measures and rates. Few failures pass by chance; the times of a sound version vary; generations count long after they begin, so that a share which rises late leaves few answers.

Change: the ratio that failures need rises with the answers seen, that is with the callers whom a bad version would harm, from 50 to 1 on; the assumed excess of slow answers is three tenths, and recent slow answers must be stronger to prevent a good verdict.

--- a/src/sesamearch/routing/canary.py
+++ b/src/sesamearch/routing/canary.py
@@ -9,10 +9,11 @@
 
 # Part of the allowed exposure that the plan uses, and part of that in the first phase.
 USED_EXPOSURE_RATIO = 0.7
-FIRST_PHASE_EXPOSURE_RATIO = 0.4
-# Part of the time from the order to its deadline that the first phase takes.
-FIRST_PHASE_LENGTH_RATIO = 0.45
-FIRST_PHASE_MAX_SHARE_RATIO = 0.5
+FIRST_PHASE_EXPOSURE_RATIO = 0.5
+# Part of the time from the order to its deadline that the first phase takes. It is
+# short, because generations end long after they began and count only then.
+FIRST_PHASE_LENGTH_RATIO = 0.3
+FIRST_PHASE_MAX_SHARE_RATIO = 0.8
 # For this long after the order the request rate is not known, so the new version gets
 # the fixed share below.
 RATE_WARMUP_S = 0.5
--- a/src/sesamearch/routing/canary_evidence.py
+++ b/src/sesamearch/routing/canary_evidence.py
@@ -25,13 +25,17 @@
     "time_bucket",
 ]
 
-# The failure ratio that is assumed of a bad version: three times that of the old one,
-# and at least this much above it.
+# The ratio of failures or slow answers that is assumed of a bad version: three times
+# that of the old one, and at least this much above it. A version that is several times
+# slower is slow in many of its answers, and a sound one is so in some.
 BAD_FAILURE_RATIO = 3.0
 BAD_FAILURE_EXCESS_RATIO = 0.2
+BAD_SLOW_EXCESS_RATIO = 0.3
 MIN_FAILURE_RATIO = 0.03
 PRIOR_FAILURES = 2
 PRIOR_ANSWERS = 6
+# The prior for a good verdict on failures assumes that the old version seldom fails.
+GOOD_PRIOR_FAILURES = 0.5
 MAX_FAILURE_RATIO = 0.9
 # Times are counted in buckets that grow by this factor.
 BUCKET_RATIO = 2 ** (1 / 8)
@@ -44,9 +48,15 @@
 # The verdict is bad at a likelihood ratio of 600 to 1, at any time.
 BAD_SCORE = math.log(600)
 # A completed rollout cannot be undone, and a reverted one can be ordered again. So the
-# version is good only at a likelihood ratio of 20 to 1 in favour of it, and with no
-# recent evidence of that size against it.
+# version is good only if the evidence favours it in each measure: for times at a
+# likelihood ratio of 20 to 1. For failures, of which a bad version may have few, the
+# ratio rises with the number of callers that a bad version would harm.
 GOOD_SCORE = math.log(20)
+MIN_GOOD_FAILURE_RATIO = 50.0
+GOOD_RATIO_PER_ANSWER = 2.0
+# Recent evidence against the version that prevents a good verdict. Times vary more.
+DOUBTFUL_FAILURE_SCORE = math.log(20)
+DOUBTFUL_TIME_SCORE = math.log(100)
 
 
 class Verdict(enum.Enum):
@@ -178,9 +188,13 @@
         All that was added.
     """
 
-    __slots__ = ("sample", "score", "total")
+    __slots__ = ("_excess_ratio", "sample", "score", "total")
 
-    def __init__(self):
+    def __init__(self, measure):
+        is_failure = measure is Measure.FAILURE
+        self._excess_ratio = (
+            BAD_FAILURE_EXCESS_RATIO if is_failure else BAD_SLOW_EXCESS_RATIO
+        )
         self.sample = Sample()
         self.score = 0.0
         self.total = 0.0
@@ -188,21 +202,37 @@
     def add(self, sample):
         self.sample = self.sample.plus(sample)
         # The prior assumes frequent failures until the old version has many answers.
-        old_bad = self.sample.old_bad + PRIOR_FAILURES
-        old_ratio = old_bad / (self.sample.old + PRIOR_ANSWERS)
-        old_ratio = min(max(old_ratio, MIN_FAILURE_RATIO), MAX_FAILURE_RATIO / 2)
-        bad_ratio = min(
-            max(old_ratio * BAD_FAILURE_RATIO, old_ratio + BAD_FAILURE_EXCESS_RATIO),
-            MAX_FAILURE_RATIO,
-        )
-        change = sample.new_bad * math.log(bad_ratio / old_ratio)
-        change += (sample.new - sample.new_bad) * math.log(
-            (1 - bad_ratio) / (1 - old_ratio)
-        )
+        change = _log_ratio(sample, self.sample, PRIOR_FAILURES, self._excess_ratio)
         self.total += change
         self.score = max(0.0, self.score + change)
 
 
+def _log_ratio(sample, known, prior_failures, excess_ratio):
+    """Return the logarithm of the likelihood ratio for a bad new version.
+
+    Parameters
+    ----------
+    sample : Sample
+        Answers of the new version to judge.
+    known : Sample
+        All answers so far, which tell the old version's ratio of bad ones.
+    prior_failures : float
+        Bad ones among ``PRIOR_ANSWERS`` answers that are assumed of the old version.
+    excess_ratio : float
+        Least excess of a bad version's ratio over that of the old one.
+    """
+    old_ratio = (known.old_bad + prior_failures) / (known.old + PRIOR_ANSWERS)
+    old_ratio = min(max(old_ratio, MIN_FAILURE_RATIO), MAX_FAILURE_RATIO / 2)
+    bad_ratio = min(
+        max(old_ratio * BAD_FAILURE_RATIO, old_ratio + excess_ratio),
+        MAX_FAILURE_RATIO,
+    )
+    good = sample.new - sample.new_bad
+    return sample.new_bad * math.log(bad_ratio / old_ratio) + good * math.log(
+        (1 - bad_ratio) / (1 - old_ratio)
+    )
+
+
 class _TimeTest:
     """Classifies the times of one measure on one route as slow or not.
 
@@ -272,8 +302,8 @@
 
     def __init__(self):
         self._has_old_answers = False
-        self._all_routes = collections.defaultdict(_SequentialTest)
-        self._routes = collections.defaultdict(_SequentialTest)
+        self._all_routes = {}
+        self._routes = {}
         self._times = collections.defaultdict(_TimeTest)
 
     def add_counts(self, counts):
@@ -294,9 +324,14 @@
         self._judge(counts.route, Measure.PACE, sample)
 
     def _judge(self, route, measure, sample):
-        if sample.new or sample.old:
-            self._routes[route, measure].add(sample)
-            self._all_routes[measure].add(sample)
+        if not (sample.new or sample.old):
+            return
+        if measure not in self._all_routes:
+            self._all_routes[measure] = _SequentialTest(measure)
+        if (route, measure) not in self._routes:
+            self._routes[route, measure] = _SequentialTest(measure)
+        self._routes[route, measure].add(sample)
+        self._all_routes[measure].add(sample)
 
     def limit_bucket(self, route, measure):
         """Return the highest bucket that is not slow, or None while it is unknown."""
@@ -317,10 +352,30 @@
         ]
         return min(supports, key=lambda each: each.strength, default=None)
 
+    def _fails_seldom(self):
+        sample = self._all_routes[Measure.FAILURE].sample
+        log_ratio = _log_ratio(
+            sample, sample, GOOD_PRIOR_FAILURES, BAD_FAILURE_EXCESS_RATIO
+        )
+        answers = sample.new + sample.old
+        needed = max(MIN_GOOD_FAILURE_RATIO, GOOD_RATIO_PER_ANSWER * answers)
+        return -log_ratio >= math.log(needed)
+
+    def _is_doubtful(self):
+        """Return whether recent answers speak against the version."""
+        tests = [(key[1], test) for key, test in self._routes.items()]
+        tests += self._all_routes.items()
+        return any(
+            test.score >= DOUBTFUL_FAILURE_SCORE
+            if measure is Measure.FAILURE
+            else test.score >= DOUBTFUL_TIME_SCORE
+            for measure, test in tests
+        )
+
     def _is_supported(self):
         if Measure.FAILURE not in self._all_routes or self._lacks_reference():
             return False
-        return self.weakest.strength >= GOOD_SCORE
+        return self._fails_seldom() and self.weakest.strength >= GOOD_SCORE
 
     def _lacks_reference(self):
         """Return whether the old version answers, but too seldom to compare times.
@@ -338,6 +393,6 @@
         """Verdict : conclusion from the evidence so far."""
         if self.score >= BAD_SCORE:
             return Verdict.BAD
-        if self._is_supported() and self.score < GOOD_SCORE:
+        if self._is_supported() and not self._is_doubtful():
             return Verdict.GOOD
         return Verdict.OPEN
