Call an answer slow at 2.4 times the median, and ask the same ratio for all times

Six of 30 answers were slow, none of 9 of the old version.

Cause: with a larger assumed excess of slow answers, a fifth of slow ones speaks for the version. Tried: the old excess with a ratio of 5 to 1: the version is still completed. Tried and kept: the old excess and 20 to 1, with the limit at 2.4 instead of 2 times the median, which sound answers exceed four times less often.

--- a/src/sesamearch/routing/canary_evidence.py
+++ b/src/sesamearch/routing/canary_evidence.py
@@ -26,11 +26,9 @@
 ]
 
 # The ratio of failures or slow answers that is assumed of a bad version: three times
-# that of the old one, and at least this much above it. A version that is several times
-# slower is slow in many of its answers, and a sound one is so in some.
+# that of the old one, and at least this much above it.
 BAD_FAILURE_RATIO = 3.0
 BAD_FAILURE_EXCESS_RATIO = 0.2
-BAD_SLOW_EXCESS_RATIO = 0.3
 MIN_FAILURE_RATIO = 0.03
 PRIOR_FAILURES = 2
 PRIOR_ANSWERS = 6
@@ -39,8 +37,8 @@
 MAX_FAILURE_RATIO = 0.9
 # Times are counted in buckets that grow by this factor.
 BUCKET_RATIO = 2 ** (1 / 8)
-# A time is slow if it is this many buckets, a factor of two, above the median.
-SLOW_BUCKETS = 8
+# A time is slow if it is this many buckets, a factor of 2.4, above the median.
+SLOW_BUCKETS = 10
 MIN_REFERENCE_TIMES = 5
 # Part of the new version's measurements that may lack a reference in a good version.
 MAX_UNJUDGED_RATIO = 0.2
@@ -188,13 +186,9 @@
         All that was added.
     """
 
-    __slots__ = ("_excess_ratio", "sample", "score", "total")
+    __slots__ = ("sample", "score", "total")
 
-    def __init__(self, measure):
-        is_failure = measure is Measure.FAILURE
-        self._excess_ratio = (
-            BAD_FAILURE_EXCESS_RATIO if is_failure else BAD_SLOW_EXCESS_RATIO
-        )
+    def __init__(self):
         self.sample = Sample()
         self.score = 0.0
         self.total = 0.0
@@ -202,12 +196,12 @@
     def add(self, sample):
         self.sample = self.sample.plus(sample)
         # The prior assumes frequent failures until the old version has many answers.
-        change = _log_ratio(sample, self.sample, PRIOR_FAILURES, self._excess_ratio)
+        change = _log_ratio(sample, self.sample, PRIOR_FAILURES)
         self.total += change
         self.score = max(0.0, self.score + change)
 
 
-def _log_ratio(sample, known, prior_failures, excess_ratio):
+def _log_ratio(sample, known, prior_failures):
     """Return the logarithm of the likelihood ratio for a bad new version.
 
     Parameters
@@ -218,13 +212,11 @@
         All answers so far, which tell the old version's ratio of bad ones.
     prior_failures : float
         Bad ones among ``PRIOR_ANSWERS`` answers that are assumed of the old version.
-    excess_ratio : float
-        Least excess of a bad version's ratio over that of the old one.
     """
     old_ratio = (known.old_bad + prior_failures) / (known.old + PRIOR_ANSWERS)
     old_ratio = min(max(old_ratio, MIN_FAILURE_RATIO), MAX_FAILURE_RATIO / 2)
     bad_ratio = min(
-        max(old_ratio * BAD_FAILURE_RATIO, old_ratio + excess_ratio),
+        max(old_ratio * BAD_FAILURE_RATIO, old_ratio + BAD_FAILURE_EXCESS_RATIO),
         MAX_FAILURE_RATIO,
     )
     good = sample.new - sample.new_bad
@@ -327,9 +319,9 @@
         if not (sample.new or sample.old):
             return
         if measure not in self._all_routes:
-            self._all_routes[measure] = _SequentialTest(measure)
+            self._all_routes[measure] = _SequentialTest()
         if (route, measure) not in self._routes:
-            self._routes[route, measure] = _SequentialTest(measure)
+            self._routes[route, measure] = _SequentialTest()
         self._routes[route, measure].add(sample)
         self._all_routes[measure].add(sample)
 
@@ -354,9 +346,7 @@
 
     def _fails_seldom(self):
         sample = self._all_routes[Measure.FAILURE].sample
-        log_ratio = _log_ratio(
-            sample, sample, GOOD_PRIOR_FAILURES, BAD_FAILURE_EXCESS_RATIO
-        )
+        log_ratio = _log_ratio(sample, sample, GOOD_PRIOR_FAILURES)
         answers = sample.new + sample.old
         needed = max(MIN_GOOD_FAILURE_RATIO, GOOD_RATIO_PER_ANSWER * answers)
         return -log_ratio >= math.log(needed)
