Play sound engines that fall silent for a time

The stand-in of an engine stops its work for a time and its network holds bytes and new connections up; both go on where they were, and nothing is lost.

--- a/src/sesamearch/standin/network.py
+++ b/src/sesamearch/standin/network.py
@@ -1,4 +1,4 @@
-"""In-memory network on a virtual clock, with refused, reset and dead connections."""
+"""In-memory network on a virtual clock, with refused, reset and held connections."""
 
 from twisted.internet.error import (
     ConnectionDone,
@@ -26,6 +26,12 @@
 class MemoryTransport:
     """One end of a connection.
 
+    Parameters
+    ----------
+    network : MemoryNetwork
+    address : str
+        Address of the listener.
+
     Attributes
     ----------
     protocol : twisted.internet.protocol.Protocol
@@ -39,8 +45,9 @@
         Number of bytes that the protocol wrote to this end.
     """
 
-    def __init__(self, network):
+    def __init__(self, network, address):
         self._network = network
+        self._address = address
         self._is_paused = False
         self._buffered = []
         self.protocol = None
@@ -50,15 +57,17 @@
         self.has_keepalive = False
         self.written_bytes = 0
 
-    def _call_after_latency(self, function, *arguments):
-        self._network.callLater(self._network.latency_s, function, *arguments)
+    def _send(self, function, *arguments):
+        """Call a function of the other end when what is sent now arrives there."""
+        delay_s = self._network.delay_s(self._address)
+        self._network.callLater(delay_s, function, *arguments)
 
     def write(self, data):
         """Send bytes to the other end."""
         if self.is_open and data:
             self.written_bytes += len(data)
             if not self.is_silent:
-                self._call_after_latency(self.peer.deliver, data)
+                self._send(self.peer.deliver, data)
 
     def writeSequence(self, parts):
         """Send several pieces of data."""
@@ -89,7 +98,7 @@
     def loseWriteConnection(self):
         """Close the connection for writing."""
         if not self.is_silent:
-            self._call_after_latency(self.peer.closed, ConnectionDone())
+            self._send(self.peer.closed, ConnectionDone())
 
     def abortConnection(self):
         """Reset the connection."""
@@ -100,8 +109,10 @@
             return
         self.is_open = False
         if not self.is_silent:
-            self._call_after_latency(self.peer.closed, reason)
-        self._call_after_latency(self.protocol.connectionLost, Failure(reason))
+            self._send(self.peer.closed, reason)
+        self._network.callLater(
+            self._network.latency_s, self.protocol.connectionLost, Failure(reason)
+        )
 
     def closed(self, reason):
         """Handle a close or reset by the other end."""
@@ -176,6 +187,7 @@
         self._factories = {}
         self.blackholed = set()
         self.connections = []
+        self._held_until_s = {}
 
     def listen(self, address, factory):
         """Accept connections at an address, ``ip:port``."""
@@ -185,13 +197,26 @@
         """Refuse new connections at an address."""
         self._factories.pop(address, None)
 
+    def hold(self, address, seconds):
+        """Hold up all bytes to and from an address, and new connections to it.
+
+        They arrive afterwards, in order.
+        """
+        self._held_until_s[address] = self.seconds() + seconds
+
+    def delay_s(self, address):
+        """Return how long a segment takes that is sent to or from an address now."""
+        held_until_s = self._held_until_s.get(address, 0.0)
+        return max(self.latency_s, held_until_s - self.seconds())
+
     def connectTCP(self, host, port, factory, timeout=30):
         """Open a connection, as ``IReactorTCP.connectTCP`` does."""
         address = f"{host}:{port}"
         connector = _Connector(self, factory)
         self.callLater(timeout, connector.fail, TimeoutError())
         if address not in self.blackholed:
-            self.callLater(2 * self.latency_s, self._connect, address, connector)
+            delay_s = self.latency_s + self.delay_s(address)
+            self.callLater(delay_s, self._connect, address, connector)
         return connector
 
     def _connect(self, address, connector):
@@ -202,7 +227,8 @@
             connector.fail(ConnectionRefusedError())
             return
         connector.is_over = True
-        client, server = MemoryTransport(self), MemoryTransport(self)
+        client = MemoryTransport(self, address)
+        server = MemoryTransport(self, address)
         client.peer, server.peer = server, client
         server.protocol = listener.buildProtocol(None)
         client.protocol = connector._factory.buildProtocol(None)
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -196,6 +196,8 @@
         Other engines by address, to which copies are sent.
     is_unresponsive : bool
         Whether it sends nothing, while its connections stay open.
+    frozen_until_s : float
+        Time until which it makes no event; afterwards it goes on where it was.
     """
 
     def __init__(self, clock, name, slots=12, events=DEFAULT_EVENTS):
@@ -205,6 +207,7 @@
         self.copies = {}
         self.neighbours = {}
         self.is_unresponsive = False
+        self.frozen_until_s = 0.0
         self._processors = []
 
     def __call__(self, head, body, reply):
@@ -301,7 +304,18 @@
     def start(self):
         """Prefill the prompt, then stream the events."""
         delay_s = self._run.prompt_tokens / PREFILL_TOKENS_PER_S + EVENT_INTERVAL_S
-        self._timer = self._engine.clock.callLater(delay_s, self._begin_response)
+        self._call_later(delay_s, self._begin_response)
+
+    def _call_later(self, delay_s, step):
+        self._timer = self._engine.clock.callLater(delay_s, self._take_step, step)
+
+    def _take_step(self, step):
+        """Take a step of the generation, unless the engine is frozen."""
+        frozen_s = self._engine.frozen_until_s - self._engine.clock.seconds()
+        if frozen_s > 0:
+            self._call_later(frozen_s, step)
+        else:
+            step()
 
     def _begin_response(self):
         if not self._engine.is_unresponsive:
@@ -320,7 +334,7 @@
                 b"id: %d\ndata: piece %d\n\n" % (self._next_event, self._next_event)
             )
         self._next_event += 1
-        self._timer = engine.clock.callLater(engine.event_interval_s, self._send_event)
+        self._call_later(engine.event_interval_s, self._send_event)
 
     def _stop(self, outcome):
         if self._timer is not None and self._timer.active():
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -334,6 +334,15 @@
         self.network.close(worker.address)
         worker.crash()
 
+    def restore(self, worker):
+        """Start a crashed engine again under its name and address."""
+        self.network.listen(worker.address, worker.factory)
+
+    def make_silent(self, worker, seconds):
+        """Make a sound engine silent for a time; then it goes on where it was."""
+        worker.frozen_until_s = self.network.seconds() + seconds
+        self.network.hold(worker.address, seconds)
+
     def make_unresponsive(self, worker):
         """Make an engine unresponsive: existing and new connections hang."""
         worker.is_unresponsive = True
