--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -14,6 +14,7 @@
         "endpoint_index": ["EndpointIndex"],
         "gate": ["OpenGate", "VersionGate"],
         "health": ["EndpointHealth", "HealthTracker", "Outcomes", "Suspicion"],
+        "lifecycle": ["GenerationInputs", "make_lifecycle"],
         "load": ["EndpointLoad", "LoadTracker", "Work"],
         "meter": ["Meter", "NoMeter"],
         "outage": ["OutageDetector"],
@@ -30,6 +31,7 @@
             "PromptPart",
         ],
         "restarts": ["RestartDetector"],
+        "search": ["EngineSearch"],
         "stall": [
             "PROBE_INTERVAL_S",
             "RESUME_PROBE_DELAY_S",
--- /dev/null
+++ b/src/sesamearch/forwarding/search.py
@@ -0,0 +1,85 @@
+"""Search for the engine that runs a generation next."""
+
+from sesamearch.forwarding.choice import GenerationNeed
+from sesamearch.forwarding.copies import CopyManager
+
+__all__ = ["EngineSearch"]
+
+
+class EngineSearch:
+    """Finds the engine for the next run of a generation, and manages its copy.
+
+    Parameters
+    ----------
+    tools : ForwardTools
+    service : ServiceSpec
+    request : CallerRequest
+    excluded : set of str
+        Names of engines not to choose; the caller changes it.
+
+    Attributes
+    ----------
+    need : GenerationNeed
+    copies : CopyManager
+    """
+
+    __slots__ = ("_excluded", "_request", "_service", "_tools", "copies", "need")
+
+    def __init__(self, tools, service, request, excluded):
+        self._tools = tools
+        self._service = service
+        self._request = request
+        self._excluded = excluded
+        self.need = GenerationNeed(
+            request.prompt_tokens, request.prompt_tokens + request.output_tokens
+        )
+        self.copies = CopyManager(
+            tools, service, self.need, request.request_id, self._is_usable
+        )
+
+    def choose(self, has_copy, is_resuming):
+        """Choose the engine for the next run.
+
+        Parameters
+        ----------
+        has_copy : bool
+            Whether the backup can have a copy of the last run's memory.
+        is_resuming : bool
+            Whether the caller got events before.
+
+        Returns
+        -------
+        Endpoint or None
+        MemoryCopy or None
+            Copy to resume from, if any.
+        """
+        endpoint, copy = self.copies.detach()
+        if endpoint is not None and has_copy:
+            return endpoint, copy
+        with_prompt = self._endpoint_with_prompt() if is_resuming else None
+        return with_prompt or self._choose_any(), None
+
+    def _endpoint_with_prompt(self):
+        """Return the engine that has the generation's prompt cached."""
+        name = self._tools.prompts.find(self._request.last_part)
+        endpoint = self._tools.endpoint_index.find(name)
+        if endpoint is None or name in self._excluded or not self._is_usable(endpoint):
+            return None
+        return endpoint
+
+    def _choose_any(self):
+        return self._tools.chooser.for_generation(
+            self._service.name,
+            self._service.engine,
+            self.need,
+            self._request.request_id,
+            self._excluded,
+            self._tools.prompts.find(self._request.last_part),
+        )
+
+    def _is_usable(self, endpoint):
+        is_of_service = endpoint.service == self._service.name
+        is_down = self._tools.health.is_down(endpoint.name)
+        is_down |= self._tools.outages.is_unreachable(endpoint.data_centre)
+        is_admitted = self._tools.gate.admits(endpoint, self._request.request_id)
+        return is_of_service and is_admitted and not endpoint.leaving and not is_down
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -1,16 +1,12 @@
 """Generations: events are streamed to the caller from one or more engines."""
 
-from typing import Protocol
-
-from automat import TypeMachineBuilder
-
 from sesamearch.base.errors import ErrorKind
 from sesamearch.base.log import logger
 from sesamearch.base.record import GenerationResumed
-from sesamearch.forwarding.choice import GenerationNeed
-from sesamearch.forwarding.copies import CopyManager
 from sesamearch.forwarding.exchange import Exchange
+from sesamearch.forwarding.lifecycle import make_lifecycle
 from sesamearch.forwarding.request import ForwardOptions
+from sesamearch.forwarding.search import EngineSearch
 from sesamearch.forwarding.stall import (
     PROBE_INTERVAL_S,
     RESUME_PROBE_DELAY_S,
@@ -32,53 +28,12 @@
 LOWEST_URGENCY = 9
 
 
-class _Inputs(Protocol):
-    def began(self) -> None:
-        """Handle the first event."""
-
-    def broke(self) -> None:
-        """Handle the loss of the engine."""
-
-    def resumed(self) -> None:
-        """Handle the first event after a break."""
-
-    def ended(self) -> None:
-        """Handle the end of the generation."""
-
-
-def _build_machine():
-    builder = TypeMachineBuilder(_Inputs, StreamExchange)
-    reading = builder.state("reading")
-    streaming = builder.state("streaming")
-    broken = builder.state("broken")
-    over = builder.state("over")
-    reading.upon(_Inputs.began).to(streaming).returns(None)
-    reading.upon(_Inputs.broke).loop().returns(None)
-    streaming.upon(_Inputs.broke).to(broken).returns(None)
-    broken.upon(_Inputs.broke).loop().returns(None)
-
-    @broken.upon(_Inputs.resumed).to(streaming)
-    def log_resumed(inputs, exchange):
-        exchange._log_resumed()
-
-    for state in (reading, streaming, broken):
-        state.upon(_Inputs.ended).to(over).returns(None)
-    over.upon(_Inputs.ended).loop().returns(None)
-    return builder.build()
-
-
 class StreamExchange(Exchange):
-    """Forwards one generation and resumes it at another engine if one is lost.
-
-    ::
-
-        reading --began--> streaming --broke--> broken --resumed--> streaming
-        any of them --ended--> over
-    """
+    """Forwards one generation and resumes it at another engine if one is lost."""
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
-        self._lifecycle = _machine(self)
+        self._lifecycle = make_lifecycle(self)
         self._splitter = EventSplitter()
         self._last_event = self.request.after_event
         self._first_ms = 0
@@ -98,17 +53,10 @@
         self._failed_connections = 0
         self._cause = ErrorKind.NO_ENDPOINT
         self._retry_timer = None
-        self._need = GenerationNeed(
-            self.request.prompt_tokens,
-            self.request.prompt_tokens + self.request.output_tokens,
-        )
-        self._copies = CopyManager(
-            self.tools,
-            self.service,
-            self._need,
-            self.request.request_id,
-            self._is_usable,
+        self._search = EngineSearch(
+            self.tools, self.service, self.request, self.excluded
         )
+        self._copies = self._search.copies
 
     def start(self):
         """Send the first try, unless the prompt cannot be read before the deadline."""
@@ -132,7 +80,9 @@
         self._retry_timer = None
         if self.is_over or self.tries:
             return
-        endpoint, copy = self._choose()
+        has_copy, self._has_copy = self._has_copy, False
+        is_resuming = self._last_event is not None
+        endpoint, copy = self._search.choose(has_copy, is_resuming)
         if endpoint is None:
             self._wait_for_endpoint()
             return
@@ -150,8 +100,9 @@
             backup_address,
             copy,
         )
-        unread = 0 if copy else self._need.prompt_tokens
-        work = self.tools.loads.begin(endpoint.name, unread, self._need.memory_tokens)
+        need = self._search.need
+        unread = 0 if copy else need.prompt_tokens
+        work = self.tools.loads.begin(endpoint.name, unread, need.memory_tokens)
         self._stall_detector.schedule_probe(
             RESUME_PROBE_DELAY_S if self._has_head else PROBE_INTERVAL_S
         )
@@ -159,41 +110,6 @@
         self.tools.prompts.begin(self.request.last_part, endpoint.name)
         self.send(options, work)
 
-    def _choose(self):
-        """Return the endpoint for the next try and the copy to resume from, if any."""
-        has_copy, self._has_copy = self._has_copy, False
-        endpoint, copy = self._copies.detach()
-        if endpoint is not None and has_copy:
-            return endpoint, copy
-        return self._endpoint_with_prompt() or self._choose_any(), None
-
-    def _endpoint_with_prompt(self):
-        """Return the engine that has the prompt of a resumed generation cached."""
-        if self._last_event is None:
-            return None
-        name = self.tools.prompts.find(self.request.last_part)
-        endpoint = self.tools.endpoint_index.find(name)
-        if endpoint is None or name in self.excluded or not self._is_usable(endpoint):
-            return None
-        return endpoint
-
-    def _choose_any(self):
-        return self.tools.chooser.for_generation(
-            self.service.name,
-            self.service.engine,
-            self._need,
-            self.request.request_id,
-            self.excluded,
-            self.tools.prompts.find(self.request.last_part),
-        )
-
-    def _is_usable(self, endpoint):
-        is_of_service = endpoint.service == self.service.name
-        is_down = self.tools.health.is_down(endpoint.name)
-        is_down |= self.tools.outages.is_unreachable(endpoint.data_centre)
-        is_admitted = self.tools.gate.admits(endpoint, self.request.request_id)
-        return is_of_service and is_admitted and not endpoint.leaving and not is_down
-
     def _wait_for_endpoint(self):
         """Choose again soon if the answer has begun and paused briefly, or give up."""
         if self._has_head and self._pause_s() < MAX_PAUSE_S:
@@ -420,7 +336,8 @@
 
     # Ends.
 
-    def _log_resumed(self):
+    def log_resumed(self):
+        """Log the first event after a break."""
         attempt = self.tries[0]
         pause_ms = round(self._pause_s() * 1000)
         self.tools.counters.resumes += 1
@@ -456,6 +373,3 @@
         if self._retry_timer is not None and self._retry_timer.active():
             self._retry_timer.cancel()
         super().close()
-
-
-_machine = _build_machine()
