Keep a silent try until another engine takes over

What callers saw: an answer was cut off, or refused with 502 before its first event, although its engine was sound, silent for a second and would have gone on; with one engine only, the engine was made to run the rest a second time.

Cause: a stalled or silent try was cancelled first, and only then were the attempts, the retry budget and the engines looked at.

Evidence: tests.platform.test_silent_engine at: cut after event 10 with the budget spent and with the attempts used up; no event at all before the head; runs ['left', 'whole'] instead of ['whole'] with one engine, beside a new configuration and at the second silence.

Now such a try is suspected (forwarding/suspicion.py, a machine). It stays current until an engine that is reachable was chosen and the retry was paid for; then it is cancelled as the rest is sent there, so nothing runs twice. Otherwise it is kept, another engine is looked for each 0.2 s, and an event or an answered probe clears the suspicion. A budget that stays spent is logged and counted once for each suspicion.

try_suspected tells kept (with the obstacle), replaced and answered; try_lost alone is a loss. The counter tries_kept counts tries that were kept. explain names an engine that was silent and kept to the end. test_stall passes the new callback and checks that an answered probe is passed on.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -24,6 +24,7 @@
     "RolloutChanged",
     "TryLost",
     "TrySent",
+    "TrySuspected",
 ]
 
 
@@ -103,6 +104,38 @@
     after_ms: int
 
 
+class TrySuspected(Record, frozen=True, tag="try_suspected"):
+    """A try whose engine is silent was kept or replaced, or its engine answered again.
+
+    A try whose engine is known to be lost is reported by :class:`TryLost` alone.
+
+    Parameters
+    ----------
+    request, endpoint : str
+        Request ID and name of the endpoint.
+    number : int
+        Number of the try, starting at 1.
+    cause : str
+        ``stalled`` (no event for too long) or ``silent`` (no answer to a probe).
+    state : str
+        ``kept`` (no other engine could take over; the try goes on), ``replaced``
+        (another engine takes over; a :class:`TryLost` follows) or ``answered``.
+    after_ms : int
+        Time since the try was first suspected.
+    obstacle : str
+        Why a kept try was not replaced: ``no_engine``, ``no_budget``, ``no_attempts``
+        or ``no_event_numbers``.
+    """
+
+    request: str
+    endpoint: str
+    number: int
+    cause: str
+    state: str
+    after_ms: int
+    obstacle: str = ""
+
+
 class RetryDenied(Record, frozen=True, tag="retry_denied"):
     """A request was not sent again because the retry budget was used up.
 
@@ -398,6 +431,7 @@
 RECORDS = (
     TrySent,
     TryLost,
+    TrySuspected,
     RetryDenied,
     GenerationResumed,
     RequestRefused,
--- a/src/sesamearch/command/explain.py
+++ b/src/sesamearch/command/explain.py
@@ -147,6 +147,7 @@
     event = last.__struct_config__.tag
     sent = [x.record for x in entries if x.record.__struct_config__.tag == "try_sent"]
     unanswered = [s.endpoint for s in sent if (s.endpoint, s.number) not in lost]
+    kept = _silent_to_the_end(entries, lost)
     if event == "request_refused":
         reason = (
             f"refused with {last.status} ({last.cause}: {last.detail or 'no detail'})"
@@ -162,9 +163,21 @@
         reason = f"{last.outcome} by {last.endpoint or 'this router'}, {last.status}"
     else:
         reason = "no final entry in these logs: its router stopped or was unreachable"
+    if kept is not None:
+        reason += f", {kept.endpoint} {kept.cause} and kept ({kept.obstacle})"
     return f"{reason}; before: {previous}" if previous else reason
 
 
+def _silent_to_the_end(entries, lost):
+    """Return the record of a silent try that was kept and did not answer again."""
+    tag = "try_suspected"
+    found = [x.record for x in entries if x.record.__struct_config__.tag == tag]
+    if not found or found[-1].state != "kept":
+        return None
+    is_lost = (found[-1].endpoint, found[-1].number) in lost
+    return None if is_lost else found[-1]
+
+
 def _format_entry(entry, begin_s):
     fields = msgspec.structs.asdict(entry.record)
     fields.pop("request", None)
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -39,5 +39,6 @@
             "StallDetector",
         ],
         "stream": ["StreamExchange"],
+        "suspicion": ["Obstacle", "TrySuspicion"],
     },
 )
--- a/src/sesamearch/forwarding/copies.py
+++ b/src/sesamearch/forwarding/copies.py
@@ -78,8 +78,8 @@
         self._set_copy(backup, copy, is_requested=False)
         return backup.address
 
-    def detach(self):
-        """Stop managing the copy and return it, to resume the generation from it.
+    def find(self):
+        """Return the copy to resume the generation from.
 
         Returns
         -------
@@ -88,15 +88,19 @@
         MemoryCopy or None
             None if there is no usable backup.
         """
-        copy = self._copy
-        self._drop()
-        self._run += 1
-        if copy is None:
+        if self._copy is None:
             return None, None
-        backup = self._tools.endpoint_index.at_address(copy.target_address)
+        backup = self._tools.endpoint_index.at_address(self._copy.target_address)
         if backup is None or not self._is_usable(backup):
             return None, None
-        return backup, copy
+        return backup, self._copy
+
+    def detach(self):
+        """Stop managing the copy and return it, as :meth:`find` does."""
+        found = self.find()
+        self._drop()
+        self._run += 1
+        return found
 
     def refresh(self, endpoint):
         """Request a copy if no usable backup has one, and again at intervals.
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -29,6 +29,8 @@
         Requests received, and those that this router answered with an error.
     tries, tries_lost : int
         Sends to endpoints, and those without a usable answer.
+    tries_kept : int
+        Tries at silent engines that were kept, because no other engine could take over.
     resumes, streams_cut : int
         Generations resumed at another engine, and those that were cut off.
     callers_left : int
@@ -53,6 +55,7 @@
         "retries_denied",
         "streams_cut",
         "tries",
+        "tries_kept",
         "tries_lost",
         "unreadable",
     )
--- a/src/sesamearch/forwarding/search.py
+++ b/src/sesamearch/forwarding/search.py
@@ -38,7 +38,7 @@
         )
 
     def choose(self, has_copy, is_resuming):
-        """Choose the engine for the next run.
+        """Choose the engine for the next run, and stop managing the copy.
 
         Parameters
         ----------
@@ -56,8 +56,25 @@
         endpoint, copy = self.copies.detach()
         if endpoint is not None and has_copy:
             return endpoint, copy
+        return self._choose_without_copy(is_resuming), None
+
+    def find_reachable(self, has_copy, is_resuming):
+        """Find an engine that can take over from a silent one.
+
+        The same as :meth:`choose`, but the copy stays managed, and no engine is found
+        that is avoided itself.
+        """
+        endpoint, copy = self.copies.find()
+        if endpoint is not None and has_copy:
+            return endpoint, copy
+        endpoint = self._choose_without_copy(is_resuming)
+        if endpoint is None or not self._is_reachable(endpoint):
+            return None, None
+        return endpoint, None
+
+    def _choose_without_copy(self, is_resuming):
         with_prompt = self._endpoint_with_prompt() if is_resuming else None
-        return with_prompt or self._choose_any(), None
+        return with_prompt or self._choose_any()
 
     def _endpoint_with_prompt(self):
         """Return the engine that has the generation's prompt cached."""
@@ -79,7 +96,11 @@
 
     def _is_usable(self, endpoint):
         is_of_service = endpoint.service == self._service.name
+        is_admitted = self._tools.gate.admits(endpoint, self._request.request_id)
+        is_staying = is_of_service and not endpoint.leaving
+        return is_staying and is_admitted and self._is_reachable(endpoint)
+
+    def _is_reachable(self, endpoint):
         is_down = self._tools.health.is_down(endpoint.name)
         is_down |= self._tools.outages.is_unreachable(endpoint.data_centre)
-        is_admitted = self._tools.gate.admits(endpoint, self._request.request_id)
-        return is_of_service and is_admitted and not endpoint.leaving and not is_down
+        return not is_down
--- a/src/sesamearch/forwarding/stall.py
+++ b/src/sesamearch/forwarding/stall.py
@@ -65,28 +65,32 @@
     timing : EventTiming
     is_current : callable
         Returns whether a :class:`Try` is still in use.
-    abandon : callable
-        Called with a stalled :class:`Try` and the cause.
+    suspect : callable
+        Called with a silent :class:`Try` and the cause, again for each failed probe.
+    trust : callable
+        Called with a :class:`Try` whose engine answered a probe.
     """
 
     __slots__ = (
-        "_abandon",
         "_events_at_stall",
         "_gap_goal_s",
         "_is_current",
         "_is_probing",
         "_probe_due_s",
         "_stalls",
+        "_suspect",
         "_timing",
         "_tools",
+        "_trust",
     )
 
-    def __init__(self, tools, gap_goal_s, timing, is_current, abandon):
+    def __init__(self, tools, gap_goal_s, timing, is_current, suspect, trust):
         self._tools = tools
         self._gap_goal_s = gap_goal_s
         self._timing = timing
         self._is_current = is_current
-        self._abandon = abandon
+        self._suspect = suspect
+        self._trust = trust
         self._probe_due_s = 0.0
         self._is_probing = False
         self._stalls = 0
@@ -97,7 +101,9 @@
         self._probe_due_s = self._tools.clock.seconds() + delay_s
 
     def check(self, attempt):
-        """Check an engine for a stall; abandon the try or send a probe if needed.
+        """Check an engine for a stall; suspect the try or send a probe if needed.
+
+        Not called while a try is suspected that had an event.
 
         Parameters
         ----------
@@ -116,7 +122,7 @@
                 return True
             self._stalls += 1
             self._events_at_stall = self._timing.events
-            self._abandon(attempt, "stalled")
+            self._suspect(attempt, "stalled")
         elif now_s >= self._probe_due_s and not self._is_probing:
             self._probe(attempt)
         return False
@@ -139,5 +145,7 @@
         self._probe_due_s = self._tools.clock.seconds() + PROBE_INTERVAL_S
         if not self._is_current(attempt) or self._timing.has_event_of(attempt):
             return
-        if not is_alive:
-            self._abandon(attempt, "silent")
+        if is_alive:
+            self._trust(attempt)
+        else:
+            self._suspect(attempt, "silent")
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -13,6 +13,7 @@
     EventTiming,
     StallDetector,
 )
+from sesamearch.forwarding.suspicion import Obstacle, TrySuspicion
 from sesamearch.wire.endpoint import Loss
 from sesamearch.wire.events import EventError, EventSplitter
 
@@ -43,8 +44,10 @@
             self.route.gap_goal_s,
             self._timing,
             self._is_current,
-            self._abandon,
+            self._suspect,
+            self._trust,
         )
+        self._suspicion = TrySuspicion(self.tools, self.request.request_id)
         self._has_head = False
         self._is_broken = False
         self._has_copy = False
@@ -81,11 +84,17 @@
         if self.is_over or self.tries:
             return
         has_copy, self._has_copy = self._has_copy, False
-        is_resuming = self._last_event is not None
-        endpoint, copy = self._search.choose(has_copy, is_resuming)
+        endpoint, copy = self._search.choose(has_copy, self._is_resuming)
         if endpoint is None:
             self._wait_for_endpoint()
-            return
+        else:
+            self._send_to(endpoint, copy)
+
+    @property
+    def _is_resuming(self):
+        return self._last_event is not None
+
+    def _send_to(self, endpoint, copy):
         self.excluded.add(endpoint.name)
         self._runs += 1
         backup_address = ""
@@ -132,13 +141,16 @@
             # Events have no numbers, so the point to resume from is unknown.
             self._cut()
             return
-        sent = self.try_count - self._failed_connections
-        has_tries_left = self._runs < self.route.max_attempts and sent < MAX_SENDS
-        if has_tries_left and self.remaining_s() > 0 and self.spend_retry():
+        can_retry = self._has_tries_left() and self.remaining_s() > 0
+        if can_retry and self.spend_retry():
             self._send()
         else:
             self._give_up(kind, detail)
 
+    def _has_tries_left(self):
+        sent = self.try_count - self._failed_connections
+        return self._runs < self.route.max_attempts and sent < MAX_SENDS
+
     def _note_break(self):
         if self._has_head:
             self._is_broken = True
@@ -204,6 +216,7 @@
         return True
 
     def _forward_events(self, attempt, events):
+        self._trust(attempt)
         if not attempt.work.is_read:
             attempt.work.prompt_was_read()
             self.note_answer(attempt, False)
@@ -232,6 +245,7 @@
         """Handle the end of an engine's answer."""
         if not self._is_current(attempt):
             return
+        self._trust(attempt)
         answer = attempt.answer
         if attempt.has_not_run:
             self._handle_not_run(attempt)
@@ -288,6 +302,7 @@
         """Retry or resume at another engine if that is safe."""
         if not self._is_current(attempt):
             return
+        self._suspicion.note_ended()
         self.note_loss(attempt, loss)
         self._note_copy(attempt)
         self.drop(attempt, loss.value, attempt.answer.status if attempt.answer else 0)
@@ -321,18 +336,59 @@
         if self.is_over or not self.tries or not self.route.is_resumable:
             return
         attempt = self.tries[0]
-        if self._stall_detector.check(attempt):
+        is_stalled = self._suspicion.is_on and self._timing.has_event_of(attempt)
+        if not is_stalled and self._stall_detector.check(attempt):
             self._copies.refresh(attempt.endpoint)
-
-    def _abandon(self, attempt, cause):
-        """Cancel a stalled try and resume at another engine."""
+        if self._suspicion.is_search_due:
+            self._replace()
+
+    def _suspect(self, attempt, cause):
+        """Look for an engine to take over from a silent one."""
+        self._suspicion.note_silent(attempt, cause)
+        if self._suspicion.is_search_due:
+            self._replace()
+
+    def _trust(self, attempt):
+        """Keep to a try whose engine answers again."""
+        if self._suspicion.is_on:
+            self.tools.outages.note_alive(attempt.endpoint)
+            self._suspicion.note_answer()
+
+    def _replace(self):
+        """Cancel a suspected try and resume at another engine, or keep it for now."""
+        attempt = self.tries[0]
+        has_copy = self._timing.has_event_of(attempt)
+        endpoint, copy = self._search.find_reachable(has_copy, self._is_resuming)
+        obstacle = self._obstacle(endpoint)
+        if obstacle is not None:
+            self._suspicion.keep(obstacle)
+            # Another engine may be free or reachable again next time.
+            self.excluded.clear()
+            self.excluded.add(attempt.endpoint.name)
+            return
+        cause = self._suspicion.cause
+        self._suspicion.note_replaced()
         attempt.cancel()
-        self._note_copy(attempt)
-        self.tools.restarts.note_lost(attempt.endpoint)
-        self.tools.health.note_unreachable(attempt.endpoint.name)
-        self.tools.outages.note_unreachable(attempt.endpoint)
         self.drop(attempt, cause)
-        self._send_again(ErrorKind.ENDPOINT_LOST, "engine silent")
+        self._cause = ErrorKind.ENDPOINT_LOST
+        self._note_break()
+        self._send_to(endpoint, copy)
+
+    def _obstacle(self, endpoint):
+        """Return why `endpoint` cannot take over now; pay for the retry if it can."""
+        if self._has_head and self._last_event is None:
+            return Obstacle.NO_EVENT_NUMBERS
+        if not self._has_tries_left():
+            return Obstacle.NO_ATTEMPTS
+        if endpoint is None:
+            return Obstacle.NO_ENGINE
+        return None if self._pay_replacement() else Obstacle.NO_BUDGET
+
+    def _pay_replacement(self):
+        if self._suspicion.has_no_budget:
+            # The denial was logged and counted at the first search.
+            return self.tools.budgets.take(self.service.name)
+        return self.spend_retry()
 
     # Ends.
 
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -52,6 +52,48 @@
             self.world.send_request(request_bytes("/post/1", "lost", method="POST"))
         self.assertIn("closed_unanswered at desk-", self.explain("lost").cause)
 
+    def states(self, request_id):
+        records = [line.record for line in self.explain(request_id).lines]
+        tag = "try_suspected"
+        found = [r for r in records if r.__struct_config__.tag == tag]
+        return [(r.state, r.obstacle) for r in found]
+
+    # Guards against logs that show a silent engine that was kept as a lost one.
+    def test_silent_try_that_was_kept_and_answered_again(self):
+        world = World(engines=1)
+        with self.handler.applicationbound():
+            world.connect().send(draft_bytes("kept"))
+            world.run(0.4)
+            world.make_silent(world.engines[0], 1.2)
+            world.run(3)
+        expected = [("kept", "no_engine"), ("answered", "")]
+        self.assertEqual(self.states("kept"), expected)
+        self.assertEqual(self.explain("kept").cause, "answered by engine-0, 200")
+
+    # Guards against a replaced try that cannot be told from one that was kept.
+    def test_silent_try_that_was_replaced(self):
+        with self.handler.applicationbound():
+            self.world.connect().send(draft_bytes("replaced"))
+            self.world.run(0.4)
+            engine = next(each for each in self.world.engines if each.runs)
+            self.world.make_silent(engine, 1.2)
+            self.world.run(3)
+        self.assertEqual(self.states("replaced"), [("replaced", "")])
+        self.assertIn(f"stalled at {engine.name}", self.explain("replaced").cause)
+
+    # Guards against an explanation that hides that the engine was silent to the end.
+    def test_silent_try_that_was_kept_to_the_end(self):
+        world = World(engines=1)
+        with self.handler.applicationbound():
+            client = world.connect().send(draft_bytes("left"))
+            world.run(0.4)
+            world.make_silent(world.engines[0], 1.2)
+            world.run(0.8)
+            client.transport.abortConnection()
+            world.run(0.1)
+        cause = self.explain("left").cause
+        self.assertIn("engine-0 stalled and kept (no_engine)", cause)
+
     def test_cause_names_unresponsive_endpoint(self):
         for desk in self.world.desks:
             desk.fault = "mute"
--- a/tests/forwarding/test_stall.py
+++ b/tests/forwarding/test_stall.py
@@ -29,6 +29,7 @@
         self.clock.advance(10)
         self.probes = []
         self.abandoned = []
+        self.trusted = []
         self.timing = EventTiming()
         tools = SimpleNamespace(
             clock=self.clock,
@@ -41,6 +42,7 @@
             self.timing,
             lambda attempt: True,
             lambda attempt, cause: self.abandoned.append(cause),
+            self.trusted.append,
         )
         self.attempt = SimpleNamespace(sent_s=10.0, answer=None, endpoint="e1")
         self.detector.schedule_probe(PROBE_INTERVAL_S)
@@ -66,9 +68,11 @@
         self.wait(0.2)
         self.probes[0].callback(True)
         self.assertEqual(self.abandoned, [])
+        self.assertEqual(self.trusted, [self.attempt])
         self.wait(PROBE_INTERVAL_S)
         self.probes[1].callback(False)
         self.assertEqual(self.abandoned, ["silent"])
+        self.assertEqual(self.trusted, [self.attempt])
 
     def test_failed_probe_is_ignored_if_an_event_arrived_meanwhile(self):
         self.wait(PROBE_INTERVAL_S)
--- a/tests/platform/test_silent_engine.py
+++ b/tests/platform/test_silent_engine.py
@@ -132,6 +132,18 @@
         self.assert_whole(client)
         self.assert_ran_once()
 
+    # Guards against a generation that runs at two engines.
+    def test_replaced_engine_stops_when_it_is_back(self):
+        self.build(engines=3)
+        client, engine = self.start()
+        self.silence(engine)
+        self.world.run(SILENCE_S + 0.01)
+        self.assertEqual([run.ended for run in engine.runs], ["left"])
+        self.world.run(2 * EVENTS_S)
+        self.assert_whole(client)
+        runs = [run for each in self.world.engines for run in each.runs]
+        self.assertEqual(sorted(run.ended for run in runs), ["left", "whole"])
+
 
 class TestSilenceBeforeTheFirstEvent(_SilenceTest):
     # Guards against a 502 for a prompt that its only engine still read.
