Wait for an engine as long as the caller of an answer does

What callers saw: an answer that had begun was cut off although its caller would have waited for up to 18 s: when no engine was found for 2 s, after eight sends, or when the retry budget was spent for a moment. Before the first event, a 502 when all engines were silent one after the other.

Cause: the pause after which callers leave was taken for 2 s in any case, rejections counted up to a fixed limit, and a budget that was spent at one moment ended the answer.

Evidence: tests.platform.test_silent_engine on: cut after event 10 where all engines are silent for 3 s or the others are full, closed within 4 s after a crash of all; no event before the head where all are silent for 3 s.

Now forwarding/allowance.py keeps count: runs against the attempts, sends, what is paid for, and the pauses, which grow from 0.05 s to 0.8 s with two sends after each. An answer that began waits until the caller's patience ends; the engine is found first and then paid for, so no retry is paid in vain, and a denial is logged once for each retry. Before its first event a request is refused as before, with the same words, unless it was taken from a silent engine and engines are listed. The copy is kept until the next run begins (CopyManager.find); detach() had no other use, and its tests use find().

Engines that are silenced again before they are back stay silent until the later of the two times (test network).

--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -5,6 +5,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "allowance": ["SendAllowance", "patience_s"],
         "budget": ["FleetView", "RetryBudget", "RetryBudgets", "RetryUse"],
         "call": ["CallExchange"],
         "choice": ["Chooser", "GenerationNeed"],
--- /dev/null
+++ b/src/sesamearch/forwarding/allowance.py
@@ -0,0 +1,118 @@
+"""How often and how soon a generation may be sent to engines."""
+
+__all__ = ["SendAllowance", "patience_s"]
+
+# A caller abandons an answer that pauses for longer than the longest of these.
+MIN_PATIENCE_S = 2.0
+PATIENCE_LATENCY_GOALS = 4.0
+PATIENCE_GAP_GOALS = 8.0
+# Sends without a pause at first, failed connections not included, and after each pause.
+MAX_FIRST_SENDS = 8
+MAX_LATER_SENDS = 2
+# Failed connections cause no work at an engine, so that many may be retried for free.
+MAX_FREE_FAILED_CONNECTIONS = 40
+MIN_PAUSE_S = 0.05
+MAX_PAUSE_S = 0.8
+
+
+def patience_s(route):
+    """Return the pause after which a caller of a route abandons its answer."""
+    return max(
+        MIN_PATIENCE_S,
+        route.latency_goal_s * PATIENCE_LATENCY_GOALS,
+        route.gap_goal_s * PATIENCE_GAP_GOALS,
+    )
+
+
+class SendAllowance:
+    """Limits the runs of a generation, paces its sends and pays for its retries.
+
+    Parameters
+    ----------
+    max_runs : int
+        Number of engines that one request may run at.
+    spend_retry : callable
+        Takes a retry from the budget; returns whether one was left, and logs it if not.
+    spend_retry_again : callable
+        The same, without a log line.
+
+    Attributes
+    ----------
+    runs : int
+        Number of sends that an engine may have run.
+    """
+
+    __slots__ = (
+        "_failed_connections",
+        "_is_denied",
+        "_is_paid",
+        "_max_runs",
+        "_pauses",
+        "_sends",
+        "_spend_retry",
+        "_spend_retry_again",
+        "runs",
+    )
+
+    def __init__(self, max_runs, spend_retry, spend_retry_again):
+        self._max_runs = max_runs
+        self._spend_retry = spend_retry
+        self._spend_retry_again = spend_retry_again
+        # The first send is no retry.
+        self._is_paid = True
+        self._is_denied = False
+        self._sends = 0
+        self._failed_connections = 0
+        self._pauses = 0
+        self.runs = 0
+
+    @property
+    def has_runs_left(self):
+        """Bool : whether the generation may run at another engine."""
+        return self.runs < self._max_runs
+
+    @property
+    def needs_pause(self):
+        """Bool : whether enough was sent in vain since the last pause."""
+        if self._pauses:
+            return self._sends + self._failed_connections >= MAX_LATER_SENDS
+        return self._sends >= MAX_FIRST_SENDS
+
+    def pay(self):
+        """Return whether the next send is paid for, from the retry budget if needed."""
+        if not self._is_paid:
+            spend = self._spend_retry_again if self._is_denied else self._spend_retry
+            self._is_paid = spend()
+            self._is_denied = not self._is_paid
+        return self._is_paid
+
+    def note_sent(self):
+        """Count a send."""
+        self._is_paid = False
+        self._sends += 1
+        self.runs += 1
+
+    def note_not_run(self):
+        """Record that an engine states that it did not run the last send."""
+        self.runs -= 1
+
+    def note_not_connected(self):
+        """Record that the last send reached no engine; the next one is free again."""
+        self._sends -= 1
+        self._failed_connections += 1
+        self._is_paid = self._failed_connections < MAX_FREE_FAILED_CONNECTIONS
+        self.runs -= 1
+
+    def note_event(self):
+        """Record that an engine goes on with the generation."""
+        self._sends = 0
+        self._failed_connections = 0
+        self._pauses = 0
+
+    def begin_pause(self):
+        """Return the length of the pause that begins now, longer than the last one."""
+        pause_s = min(MIN_PAUSE_S * 2**self._pauses, MAX_PAUSE_S)
+        self._pauses += 1
+        self._sends = 0
+        self._failed_connections = 0
+        return pause_s
--- a/src/sesamearch/forwarding/copies.py
+++ b/src/sesamearch/forwarding/copies.py
@@ -95,13 +95,6 @@
             return None, None
         return backup, self._copy
 
-    def detach(self):
-        """Stop managing the copy and return it, as :meth:`find` does."""
-        found = self.find()
-        self._drop()
-        self._run += 1
-        return found
-
     def refresh(self, endpoint):
         """Request a copy if no usable backup has one, and again at intervals.
 
--- a/src/sesamearch/forwarding/search.py
+++ b/src/sesamearch/forwarding/search.py
@@ -37,8 +37,8 @@
             tools, service, self.need, request.request_id, self._is_usable
         )
 
-    def choose(self, has_copy, is_resuming):
-        """Choose the engine for the next run, and stop managing the copy.
+    def find(self, has_copy, is_resuming):
+        """Find the engine for the next run.
 
         Parameters
         ----------
@@ -53,26 +53,22 @@
         MemoryCopy or None
             Copy to resume from, if any.
         """
-        endpoint, copy = self.copies.detach()
+        endpoint, copy = self.copies.find()
         if endpoint is not None and has_copy:
             return endpoint, copy
-        return self._choose_without_copy(is_resuming), None
+        return self._find_without_copy(is_resuming), None
 
     def find_reachable(self, has_copy, is_resuming):
         """Find an engine that can take over from a silent one.
 
-        The same as :meth:`choose`, but the copy stays managed, and no engine is found
-        that is avoided itself.
+        The same as :meth:`find`, but an engine that is avoided itself is not found.
         """
-        endpoint, copy = self.copies.find()
-        if endpoint is not None and has_copy:
-            return endpoint, copy
-        endpoint = self._choose_without_copy(is_resuming)
+        endpoint, copy = self.find(has_copy, is_resuming)
         if endpoint is None or not self._is_reachable(endpoint):
             return None, None
-        return endpoint, None
+        return endpoint, copy
 
-    def _choose_without_copy(self, is_resuming):
+    def _find_without_copy(self, is_resuming):
         with_prompt = self._endpoint_with_prompt() if is_resuming else None
         return with_prompt or self._choose_any()
 
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -3,6 +3,7 @@
 from sesamearch.base.errors import ErrorKind
 from sesamearch.base.log import logger
 from sesamearch.base.record import GenerationResumed
+from sesamearch.forwarding.allowance import SendAllowance, patience_s
 from sesamearch.forwarding.exchange import Exchange
 from sesamearch.forwarding.lifecycle import make_lifecycle
 from sesamearch.forwarding.request import ForwardOptions
@@ -19,13 +20,9 @@
 
 __all__ = ["StreamExchange"]
 
-CHOICE_RETRY_INTERVAL_S = 0.05
-# Callers abandon a stream that pauses for longer.
-MAX_PAUSE_S = 2.0
 RETRY_AFTER_S = 1.0
-MAX_SENDS = 8
-# Failed connections cause no work at an engine, so they have a higher limit.
-MAX_FAILED_CONNECTIONS = 40
+# A refusal is sent so long before the caller would leave that it still arrives.
+REFUSAL_MARGIN_S = 0.2
 LOWEST_URGENCY = 9
 
 
@@ -52,8 +49,10 @@
         self._is_broken = False
         self._has_copy = False
         self._is_prompt_cached = False
-        self._runs = 0
-        self._failed_connections = 0
+        self._has_given_up_try = False
+        self._allowance = SendAllowance(
+            self.route.max_attempts, self.spend_retry, self._spend_retry_again
+        )
         self._cause = ErrorKind.NO_ENDPOINT
         self._retry_timer = None
         self._search = EngineSearch(
@@ -79,24 +78,32 @@
             rank = organisation.priority
         return min(rank, LOWEST_URGENCY)
 
+    def _spend_retry_again(self):
+        return self.tools.budgets.take(self.service.name)
+
     def _send(self):
+        """Send the generation to an engine, or wait for one."""
         self._retry_timer = None
         if self.is_over or self.tries:
             return
-        has_copy, self._has_copy = self._has_copy, False
-        endpoint, copy = self._search.choose(has_copy, self._is_resuming)
+        endpoint, copy = self._search.find(self._has_copy, self._is_resuming)
         if endpoint is None:
-            self._wait_for_endpoint()
-        else:
+            # Engines that failed before may be back next time.
+            self.excluded.clear()
+            self._wait("no engine is available")
+        elif self._allowance.pay():
             self._send_to(endpoint, copy)
+        else:
+            self._wait("too many retries")
 
     @property
     def _is_resuming(self):
         return self._last_event is not None
 
     def _send_to(self, endpoint, copy):
+        self._has_copy = False
         self.excluded.add(endpoint.name)
-        self._runs += 1
+        self._allowance.note_sent()
         backup_address = ""
         if self.route.is_resumable:
             backup_address = self._copies.begin(endpoint)
@@ -119,56 +126,58 @@
         self.tools.prompts.begin(self.request.last_part, endpoint.name)
         self.send(options, work)
 
-    def _wait_for_endpoint(self):
-        """Choose again soon if the answer has begun and paused briefly, or give up."""
-        if self._has_head and self._pause_s() < MAX_PAUSE_S:
-            self.excluded.clear()
-            self._retry_timer = self.tools.clock.callLater(
-                CHOICE_RETRY_INTERVAL_S, self._send
-            )
-        else:
-            self._give_up(self._cause, "no engine is available")
+    def _wait(self, detail):
+        """Send again after a pause if the caller waits for it, or give up."""
+        if not self._may_wait():
+            self._give_up(self._cause, detail)
+            return
+        pause_s = self._allowance.begin_pause()
+        self._retry_timer = self.tools.clock.callLater(pause_s, self._send)
+
+    def _may_wait(self):
+        """Return whether the answer waits for an engine.
+
+        Before its first event, a request is refused instead, unless it was taken from
+        a silent engine, which may be able to run it again soon.
+        """
+        limit_s = patience_s(self.route)
+        if self._has_head:
+            return self._pause_s() < limit_s
+        has_engines = bool(self.tools.endpoint_index.serving(self.service.name))
+        limit_s -= REFUSAL_MARGIN_S
+        return self._has_given_up_try and has_engines and self._pause_s() < limit_s
 
     def _pause_s(self):
         since_s = self._timing.last_s or self.request.received_s
         return self.now_s - since_s
 
     def _send_again(self, kind, detail):
-        """Retry at another engine after a lost try, or give up."""
+        """Retry at another engine after a lost try, wait for one, or give up."""
         self._cause = kind
         self._note_break()
-        if self._has_head and self._last_event is None:
-            # Events have no numbers, so the point to resume from is unknown.
-            self._cut()
-            return
-        can_retry = self._has_tries_left() and self.remaining_s() > 0
-        if can_retry and self.spend_retry():
-            self._send()
-        else:
+        if not self._can_run_again():
             self._give_up(kind, detail)
+        elif self._allowance.needs_pause:
+            self._wait(detail)
+        else:
+            self._send()
 
-    def _has_tries_left(self):
-        sent = self.try_count - self._failed_connections
-        return self._runs < self.route.max_attempts and sent < MAX_SENDS
+    def _can_run_again(self):
+        if self._has_head and self._last_event is None:
+            # Events have no numbers, so the point to resume from is unknown.
+            return False
+        return self._allowance.has_runs_left and self.remaining_s() > 0
 
     def _note_break(self):
         if self._has_head:
             self._is_broken = True
             self._lifecycle.broke()
 
-    def _send_after_failed_connection(self):
-        """Retry after a failed connection, over which no engine got the request."""
-        if self._failed_connections < MAX_FAILED_CONNECTIONS and self.remaining_s() > 0:
-            self._note_break()
-            self._send()
-        else:
-            self._send_again(ErrorKind.NO_ENDPOINT, "no engine can be reached")
-
     def _give_up(self, kind, detail):
         if self._has_head:
             self._cut()
         else:
-            if self._runs:
+            if self._allowance.runs:
                 # An engine may have run the request, so the error must not say
                 # "not run".
                 kind = ErrorKind.ENDPOINT_LOST
@@ -226,6 +235,7 @@
             self._is_broken = False
             self._lifecycle.resumed()
             self.reply.set_producer(attempt.pending_request.producer)
+        self._allowance.note_event()
         self._timing.note(len(events), self.now_s)
         self.reply.write(b"".join(event.data for event in events))
 
@@ -256,7 +266,7 @@
 
     def _handle_not_run(self, attempt):
         """Retry a generation that the engine states it did not run."""
-        self._runs -= 1
+        self._allowance.note_not_run()
         self.drop(attempt, "not_run", attempt.answer.status)
         if attempt.answer.is_other_instance:
             self.tools.health.note_replaced(attempt.endpoint.name)
@@ -266,7 +276,7 @@
         self.tools.health.note_answer(attempt.endpoint.name, True)
         self.note_answer(attempt, True)
         self.drop(attempt, "failed", attempt.answer.status)
-        can_repeat = self.route.is_resumable and self._runs < self.route.max_attempts
+        can_repeat = self.route.is_resumable and self._allowance.has_runs_left
         if self._has_head or (can_repeat and attempt.answer.status >= 500):
             self._send_again(ErrorKind.ENDPOINT_LOST, "engine failed")
             return
@@ -307,11 +317,10 @@
         self._note_copy(attempt)
         self.drop(attempt, loss.value, attempt.answer.status if attempt.answer else 0)
         if loss is Loss.NOT_CONNECTED:
-            self._runs -= 1
-            self._failed_connections += 1
-            self._send_after_failed_connection()
+            self._allowance.note_not_connected()
+            self._send_again(self._cause, "no engine can be reached")
         elif attempt.has_not_run:
-            self._runs -= 1
+            self._allowance.note_not_run()
             self._send_again(ErrorKind.OVERLOADED, "engines are busy")
         else:
             self._recover(ErrorKind.ENDPOINT_LOST, "engine lost")
@@ -368,6 +377,7 @@
             return
         cause = self._suspicion.cause
         self._suspicion.note_replaced()
+        self._has_given_up_try = True
         attempt.cancel()
         self.drop(attempt, cause)
         self._cause = ErrorKind.ENDPOINT_LOST
@@ -378,17 +388,11 @@
         """Return why `endpoint` cannot take over now; pay for the retry if it can."""
         if self._has_head and self._last_event is None:
             return Obstacle.NO_EVENT_NUMBERS
-        if not self._has_tries_left():
+        if not self._allowance.has_runs_left:
             return Obstacle.NO_ATTEMPTS
         if endpoint is None:
             return Obstacle.NO_ENGINE
-        return None if self._pay_replacement() else Obstacle.NO_BUDGET
-
-    def _pay_replacement(self):
-        if self._suspicion.has_no_budget:
-            # The denial was logged and counted at the first search.
-            return self.tools.budgets.take(self.service.name)
-        return self.spend_retry()
+        return None if self._allowance.pay() else Obstacle.NO_BUDGET
 
     # Ends.
 
--- a/src/sesamearch/forwarding/suspicion.py
+++ b/src/sesamearch/forwarding/suspicion.py
@@ -165,11 +165,6 @@
         """Bool : whether to look for another engine now."""
         return self.is_on and self._now_s() >= self._search_due_s
 
-    @property
-    def has_no_budget(self):
-        """Bool : whether the last search failed for want of a retry budget."""
-        return self._obstacle is Obstacle.NO_BUDGET
-
     def keep(self, obstacle):
         """Keep the try for now, because no other engine can take over.
 
--- a/src/sesamearch/standin/network.py
+++ b/src/sesamearch/standin/network.py
@@ -202,7 +202,8 @@
 
         They arrive afterwards, in order.
         """
-        self._held_until_s[address] = self.seconds() + seconds
+        held_until_s = self._held_until_s.get(address, 0.0)
+        self._held_until_s[address] = max(held_until_s, self.seconds() + seconds)
 
     def delay_s(self, address):
         """Return how long a segment takes that is sent to or from an address now."""
--- /dev/null
+++ b/tests/forwarding/test_allowance.py
@@ -0,0 +1,122 @@
+"""How often a generation is sent, what is paid for, and how pauses grow."""
+
+import unittest
+from types import SimpleNamespace
+
+from sesamearch.forwarding.allowance import (
+    MAX_FIRST_SENDS,
+    MAX_FREE_FAILED_CONNECTIONS,
+    MAX_LATER_SENDS,
+    MAX_PAUSE_S,
+    SendAllowance,
+    patience_s,
+)
+
+
+class TestSendAllowance(unittest.TestCase):
+    def setUp(self):
+        self.budget = 100
+        self.logged, self.quiet = 0, 0
+        self.allowance = SendAllowance(3, self.spend, self.spend_again)
+
+    def spend(self):
+        self.logged += 1
+        return self.take()
+
+    def spend_again(self):
+        self.quiet += 1
+        return self.take()
+
+    def take(self):
+        self.budget -= 1
+        return self.budget >= 0
+
+    def send(self, count=1):
+        for _ in range(count):
+            self.assertTrue(self.allowance.pay())
+            self.allowance.note_sent()
+
+    def reject(self, count=1):
+        for _ in range(count):
+            self.send()
+            self.allowance.note_not_run()
+
+    # Guards against retries that are not paid for, and first sends that are.
+    def test_only_retries_are_paid_for(self):
+        self.send()
+        self.assertEqual(self.budget, 100)
+        self.send(2)
+        self.assertEqual(self.budget, 98)
+
+    # Guards against a retry that is paid for twice while it waits to be sent.
+    def test_retry_is_paid_for_once(self):
+        self.send()
+        self.assertTrue(self.allowance.pay())
+        self.assertTrue(self.allowance.pay())
+        self.assertEqual(self.budget, 99)
+
+    # Guards against a log line at each look while the budget is spent.
+    def test_denial_is_logged_once_until_a_retry_is_paid_for(self):
+        self.budget = 0
+        self.send()
+        for _ in range(5):
+            self.assertFalse(self.allowance.pay())
+        self.assertEqual((self.logged, self.quiet), (1, 4))
+        self.budget = 1
+        self.send()
+        self.assertFalse(self.allowance.pay())
+        self.assertEqual(self.logged, 2)
+
+    # Guards against failed connections that use up budget or attempts.
+    def test_failed_connections_are_free_up_to_their_limit(self):
+        for _ in range(MAX_FREE_FAILED_CONNECTIONS):
+            self.send()
+            self.allowance.note_not_connected()
+        self.assertEqual((self.budget, self.allowance.runs), (100, 0))
+        self.send()
+        self.assertEqual(self.budget, 99)
+
+    # Guards against more runs than the route allows, and rejections counted as runs.
+    def test_only_runs_use_up_the_attempts(self):
+        self.reject(5)
+        self.assertTrue(self.allowance.has_runs_left)
+        self.send(3)
+        self.assertFalse(self.allowance.has_runs_left)
+
+    # Guards against engines flooded by answers that wait for a free one.
+    def test_pauses_grow_and_allow_few_sends(self):
+        self.reject(MAX_FIRST_SENDS - 1)
+        self.assertFalse(self.allowance.needs_pause)
+        self.reject()
+        self.assertTrue(self.allowance.needs_pause)
+        pauses = []
+        for _ in range(6):
+            pauses.append(self.allowance.begin_pause())
+            self.reject(MAX_LATER_SENDS - 1)
+            self.assertFalse(self.allowance.needs_pause)
+            self.reject()
+            self.assertTrue(self.allowance.needs_pause)
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertLess(pauses[0], pauses[1])
+        self.assertEqual(pauses[-1], MAX_PAUSE_S)
+
+    # Guards against a long pause after a break that follows an earlier one.
+    def test_an_event_ends_the_growth(self):
+        for _ in range(4):
+            self.allowance.begin_pause()
+        self.allowance.note_event()
+        self.assertEqual(self.allowance.begin_pause(), 0.05)
+
+
+class TestPatience(unittest.TestCase):
+    # Guards against an answer that is cut off before its caller would leave.
+    def test_longest_of_the_three_limits(self):
+        for latency_goal_s, gap_goal_s, expected_s in (
+            (0.1, 0.1, 2.0),
+            (4.5, 0.7, 18.0),
+            (1.0, 0.7, 5.6),
+        ):
+            route = SimpleNamespace(
+                latency_goal_s=latency_goal_s, gap_goal_s=gap_goal_s
+            )
+            self.assertAlmostEqual(patience_s(route), expected_s)
--- a/tests/forwarding/test_copies.py
+++ b/tests/forwarding/test_copies.py
@@ -71,7 +71,7 @@
         self.manager.refresh(self.endpoints["e0"])
         self.assertEqual(self.tools.client.requests, [])
 
-    def test_requested_copy_is_renewed_and_detached(self):
+    def test_requested_copy_is_renewed_and_found(self):
         self.lose_backup()
         copy = self.answer()
         self.manager.refresh(self.endpoints["e0"])
@@ -79,8 +79,8 @@
         self.world.clock.advance(1.3)
         self.manager.refresh(self.endpoints["e0"])
         self.assertEqual(len(self.tools.client.requests), 2)
-        backup, detached = self.manager.detach()
-        self.assertEqual((backup.address, detached), (copy.target_address, copy))
+        backup, found = self.manager.find()
+        self.assertEqual((backup.address, found), (copy.target_address, copy))
 
     def test_memory_of_the_copy_counts_as_load(self):
         self.assertEqual(self.reserved_tokens(), NEED.memory_tokens)
@@ -100,7 +100,6 @@
 
     def test_copy_requested_in_an_earlier_run_is_freed(self):
         self.lose_backup()
-        self.manager.detach()
         self.manager.begin(self.endpoints["e2"])
         copy = self.answer()
         self.assertEqual(self.tools.client.freed, [copy])
--- a/tests/platform/test_silent_engine.py
+++ b/tests/platform/test_silent_engine.py
@@ -1,6 +1,8 @@
 """Sound engines that fall silent for a time: their silence ends no answer."""
 
+import random
 import unittest
+from collections import Counter
 
 import msgspec
 
@@ -10,6 +12,9 @@
 SILENCE_S = 1.2
 LONG_SILENCE_S = 3.0
 EVENTS = 60
+CHECK_STEP_S = 0.05
+# Time for which a generation may run at two engines that the router reaches.
+MAX_RUN_TWICE_S = 0.4
 # Time in which the engines send all events, without silence and prefill.
 EVENTS_S = 2.0
 
@@ -18,6 +23,12 @@
     bounds = msgspec.structs.replace(PlatformBounds(), retry_ratio=0.0, retry_slack=0.0)
 
 
+class _WorldWithOneRetry(World):
+    bounds = msgspec.structs.replace(
+        PlatformBounds(), retry_ratio=0.0, retry_slack=1.0, retry_window_s=3.0
+    )
+
+
 class _SilenceTest(unittest.TestCase):
     def build(self, engines, world_type=World, max_attempts=None):
         self.world = world_type(engines=engines)
@@ -28,9 +39,10 @@
             self.world.store.put("op/config", make_configuration(8, routes))
             self.world.run(0.1)
 
-    def start(self, run_s=0.5, prompt_tokens=800):
+    def start(self, run_s=0.5, prompt_tokens=800, request_id="r1"):
         """Start a generation; return its client and its engine."""
-        client = self.world.connect().send(draft_bytes(prompt_tokens=prompt_tokens))
+        data = draft_bytes(request_id, prompt_tokens)
+        client = self.world.connect().send(data)
         self.world.run(run_s)
         return client, next(each for each in self.world.engines if each.runs)
 
@@ -186,3 +198,95 @@
             self.world.restore(engine)
         self.world.run(2 + EVENTS_S)
         self.assert_whole(client)
+
+    # Guards against an answer cut off because the retry budget was spent for a while.
+    def test_generation_resumes_when_the_retry_budget_allows_it_again(self):
+        self.build(engines=4, world_type=_WorldWithOneRetry)
+        clients = [self.start(0.1, request_id=name)[0] for name in ("a", "b")]
+        self.world.run(0.4)
+        for engine in self.world.engines:
+            engine.crash()
+        # Each resumes at its second send, since no engine made the copy it asks for.
+        self.world.run(12 + EVENTS_S)
+        for client in clients:
+            self.assert_whole(client)
+        # A denial is counted once for each retry, not at each look.
+        self.assertLessEqual(self.counters.retries_denied, 4)
+
+    # Guards against an answer that is kept after its caller cannot wait for it.
+    def test_answer_ends_when_no_engine_comes_back_in_time(self):
+        self.build(engines=3)
+        client, _ = self.start()
+        for engine in self.world.engines:
+            self.world.crash(engine)
+        self.world.run(17.5)
+        self.assertFalse(client.is_closed)
+        self.world.run(2)
+        self.assertTrue(client.was_reset)
+        self.assertFalse(client.is_complete)
+        # The engines get few connections all the while.
+        self.assertLess(self.counters.tries, 70)
+
+    # Guards against many requests to full engines while an answer waits for one.
+    def test_full_engines_get_few_requests(self):
+        self.build(engines=3)
+        client, engine = self.start()
+        for other in self.world.engines:
+            other.slots = 0
+        engine.crash()
+        self.world.run(10)
+        self.assertLess(self.counters.tries, 40)
+        engine.slots = 12
+        self.world.run(3 + EVENTS_S)
+        self.assert_whole(client)
+
+
+class TestManySilences(_SilenceTest):
+    # Guards against answers that are cut off, or run at two engines, as engines pause
+    # by turns and together.
+    def test_all_answers_are_whole(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                self.play(random.Random(seed))
+
+    def play(self, rng):
+        self.build(engines=5)
+        self.twice_s = {}
+        clients = []
+        for number in range(24):
+            data = draft_bytes(f"r{number}", rng.choice([400, 2000, 6000]))
+            clients.append(self.world.connect().send(data))
+            if rng.random() < 0.4:
+                count = rng.choice([1, 1, 2, 5])
+                silent = rng.sample(self.world.engines, count)
+                self.silence(*silent, seconds=rng.uniform(0.6, 1.6))
+            self.run_checked(0.3)
+        self.run_checked(12)
+        for number, client in enumerate(clients):
+            if client.status == 503:
+                self.assert_never_ran(f"r{number}", client)
+            else:
+                self.assert_whole(client)
+
+    def assert_never_ran(self, request_id, client):
+        """Check that a refused request, which its caller may repeat, did not run."""
+        self.assertIn(b"Retry-After: ", client.received)
+        for engine in self.world.engines:
+            self.assertNotIn(request_id, engine.served)
+
+    def run_checked(self, seconds):
+        for _ in range(round(seconds / CHECK_STEP_S)):
+            self.world.run(CHECK_STEP_S)
+            self.check_runs()
+
+    def check_runs(self):
+        """Check that no request runs at two engines that can be reached."""
+        now_s = self.world.network.seconds()
+        reached = [e for e in self.world.engines if e.frozen_until_s <= now_s]
+        running = Counter(
+            run.request_id for e in reached for run in e.runs if not run.ended
+        )
+        twice = [request_id for request_id, count in running.items() if count > 1]
+        self.twice_s = {name: self.twice_s.get(name, now_s) for name in twice}
+        for request_id, began_s in self.twice_s.items():
+            self.assertLess(now_s - began_s, MAX_RUN_TWICE_S, request_id)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -340,7 +340,8 @@
 
     def make_silent(self, worker, seconds):
         """Make a sound engine silent for a time; then it goes on where it was."""
-        worker.frozen_until_s = self.network.seconds() + seconds
+        until_s = self.network.seconds() + seconds
+        worker.frozen_until_s = max(worker.frozen_until_s, until_s)
         self.network.hold(worker.address, seconds)
 
     def make_unresponsive(self, worker):
