Use a silent engine again as soon as it answers

What callers saw: nothing at once; an engine that had gone on after a short silence was avoided for 0.8 to 5 s all the same, as an engine, as a backup and as the way out for other silent engines, so more answers had nowhere to go.

Cause: only a complete answer ended the avoidance. Events that came again, an answered probe and the engine's own name (asked for after a loss) did not.

Evidence: the two tests of test_silent_engine on: is_down is true after the events came again, and after the engine told its name.

Now each of the three ends the avoidance of engine and data centre (HealthTracker.note_alive). The history stays, so an engine that falls silent by turns is avoided longer each time, and an endpoint whose address belongs to another process stays avoided. Other routers that were told of the suspicion keep it until it ends by itself.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -144,6 +144,7 @@
             bounds.reuse_after_s,
             self._health_path_of,
             self._handle_restart,
+            self._handle_alive,
         )
         self.board.endpoints.listen(self._restart_detector.discard_unlisted)
         data_centre = self._settings.data_centre
@@ -191,6 +192,11 @@
         if self._peers is not None:
             self._peers.send_to_all(EndpointRestarted(restarted))
 
+    def _handle_alive(self, endpoint):
+        """Use a silent endpoint again that answers under its own name."""
+        self._health.note_alive(endpoint.name)
+        self._outages.note_alive(endpoint)
+
     def _view_fleet(self):
         if self._peers is None:
             return FleetView(1, frozenset([self._settings.data_centre]))
--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -193,6 +193,16 @@
         if not is_failure:
             record.avoid_until_s = 0.0
 
+    def note_alive(self, name):
+        """End the avoidance of an endpoint that answers again.
+
+        It still counts for the length of the next one. A replaced endpoint stays
+        avoided, since its address belongs to another process.
+        """
+        record = self._records.get(name)
+        if record is not None and not record.is_replaced:
+            record.avoid_until_s = 0.0
+
     def note_failure(self, name):
         """Count a request without a complete answer as a failure."""
         self._count(name, True)
--- a/src/sesamearch/forwarding/restarts.py
+++ b/src/sesamearch/forwarding/restarts.py
@@ -32,6 +32,8 @@
         Returns the path at which a service names its instance; empty for none.
     on_restart : callable
         Called with an endpoint and its new name.
+    on_alive : callable
+        Called with a lost endpoint that answers under its listed name.
     """
 
     __slots__ = (
@@ -40,16 +42,20 @@
         "_clock",
         "_health_path_of",
         "_last_alive_s",
+        "_on_alive",
         "_on_restart",
         "_window_s",
     )
 
-    def __init__(self, client, clock, reuse_after_s, health_path_of, on_restart):
+    def __init__(
+        self, client, clock, reuse_after_s, health_path_of, on_restart, on_alive
+    ):
         self._client = client
         self._clock = clock
         self._window_s = reuse_after_s - REUSE_MARGIN_S
         self._health_path_of = health_path_of
         self._on_restart = on_restart
+        self._on_alive = on_alive
         self._last_alive_s = {}
         self._asking = set()
 
@@ -90,6 +96,7 @@
             self.note_new_name(endpoint, name, alive_s)
         elif name:
             self._asking.discard(endpoint.name)
+            self._on_alive(endpoint)
         else:
             self._ask_later(endpoint, alive_s)
 
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -358,10 +358,8 @@
             self._replace()
 
     def _trust(self, attempt):
-        """Keep to a try whose engine answers again."""
-        if self._suspicion.is_on:
-            self.tools.outages.note_alive(attempt.endpoint)
-            self._suspicion.note_answer()
+        """Keep to a try whose engine answers."""
+        self._suspicion.note_answer()
 
     def _replace(self):
         """Cancel a suspected try and resume at another engine, or keep it for now."""
--- a/src/sesamearch/forwarding/suspicion.py
+++ b/src/sesamearch/forwarding/suspicion.py
@@ -149,7 +149,10 @@
         self._obstacle = None
 
     def clear(self):
-        """Trust the try again."""
+        """Trust the try and its engine again."""
+        endpoint = self._attempt.endpoint
+        self._tools.health.note_alive(endpoint.name)
+        self._tools.outages.note_alive(endpoint)
         self._log("answered")
         self.end()
 
--- a/tests/forwarding/test_health.py
+++ b/tests/forwarding/test_health.py
@@ -26,6 +26,23 @@
         self.health.note_answer("e1", False)
         self.assertFalse(self.health.is_down("e1"))
 
+    # Guards against a sound endpoint that is avoided for seconds after a short silence.
+    def test_sign_of_life_ends_the_avoidance_but_not_its_history(self):
+        self.health.note_unreachable("e1")
+        self.health.note_alive("e1")
+        self.assertFalse(self.health.is_down("e1"))
+        self.assertEqual(self.health.unreachable_names(), [])
+        self.assertEqual(self.health.suspicions(), [])
+        self.health.note_unreachable("e1")
+        self.clock.advance(0.9)
+        self.assertTrue(self.health.is_down("e1"))
+
+    # Guards against requests to an address that another process has.
+    def test_sign_of_life_does_not_end_the_avoidance_of_a_replaced_endpoint(self):
+        self.health.note_replaced("e1")
+        self.health.note_alive("e1")
+        self.assertTrue(self.health.is_down("e1"))
+
     def test_replaced_endpoint_is_avoided_until_it_is_listed_again(self):
         board = Blackboard()
         endpoint_index = EndpointIndex(board, self.health)
--- a/tests/platform/test_silent_engine.py
+++ b/tests/platform/test_silent_engine.py
@@ -144,6 +144,31 @@
         self.assert_whole(client)
         self.assert_ran_once()
 
+    # Guards against an engine that is avoided although its events come again.
+    def test_engine_that_goes_on_is_used_again_at_once(self):
+        self.build(engines=2, max_attempts=1)
+        _, engine = self.start()
+        self.silence(engine, seconds=0.6)
+        self.world.run(0.5)
+        health = self.world.routers[0]._health
+        self.assertTrue(health.is_down(engine.name))
+        self.world.run(0.15)
+        self.assertFalse(health.is_down(engine.name))
+
+    # Guards against an engine that is avoided although it answers, once replaced.
+    def test_replaced_engine_is_used_again_when_it_tells_its_name(self):
+        self.build(engines=3)
+        health = self.world.routers[0]._health
+        _, engine = self.start()
+        # It was unreachable not long ago, so that it is avoided for longer now.
+        health.note_unreachable(engine.name)
+        self.world.run(0.9)
+        self.silence(engine, seconds=0.9)
+        self.world.run(0.85)
+        self.assertTrue(health.is_down(engine.name))
+        self.world.run(0.35)
+        self.assertFalse(health.is_down(engine.name))
+
     # Guards against a generation that runs at two engines.
     def test_replaced_engine_stops_when_it_is_back(self):
         self.build(engines=3)
