Do not ask an engine for its name that sends again

What was seen: an engine that fell silent and went on was still asked for its name up to five times, each on a new connection and waiting for a slot.

Cause: the questions were planned by the last data before the loss, and data that came since did not stop them.

Evidence: test_engine_is_not_asked_once_data_arrived_again fails on the commit before (one question). test_engine_is_asked_again_after_the_next_loss holds what stood and passes on both.

--- a/src/sesamearch/forwarding/restarts.py
+++ b/src/sesamearch/forwarding/restarts.py
@@ -87,6 +87,10 @@
         self._asking.discard(endpoint.name)
 
     def _ask(self, endpoint, alive_s):
+        if self._last_alive_s.get(endpoint.name, alive_s) != alive_s:
+            # Data arrived under the listed name meanwhile.
+            self._asking.discard(endpoint.name)
+            return
         asked = self._client.identify(endpoint, self._path(endpoint), ASK_TIMEOUT_S)
         asked.addCallback(self._handle_name, endpoint, alive_s)
 
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -359,7 +359,8 @@
 
     def _trust(self, attempt):
         """Keep to a try whose engine answers."""
-        self._suspicion.note_answer()
+        if self._suspicion.is_on:
+            self._suspicion.note_answer()
 
     def _replace(self):
         """Cancel a suspected try and resume at another engine, or keep it for now."""
--- a/tests/forwarding/test_restarts.py
+++ b/tests/forwarding/test_restarts.py
@@ -53,3 +53,18 @@
         self.assertEqual((self.restarted, self.alive), ([], [self.engine]))
         self.clock.advance(2)
         self.assertEqual(len(self.client.asked), 1)
+
+    # Guards against questions to an engine that is known to be alive.
+    def test_engine_is_not_asked_once_data_arrived_again(self):
+        self.detector.note_alive("e1")
+        self.clock.advance(2)
+        self.assertEqual(self.client.asked, [])
+
+    # Guards against an engine that is never asked again after it answered once.
+    def test_engine_is_asked_again_after_the_next_loss(self):
+        self.detector.note_alive("e1")
+        self.clock.advance(2)
+        self.detector.note_alive("e1")
+        self.detector.note_lost(self.engine)
+        self.clock.advance(1.1)
+        self.assertEqual(len(self.client.asked), 1)
