--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -32,6 +32,7 @@
             "PromptPart",
         ],
         "restarts": ["RestartDetector"],
+        "runs": ["GenerationRuns"],
         "search": ["EngineSearch"],
         "stall": [
             "PROBE_INTERVAL_S",
--- /dev/null
+++ b/src/sesamearch/forwarding/runs.py
@@ -0,0 +1,240 @@
+"""Runs of a generation at engines, one after the other."""
+
+import abc
+
+from sesamearch.base.errors import ErrorKind
+from sesamearch.forwarding.allowance import SendAllowance, patience_s
+from sesamearch.forwarding.exchange import Exchange
+from sesamearch.forwarding.lifecycle import make_lifecycle
+from sesamearch.forwarding.request import ForwardOptions
+from sesamearch.forwarding.search import EngineSearch
+from sesamearch.forwarding.stall import (
+    PROBE_INTERVAL_S,
+    RESUME_PROBE_DELAY_S,
+    EventTiming,
+    StallDetector,
+)
+from sesamearch.forwarding.suspicion import Obstacle, TrySuspicion
+
+__all__ = ["GenerationRuns"]
+
+# A refusal is sent so long before the caller would leave that it still arrives.
+REFUSAL_MARGIN_S = 0.2
+LOWEST_URGENCY = 9
+
+
+class GenerationRuns(Exchange):
+    """Sends a generation to an engine, and to another if one is silent or lost."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._lifecycle = make_lifecycle(self)
+        self._last_event = self.request.after_event
+        self._timing = EventTiming()
+        self._stall_detector = StallDetector(
+            self.tools,
+            self.route.gap_goal_s,
+            self._timing,
+            self._is_current,
+            self._suspect,
+            self._trust,
+        )
+        self._suspicion = TrySuspicion(self.tools, self.request.request_id)
+        self._has_head = False
+        self._is_broken = False
+        self._has_copy = False
+        self._has_given_up_try = False
+        self._allowance = SendAllowance(
+            self.route.max_attempts, self.spend_retry, self._spend_retry_again
+        )
+        self._cause = ErrorKind.NO_ENDPOINT
+        self._retry_timer = None
+        self._search = EngineSearch(
+            self.tools, self.service, self.request, self.excluded
+        )
+        self._copies = self._search.copies
+
+    # Steps of the answer.
+
+    @abc.abstractmethod
+    def begin_reading(self):
+        """Prepare to read the events of a new run."""
+
+    @abc.abstractmethod
+    def give_up(self, kind, detail):
+        """End the answer, because no engine can go on with it."""
+
+    # Tries.
+
+    def _urgency(self):
+        organisation = self.organisation
+        rank = self.route.priority
+        if organisation is not None and organisation.priority is not None:
+            rank = organisation.priority
+        return min(rank, LOWEST_URGENCY)
+
+    def _spend_retry_again(self):
+        return self.tools.budgets.take(self.service.name)
+
+    def _send(self):
+        """Send the generation to an engine, or wait for one."""
+        self._retry_timer = None
+        if self.is_over or self.tries:
+            return
+        endpoint, copy = self._search.find(self._has_copy, self._is_resuming)
+        if endpoint is None:
+            # Engines that failed before may be back next time.
+            self.excluded.clear()
+            self._wait("no engine is available")
+        elif self._allowance.pay():
+            self._send_to(endpoint, copy)
+        else:
+            self._wait("too many retries")
+
+    @property
+    def _is_resuming(self):
+        return self._last_event is not None
+
+    def _send_to(self, endpoint, copy):
+        self._has_copy = False
+        self.excluded.add(endpoint.name)
+        self._allowance.note_sent()
+        backup_address = ""
+        if self.route.is_resumable:
+            backup_address = self._copies.begin(endpoint)
+        options = ForwardOptions(
+            endpoint,
+            self.deadline_s,
+            self.organisation.name if self.organisation else "",
+            self._last_event,
+            self._urgency(),
+            backup_address,
+            copy,
+        )
+        need = self._search.need
+        unread = 0 if copy else need.prompt_tokens
+        work = self.tools.loads.begin(endpoint.name, unread, need.memory_tokens)
+        self._stall_detector.schedule_probe(
+            RESUME_PROBE_DELAY_S if self._has_head else PROBE_INTERVAL_S
+        )
+        self.begin_reading()
+        self.tools.prompts.begin(self.request.last_part, endpoint.name)
+        self.send(options, work)
+
+    def _wait(self, detail):
+        """Send again after a pause if the caller waits for it, or give up."""
+        if not self._may_wait():
+            self.give_up(self._cause, detail)
+            return
+        pause_s = self._allowance.begin_pause()
+        self._retry_timer = self.tools.clock.callLater(pause_s, self._send)
+
+    def _may_wait(self):
+        """Return whether the answer waits for an engine.
+
+        Before its first event, a request is refused instead, unless it was taken from
+        a silent engine, which may be able to run it again soon.
+        """
+        limit_s = patience_s(self.route)
+        if self._has_head:
+            return self._pause_s() < limit_s
+        has_engines = bool(self.tools.endpoint_index.serving(self.service.name))
+        limit_s -= REFUSAL_MARGIN_S
+        return self._has_given_up_try and has_engines and self._pause_s() < limit_s
+
+    def _pause_s(self):
+        since_s = self._timing.last_s or self.request.received_s
+        return self.now_s - since_s
+
+    def _send_again(self, kind, detail):
+        """Retry at another engine after a lost try, wait for one, or give up."""
+        self._cause = kind
+        self._note_break()
+        if not self._can_run_again():
+            self.give_up(kind, detail)
+        elif self._allowance.needs_pause:
+            self._wait(detail)
+        else:
+            self._send()
+
+    def _can_run_again(self):
+        if self._has_head and self._last_event is None:
+            # Events have no numbers, so the point to resume from is unknown.
+            return False
+        return self._allowance.has_runs_left and self.remaining_s() > 0
+
+    def _note_break(self):
+        if self._has_head:
+            self._is_broken = True
+            self._lifecycle.broke()
+
+    def _note_copy(self, attempt):
+        """Record whether the backup can have a copy of the memory of a lost try.
+
+        Engines copy memory while they generate, but not while they read a prompt.
+        """
+        self._has_copy = self._timing.has_event_of(attempt)
+
+    def _recover(self, kind, detail):
+        if self.route.is_resumable:
+            self._send_again(kind, detail)
+        else:
+            self.give_up(kind, detail)
+
+    def _is_current(self, attempt):
+        return not self.is_over and attempt in self.tries
+
+    # Stalls.
+
+    def check(self):
+        """Check the engine for a stall and its copy; called at short intervals."""
+        if self.is_over or not self.tries or not self.route.is_resumable:
+            return
+        attempt = self.tries[0]
+        is_stalled = self._suspicion.is_on and self._timing.has_event_of(attempt)
+        if not is_stalled and self._stall_detector.check(attempt):
+            self._copies.refresh(attempt.endpoint)
+        if self._suspicion.is_search_due:
+            self._replace()
+
+    def _suspect(self, attempt, cause):
+        """Look for an engine to take over from a silent one."""
+        self._suspicion.note_silent(attempt, cause)
+        if self._suspicion.is_search_due:
+            self._replace()
+
+    def _trust(self, attempt):
+        """Keep to a try whose engine answers."""
+        if self._suspicion.is_on:
+            self._suspicion.note_answer()
+
+    def _replace(self):
+        """Cancel a suspected try and resume at another engine, or keep it for now."""
+        attempt = self.tries[0]
+        has_copy = self._timing.has_event_of(attempt)
+        endpoint, copy = self._search.find_reachable(has_copy, self._is_resuming)
+        obstacle = self._obstacle(endpoint)
+        if obstacle is not None:
+            self._suspicion.keep(obstacle)
+            # Another engine may be free or reachable again next time.
+            self.excluded.clear()
+            self.excluded.add(attempt.endpoint.name)
+            return
+        cause = self._suspicion.cause
+        self._suspicion.note_replaced()
+        self._has_given_up_try = True
+        attempt.cancel()
+        self.drop(attempt, cause)
+        self._cause = ErrorKind.ENDPOINT_LOST
+        self._note_break()
+        self._send_to(endpoint, copy)
+
+    def _obstacle(self, endpoint):
+        """Return why `endpoint` cannot take over now; pay for the retry if it can."""
+        if self._has_head and self._last_event is None:
+            return Obstacle.NO_EVENT_NUMBERS
+        if not self._allowance.has_runs_left:
+            return Obstacle.NO_ATTEMPTS
+        if endpoint is None:
+            return Obstacle.NO_ENGINE
+        return None if self._allowance.pay() else Obstacle.NO_BUDGET
