--- a/tests/platform/test_silent_engine.py
+++ b/tests/platform/test_silent_engine.py
@@ -209,6 +209,22 @@
         self.world.run(LONG_SILENCE_S + 3 + EVENTS_S)
         self.assert_whole(client)
 
+    # Guards against a request that is held though no engine is listed any more.
+    def test_request_is_refused_once_no_engine_is_listed(self):
+        self.build(engines=2)
+        client, engine = self.start(0.2, prompt_tokens=8000)
+        for other in self.world.engines:
+            if other is not engine:
+                self.world.crash(other)
+        self.silence(engine, seconds=10)
+        self.world.run(1.5)
+        self.assertEqual((client.statuses, client.is_closed), ([], False))
+        for worker in self.world.engines:
+            self.world.store.remove(f"servers/{worker.name}")
+        self.world.run(1.5)
+        # The first engine may have run it, so that nothing is promised.
+        self.assertEqual(client.status, 502)
+
 
 class TestLostEngines(_SilenceTest):
     # Guards against an answer cut off long before its caller would leave.
