--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -5,6 +5,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "allowance": ["SendAllowance", "patience_s"],
         "budget": ["FleetView", "RetryBudget", "RetryBudgets", "RetryUse"],
         "call": ["CallExchange"],
         "choice": ["Chooser", "GenerationNeed"],
@@ -14,6 +15,7 @@
         "endpoint_index": ["EndpointIndex"],
         "gate": ["OpenGate", "TryObserver", "VersionGate"],
         "health": ["EndpointHealth", "HealthTracker", "Outcomes", "Suspicion"],
+        "lifecycle": ["GenerationInputs", "make_lifecycle"],
         "load": ["EndpointLoad", "LoadTracker", "Work"],
         "meter": ["Meter", "NoMeter"],
         "outage": ["OutageDetector"],
@@ -30,6 +32,8 @@
             "PromptPart",
         ],
         "restarts": ["RestartDetector"],
+        "runs": ["GenerationRuns"],
+        "search": ["EngineSearch"],
         "stall": [
             "PROBE_INTERVAL_S",
             "RESUME_PROBE_DELAY_S",
@@ -37,5 +41,6 @@
             "StallDetector",
         ],
         "stream": ["StreamExchange"],
+        "suspicion": ["Obstacle", "TrySuspicion"],
     },
 )
