Find another endpoint in time when a connection is never made

Seen by callers: an operation whose endpoint is dark heard 504, or nothing, although no endpoint had got it; with the retry budget used up, or with four endpoints gone, it was refused while others were free.

Cause: a connection attempt took 0.3 s whatever time its caller had left. The retry after it drew on the retry budget, which counts what arrives at endpoints, and counted as one of four sends. At the deadline a request whose only try was still connecting was answered 504, which keeps its caller from a retry, although it provably had not run.

Change: an attempt to connect uses a third of the remaining time at most. A call goes on to another endpoint after a failed connection without the budget, as generations do, up to 40 times. At the deadline, what no endpoint can have got is refused with 503.

--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -49,6 +49,11 @@
         """Endpoint : the endpoint that the request was sent to."""
         return self.options.endpoint
 
+    @property
+    def is_sent(self):
+        """Bool : whether the request was written, so that the endpoint may get it."""
+        return self.pending_request is not None and self.pending_request.is_sent
+
     @property
     def has_not_run(self):
         """Bool : whether the endpoint states that it did not run the request."""
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -13,6 +13,8 @@
 HEDGE_DELAY_RATIO = 0.6
 # Refused sends do not count as runs, so they need a limit of their own.
 MAX_SENDS = 4
+# Failed connections cause no work at an endpoint, so they have a higher limit.
+MAX_FAILED_CONNECTIONS = 40
 RETRY_AFTER_S = 0.25
 
 
@@ -27,7 +29,7 @@
     def __init__(self, *arguments):
         super().__init__(*arguments)
         self._is_idempotent = self.route.kind is RouteKind.IDEMPOTENT
-        self._runs = 0
+        self._failed_connections = 0
         self._hedge_timer = None
         self._cause = ErrorKind.NO_ENDPOINT
         self._failure = None
@@ -63,7 +65,7 @@
     def _may_send(self):
         return (
             self._runs < self.route.max_attempts
-            and self.try_count < MAX_SENDS
+            and self.try_count - self._failed_connections < MAX_SENDS
             and self.remaining_s() > 0
         )
 
@@ -83,6 +85,16 @@
         else:
             self._give_up(kind, detail)
 
+    def _send_after_failed_connection(self):
+        """Retry without the budget, which counts what arrives at endpoints."""
+        if self.tries:
+            return
+        self._cause = ErrorKind.NO_ENDPOINT
+        if self._failed_connections < MAX_FAILED_CONNECTIONS and self._may_send():
+            self._send()
+        else:
+            self._give_up(self._cause, "no endpoint can be reached")
+
     def _give_up(self, kind, detail):
         if self.tries:
             return
@@ -162,7 +174,8 @@
             self._send_again(ErrorKind.OVERLOADED, "endpoints are busy")
         elif loss is Loss.NOT_CONNECTED:
             self._runs -= 1
-            self._send_again(ErrorKind.NO_ENDPOINT, "no endpoint can be reached")
+            self._failed_connections += 1
+            self._send_after_failed_connection()
         elif self._is_idempotent:
             self._send_again(ErrorKind.ENDPOINT_LOST, "answer lost")
         else:
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -100,6 +100,7 @@
         self.try_count = 0
         self.is_over = False
         self.excluded = set()
+        self._runs = 0
         self._on_end = on_end
         deadlines = deadlines_of(request, route.timeout_s)
         self.answer_by_s = deadlines.answer_by_s
@@ -337,9 +338,14 @@
         if self.is_over:
             return
         self.note_no_answer(self.tries)
-        kind = ErrorKind.TIMED_OUT if self.try_count else ErrorKind.NO_ENDPOINT
+        kind = ErrorKind.TIMED_OUT if self._may_have_run else ErrorKind.NO_ENDPOINT
         self.expire(kind)
 
+    @property
+    def _may_have_run(self):
+        """Bool : whether an endpoint may have got the request and not refused it."""
+        return self._runs > sum(not attempt.is_sent for attempt in self.tries)
+
     def expire(self, kind):
         """Answer with an error when the deadline passes."""
         self.refuse(kind, "no answer in time")
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -199,7 +199,7 @@
 
         Returns
         -------
-        object with ``cancel()`` and ``producer``
+        object with ``cancel()``, ``is_sent`` and ``producer``
         """
 
     @abc.abstractmethod
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -241,10 +241,16 @@
 
     def forward(self, request, options, listener):
         """Send a request to an endpoint; see ``EndpointClient``."""
-        outgoing = encode_request(request, options, self._reactor.seconds())
+        now_s = self._reactor.seconds()
+        outgoing = encode_request(request, options, now_s)
         receiver = _ForwardReceiver(request.request_id, listener)
         pool = self._pool(options.endpoint)
-        return pool.send(outgoing, receiver, options.force_new_connection)
+        return pool.send(
+            outgoing,
+            receiver,
+            options.force_new_connection,
+            options.deadline_s - now_s,
+        )
 
     def copy_memory(self, endpoint, request_id, target):
         """Have an engine copy a generation's memory; see ``EndpointClient``."""
--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -116,6 +116,11 @@
         elif self._connector is not None:
             self._connector.disconnect()
 
+    @property
+    def is_sent(self):
+        """Bool : whether the request was written, so that the endpoint may get it."""
+        return self._connection is not None
+
     @property
     def producer(self):
         """Object or None : the transport that the response is read from."""
--- a/src/sesamearch/wire/pool.py
+++ b/src/sesamearch/wire/pool.py
@@ -7,6 +7,10 @@
 __all__ = ["ConnectionPool"]
 
 CONNECT_TIMEOUT_S = 0.3
+# One attempt to connect uses no more than this share of the time that its request has
+# left, so that another endpoint can be tried.
+CONNECT_TIME_RATIO = 1 / 3
+MIN_CONNECT_TIMEOUT_S = 0.03
 
 
 class _ConnectionFactory(ClientFactory):
@@ -84,7 +88,13 @@
         self._idle = []
         self.opened = 0
 
-    def send(self, request, receiver, force_new_connection=False):
+    def send(
+        self,
+        request,
+        receiver,
+        force_new_connection=False,
+        remaining_s=float("inf"),
+    ):
         """Send a request on an idle connection or on a new one.
 
         Parameters
@@ -93,6 +103,8 @@
         receiver : ResponseReceiver
         force_new_connection : bool
             Whether to open a connection even if an idle one exists.
+        remaining_s : float
+            Time that is left for the response; bounds the time to connect.
 
         Returns
         -------
@@ -105,8 +117,12 @@
             return pending_request
         self.opened += 1
         factory = _ConnectionFactory(self, request, pending_request)
+        timeout_s = max(MIN_CONNECT_TIMEOUT_S, remaining_s * CONNECT_TIME_RATIO)
         connector = self._reactor.connectTCP(
-            self._host, self._port, factory, timeout=self._connect_timeout_s
+            self._host,
+            self._port,
+            factory,
+            timeout=min(self._connect_timeout_s, timeout_s),
         )
         if not pending_request.is_over:
             pending_request.bind(connector=connector)
