Answer 500 if the handler of a request raises

Seen by callers: a request that made the router's own code raise was closed without an answer; one that had waited behind another on its connection heard nothing for ever, since its bytes are handled in a timer, where an exception is logged and the connection stays.

Cause: nothing stood between the handler and the connection.

Evidence: by reading, then by test.

Change: the connection logs the traceback and answers 500, or resets an answer that has begun, and the work for the request is stopped.

--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -1,5 +1,7 @@
 """Connections from callers: requests on one connection are served in order."""
 
+import traceback
+
 import h11
 import msgspec
 from twisted.internet.protocol import Factory, Protocol
@@ -208,8 +210,13 @@
     def _handle_request(self):
         head, body = self._head, b"".join(self._body)
         self._head, self._body, self._body_bytes = None, [], 0
-        self._reply = Reply(self)
-        self.factory.handler(head, body, self._reply)
+        self._reply = reply = Reply(self)
+        try:
+            self.factory.handler(head, body, reply)
+        except Exception:
+            # Without an answer, the caller would wait until its deadline.
+            logger.error("handler of a request failed: {}", traceback.format_exc())
+            reply.fail()
 
     # Writing.
 
--- a/src/sesamearch/wire/reply.py
+++ b/src/sesamearch/wire/reply.py
@@ -4,6 +4,8 @@
 
 __all__ = ["Reply", "ReplyListener"]
 
+INTERNAL_ERROR = 500
+
 
 class ReplyListener(abc.ABC):
     """Is notified if the caller disconnects while its request is being handled."""
@@ -21,10 +23,11 @@
     connection : CallerConnection
     """
 
-    __slots__ = ("_connection", "is_open", "listener")
+    __slots__ = ("_connection", "_has_begun", "is_open", "listener")
 
     def __init__(self, connection):
         self._connection = connection
+        self._has_begun = False
         self.is_open = True
         self.listener = None
 
@@ -32,6 +35,7 @@
         """Send a complete response."""
         if not self.is_open:
             return
+        self._has_begun = True
         headers = [*headers, (b"Content-Length", b"%d" % len(body))]
         self._connection.send_head(status, reason, headers)
         if body:
@@ -41,6 +45,7 @@
     def start(self, status, headers, reason=b""):
         """Send the head of a response with a body of unknown length."""
         if self.is_open:
+            self._has_begun = True
             chunked = (b"Transfer-Encoding", b"chunked")
             self._connection.send_head(status, reason, [*headers, chunked])
 
@@ -61,6 +66,17 @@
             self.is_open = False
             self._connection.abort()
 
+    def fail(self):
+        """Answer a request whose handler failed, and stop the work for it."""
+        if not self.is_open:
+            return
+        if self._has_begun:
+            self.abort()
+        else:
+            self.answer(INTERNAL_ERROR, [], b"")
+        if self.listener is not None:
+            self.listener.caller_left()
+
     def set_producer(self, source):
         """Register `source`, a push producer to pause while the caller reads slowly.
 
--- /dev/null
+++ b/tests/wire/test_whole_requests.py
@@ -0,0 +1,60 @@
+"""A whole request that was read is answered, or its connection is reset."""
+
+import unittest
+
+import logbook
+
+from tests.wire.test_caller import GET, Server
+
+BAD = GET.replace(b"/a", b"/bad")
+
+
+class FailingServer(Server):
+    """A listener whose handler raises for the target ``/bad``."""
+
+    begins = False
+
+    def handle(self, head, body, reply):
+        if head.target != b"/bad":
+            super().handle(head, body, reply)
+            return
+        if self.begins:
+            reply.start(200, [])
+        raise ZeroDivisionError
+
+
+class TestHandlerThatRaises(unittest.TestCase):
+    """Guards against a caller that hears nothing because of a fault of ours."""
+
+    def setUp(self):
+        self.log = logbook.TestHandler()
+        self.log.push_application()
+        self.addCleanup(self.log.pop_application)
+        self.server = FailingServer()
+
+    def test_request_gets_500_and_the_next_one_its_answer(self):
+        client = self.server.send(BAD, GET)
+        self.assertEqual(client.statuses, [500, 200])
+        self.assertTrue(self.log.has_errors)
+
+    def test_pipelined_request_gets_500(self):
+        client = self.server.send(GET + BAD + GET)
+        self.assertEqual(client.statuses, [200, 500, 200])
+
+    def test_answer_that_has_begun_is_reset(self):
+        self.server.begins = True
+        client = self.server.send(BAD)
+        self.assertTrue(client.was_reset)
+
+    def test_work_for_the_request_is_stopped(self):
+        calls = []
+
+        def handle(head, body, reply):
+            reply.listener = type(
+                "Listener", (), {"caller_left": lambda self: calls.append(1)}
+            )()
+            raise ZeroDivisionError
+
+        self.server.factory.handler = handle
+        self.assertEqual(self.server.send(GET).statuses, [500])
+        self.assertEqual(calls, [1])
