Send no body in answer to HEAD, and reset what cannot be sent

Seen by callers: a HEAD request that the router answered with an error (404, 429, 503, 504) got a head and then a closed connection, or, where the error came from a timer, a connection on which no later request was ever answered.

Cause: the body of the error was passed to the HTTP codec, which refuses it for HEAD and raised; the response never ended. Any other part of a response that the codec refuses raised in the same way.

Change: data is not sent in answer to HEAD. A part that the codec refuses is logged, and the connection is reset, as the end of a response already was.

--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -55,7 +55,7 @@
         self._head = None
         self._body = []
         self._body_bytes = 0
-        self._request = None
+        self._is_head_only = False
         self._reply = None
         self._reader = self._new_reader()
         self._pending = []
@@ -210,6 +210,7 @@
     def _handle_request(self):
         head, body = self._head, b"".join(self._body)
         self._head, self._body, self._body_bytes = None, [], 0
+        self._is_head_only = head.method == b"HEAD"
         self._reply = reply = Reply(self)
         try:
             self.factory.handler(head, body, reply)
@@ -243,23 +244,31 @@
         """Write the head of the response."""
         if self.factory.is_draining:
             headers = [*headers, (b"Connection", b"close")]
-        head = h11.Response(status_code=status, reason=reason, headers=headers)
-        self.transport.write(self._codec.send(head))
+        self._send(h11.Response, status_code=status, reason=reason, headers=headers)
 
     def send_data(self, data):
-        """Write a part of the response body."""
-        self.transport.write(self._codec.send(h11.Data(data=data)))
+        """Write a part of the response body, which a ``HEAD`` request does not get."""
+        if not self._is_head_only:
+            self._send(h11.Data, data=data)
 
-    def finish(self):
-        """End the response and process the requests buffered in the meantime."""
+    def _send(self, event_type, **fields):
+        """Write a part of the response; reset the connection if it is invalid."""
+        if self._is_closing:
+            return
         try:
-            last = self._codec.send(h11.EndOfMessage())
+            data = self._codec.send(event_type(**fields))
         except h11.LocalProtocolError as error:
-            logger.error("response body does not match its Content-Length: {}", error)
+            logger.error("response that cannot be sent: {}", error)
             self.abort()
             return
-        if last:
-            self.transport.write(last)
+        if data:
+            self.transport.write(data)
+
+    def finish(self):
+        """End the response and process the requests buffered in the meantime."""
+        self._send(h11.EndOfMessage)
+        if self._is_closing:
+            return
         self._reply = None
         self.transport.unregisterProducer()
         if self._codec.our_state is not h11.DONE or (
--- a/tests/wire/test_whole_requests.py
+++ b/tests/wire/test_whole_requests.py
@@ -58,3 +58,44 @@
         self.server.factory.handler = handle
         self.assertEqual(self.server.send(GET).statuses, [500])
         self.assertEqual(calls, [1])
+
+
+class TestHead(unittest.TestCase):
+    """Guards against an answer whose body the protocol does not allow."""
+
+    def test_answer_has_no_body_and_the_next_request_is_answered(self):
+        server = Server()
+        server.is_answering = False
+        client = server.send(GET.replace(b"GET", b"HEAD"))
+        server.replies[0].answer(404, [], b"problem")
+        server.network.run(0.1)
+        self.assertEqual(client.statuses, [404])
+        self.assertTrue(client.received.endswith(b"\r\n\r\n"))
+        self.assertIn(b"Content-Length: 7", client.received)
+        client.send(GET)
+        server.network.run(0.1)
+        server.replies[1].answer(200, [], b"body")
+        server.network.run(0.1)
+        self.assertEqual(client.statuses, [404, 200])
+
+    def test_streamed_answer_has_no_body(self):
+        server = Server()
+        server.is_answering = False
+        client = server.send(GET.replace(b"GET", b"HEAD"))
+        server.replies[0].start(200, [])
+        server.replies[0].write(b"part")
+        server.replies[0].finish()
+        server.network.run(0.1)
+        self.assertTrue(client.received.endswith(b"\r\n\r\n"))
+
+    def test_answer_that_cannot_be_sent_is_reset(self):
+        # Guards against a connection that stays open without an answer.
+        log = logbook.TestHandler()
+        with log.applicationbound():
+            server = Server()
+            server.is_answering = False
+            client = server.send(GET)
+            server.replies[0].answer(200, [(b"X", b"a\r\nb")], b"body")
+            server.network.run(0.1)
+            self.assertTrue(client.was_reset)
+            self.assertTrue(log.has_errors)
