Bound the numbers in headers and event ids

Cause: Python's integers have no bound; floats, msgpack and int() of more than 4,300 digits do.

Change: more than 18 digits are taken for the largest number, token counts are bounded by a thousand million. An event id of more than 18 digits is no number.

--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -22,6 +22,9 @@
 
 MS_PER_S = 1000.0
 DEFAULT_DEADLINE_S = 60.0
+MAX_DIGITS = 18
+MAX_INTEGER = 10**MAX_DIGITS - 1
+MAX_TOKENS = 10**9
 _REQUEST_ID = b"x-attempt-id"
 _DEADLINE = b"x-deadline-ms"
 _MODEL = b"x-model"
@@ -70,8 +73,15 @@
 
 
 def _integer(text):
-    """Return the non-negative decimal integer, or None for any other text."""
-    return int(text) if text.isascii() and text.isdigit() else None
+    """Return the non-negative decimal integer, or None for any other text.
+
+    A number with more than ``MAX_DIGITS`` digits is taken for the largest one: no
+    header needs it, and arithmetic with it would overflow.
+    """
+    if not (text.isascii() and text.isdigit()):
+        return None
+    significant = text.lstrip("0")
+    return int(significant or "0") if len(significant) <= MAX_DIGITS else MAX_INTEGER
 
 
 def request_id_of(headers):
@@ -124,12 +134,18 @@
 
 def _tokens(text):
     prompt, _, output = text.partition(",")
-    return _integer(prompt.strip()) or 0, _integer(output.strip()) or 0
+    return _token_count(prompt.strip()), _token_count(output.strip())
+
+
+def _token_count(text):
+    """Return a number of tokens, bounded so that the routers can send sums of them."""
+    return min(_integer(text) or 0, MAX_TOKENS)
 
 
 def _parts(text):
     return [
-        PromptPart(name, int(tokens)) for name, tokens in _PROMPT_PART.findall(text)
+        PromptPart(name, _token_count(tokens))
+        for name, tokens in _PROMPT_PART.findall(text)
     ]
 
 
--- a/src/sesamearch/wire/events.py
+++ b/src/sesamearch/wire/events.py
@@ -12,7 +12,7 @@
 # Bytes of a block end that may already be at the end of the buffer.
 _BLOCK_END_OVERLAP_BYTES = 3
 _EVENT_FIELD = re.compile(rb"(?:\A|[\r\n])(?:data|id)(?=[:\r\n]|\Z)")
-_EVENT_ID = re.compile(rb"(?:\A|[\r\n])id: ?(\d+)[ \t]*(?=[\r\n]|\Z)")
+_EVENT_ID = re.compile(rb"(?:\A|[\r\n])id: ?(\d{1,18})[ \t]*(?=[\r\n]|\Z)")
 
 
 class EventError(Exception):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -9,7 +9,9 @@
     keep_alive_s,
 )
 from sesamearch.wire.head import RequestHead, ResponseHead
+from tests.platform.world import World, draft_bytes, make_configuration
 
+LONG_HEAD = {"max-header-bytes": 16384}
 ENDPOINT = Endpoint("i-1", "10.1.0.2:8000", "east", "models", "v1")
 HEADERS = [
     (b"Host", b"Desk.Example:80"),
@@ -102,6 +104,32 @@
         self.assertLessEqual({b"x-attempt-id", b"x-model"}, names)
 
 
+class TestLongNumbers(unittest.TestCase):
+    """Guards against numbers that make a request raise instead of being answered."""
+
+    def test_request_with_a_long_number_is_answered(self):
+        for digits in (20, 400, 5000):
+            number = "9" * digits
+            for headers in (
+                {"X_Deadline_Ms": number},
+                {"X_Token_Usage": f"{number},{number}"},
+                {"X_Prompt_Prefix": f"5c1e:{number}"},
+                {"Last_Event_Id": number},
+            ):
+                with self.subTest(digits=digits, headers=list(headers)):
+                    world = World()
+                    limits = {**make_configuration()["limits"], **LONG_HEAD}
+                    world.store.put("op/config", make_configuration(8, limits=limits))
+                    world.run(0.1)
+                    fields = {"X_Deadline_Ms": "1000", **headers}
+                    client = world.send_request(draft_bytes(**fields), wait_s=2)
+                    self.assertIn(client.status, (200, 429, 503, 504))
+
+    def test_leading_zeros_do_not_count(self):
+        head = RequestHead(b"GET", b"/", [(b"X-Deadline-Ms", b"0" * 30 + b"500")])
+        self.assertEqual(decode_request(head, b"", 10.0).deadline_s, 10.5)
+
+
 class TestAnswer(unittest.TestCase):
     def decode(self, status, *headers):
         return decode_answer(ResponseHead(status, b"", list(headers)))
--- a/tests/wire/test_events.py
+++ b/tests/wire/test_events.py
@@ -11,6 +11,11 @@
         self.assertEqual([event.number for event in events], [1, 2, None])
         self.assertEqual(b"".join(event.data for event in events), STREAM)
 
+    def test_id_of_thousands_of_digits_is_no_number(self):
+        # Guards against an engine's bytes that make its generation raise.
+        (event,) = EventSplitter().feed(b"id: " + b"9" * 5000 + b"\ndata: a\n\n")
+        self.assertIsNone(event.number)
+
     def test_incomplete_event_is_buffered(self):
         splitter = EventSplitter()
         self.assertEqual(splitter.feed(b"id: 3\ndata: a"), [])
