Answer a pipelined request that was read before a drain's close

Seen by callers: a request that its router had read behind another one, on a kept connection, was dropped with the close after the other one's answer.

Cause: in a drain each answer carried Connection: close and ended its connection, also when bytes of a next request had been read already.

Change: the answer carries Connection: close, and ends the connection, only if nothing of a next request has been read. The last answer still does.

Tests: TestDrain.test_request_that_was_read_before_the_last_answer_is_answered (both in one read and in two), failed before. A pin beside it: the close of idle connections spares a head that has begun.

--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -242,10 +242,15 @@
 
     def send_head(self, status, reason, headers):
         """Write the head of the response."""
-        if self.factory.is_draining:
+        if self.factory.is_draining and not self._has_next:
             headers = [*headers, (b"Connection", b"close")]
         self._send(h11.Response, status_code=status, reason=reason, headers=headers)
 
+    @property
+    def _has_next(self):
+        """Bool : whether bytes of a next request were read with the present one."""
+        return bool(self._pending or self._codec.trailing_data[0])
+
     def send_data(self, data):
         """Write a part of the response body, which a ``HEAD`` request does not get."""
         if not self._is_head_only:
--- a/tests/wire/test_whole_requests.py
+++ b/tests/wire/test_whole_requests.py
@@ -99,3 +99,37 @@
             server.network.run(0.1)
             self.assertTrue(client.was_reset)
             self.assertTrue(log.has_errors)
+
+
+class TestDrain(unittest.TestCase):
+    def setUp(self):
+        self.server = Server()
+        self.server.is_answering = False
+
+    def answer(self, number):
+        self.server.replies[number].answer(200, [], b"body")
+        self.server.network.run(0.1)
+
+    def test_request_that_was_read_before_the_last_answer_is_answered(self):
+        # Guards against a close that drops a pipelined request.
+        for parts in ([GET + GET], [GET, GET]):
+            with self.subTest(parts=len(parts)):
+                self.setUp()
+                client = self.server.send(*parts)
+                self.server.factory.is_draining = True
+                self.answer(0)
+                self.assertEqual(client.statuses, [200])
+                self.assertNotIn(b"Connection: close", client.received)
+                self.answer(1)
+                self.assertEqual(client.statuses, [200, 200])
+                self.assertIn(b"Connection: close", client.received)
+                self.assertTrue(client.is_closed)
+
+    def test_close_of_idle_connections_spares_a_head_that_has_begun(self):
+        # Guards against a close between two reads of one request.
+        client = self.server.send(GET[:9])
+        self.server.factory.close_idle()
+        client.send(GET[9:])
+        self.server.network.run(0.1)
+        self.answer(0)
+        self.assertEqual(client.statuses, [200])
