Count a connection as busy until its close is complete

What callers could see: the end of a long answer cut off by the exit of its router, if the answer had been written but not yet sent.

Cause: a kept connection whose answer was written counted as idle. Closed as idle in a drain it stayed so, while the transport still flushed the answer, and the drain stopped the process.

Evidence: by reading; no run showed it.

Change: a connection that is being closed is not idle, as it already was not where an answer carried Connection: close.

Tests: TestDrain.test_connection_is_not_idle_until_its_close_is_complete, failed before (True is not false).

--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -112,15 +112,19 @@
         if remaining_s > 0:
             self._timer = self._clock.callLater(remaining_s, self._timed_out)
         elif self.is_idle:
-            self.transport.loseConnection()
+            self.close_if_idle()
         else:
             self._refuse(408, "request sent too slowly")
 
     @property
     def is_idle(self):
-        """Bool : whether no request is being received or answered."""
+        """Bool : whether no request is being received or answered, nor an answer sent.
+
+        A connection that is being closed may still have bytes of an answer to send.
+        """
         return not (
-            self._reply is not None
+            self._is_closing
+            or self._reply is not None
             or self._codec is not None
             or self._reader.has_begun
             or self._is_resuming
@@ -319,7 +323,7 @@
 
     def close_if_idle(self):
         """Close the connection unless a request is being received or answered."""
-        if self.is_idle and not self._is_closing:
+        if self.is_idle:
             self._is_closing = True
             self.transport.loseConnection()
 
--- a/tests/wire/test_whole_requests.py
+++ b/tests/wire/test_whole_requests.py
@@ -133,3 +133,12 @@
         self.server.network.run(0.1)
         self.answer(0)
         self.assertEqual(client.statuses, [200])
+
+    def test_connection_is_not_idle_until_its_close_is_complete(self):
+        # Guards against the exit of the process before an answer has been flushed.
+        self.server.is_answering = True
+        self.server.send(GET)
+        (connection,) = self.server.factory.connections
+        connection.transport.loseConnection = lambda: None
+        self.server.factory.close_idle()
+        self.assertFalse(connection.is_idle)
