Keep pipelined bytes in order whatever the transport does

Cause: reading was resumed before the connection noted that earlier bytes still wait, so a transport that delivers at once let later requests overtake earlier ones.

Evidence: shown on the in-memory network. Twisted's sockets deliver only in their next turn, after the waiting bytes, so callers did not see it.

Tests: TestPipelined, failed before (/0 /4 /6 /1 ...). TestIdleTimeout has two pins that passed before: a lowered idle timeout spares a connection that relies on the former, and a request that has begun.

--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -295,11 +295,11 @@
             self._pending.insert(0, bytes(rest))
         self._reader = self._new_reader()
         self._wait_idle()
-        self.transport.resumeProducing()
         if self._pending:
             # Bytes that arrive until then are buffered behind these.
             self._is_resuming = True
             self._clock.callLater(0, self._feed_pending)
+        self.transport.resumeProducing()
 
     def _feed_pending(self):
         self._is_resuming = False
--- a/tests/wire/test_whole_requests.py
+++ b/tests/wire/test_whole_requests.py
@@ -4,6 +4,7 @@
 
 import logbook
 
+from sesamearch.wire.caller import CallerLimits
 from tests.wire.test_caller import GET, Server
 
 BAD = GET.replace(b"/a", b"/bad")
@@ -142,3 +143,45 @@
         connection.transport.loseConnection = lambda: None
         self.server.factory.close_idle()
         self.assertFalse(connection.is_idle)
+
+
+class TestPipelined(unittest.TestCase):
+    def test_requests_beyond_the_buffer_limit_are_answered_in_order(self):
+        # Guards against bytes that overtake those that were read before them.
+        server = Server()
+        server.is_answering = False
+        requests = [
+            b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 300\r\n\r\n" % number
+            + b"%d" % number * 300
+            for number in range(8)
+        ]
+        client = server.send(*requests, wait_s=0.01)
+        for number in range(8):
+            server.replies[number].answer(200, [], b"body")
+            server.network.run(0.05)
+        self.assertEqual(client.statuses, [200] * 8)
+        targets = [target for _, target, _ in server.requests]
+        self.assertEqual(targets, [b"/%d" % number for number in range(8)])
+
+
+class TestIdleTimeout(unittest.TestCase):
+    def test_lowered_timeout_spares_connections_that_rely_on_the_former(self):
+        # Guards against a close while a request is on its way.
+        server = Server()
+        client = server.send(GET)
+        server.limits = CallerLimits(1000, 500, 3, idle_timeout_s=2)
+        server.network.run(7.8)
+        client.send(GET)
+        server.network.run(0.1)
+        self.assertEqual(client.statuses, [200, 200])
+
+    def test_lowered_timeout_spares_a_request_that_has_begun(self):
+        # Guards against an idle timeout that ends a request between two reads.
+        server = Server()
+        client = server.send(GET)
+        server.limits = CallerLimits(1000, 500, 3, idle_timeout_s=0.05)
+        client.send(GET[:9])
+        server.network.run(2)
+        client.send(GET[9:])
+        server.network.run(0.01)
+        self.assertEqual(client.statuses, [200, 200])
