Read a kept connection again after a slow caller's answer

What callers could see: a request without an answer until its deadline, at a sound endpoint.

Cause: while a caller reads slowly, the connection to its endpoint is paused. If the end of the answer came in the read that caused the pause, or the last write caused it, the connection went back to the pool still paused. The response to the next request on it was never read; nor was its close while idle, so an operation could be sent on a connection that had ended.

It needs an answer of more than 64 KiB, or a slow reader of a generation.

Change: the connection is read again when its response has ended.

Tests: test_connection_that_was_paused_at_the_end_of_a_response_is_read_again, both cases failed before ((None, b'') != ('complete', b'own')).

--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -247,6 +247,10 @@
         pending_request.is_over = True
         self._release_or_abort()
         pending_request.receiver.ended()
+        if not self.is_closed:
+            # A slow reader of this response may have paused the connection, and the
+            # next response, or the close of the idle connection, would not be read.
+            self.transport.resumeProducing()
 
     def _skip_response(self):
         """Skip a response that belongs to another request, and read the next one."""
--- a/tests/wire/test_endpoint.py
+++ b/tests/wire/test_endpoint.py
@@ -242,6 +242,21 @@
         self.send_request(2)
         self.assertEqual(self.connection_count, 2)
 
+    def test_connection_that_was_paused_at_the_end_of_a_response_is_read_again(self):
+        # Guards against a request whose response is never read, because the caller of
+        # the request before it was slow.
+        for name in ("received", "ended"):
+            with self.subTest(paused_by=name):
+                self.setUp()
+                first = self.send_request(1)
+                transport = self.pending_request.producer
+                setattr(first, name, lambda *_, of=transport: of.pauseProducing())
+                self.send_bytes(response(1))
+                second = self.send_request(2)
+                self.send_bytes(response(2, b"own"))
+                self.assertEqual((second.outcome, second.body), ("complete", b"own"))
+                self.assertEqual(self.connection_count, 1)
+
     def test_cancelled_request_closes_its_connection(self):
         receiver = self.send_request(1)
         self.pending_request.cancel()
