Count a caller's deadline from the first byte of its request

Seen by callers: one that sent its body slowly, or whose request waited behind another on its connection, heard nothing before its deadline. Its endpoint was given more time than was left.

Cause: X-Deadline-Ms was counted from the moment the whole request was handled, although the caller wrote it with the head.

Change: the connection notes when the first byte of each request arrived, and the caller's deadline is counted from there. A caller that is still sending after that time shows that it counts from the end, and gets its time from there. The route's timeout is counted from the whole request, as before.

Tests: test_caller_that_sends_its_body_slowly_gets_504 (0 != 504 before) and test_pipelined_request_gets_504, in one read and in two ([504] != [504, 504] before). The other tests of deadlines are unchanged; without the exception for callers that still send, test_request_whose_body_is_still_coming_is_answered (a body that ends 1.2 s after the deadline in its head) got 503 instead of 200.

--- a/src/sesamearch/daemon/platform_ports.py
+++ b/src/sesamearch/daemon/platform_ports.py
@@ -90,7 +90,7 @@
         logger.info(RequestUnreadable(status, detail))
 
     def _handle_request(self, head, body, reply):
-        request = decode_request(head, body, self._reactor.seconds())
+        request = decode_request(head, body, self._reactor.seconds(), reply.begun_s)
         self._dispatcher.handle(request, reply)
 
     @property
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -94,7 +94,7 @@
     return _text(headers, _INSTANCE)
 
 
-def decode_request(head, body, now_s):
+def decode_request(head, body, now_s, begun_s=None):
     """Decode a caller's request.
 
     Parameters
@@ -103,6 +103,9 @@
     body : bytes
     now_s : float
         Time of arrival on this process's clock.
+    begun_s : float or None
+        Time at which the request began to arrive, from which the caller's deadline is
+        counted; by default `now_s`.
 
     Returns
     -------
@@ -114,6 +117,10 @@
     prompt_tokens, output_tokens = _tokens(_text(headers, _TOKENS))
     deadline_ms = _integer(_text(headers, _DEADLINE).partition(".")[0])
     remaining_s = DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / MS_PER_S
+    waits_since_s = now_s if begun_s is None else begun_s
+    if waits_since_s + remaining_s <= now_s:
+        # A caller that is there after that time counts from the end of its request.
+        waits_since_s = now_s
     return CallerRequest(
         request_id=request_id_of(headers),
         method=head.method,
@@ -124,7 +131,7 @@
         path=path.decode("latin-1"),
         key=_key(_text(headers, b"authorization")),
         received_s=now_s,
-        deadline_s=now_s + remaining_s,
+        deadline_s=waits_since_s + remaining_s,
         after_event=_integer(_text(headers, _AFTER_EVENT)),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -59,6 +59,11 @@
         self._reply = None
         self._reader = self._new_reader()
         self._pending = []
+        # Arrival of the bytes that are read, of the oldest pending ones, and of the
+        # first byte of the present request.
+        self._read_s = 0.0
+        self._pending_since_s = 0.0
+        self._begun_s = 0.0
         self._is_resuming = False
         self._timer = None
         self._deadline_s = 0.0
@@ -139,9 +144,12 @@
         if self._reply is not None or self._is_resuming:
             self._buffer_pipelined(data)
             return
+        self._read_s = self._clock.seconds()
         self._advance(data)
 
     def _buffer_pipelined(self, data):
+        if not self._pending:
+            self._pending_since_s = self._clock.seconds()
         self._pending.append(data)
         if sum(map(len, self._pending)) > self.factory.limits().header_bytes:
             self.transport.pauseProducing()
@@ -161,6 +169,7 @@
 
     def _read_head(self, data):
         if not self._reader.has_begun and data:
+            self._begun_s = self._read_s
             self._arm(self.factory.limits().header_timeout_s)
         complete = self._reader.feed(data)
         if complete is None:
@@ -215,7 +224,7 @@
         head, body = self._head, b"".join(self._body)
         self._head, self._body, self._body_bytes = None, [], 0
         self._is_head_only = head.method == b"HEAD"
-        self._reply = reply = Reply(self)
+        self._reply = reply = Reply(self, self._begun_s)
         try:
             self.factory.handler(head, body, reply)
         except Exception:
@@ -293,6 +302,8 @@
         self._codec = None
         if rest:
             self._pending.insert(0, bytes(rest))
+        else:
+            self._read_s = self._pending_since_s
         self._reader = self._new_reader()
         self._wait_idle()
         if self._pending:
@@ -304,7 +315,8 @@
     def _feed_pending(self):
         self._is_resuming = False
         data, self._pending = b"".join(self._pending), []
-        self.dataReceived(data)
+        if not self._is_closing:
+            self._advance(data)
 
     def abort(self):
         """Reset the connection."""
--- a/src/sesamearch/wire/reply.py
+++ b/src/sesamearch/wire/reply.py
@@ -21,12 +21,15 @@
     Parameters
     ----------
     connection : CallerConnection
+    begun_s : float
+        Arrival of the first byte of the request, on this process's clock.
     """
 
-    __slots__ = ("_connection", "_has_begun", "is_open", "listener")
+    __slots__ = ("_connection", "_has_begun", "begun_s", "is_open", "listener")
 
-    def __init__(self, connection):
+    def __init__(self, connection, begun_s):
         self._connection = connection
+        self.begun_s = begun_s
         self._has_begun = False
         self.is_open = True
         self.listener = None
--- a/tests/platform/test_deadlines.py
+++ b/tests/platform/test_deadlines.py
@@ -49,6 +49,31 @@
         client = self.leave_at_deadline(data, 1.0)
         self.assertEqual(client.status, 504)
 
+    def test_caller_that_sends_its_body_slowly_gets_504(self):
+        # Guards against a deadline that is counted from the end of the request.
+        make_silent(self.world.desks)
+        body = b"x" * 10
+        data = request_bytes("/post/1", method="POST", body=body, X_Deadline_Ms="750")
+        client = self.world.connect().send(data[:-5])
+        self.world.run(0.3)
+        client.send(data[-5:])
+        self.world.run(0.43)
+        self.assertEqual(client.status, 504)
+
+    def test_pipelined_request_gets_504(self):
+        # Guards against a deadline that is counted from the answer before it.
+        make_silent(self.world.desks)
+        first = request_bytes("/post/1", "first", method="POST", X_Deadline_Ms="400")
+        second = request_bytes("/post/1", "second", method="POST", X_Deadline_Ms="800")
+        for parts in ([first + second], [first, second]):
+            with self.subTest(parts=len(parts)):
+                client = self.world.connect()
+                for part in parts:
+                    client.send(part)
+                    self.world.run(0.01)
+                self.world.run(0.77)
+                self.assertEqual(client.statuses, [504, 504])
+
     def test_answer_is_not_earlier_than_the_margin(self):
         # Guards against a margin that costs answers which would still be in time.
         make_silent(self.world.desks)
