Log whether a caller heard anything, and requests that were never read

Seen by us only: caller_left with status 0 was logged for callers of generations that had heard events as well as for those that had heard nothing; nothing told whether its try had ever left this router; a request behind another one on a closing connection left no trace.

Change: request_ended and request_refused say the time left until the caller's deadline and how far the running try was (connecting, sent, answering); caller_left has the status that was sent, zero if the caller heard nothing. A connection that closes with bytes of a further request logs request_unread, with its id if it is in them. Counters callers_unheard and unread come with them. One line per ended request, as before. explain says it in its sentence. The checks of framing move to a module of their own, unchanged.

Tests: 5 in tests/command/test_explain.py; they use fields and counters that were not there before.

--- a/src/sesamearch/base/__init__.py
+++ b/src/sesamearch/base/__init__.py
@@ -30,6 +30,7 @@
             "Record",
             "RequestEnded",
             "RequestRefused",
+            "RequestUnread",
             "RequestUnreadable",
             "RolloutChanged",
             "TryLost",
--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -19,6 +19,7 @@
     "Record",
     "RequestEnded",
     "RequestRefused",
+    "RequestUnread",
     "RequestUnreadable",
     "RetryDenied",
     "RolloutChanged",
@@ -163,6 +164,11 @@
     routes, in_force_ms : int
         Number of routes for a request that matched none, and for how long this router
         has had that configuration.
+    left_ms : int or None
+        Time until the caller's deadline, negative after it.
+    try_state : str
+        State of the try that was still running: ``connecting`` (no endpoint can have
+        got the request), ``sent`` or ``answering``; empty without one.
     """
 
     request: str
@@ -177,6 +183,8 @@
     path: str = ""
     routes: int = 0
     in_force_ms: int = 0
+    left_ms: int | None = None
+    try_state: str = ""
 
 
 class RequestEnded(Record, frozen=True, tag="request_ended"):
@@ -191,13 +199,15 @@
         ``answered``, ``cut`` (the response began but was not completed) or
         ``caller_left`` (the caller disconnected).
     status : int
-        HTTP status, zero if unknown.
+        HTTP status; zero if the caller heard nothing or it is unknown.
     tries : int
         Number of tries.
     took_ms, first_ms : int
         Time from receiving the request to its end and to the first event.
     events : int
         Number of events sent to the caller.
+    left_ms, try_state
+        As in :class:`RequestRefused`.
     """
 
     request: str
@@ -209,6 +219,8 @@
     took_ms: int
     first_ms: int = 0
     events: int = 0
+    left_ms: int | None = None
+    try_state: str = ""
 
     @property
     def is_routine(self):
@@ -216,6 +228,20 @@
         return self.outcome == "answered"
 
 
+class RequestUnread(Record, frozen=True, tag="request_unread"):
+    """A connection closed when bytes of a further request had arrived on it.
+
+    Parameters
+    ----------
+    request : str
+        Request ID, empty if it is not in those bytes.
+    unread_bytes : int
+    """
+
+    request: str
+    unread_bytes: int
+
+
 class RequestUnreadable(Record, frozen=True, tag="request_unreadable"):
     """A request could not be parsed.
 
@@ -402,6 +428,7 @@
     GenerationResumed,
     RequestRefused,
     RequestEnded,
+    RequestUnread,
     RequestUnreadable,
     ConfigurationInForce,
     EndpointChanged,
--- a/src/sesamearch/command/explain.py
+++ b/src/sesamearch/command/explain.py
@@ -147,6 +147,7 @@
     event = last.__struct_config__.tag
     sent = [x.record for x in entries if x.record.__struct_config__.tag == "try_sent"]
     unanswered = [s.endpoint for s in sent if (s.endpoint, s.number) not in lost]
+    silent = _describe_unanswered(unanswered, getattr(last, "try_state", ""))
     if event == "request_refused":
         reason = (
             f"refused with {last.status} ({last.cause}: {last.detail or 'no detail'})"
@@ -156,8 +157,15 @@
                 f": {last.host}{last.path} matched none of {last.routes} routes of "
                 f"revision {last.revision}, in force for {last.in_force_ms} ms"
             )
-        if unanswered:
-            reason += f", no answer from {' and '.join(unanswered)}"
+        reason += silent
+    elif event == "request_unread":
+        reason = "it was not read before its connection closed"
+    elif event == "request_ended" and last.outcome == "caller_left":
+        heard = f"left during the answer {last.status}"
+        reason = f"its caller {heard if last.status else 'heard nothing and left'}"
+        if last.left_ms is not None:
+            reason += f", {last.left_ms} ms before its deadline"
+        reason += silent
     elif event == "request_ended":
         reason = f"{last.outcome} by {last.endpoint or 'this router'}, {last.status}"
     else:
@@ -165,6 +173,16 @@
     return f"{reason}; before: {previous}" if previous else reason
 
 
+def _describe_unanswered(endpoints, try_state):
+    """Return a clause about the endpoints whose answers did not end, or nothing."""
+    if not endpoints:
+        return ""
+    names = " and ".join(endpoints)
+    if try_state == "answering":
+        return f", {names} was answering"
+    return f", no answer from {names}" + (f" ({try_state})" if try_state else "")
+
+
 def _format_entry(entry, begin_s):
     fields = msgspec.structs.asdict(entry.record)
     fields.pop("request", None)
--- a/src/sesamearch/daemon/platform_ports.py
+++ b/src/sesamearch/daemon/platform_ports.py
@@ -3,8 +3,8 @@
 from twisted.internet.error import CannotListenError
 
 from sesamearch.base.log import logger
-from sesamearch.base.record import Lifecycle, RequestUnreadable
-from sesamearch.platform.headers import decode_request
+from sesamearch.base.record import Lifecycle, RequestUnread, RequestUnreadable
+from sesamearch.platform.headers import decode_request, find_request_id
 from sesamearch.wire.caller import CallerFactory
 
 __all__ = ["PlatformPorts"]
@@ -55,7 +55,11 @@
 
     def _make_factory(self, handler):
         return CallerFactory(
-            self._reactor, handler, self._limits, self._note_unreadable
+            self._reactor,
+            handler,
+            self._limits,
+            self._note_unreadable,
+            self._note_unread,
         )
 
     def start(self, early_socket):
@@ -89,6 +93,10 @@
         self._dispatcher.note_unreadable()
         logger.info(RequestUnreadable(status, detail))
 
+    def _note_unread(self, data):
+        self._dispatcher.note_unread()
+        logger.info(RequestUnread(find_request_id(data), len(data)))
+
     def _handle_request(self, head, body, reply):
         request = decode_request(head, body, self._reactor.seconds(), reply.begun_s)
         self._dispatcher.handle(request, reply)
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -5,12 +5,14 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "attempt": ["Try"],
         "budget": ["FleetView", "RetryBudget", "RetryBudgets", "RetryUse"],
         "call": ["CallExchange"],
         "choice": ["Chooser", "GenerationNeed"],
         "copies": ["CopyManager"],
+        "deadline": ["Deadlines", "deadlines_of"],
         "dispatcher": ["Dispatcher", "ForwardCounters"],
-        "exchange": ["Exchange", "ForwardTools", "Try", "retry_after_s"],
+        "exchange": ["Exchange", "ForwardTools", "retry_after_s"],
         "endpoint_index": ["EndpointIndex"],
         "gate": ["OpenGate", "VersionGate"],
         "health": ["EndpointHealth", "HealthTracker", "Outcomes", "Suspicion"],
--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -54,6 +54,13 @@
         """Bool : whether the request was written, so that the endpoint may get it."""
         return self.pending_request is not None and self.pending_request.is_sent
 
+    @property
+    def state(self):
+        """Str : ``connecting``, ``sent`` or ``answering``."""
+        if self.answer is not None:
+            return "answering"
+        return "sent" if self.is_sent else "connecting"
+
     @property
     def has_not_run(self):
         """Bool : whether the endpoint states that it did not run the request."""
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -126,7 +126,7 @@
             self.tries.remove(other)
             other.cancel()
         answer = attempt.answer
-        self.note_head_sent()
+        self.note_head_sent(answer.status)
         self.reply.start(answer.status, answer.headers, answer.reason)
         self.reply.write(attempt.body)
         self.reply.set_producer(attempt.pending_request.producer)
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -33,18 +33,23 @@
         Generations resumed at another engine, and those that were cut off.
     callers_left : int
         Callers that disconnected before the final answer.
+    callers_unheard : int
+        Those of them that had heard nothing, not even the head of an answer.
     copies : int
         Copies of engine memory that were requested.
     probes : int
         Health probes sent to silent engines.
     retries_denied : int
         Retries that the retry budget did not allow.
+    unread : int
+        Connections that closed when bytes of a further request had arrived.
     unreadable : int
         Requests that could not be parsed.
     """
 
     __slots__ = (
         "callers_left",
+        "callers_unheard",
         "copies",
         "probes",
         "refusals",
@@ -54,6 +59,7 @@
         "streams_cut",
         "tries",
         "tries_lost",
+        "unread",
         "unreadable",
     )
 
@@ -98,6 +104,10 @@
     def _note_configuration(self, table):
         self._in_force_s = self._tools.clock.seconds()
 
+    def note_unread(self):
+        """Count a connection that closed with bytes of a further request."""
+        self._tools.counters.unread += 1
+
     def note_unreadable(self):
         """Count a request that could not be parsed."""
         self._tools.counters.unreadable += 1
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -101,6 +101,8 @@
         self.is_over = False
         self.excluded = set()
         self._runs = 0
+        # Status that was sent to the caller; zero as long as it has heard nothing.
+        self._sent_status = 0
         self._on_end = on_end
         deadlines = deadlines_of(request, route.timeout_s)
         self.answer_by_s = deadlines.answer_by_s
@@ -148,8 +150,9 @@
         """Bool : whether the caller has too little time left for any try."""
         return self.remaining_s() < MIN_TRY_S
 
-    def note_head_sent(self):
+    def note_head_sent(self, status):
         """Go on until the very deadline: no status is left to be sent before it."""
+        self._sent_status = status
         self.answer_by_s = self.end_by_s
         self._timer.reset(max(0.0, self.remaining_s()))
 
@@ -254,6 +257,14 @@
         self.cancel_tries()
         self._on_end(self)
 
+    def _left_ms(self):
+        """Return the time until the caller's deadline, in ms; negative after it."""
+        return round((self.request.deadline_s - self.now_s) * 1000)
+
+    def _try_state(self):
+        """Return the state of the newest try that still runs; empty without one."""
+        return self.tries[-1].state if self.tries else ""
+
     def took_ms(self):
         """Return the time since the request was received, in ms."""
         return round((self.now_s - self.request.received_s) * 1000)
@@ -292,6 +303,8 @@
                 self.try_count,
                 self.took_ms(),
                 self.revision,
+                left_ms=self._left_ms(),
+                try_state=self._try_state(),
             )
         )
         self.reply.answer(status, headers, problem.to_json())
@@ -313,13 +326,16 @@
                 self.took_ms(),
                 first_ms,
                 events,
+                self._left_ms(),
+                self._try_state() if outcome != "answered" else "",
             )
         )
 
     def caller_left(self):
         """Stop the work for a caller that disconnected."""
         self.tools.counters.callers_left += 1
-        self.log_end("caller_left", None, 0)
+        self.tools.counters.callers_unheard += not self._sent_status
+        self.log_end("caller_left", None, self._sent_status)
         self.close()
 
     def note_no_answer(self, attempts):
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -309,7 +309,7 @@
         self._first_ms = self.took_ms()
         self.tools.meter.first_event(self.route.name, self._first_ms / 1000)
         self._lifecycle.began()
-        self.note_head_sent()
+        self.note_head_sent(answer.status)
         self.reply.start(answer.status, answer.headers, answer.reason)
         self.reply.set_producer(attempt.pending_request.producer)
 
--- a/src/sesamearch/platform/__init__.py
+++ b/src/sesamearch/platform/__init__.py
@@ -13,6 +13,7 @@
             "decode_answer",
             "decode_request",
             "encode_request",
+            "find_request_id",
             "instance_of",
             "keep_alive_s",
             "request_id_of",
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -15,6 +15,7 @@
     "decode_answer",
     "decode_request",
     "encode_request",
+    "find_request_id",
     "instance_of",
     "keep_alive_s",
     "request_id_of",
@@ -64,6 +65,7 @@
 )
 _NOT_RETURNED = frozenset((b"content-length", b"transfer-encoding"))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+_REQUEST_ID_LINE = re.compile(rb"(?im)^x-attempt-id:[ \t]*([^\r\n]{1,64})")
 _PROMPT_PART = re.compile(r"([0-9a-fA-F]+):(\d+)")
 
 
@@ -89,6 +91,12 @@
     return _text(headers, _REQUEST_ID)
 
 
+def find_request_id(data):
+    """Return the first id in the bytes of a request; empty if there is none."""
+    found = _REQUEST_ID_LINE.search(data)
+    return found.group(1).decode("latin-1").strip() if found else ""
+
+
 def instance_of(headers):
     """Return the name of the responding process; empty if it is not stated."""
     return _text(headers, _INSTANCE)
--- a/src/sesamearch/wire/__init__.py
+++ b/src/sesamearch/wire/__init__.py
@@ -15,6 +15,7 @@
             "enable_keepalive",
         ],
         "events": ["EventError", "EventSplitter", "StreamEvent"],
+        "framing": ["check_framing", "content_length"],
         "head": [
             "HOP_BY_HOP",
             "ResponseHead",
--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -7,6 +7,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from sesamearch.base.log import logger
+from sesamearch.wire.framing import check_framing, content_length
 from sesamearch.wire.head import HeadError, HeadReader, RequestHead
 from sesamearch.wire.reply import Reply
 
@@ -89,6 +90,14 @@
         self._is_closing = True
         if reply is not None:
             reply.caller_left()
+        self._report_unread()
+
+    def _report_unread(self):
+        """Report bytes of a further request that are lost with the connection."""
+        rest = self._codec.trailing_data[0] if self._codec is not None else b""
+        unread = b"".join([bytes(rest), *self._pending])
+        if unread:
+            self.factory.unread(unread)
 
     # Timeouts. Each connection has one timer, which is only moved to an earlier
     # time: most requests arrive long before it fires, and a timer that fires too
@@ -206,9 +215,9 @@
 
     def _handle_head(self, event):
         headers = list(event.headers.raw_items())
-        _check_framing(event)
+        check_framing(event)
         self._head = RequestHead(event.method, event.target, headers)
-        self._check_size(int(_content_length(event)))
+        self._check_size(int(content_length(event)))
 
     def _check_size(self, size_bytes):
         if size_bytes > self.factory.limits().body_bytes:
@@ -340,31 +349,6 @@
             self.transport.loseConnection()
 
 
-def _check_framing(event):
-    """Check the framing of a request, which parsers must not interpret differently.
-
-    Raises
-    ------
-    HeadError
-        If the body length is ambiguous or there is not exactly one ``Host``.
-    """
-    names = [name for name, _ in event.headers]
-    has_chunks = b"transfer-encoding" in names
-    if has_chunks and b"content-length" in names:
-        raise HeadError(400, "both Content-Length and Transfer-Encoding")
-    if has_chunks and event.http_version < b"1.1":
-        raise HeadError(400, "Transfer-Encoding in an HTTP/1.0 request")
-    if names.count(b"host") != 1:
-        raise HeadError(400, "not exactly one Host header")
-
-
-def _content_length(event):
-    for name, value in event.headers:
-        if name == b"content-length":
-            return value
-    return 0
-
-
 class CallerFactory(Factory):
     """Creates the connections of one listener.
 
@@ -377,6 +361,9 @@
         Returns the :class:`CallerLimits` in force.
     refused : callable
         Called with the status and the detail of each unreadable request.
+    unread : callable
+        Called with the bytes of further requests that were lost with a connection; by
+        default they are not reported.
 
     Attributes
     ----------
@@ -388,11 +375,12 @@
 
     noisy = False
 
-    def __init__(self, clock, handler, limits, refused):
+    def __init__(self, clock, handler, limits, refused, unread=lambda data: None):
         self.clock = clock
         self.handler = handler
         self.limits = limits
         self.refused = refused
+        self.unread = unread
         self.connections = set()
         self.is_draining = False
 
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -82,6 +82,61 @@
         names = {getattr(line.record, "endpoint", "") for line in context}
         self.assertLessEqual(names, {"desk-1", ""})
 
+    def leave(self, data, after_s=0.3):
+        """Send a request whose caller leaves early; return its router's counters."""
+        with self.handler.applicationbound():
+            client = self.world.connect().send(data)
+            self.world.run(after_s)
+            client.transport.abortConnection()
+            self.world.run(0.1)
+        return self.world.routers[0].counters
+
+    def test_caller_that_heard_nothing_is_told_from_one_that_was_answered(self):
+        # Guards against a record that leaves open whether the caller heard anything.
+        for desk in self.world.desks:
+            desk.fault = "mute"
+        data = request_bytes("/post/1", "unheard", method="POST")
+        counters = self.leave(data)
+        self.assertRegex(
+            self.explain("unheard").cause,
+            r"heard nothing and left, 1[12]\d\d ms before its deadline, no answer from "
+            r"desk-\d \(sent\)",
+        )
+        self.assertEqual(counters.callers_unheard, 1)
+
+    def test_try_that_is_connecting_is_told_from_one_that_was_sent(self):
+        # Guards against a record that leaves open whether the request may have run.
+        for desk in self.world.desks:
+            self.world.network.blackholed.add(desk.address)
+        self.leave(request_bytes("/post/1", "dark", method="POST"), after_s=0.2)
+        self.assertRegex(self.explain("dark").cause, r"desk-\d \(connecting\)")
+
+    def test_caller_that_left_a_generation_has_heard_of_it(self):
+        counters = self.leave(draft_bytes("left"))
+        cause = self.explain("left").cause
+        self.assertRegex(cause, r"left during the answer 200, \d+ ms before")
+        self.assertRegex(cause, r"engine-\d was answering")
+        self.assertEqual((counters.callers_left, counters.callers_unheard), (1, 0))
+
+    def test_time_left_at_a_refusal_is_logged(self):
+        for desk in self.world.desks:
+            desk.fault = "mute"
+        data = request_bytes("/post/1", "late", method="POST", X_Deadline_Ms="500")
+        with self.handler.applicationbound():
+            self.world.send_request(data)
+        refused = self.explain("late").lines[-1].record
+        self.assertTrue(40 <= refused.left_ms <= 50, refused)
+        self.assertEqual(refused.try_state, "sent")
+
+    def test_request_that_was_not_read_before_its_connection_closed(self):
+        # Guards against a caller's failure with no record of its request at any router.
+        for desk in self.world.desks:
+            desk.fault = "mute"
+        first = request_bytes("/post/1", "first", method="POST")
+        counters = self.leave(first + request_bytes("/post/1", "second", method="POST"))
+        self.assertIn("was not read", self.explain("second").cause)
+        self.assertEqual(counters.unread, 1)
+
     def test_unknown_request(self):
         self.assertIsNone(self.explain("nobody"))
 
