Answer callers of the HTTP interface before their requested timeout

Change: the deadline is the requested time less the margin that the platform's routers use. The timeout of the service is not shortened.

Tests: test_answer_comes_before_the_timeout_that_the_caller_requested failed before (no answer after 1.95 s of 2 s).

--- a/src/sesamearch/callers/gateway.py
+++ b/src/sesamearch/callers/gateway.py
@@ -16,6 +16,7 @@
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.log import logger
 from sesamearch.configuration.configuration import PlainService
+from sesamearch.forwarding.deadline import answer_margin_s
 from sesamearch.generation.attempt import GenerationRequest
 from sesamearch.generation.completion import (
     MAX_SEED,
@@ -138,7 +139,9 @@
             return now_s + service.timeout_s
         if math.isnan(requested_s):
             return now_s + service.timeout_s
-        return now_s + min(max(requested_s, 0), service.timeout_s)
+        requested_s = max(requested_s, 0)
+        answer_s = requested_s - answer_margin_s(requested_s)
+        return now_s + min(answer_s, service.timeout_s)
 
     @app.handle_errors(HTTPException)
     def refuse_unknown_path(self, request, failure):
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -10,7 +10,7 @@
         "call": ["CallExchange"],
         "choice": ["Chooser", "GenerationNeed"],
         "copies": ["CopyManager"],
-        "deadline": ["Deadlines", "deadlines_of"],
+        "deadline": ["Deadlines", "answer_margin_s", "deadlines_of"],
         "dispatcher": ["Dispatcher", "ForwardCounters"],
         "exchange": ["Exchange", "ForwardTools", "retry_after_s"],
         "endpoint_index": ["EndpointIndex"],
--- a/src/sesamearch/forwarding/deadline.py
+++ b/src/sesamearch/forwarding/deadline.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["Deadlines", "deadlines_of"]
+__all__ = ["Deadlines", "answer_margin_s", "deadlines_of"]
 
 # An answer takes time to reach its caller, whose clock also started before the request
 # arrived here. The margin is this share of the caller's time, up to a maximum.
@@ -28,6 +28,11 @@
     end_by_s: float
 
 
+def answer_margin_s(caller_s):
+    """Return how long before its deadline a caller with `caller_s` is answered."""
+    return min(MAX_ANSWER_MARGIN_S, caller_s * ANSWER_MARGIN_RATIO)
+
+
 def deadlines_of(request, timeout_s):
     """Return the :class:`Deadlines` of a request.
 
@@ -38,9 +43,8 @@
         Timeout of the route, which no margin shortens.
     """
     caller_s = max(0.0, request.deadline_s - request.received_s)
-    margin_s = min(MAX_ANSWER_MARGIN_S, caller_s * ANSWER_MARGIN_RATIO)
     timed_out_s = request.received_s + timeout_s
     return Deadlines(
-        answer_by_s=min(request.deadline_s - margin_s, timed_out_s),
+        answer_by_s=min(request.deadline_s - answer_margin_s(caller_s), timed_out_s),
         end_by_s=min(request.deadline_s, timed_out_s),
     )
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -215,6 +215,17 @@
                 self.assertTrue(0 <= remaining_s <= DRAFTING.timeout_s, timeout)
                 generation.caller_left()
 
+    def test_answer_comes_before_the_timeout_that_the_caller_requested(self):
+        # Guards against an answer that is sent when its caller has left already.
+        headers = CLERK_HEADERS + b"Sesame-Timeout-S: 2\r\n"
+        connection = self.post_completion(headers=headers)
+        self.clock.advance(1.85)
+        self.gateway.sweep()
+        self.assertEqual(connection.received, b"")
+        self.clock.advance(0.1)
+        self.gateway.sweep()
+        self.assert_problem(connection, 502, "generation-lost", "unknown")
+
     def test_unknown_model(self):
         connection = self.post_completion(model="none")
         self.assert_problem(connection, 404, "unknown-model", "not_run")
