Report no part of an unfinished request as unread

Cause: what the codec had not yet consumed of a request's own body (a chunk size, say) counted as bytes of a further request.

Tests: TestUnread, 2 tests; test_unfinished_request_is_not_reported failed before ([b'5'] != []).

--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -94,8 +94,10 @@
 
     def _report_unread(self):
         """Report bytes of a further request that are lost with the connection."""
-        rest = self._codec.trailing_data[0] if self._codec is not None else b""
-        unread = b"".join([bytes(rest), *self._pending])
+        codec, rest = self._codec, b""
+        if codec is not None and codec.their_state in (h11.DONE, h11.MUST_CLOSE):
+            rest = bytes(codec.trailing_data[0])
+        unread = b"".join([rest, *self._pending])
         if unread:
             self.factory.unread(unread)
 
--- a/tests/wire/test_whole_requests.py
+++ b/tests/wire/test_whole_requests.py
@@ -185,3 +185,27 @@
         client.send(GET[9:])
         server.network.run(0.01)
         self.assertEqual(client.statuses, [200, 200])
+
+
+class TestUnread(unittest.TestCase):
+    """Guards against reports of lost requests that no caller sent whole."""
+
+    def close_after(self, *parts):
+        """Send bytes and disconnect; return the bytes reported as unread."""
+        server = Server()
+        server.is_answering = False
+        unread = []
+        server.factory.unread = unread.append
+        client = server.send(*parts)
+        client.transport.abortConnection()
+        server.network.run(0.1)
+        return unread
+
+    def test_request_behind_another_one_is_reported(self):
+        self.assertEqual(self.close_after(GET + GET), [GET])
+        self.assertEqual(self.close_after(GET, GET), [GET])
+
+    def test_unfinished_request_is_not_reported(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for data in (GET, GET[:9], head + b"5\r\nhel", head + b"5"):
+            self.assertEqual(self.close_after(data), [])
