Tell an operation that was never connected from a lost one

Seen by callers of the HTTP interface: an operation whose endpoint was dark and whose time ended within the 1 s that an attempt to connect may take got operation-unknown, was stored as such and could not be repeated, although no byte of it had left the router.

Cause: the end of the time cancels the call, and the cancelled attempt to connect was taken for a lost answer.

Change: it counts as not sent, as any other failure to connect. Twisted raises ConnectingCancelledError only before the connection is there.

Tests: tests/operation/test_http_plain.py, 2 tests; test_call_that_was_never_connected_has_provably_not_run failed before (LOST instead of NOT_SENT), the other one pins that a call that was sent stays lost.

--- a/src/sesamearch/operation/http_plain.py
+++ b/src/sesamearch/operation/http_plain.py
@@ -2,7 +2,12 @@
 
 from result import Err, Ok
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError, DNSLookupError, TimeoutError
+from twisted.internet.error import (
+    ConnectError,
+    ConnectingCancelledError,
+    DNSLookupError,
+    TimeoutError,
+)
 from twisted.web.http_headers import Headers
 
 from sesamearch.base.http import make_http_client
@@ -17,7 +22,12 @@
     "transfer-encoding upgrade content-length content-encoding date server".split()
 )
 RAN_HEADER = "Sesame-Ran"
-_CONNECT_ERRORS = (ConnectError, DNSLookupError, TimeoutError)
+_CONNECT_ERRORS = (
+    ConnectError,
+    ConnectingCancelledError,
+    DNSLookupError,
+    TimeoutError,
+)
 
 
 class HttpPlainClient(PlainClient):
