--- a/src/sesamearch/command/explain.py
+++ b/src/sesamearch/command/explain.py
@@ -148,6 +148,7 @@
     sent = [x.record for x in entries if x.record.__struct_config__.tag == "try_sent"]
     unanswered = [s.endpoint for s in sent if (s.endpoint, s.number) not in lost]
     kept = _silent_to_the_end(entries, lost)
+    silent = _describe_unanswered(unanswered, getattr(last, "try_state", ""))
     if event == "request_refused":
         reason = (
             f"refused with {last.status} ({last.cause}: {last.detail or 'no detail'})"
@@ -157,8 +158,15 @@
                 f": {last.host}{last.path} matched none of {last.routes} routes of "
                 f"revision {last.revision}, in force for {last.in_force_ms} ms"
             )
-        if unanswered:
-            reason += f", no answer from {' and '.join(unanswered)}"
+        reason += silent
+    elif event == "request_unread":
+        reason = "it was not read before its connection closed"
+    elif event == "request_ended" and last.outcome == "caller_left":
+        heard = f"left during the answer {last.status}"
+        reason = f"its caller {heard if last.status else 'heard nothing and left'}"
+        if last.left_ms is not None:
+            reason += f", {last.left_ms} ms before its deadline"
+        reason += silent
     elif event == "request_ended":
         reason = f"{last.outcome} by {last.endpoint or 'this router'}, {last.status}"
     else:
@@ -178,6 +186,16 @@
     return None if is_lost else found[-1]
 
 
+def _describe_unanswered(endpoints, try_state):
+    """Return a clause about the endpoints whose answers did not end, or nothing."""
+    if not endpoints:
+        return ""
+    names = " and ".join(endpoints)
+    if try_state == "answering":
+        return f", {names} was answering"
+    return f", no answer from {names}" + (f" ({try_state})" if try_state else "")
+
+
 def _format_entry(entry, begin_s):
     fields = msgspec.structs.asdict(entry.record)
     fields.pop("request", None)
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -13,6 +13,8 @@
 HEDGE_DELAY_RATIO = 0.6
 # Refused sends do not count as runs, so they need a limit of their own.
 MAX_SENDS = 4
+# Failed connections cause no work at an endpoint, so they have a higher limit.
+MAX_FAILED_CONNECTIONS = 40
 RETRY_AFTER_S = 0.25
 
 
@@ -28,11 +30,17 @@
         super().__init__(*arguments)
         self._is_idempotent = self.route.kind is RouteKind.IDEMPOTENT
         self._runs = 0
+        self._failed_connections = 0
         self._hedge_timer = None
         self._cause = ErrorKind.NO_ENDPOINT
         self._failure = None
         self._streamed_try = None
 
+    @property
+    def runs(self):
+        """Int : number of tries that an endpoint may have run."""
+        return self._runs
+
     def start(self):
         """Send the first try."""
         self._send()
@@ -45,7 +53,7 @@
         self.excluded.add(endpoint.name)
         options = ForwardOptions(
             endpoint,
-            self.deadline_s,
+            self.answer_by_s,
             self.organisation.name if self.organisation else "",
             after_event=self.request.after_event,
         )
@@ -63,7 +71,7 @@
     def _may_send(self):
         return (
             self._runs < self.route.max_attempts
-            and self.try_count < MAX_SENDS
+            and self.try_count - self._failed_connections < MAX_SENDS
             and self.remaining_s() > 0
         )
 
@@ -83,6 +91,16 @@
         else:
             self._give_up(kind, detail)
 
+    def _send_after_failed_connection(self):
+        """Retry without the budget, which counts what arrives at endpoints."""
+        if self.tries:
+            return
+        self._cause = ErrorKind.NO_ENDPOINT
+        if self._failed_connections < MAX_FAILED_CONNECTIONS and self._may_send():
+            self._send()
+        else:
+            self._give_up(self._cause, "no endpoint can be reached")
+
     def _give_up(self, kind, detail):
         if self.tries:
             return
@@ -114,6 +132,7 @@
             self.tries.remove(other)
             other.cancel()
         answer = attempt.answer
+        self.note_head_sent(answer.status)
         self.reply.start(answer.status, answer.headers, answer.reason)
         self.reply.write(attempt.body)
         self.reply.set_producer(attempt.pending_request.producer)
@@ -161,7 +180,8 @@
             self._send_again(ErrorKind.OVERLOADED, "endpoints are busy")
         elif loss is Loss.NOT_CONNECTED:
             self._runs -= 1
-            self._send_again(ErrorKind.NO_ENDPOINT, "no endpoint can be reached")
+            self._failed_connections += 1
+            self._send_after_failed_connection()
         elif self._is_idempotent:
             self._send_again(ErrorKind.ENDPOINT_LOST, "answer lost")
         else:
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -35,18 +35,23 @@
         Generations resumed at another engine, and those that were cut off.
     callers_left : int
         Callers that disconnected before the final answer.
+    callers_unheard : int
+        Those of them that had heard nothing, not even the head of an answer.
     copies : int
         Copies of engine memory that were requested.
     probes : int
         Health probes sent to silent engines.
     retries_denied : int
         Retries that the retry budget did not allow.
+    unread : int
+        Connections that closed when bytes of a further request had arrived.
     unreadable : int
         Requests that could not be parsed.
     """
 
     __slots__ = (
         "callers_left",
+        "callers_unheard",
         "copies",
         "probes",
         "refusals",
@@ -57,6 +62,7 @@
         "tries",
         "tries_kept",
         "tries_lost",
+        "unread",
         "unreadable",
     )
 
@@ -101,6 +107,10 @@
     def _note_configuration(self, table):
         self._in_force_s = self._tools.clock.seconds()
 
+    def note_unread(self):
+        """Count a connection that closed with bytes of a further request."""
+        self._tools.counters.unread += 1
+
     def note_unreadable(self):
         """Count a request that could not be parsed."""
         self._tools.counters.unreadable += 1
@@ -135,7 +145,7 @@
             self._schedule_check()
         self._tools.budgets.count_request(exchange.service.name)
         phase = self._board.drain.value
-        if phase.refusing and exchange.deadline_s > phase.hand_over_s:
+        if phase.refusing and exchange.end_by_s > phase.hand_over_s:
             # The shutdown could cut off this request, because it arrives so late in
             # the drain. Generations that arrive earlier are accepted: if one is cut
             # off, its caller resumes it at another router. That router knows where the
@@ -143,6 +153,9 @@
             # their running generations.
             exchange.refuse(ErrorKind.DRAINING, "this router is shutting down", 0)
             return
+        if exchange.is_late:
+            exchange.refuse(ErrorKind.NO_ENDPOINT, "deadline has passed")
+            return
         exchange.start()
 
     def _refuse(self, request, route, problem, table, reply):
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -13,17 +13,16 @@
     TryLost,
     TrySent,
 )
-from sesamearch.forwarding.request import ForwardListener
+from sesamearch.forwarding.attempt import Try
+from sesamearch.forwarding.deadline import MIN_TRY_S, deadlines_of
 from sesamearch.wire.endpoint import Loss
 from sesamearch.wire.reply import ReplyListener
 
-__all__ = ["Exchange", "ForwardTools", "Try", "retry_after_s"]
+__all__ = ["Exchange", "ForwardTools", "retry_after_s"]
 
 PROBLEM_HEADERS = [(b"Content-Type", b"application/problem+json")]
 # An endpoint that fails sooner refused the connection, so its VM can be reached.
 MIN_SILENCE_S = 0.25
-# Largest body that is buffered for one answer.
-MAX_BUFFERED_BODY_BYTES = 64 << 10
 # Upper bound of Retry-After, as a share of the time until the caller's deadline.
 RETRY_AFTER_RATIO = 0.3
 MIN_RETRY_AFTER_S = 0.05
@@ -71,104 +70,6 @@
     return max(MIN_RETRY_AFTER_S, min(advice_s, remaining_s * RETRY_AFTER_RATIO))
 
 
-class Try(ForwardListener):
-    """One try: a request sent to one endpoint.
-
-    Parameters
-    ----------
-    exchange : Exchange
-    options : ForwardOptions
-    number : int
-        Number of the try within its request, from 1.
-    work : Work
-    observer : TryObserver
-    sent_s : float
-    """
-
-    __slots__ = (
-        "_body",
-        "_exchange",
-        "answer",
-        "buffered_bytes",
-        "number",
-        "observer",
-        "options",
-        "pending_request",
-        "sent_s",
-        "work",
-    )
-
-    def __init__(self, exchange, options, number, work, observer, sent_s):
-        self._exchange = exchange
-        self.options = options
-        self.number = number
-        self.work = work
-        self.observer = observer
-        self.sent_s = sent_s
-        self.pending_request = None
-        self.answer = None
-        self.buffered_bytes = 0
-        self._body = []
-
-    @property
-    def endpoint(self):
-        """Endpoint : the endpoint that the request was sent to."""
-        return self.options.endpoint
-
-    @property
-    def has_not_run(self):
-        """Bool : whether the endpoint states that it did not run the request."""
-        answer = self.answer
-        return answer is not None and (answer.has_not_run or answer.is_other_instance)
-
-    def buffer(self, data):
-        """Keep a part of the body; return whether the whole is still small enough."""
-        self._body.append(data)
-        self.buffered_bytes += len(data)
-        return self.buffered_bytes <= MAX_BUFFERED_BODY_BYTES
-
-    @property
-    def body(self):
-        """Bytes : the buffered part of the body."""
-        return b"".join(self._body)
-
-    def answer_began(self, answer):
-        """Handle the head of the answer."""
-        self.answer = answer
-        self._exchange.tools.outages.note_alive(self.endpoint)
-        if answer.is_other_instance:
-            restarts = self._exchange.tools.restarts
-            restarts.note_new_name(self.endpoint, answer.instance)
-        else:
-            self._exchange.tools.restarts.note_alive(self.endpoint.name)
-        self._exchange.try_began(self)
-
-    def answer_received(self, data):
-        """Handle a part of the body."""
-        self._exchange.tools.restarts.note_alive(self.endpoint.name)
-        self._exchange.tools.outages.note_alive(self.endpoint)
-        self._exchange.try_received(self, data)
-
-    def answer_ended(self):
-        """Handle the end of a complete answer."""
-        self.work.end()
-        self._exchange.try_ended(self)
-        self.observer.ended()
-
-    def answer_lost(self, loss):
-        """Handle the loss of the answer."""
-        self.work.end()
-        self.observer.ended()
-        self._exchange.tools.restarts.note_lost(self.endpoint)
-        self._exchange.try_lost(self, loss)
-
-    def cancel(self):
-        """Close the connection to the endpoint, so that it stops working."""
-        self.work.end()
-        self.observer.ended()
-        self.pending_request.cancel()
-
-
 class Exchange(ReplyListener):
     """Handles one request of a caller until its final answer.
 
@@ -199,16 +100,24 @@
         self.try_count = 0
         self.is_over = False
         self.excluded = set()
+        # Status that was sent to the caller; zero as long as it has heard nothing.
+        self._sent_status = 0
         self._on_end = on_end
-        now_s = tools.clock.seconds()
-        self.deadline_s = min(request.deadline_s, request.received_s + route.timeout_s)
+        deadlines = deadlines_of(request, route.timeout_s)
+        self.answer_by_s = deadlines.answer_by_s
+        self.end_by_s = deadlines.end_by_s
         self._timer = tools.clock.callLater(
-            max(0.0, self.deadline_s - now_s), self._timed_out
+            max(0.0, self.remaining_s()), self._timed_out
         )
         reply.listener = self
 
     # Steps that differ between calls and generations.
 
+    @property
+    @abc.abstractmethod
+    def runs(self):
+        """Int : number of tries that an endpoint may have run."""
+
     @abc.abstractmethod
     def start(self):
         """Send the first try."""
@@ -237,8 +146,19 @@
         return self.tools.clock.seconds()
 
     def remaining_s(self):
-        """Return the time until the deadline of the final answer."""
-        return self.deadline_s - self.now_s
+        """Return the time until the head of the answer, or its end, must be sent."""
+        return self.answer_by_s - self.now_s
+
+    @property
+    def is_late(self):
+        """Bool : whether the caller has too little time left for any try."""
+        return self.remaining_s() < MIN_TRY_S
+
+    def note_head_sent(self, status):
+        """Go on until the very deadline: no status is left to be sent before it."""
+        self._sent_status = status
+        self.answer_by_s = self.end_by_s
+        self._timer.reset(max(0.0, self.remaining_s()))
 
     def spend_retry(self):
         """Take one retry from the service's budget; return whether one was left."""
@@ -334,6 +254,14 @@
         self.cancel_tries()
         self._on_end(self)
 
+    def _left_ms(self):
+        """Return the time until the caller's deadline, in ms; negative after it."""
+        return round((self.request.deadline_s - self.now_s) * 1000)
+
+    def _try_state(self):
+        """Return the state of the newest try that still runs; empty without one."""
+        return self.tries[-1].state if self.tries else ""
+
     def took_ms(self):
         """Return the time since the request was received, in ms."""
         return round((self.now_s - self.request.received_s) * 1000)
@@ -372,6 +300,8 @@
                 self.try_count,
                 self.took_ms(),
                 self.revision,
+                left_ms=self._left_ms(),
+                try_state=self._try_state(),
             )
         )
         self.reply.answer(status, headers, problem.to_json())
@@ -393,13 +323,16 @@
                 self.took_ms(),
                 first_ms,
                 events,
+                self._left_ms(),
+                self._try_state() if outcome != "answered" else "",
             )
         )
 
     def caller_left(self):
         """Stop the work for a caller that disconnected."""
         self.tools.counters.callers_left += 1
-        self.log_end("caller_left", None, 0)
+        self.tools.counters.callers_unheard += not self._sent_status
+        self.log_end("caller_left", None, self._sent_status)
         self.close()
 
     def note_no_answer(self, attempts):
@@ -412,15 +345,21 @@
             self.tools.health.note_failure(attempt.endpoint.name)
             if attempt.answer is None and self.now_s - attempt.sent_s >= MIN_SILENCE_S:
                 self.tools.outages.note_unreachable(attempt.endpoint)
-            attempt.observer.unanswered()
+            if attempt.is_sent:
+                attempt.observer.unanswered()
 
     def _timed_out(self):
         if self.is_over:
             return
         self.note_no_answer(self.tries)
-        kind = ErrorKind.TIMED_OUT if self.try_count else ErrorKind.NO_ENDPOINT
+        kind = ErrorKind.TIMED_OUT if self._may_have_run else ErrorKind.NO_ENDPOINT
         self.expire(kind)
 
+    @property
+    def _may_have_run(self):
+        """Bool : whether an endpoint may have got the request and not refused it."""
+        return self.runs > sum(not attempt.is_sent for attempt in self.tries)
+
     def expire(self, kind):
         """Answer with an error when the deadline passes."""
         self.refuse(kind, "no answer in time")
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -66,6 +66,11 @@
 
     # Tries.
 
+    @property
+    def runs(self):
+        """Int : number of tries that an engine may have run."""
+        return self._allowance.runs
+
     def _urgency(self):
         organisation = self.organisation
         rank = self.route.priority
@@ -104,7 +109,7 @@
             backup_address = self._copies.begin(endpoint)
         options = ForwardOptions(
             endpoint,
-            self.deadline_s,
+            self.end_by_s,
             self.organisation.name if self.organisation else "",
             self._last_event,
             self._urgency(),
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -15,6 +15,7 @@
     "decode_answer",
     "decode_request",
     "encode_request",
+    "find_request_id",
     "instance_of",
     "keep_alive_s",
     "request_id_of",
@@ -22,6 +23,9 @@
 
 MS_PER_S = 1000.0
 DEFAULT_DEADLINE_S = 60.0
+MAX_DIGITS = 18
+MAX_INTEGER = 10**MAX_DIGITS - 1
+MAX_TOKENS = 10**9
 _REQUEST_ID = b"x-attempt-id"
 _DEADLINE = b"x-deadline-ms"
 _MODEL = b"x-model"
@@ -61,6 +65,7 @@
 )
 _NOT_RETURNED = frozenset((b"content-length", b"transfer-encoding"))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+_REQUEST_ID_LINE = re.compile(rb"(?im)^x-attempt-id:[ \t]*([^\r\n]{1,64})")
 _PROMPT_PART = re.compile(r"([0-9a-fA-F]+):(\d+)")
 
 
@@ -70,8 +75,15 @@
 
 
 def _integer(text):
-    """Return the non-negative decimal integer, or None for any other text."""
-    return int(text) if text.isascii() and text.isdigit() else None
+    """Return the non-negative decimal integer, or None for any other text.
+
+    A number with more than ``MAX_DIGITS`` digits is taken for the largest one: no
+    header needs it, and arithmetic with it would overflow.
+    """
+    if not (text.isascii() and text.isdigit()):
+        return None
+    significant = text.lstrip("0")
+    return int(significant or "0") if len(significant) <= MAX_DIGITS else MAX_INTEGER
 
 
 def request_id_of(headers):
@@ -79,12 +91,18 @@
     return _text(headers, _REQUEST_ID)
 
 
+def find_request_id(data):
+    """Return the first id in the bytes of a request; empty if there is none."""
+    found = _REQUEST_ID_LINE.search(data)
+    return found.group(1).decode("latin-1").strip() if found else ""
+
+
 def instance_of(headers):
     """Return the name of the responding process; empty if it is not stated."""
     return _text(headers, _INSTANCE)
 
 
-def decode_request(head, body, now_s):
+def decode_request(head, body, now_s, begun_s=None):
     """Decode a caller's request.
 
     Parameters
@@ -93,6 +111,9 @@
     body : bytes
     now_s : float
         Time of arrival on this process's clock.
+    begun_s : float or None
+        Time at which the request began to arrive, from which the caller's deadline is
+        counted; by default `now_s`.
 
     Returns
     -------
@@ -104,6 +125,10 @@
     prompt_tokens, output_tokens = _tokens(_text(headers, _TOKENS))
     deadline_ms = _integer(_text(headers, _DEADLINE).partition(".")[0])
     remaining_s = DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / MS_PER_S
+    waits_since_s = now_s if begun_s is None else begun_s
+    if waits_since_s + remaining_s <= now_s:
+        # A caller that is there after that time counts from the end of its request.
+        waits_since_s = now_s
     return CallerRequest(
         request_id=request_id_of(headers),
         method=head.method,
@@ -114,7 +139,7 @@
         path=path.decode("latin-1"),
         key=_key(_text(headers, b"authorization")),
         received_s=now_s,
-        deadline_s=now_s + remaining_s,
+        deadline_s=waits_since_s + remaining_s,
         after_event=_integer(_text(headers, _AFTER_EVENT)),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
@@ -124,12 +149,18 @@
 
 def _tokens(text):
     prompt, _, output = text.partition(",")
-    return _integer(prompt.strip()) or 0, _integer(output.strip()) or 0
+    return _token_count(prompt.strip()), _token_count(output.strip())
+
+
+def _token_count(text):
+    """Return a number of tokens, bounded so that the routers can send sums of them."""
+    return min(_integer(text) or 0, MAX_TOKENS)
 
 
 def _parts(text):
     return [
-        PromptPart(name, int(tokens)) for name, tokens in _PROMPT_PART.findall(text)
+        PromptPart(name, _token_count(tokens))
+        for name, tokens in _PROMPT_PART.findall(text)
     ]
 
 
--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -1,10 +1,13 @@
 """Connections from callers: requests on one connection are served in order."""
 
+import traceback
+
 import h11
 import msgspec
 from twisted.internet.protocol import Factory, Protocol
 
 from sesamearch.base.log import logger
+from sesamearch.wire.framing import check_framing, content_length
 from sesamearch.wire.head import HeadError, HeadReader, RequestHead
 from sesamearch.wire.reply import Reply
 
@@ -53,10 +56,15 @@
         self._head = None
         self._body = []
         self._body_bytes = 0
-        self._request = None
+        self._is_head_only = False
         self._reply = None
         self._reader = self._new_reader()
         self._pending = []
+        # Arrival of the bytes that are read, of the oldest pending ones, and of the
+        # first byte of the present request.
+        self._read_s = 0.0
+        self._pending_since_s = 0.0
+        self._begun_s = 0.0
         self._is_resuming = False
         self._timer = None
         self._deadline_s = 0.0
@@ -82,6 +90,16 @@
         self._is_closing = True
         if reply is not None:
             reply.caller_left()
+        self._report_unread()
+
+    def _report_unread(self):
+        """Report bytes of a further request that are lost with the connection."""
+        codec, rest = self._codec, b""
+        if codec is not None and codec.their_state in (h11.DONE, h11.MUST_CLOSE):
+            rest = bytes(codec.trailing_data[0])
+        unread = b"".join([rest, *self._pending])
+        if unread:
+            self.factory.unread(unread)
 
     # Timeouts. Each connection has one timer, which is only moved to an earlier
     # time: most requests arrive long before it fires, and a timer that fires too
@@ -110,15 +128,19 @@
         if remaining_s > 0:
             self._timer = self._clock.callLater(remaining_s, self._timed_out)
         elif self.is_idle:
-            self.transport.loseConnection()
+            self.close_if_idle()
         else:
             self._refuse(408, "request sent too slowly")
 
     @property
     def is_idle(self):
-        """Bool : whether no request is being received or answered."""
+        """Bool : whether no request is being received or answered, nor an answer sent.
+
+        A connection that is being closed may still have bytes of an answer to send.
+        """
         return not (
-            self._reply is not None
+            self._is_closing
+            or self._reply is not None
             or self._codec is not None
             or self._reader.has_begun
             or self._is_resuming
@@ -133,9 +155,12 @@
         if self._reply is not None or self._is_resuming:
             self._buffer_pipelined(data)
             return
+        self._read_s = self._clock.seconds()
         self._advance(data)
 
     def _buffer_pipelined(self, data):
+        if not self._pending:
+            self._pending_since_s = self._clock.seconds()
         self._pending.append(data)
         if sum(map(len, self._pending)) > self.factory.limits().header_bytes:
             self.transport.pauseProducing()
@@ -155,6 +180,7 @@
 
     def _read_head(self, data):
         if not self._reader.has_begun and data:
+            self._begun_s = self._read_s
             self._arm(self.factory.limits().header_timeout_s)
         complete = self._reader.feed(data)
         if complete is None:
@@ -191,9 +217,9 @@
 
     def _handle_head(self, event):
         headers = list(event.headers.raw_items())
-        _check_framing(event)
+        check_framing(event)
         self._head = RequestHead(event.method, event.target, headers)
-        self._check_size(int(_content_length(event)))
+        self._check_size(int(content_length(event)))
 
     def _check_size(self, size_bytes):
         if size_bytes > self.factory.limits().body_bytes:
@@ -208,8 +234,14 @@
     def _handle_request(self):
         head, body = self._head, b"".join(self._body)
         self._head, self._body, self._body_bytes = None, [], 0
-        self._reply = Reply(self)
-        self.factory.handler(head, body, self._reply)
+        self._is_head_only = head.method == b"HEAD"
+        self._reply = reply = Reply(self, self._begun_s)
+        try:
+            self.factory.handler(head, body, reply)
+        except Exception:
+            # Without an answer, the caller would wait until its deadline.
+            logger.error("handler of a request failed: {}", traceback.format_exc())
+            reply.fail()
 
     # Writing.
 
@@ -234,25 +266,38 @@
 
     def send_head(self, status, reason, headers):
         """Write the head of the response."""
-        if self.factory.is_draining:
+        if self.factory.is_draining and not self._has_next:
             headers = [*headers, (b"Connection", b"close")]
-        head = h11.Response(status_code=status, reason=reason, headers=headers)
-        self.transport.write(self._codec.send(head))
+        self._send(h11.Response, status_code=status, reason=reason, headers=headers)
+
+    @property
+    def _has_next(self):
+        """Bool : whether bytes of a next request were read with the present one."""
+        return bool(self._pending or self._codec.trailing_data[0])
 
     def send_data(self, data):
-        """Write a part of the response body."""
-        self.transport.write(self._codec.send(h11.Data(data=data)))
+        """Write a part of the response body, which a ``HEAD`` request does not get."""
+        if not self._is_head_only:
+            self._send(h11.Data, data=data)
 
-    def finish(self):
-        """End the response and process the requests buffered in the meantime."""
+    def _send(self, event_type, **fields):
+        """Write a part of the response; reset the connection if it is invalid."""
+        if self._is_closing:
+            return
         try:
-            last = self._codec.send(h11.EndOfMessage())
+            data = self._codec.send(event_type(**fields))
         except h11.LocalProtocolError as error:
-            logger.error("response body does not match its Content-Length: {}", error)
+            logger.error("response that cannot be sent: {}", error)
             self.abort()
             return
-        if last:
-            self.transport.write(last)
+        if data:
+            self.transport.write(data)
+
+    def finish(self):
+        """End the response and process the requests buffered in the meantime."""
+        self._send(h11.EndOfMessage)
+        if self._is_closing:
+            return
         self._reply = None
         self.transport.unregisterProducer()
         if self._codec.our_state is not h11.DONE or (
@@ -268,18 +313,21 @@
         self._codec = None
         if rest:
             self._pending.insert(0, bytes(rest))
+        else:
+            self._read_s = self._pending_since_s
         self._reader = self._new_reader()
         self._wait_idle()
-        self.transport.resumeProducing()
         if self._pending:
             # Bytes that arrive until then are buffered behind these.
             self._is_resuming = True
             self._clock.callLater(0, self._feed_pending)
+        self.transport.resumeProducing()
 
     def _feed_pending(self):
         self._is_resuming = False
         data, self._pending = b"".join(self._pending), []
-        self.dataReceived(data)
+        if not self._is_closing:
+            self._advance(data)
 
     def abort(self):
         """Reset the connection."""
@@ -298,36 +346,11 @@
 
     def close_if_idle(self):
         """Close the connection unless a request is being received or answered."""
-        if self.is_idle and not self._is_closing:
+        if self.is_idle:
             self._is_closing = True
             self.transport.loseConnection()
 
 
-def _check_framing(event):
-    """Check the framing of a request, which parsers must not interpret differently.
-
-    Raises
-    ------
-    HeadError
-        If the body length is ambiguous or there is not exactly one ``Host``.
-    """
-    names = [name for name, _ in event.headers]
-    has_chunks = b"transfer-encoding" in names
-    if has_chunks and b"content-length" in names:
-        raise HeadError(400, "both Content-Length and Transfer-Encoding")
-    if has_chunks and event.http_version < b"1.1":
-        raise HeadError(400, "Transfer-Encoding in an HTTP/1.0 request")
-    if names.count(b"host") != 1:
-        raise HeadError(400, "not exactly one Host header")
-
-
-def _content_length(event):
-    for name, value in event.headers:
-        if name == b"content-length":
-            return value
-    return 0
-
-
 class CallerFactory(Factory):
     """Creates the connections of one listener.
 
@@ -340,6 +363,9 @@
         Returns the :class:`CallerLimits` in force.
     refused : callable
         Called with the status and the detail of each unreadable request.
+    unread : callable
+        Called with the bytes of further requests that were lost with a connection; by
+        default they are not reported.
 
     Attributes
     ----------
@@ -351,11 +377,12 @@
 
     noisy = False
 
-    def __init__(self, clock, handler, limits, refused):
+    def __init__(self, clock, handler, limits, refused, unread=lambda data: None):
         self.clock = clock
         self.handler = handler
         self.limits = limits
         self.refused = refused
+        self.unread = unread
         self.connections = set()
         self.is_draining = False
 
--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -116,6 +116,11 @@
         elif self._connector is not None:
             self._connector.disconnect()
 
+    @property
+    def is_sent(self):
+        """Bool : whether the request was written, so that the endpoint may get it."""
+        return self._connection is not None
+
     @property
     def producer(self):
         """Object or None : the transport that the response is read from."""
@@ -242,6 +247,10 @@
         pending_request.is_over = True
         self._release_or_abort()
         pending_request.receiver.ended()
+        if not self.is_closed:
+            # A slow reader of this response may have paused the connection, and the
+            # next response, or the close of the idle connection, would not be read.
+            self.transport.resumeProducing()
 
     def _skip_response(self):
         """Skip a response that belongs to another request, and read the next one."""
