Let the stand-in workers leave and ask for a pause

Workers now may say in all answers that they leave, and may add a Retry-After to their 503. The stand-ins play both (is_leaving, retry_after), and record every request that reaches them (arrivals), rejected ones and probes too: the new promises count what reaches a worker, not what runs there.

No behaviour of the router changes.

--- a/src/sesamearch/standin/__init__.py
+++ b/src/sesamearch/standin/__init__.py
@@ -16,6 +16,7 @@
         "platform_worker": [
             "PlatformEngineStandin",
             "PlatformServiceStandin",
+            "WorkerArrival",
             "WorkerRun",
         ],
         "process": ["listen", "make_engine", "make_service", "make_store"],
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -5,7 +5,12 @@
 from sesamearch.wire.head import first_value
 from sesamearch.wire.reply import ReplyListener
 
-__all__ = ["PlatformEngineStandin", "PlatformServiceStandin", "WorkerRun"]
+__all__ = [
+    "PlatformEngineStandin",
+    "PlatformServiceStandin",
+    "WorkerArrival",
+    "WorkerRun",
+]
 
 MS_PER_S = 1000.0
 PREFILL_TOKENS_PER_S = 8000.0
@@ -48,6 +53,13 @@
     number: int = 0
 
 
+class WorkerArrival(msgspec.Struct, frozen=True):
+    """A request of any kind that reached a worker, whether it ran or not."""
+
+    at_s: float
+    path: str
+
+
 def _text(head, name):
     value = first_value(head.headers, name)
     return "" if value is None else value.decode()
@@ -74,6 +86,12 @@
         Number of requests in progress.
     status : int
         Status code of its responses.
+    arrivals : list of WorkerArrival
+        All requests that reached it, in order.
+    is_leaving : bool
+        Whether all its answers say that it leaves.
+    retry_after : str
+        ``Retry-After`` of its 503 answers; empty for none.
     fault : str
         ``mute`` (no response), ``reset`` (reset instead of a response) or
         ``truncate`` (reset in the middle of the response); empty for none.
@@ -89,22 +107,47 @@
         self.status = 200
         self.fault = ""
         self.is_healthy = True
+        self.arrivals = []
+        self.is_leaving = False
+        self.retry_after = ""
 
     def __call__(self, head, body, reply):
+        """Record the arrival of a request, and handle it."""
+        path = head.target.decode()
+        self.arrivals.append(WorkerArrival(self.clock.seconds(), path))
+        self.handle(head, body, reply)
+
+    def handle(self, head, body, reply):
         """Handle a request."""
         if head.target == b"/healthz":
-            reply.answer(200, [(b"X-Instance-Id", self.name.encode())], b"")
+            status = 503 if self.is_leaving else 200
+            own_name = (b"X-Instance-Id", self.name.encode())
+            reply.answer(status, [own_name, *self.notices(status)], b"")
             return
         expected_name = _text(head, b"x-target-instance")
         headers = [(b"X-Attempt-Id", _text(head, b"x-attempt-id").encode())]
         if expected_name and expected_name != self.name:
             headers.append((b"X-Instance-Id", self.name.encode()))
-            reply.answer(421, headers, b"")
+            reply.answer(421, [*headers, *self.notices(421)], b"")
         elif self.running >= self.slots:
-            reply.answer(503, [*headers, (b"X-Not-Executed", b"1")], b"")
+            self.refuse(reply, headers)
         else:
             self._begin(head, body, reply, headers)
 
+    def refuse(self, reply, headers):
+        """Answer 503 and state that the request was not run."""
+        not_run = (b"X-Not-Executed", b"1")
+        reply.answer(503, [*headers, not_run, *self.notices(503)], b"")
+
+    def notices(self, status):
+        """Return the headers about this worker in an answer with the given status."""
+        headers = []
+        if self.is_leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        if self.retry_after and status == 503:
+            headers.append((b"Retry-After", self.retry_after.encode()))
+        return headers
+
     def _begin(self, head, body, reply, headers):
         after = _text(head, b"last-event-id")
         run = WorkerRun(
@@ -157,6 +200,7 @@
     def _finish(self):
         worker = self._worker
         worker.ended(self._run, "whole")
+        headers = [*self._headers, *worker.notices(worker.status)]
         body = f"answer of {worker.name} to {self._run.request_id}".encode()
         if worker.fault == "mute":
             return
@@ -164,11 +208,11 @@
             self._reply.abort()
             return
         if worker.fault == "truncate":
-            self._reply.start(worker.status, self._headers)
+            self._reply.start(worker.status, headers)
             self._reply.write(body[:5])
             self._reply.abort()
             return
-        self._reply.answer(worker.status, self._headers, body)
+        self._reply.answer(worker.status, headers, body)
 
     def caller_left(self):
         """Stop, because the caller closed its connection."""
@@ -207,12 +251,12 @@
         self.is_unresponsive = False
         self._processors = []
 
-    def __call__(self, head, body, reply):
+    def handle(self, head, body, reply):
         """Handle a request."""
         if self.is_unresponsive:
             return
         if head.target == b"/sesamearch/report":
-            reply.answer(200, [], b'{"active": %d}' % self.running)
+            reply.answer(200, self.notices(200), b'{"active": %d}' % self.running)
             return
         if head.target == b"/sesamearch/kv-move":
             self._copy(msgspec.json.decode(body), reply)
@@ -221,31 +265,28 @@
             handle = head.target.rpartition(b"/")[2].decode()
             for engine in self.neighbours.values():
                 engine.copies.pop(handle, None)
-            reply.answer(200, [], b"{}")
+            reply.answer(200, self.notices(200), b"{}")
             return
         source = _text(head, b"kv-from")
         if source and source.rpartition("/")[2] not in self.copies:
-            reply_headers = [
-                (b"X-Attempt-Id", _text(head, b"x-attempt-id").encode()),
-                (b"X-Not-Executed", b"1"),
-            ]
-            reply.answer(503, reply_headers, b"")
+            request_id = _text(head, b"x-attempt-id").encode()
+            self.refuse(reply, [(b"X-Attempt-Id", request_id)])
             return
-        super().__call__(head, body, reply)
+        super().handle(head, body, reply)
 
     def _copy(self, content, reply):
         """Copy the KV cache of a request to another engine."""
         matching = [p for p in self._processors if p.request_id == content["id"]]
         target = self.neighbours.get(content["target"])
         if not matching or matching[-1].is_over:
-            reply.answer(404, [], b"{}")
+            reply.answer(404, self.notices(404), b"{}")
         elif target is None or target.is_unresponsive:
-            reply.answer(503, [], b"{}")
+            reply.answer(503, self.notices(503), b"{}")
         else:
             handle = f"h-{content['id']}"
             target.copies[handle] = matching[-1].memory_tokens
             answer = {"handle": handle, "created": matching[-1].event_count}
-            reply.answer(200, [], msgspec.json.encode(answer))
+            reply.answer(200, self.notices(200), msgspec.json.encode(answer))
 
     def make_processor(self, run, head, reply, headers):
         """Return the object that processes a generation."""
@@ -305,7 +346,7 @@
 
     def _begin_response(self):
         if not self._engine.is_unresponsive:
-            self._reply.start(200, self._headers)
+            self._reply.start(200, [*self._headers, *self._engine.notices(200)])
         self._send_event()
 
     def _send_event(self):
