Give no new work to an endpoint that says it leaves

Callers saw requests sent to workers that had said in an answer that they leave, and that were about to exit: the router read only the list of endpoints, which may say so seconds later, never, or say ready again.

Cause: an endpoint's answer had no field for it, and nothing remembered it.

The client decodes the header once and reports each answer, those to probes, copies and name checks included, before it is acted on. DepartureTracker keeps the process by name and start time; EndpointListing lays the marks over each list that it writes to the blackboard. So all that refuses an endpoint that the list calls leaving refuses this one too: first tries, retries, hedges, resumes, backups, cached prompts, rollouts, and the loop in which a broken generation waits. The list itself and its digest stay as the store has them. A later start time of the name ends the mark, time does not. If another process answers at the address, its own name is marked. A listed endpoint that does not leave now wins its address from one that does. Peers are told by a message with its own schema version; a router of an older release drops a batch that holds it, with a warning, and gets the load updates of that batch again with the next ones.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -11,6 +11,7 @@
     "DataCentreReachability",
     "Dependency",
     "EndpointChanged",
+    "EndpointDeparture",
     "EndpointReturned",
     "EndpointSuspected",
     "GenerationResumed",
@@ -269,6 +270,27 @@
     revision: int
 
 
+class EndpointDeparture(Record, frozen=True, tag="endpoint_departure"):
+    """An endpoint said that it leaves, or started again after that.
+
+    Parameters
+    ----------
+    endpoint : str
+    state : str
+        ``leaving`` (gets no new work) or ``restarted`` (a new process of its name is
+        listed and used).
+    source : str
+        How this router learned it: ``answer``, ``peer`` or ``list``.
+    born_ms : int
+        Start of the process that the state is about, zero if unknown.
+    """
+
+    endpoint: str
+    state: str
+    source: str
+    born_ms: int
+
+
 class EndpointSuspected(Record, frozen=True, tag="endpoint_suspected"):
     """An endpoint is suspected to be down, and is avoided for a limited time.
 
@@ -405,6 +427,7 @@
     RequestUnreadable,
     ConfigurationInForce,
     EndpointChanged,
+    EndpointDeparture,
     EndpointSuspected,
     EndpointReturned,
     MemberChanged,
--- a/src/sesamearch/command/explain.py
+++ b/src/sesamearch/command/explain.py
@@ -129,9 +129,14 @@
     return Explanation(request_id, own, context, _cause(own))
 
 
+_ENDPOINT_EVENTS = frozenset(
+    ("endpoint_changed", "endpoint_departure", "endpoint_suspected")
+)
+
+
 def _is_about(record, endpoints):
     event = record.__struct_config__.tag
-    if event in ("endpoint_changed", "endpoint_suspected"):
+    if event in _ENDPOINT_EVENTS:
         return record.endpoint in endpoints
     return event in ("configuration_in_force", "dependency", "rollout_changed")
 
--- a/src/sesamearch/configuration/__init__.py
+++ b/src/sesamearch/configuration/__init__.py
@@ -10,6 +10,7 @@
             "Counters",
             "DrainPhase",
             "Endpoint",
+            "Incarnation",
             "Member",
             "ObservableValue",
         ],
--- a/src/sesamearch/configuration/blackboard.py
+++ b/src/sesamearch/configuration/blackboard.py
@@ -9,6 +9,7 @@
     "Counters",
     "DrainPhase",
     "Endpoint",
+    "Incarnation",
     "Member",
     "ObservableValue",
 ]
@@ -42,6 +43,20 @@
             listener(value)
 
 
+class Incarnation(msgspec.Struct, frozen=True):
+    """One process of an endpoint's name.
+
+    Parameters
+    ----------
+    name : str
+    born_ms : int
+        Unix time of the process start, zero if unknown.
+    """
+
+    name: str
+    born_ms: int
+
+
 class Endpoint(msgspec.Struct, frozen=True):
     """One engine or service process in the platform's list.
 
@@ -71,6 +86,11 @@
     slots: int = 0
     born_ms: int = 0
 
+    @property
+    def incarnation(self):
+        """Incarnation : the process that the entry describes."""
+        return Incarnation(self.name, self.born_ms)
+
 
 class Member(msgspec.Struct, frozen=True):
     """Another router, as described by its last heartbeat.
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -21,6 +21,7 @@
 from sesamearch.daemon.platform_ports import PlatformPorts
 from sesamearch.forwarding.budget import FleetView, RetryBudgets
 from sesamearch.forwarding.choice import Chooser
+from sesamearch.forwarding.departures import DepartureTracker
 from sesamearch.forwarding.dispatcher import (
     Dispatcher,
     ForwardCounters,
@@ -33,6 +34,7 @@
 from sesamearch.forwarding.pace import GenerationPace
 from sesamearch.forwarding.prompts import PromptLocations
 from sesamearch.forwarding.restarts import RestartDetector
+from sesamearch.membership.departure_gossip import DepartureGossip
 from sesamearch.membership.fleet import FleetLink
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
 from sesamearch.membership.fleet_message import EndpointRestarted
@@ -121,7 +123,9 @@
         self._loads = LoadTracker(reactor)
         self._prompts = PromptLocations(reactor)
         endpoint_index = EndpointIndex(self.board, self._health)
+        self._departures = DepartureTracker(self.counters)
         self._client = PlatformEndpointClient(reactor)
+        self._client.on_answer = self._departures.note_answer
         self.board.endpoints.listen(self._client.discard_unlisted)
         self._budgets = RetryBudgets(
             reactor,
@@ -149,7 +153,7 @@
         data_centre = self._settings.data_centre
         rng = random.Random(self._settings.name)
         self._outages = OutageDetector(
-            self._client, reactor, lambda: self.board.endpoints.value, rng
+            self._client, reactor, self._endpoints_to_probe, rng
         )
         tools = ForwardTools(
             self._client,
@@ -191,6 +195,11 @@
         if self._peers is not None:
             self._peers.send_to_all(EndpointRestarted(restarted))
 
+    def _endpoints_to_probe(self):
+        """Return the endpoints that may be probed for whether they can be reached."""
+        listed = self.board.endpoints.value
+        return {name: each for name, each in listed.items() if not each.leaving}
+
     def _view_fleet(self):
         if self._peers is None:
             return FleetView(1, frozenset([self._settings.data_centre]))
@@ -216,6 +225,7 @@
             self._reactor,
             lambda: self._store.regained_s,
             lambda: self._store.is_reachable,
+            self._departures,
         )
         self._gossip = LoadGossip(
             self._settings.name,
@@ -226,6 +236,7 @@
             self._budgets,
             self._reactor,
         )
+        self._departure_gossip = DepartureGossip(self._departures)
         self._followers = [
             OperatorFollower(
                 self._store, self.board, self._rollout_controller, self._reactor
@@ -307,6 +318,7 @@
         )
         self._peers.follows_store = self._follows_store
         self._gossip.join(self._peers)
+        self._departure_gossip.join(self._peers)
         self._rollout_controller.join(self._peers)
         self._peers.handle(
             EndpointRestarted,
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -9,6 +9,7 @@
         "call": ["CallExchange"],
         "choice": ["Chooser", "GenerationNeed"],
         "copies": ["CopyManager"],
+        "departures": ["DepartureTracker"],
         "dispatcher": ["Dispatcher", "ForwardCounters"],
         "exchange": ["Exchange", "ForwardTools", "Try", "retry_after_s"],
         "endpoint_index": ["EndpointIndex"],
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -41,11 +41,14 @@
         Retries that the retry budget did not allow.
     unreadable : int
         Requests that could not be parsed.
+    departures : int
+        Endpoints that said that they leave, to this router or to another one.
     """
 
     __slots__ = (
         "callers_left",
         "copies",
+        "departures",
         "probes",
         "refusals",
         "requests",
--- a/src/sesamearch/forwarding/endpoint_index.py
+++ b/src/sesamearch/forwarding/endpoint_index.py
@@ -29,7 +29,7 @@
             if not endpoint.leaving:
                 by_service.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = by_service
-        self._by_address = {each.address: each for each in endpoints.values()}
+        self._by_address = _index_addresses(endpoints.values())
         self._health.discard_unlisted(endpoints.keys())
         for name, endpoint in endpoints.items():
             if self._born_ms.get(name, endpoint.born_ms) != endpoint.born_ms:
@@ -47,3 +47,10 @@
     def at_address(self, address):
         """Return the endpoint with the given address, or None."""
         return self._by_address.get(address)
+
+
+def _index_addresses(endpoints):
+    """Return the endpoints by address; a leaving one yields to its successor there."""
+    by_address = {each.address: each for each in endpoints if each.leaving}
+    by_address.update((each.address, each) for each in endpoints if not each.leaving)
+    return by_address
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.configuration.blackboard import Endpoint, Incarnation
 
 __all__ = [
     "CallerRequest",
@@ -146,6 +146,8 @@
     is_signed : bool
         Whether the answer carries the endpoint's signature.
     load : LoadReport or None
+    is_leaving : bool
+        Whether the answering process says that it leaves and gets no new work.
     """
 
     status: int
@@ -156,6 +158,19 @@
     instance: str = ""
     is_signed: bool = False
     load: LoadReport | None = None
+    is_leaving: bool = False
+
+    def incarnation_at(self, endpoint):
+        """Return which process answered a request to an endpoint.
+
+        Returns
+        -------
+        Incarnation or None
+            None if another process answered and did not state its name.
+        """
+        if self.instance and self.instance != endpoint.name:
+            return Incarnation(self.instance, 0)
+        return None if self.is_other_instance else endpoint.incarnation
 
     @property
     def is_success(self):
@@ -184,7 +199,16 @@
 
 
 class EndpointClient(abc.ABC):
-    """Sends requests to endpoints."""
+    """Sends requests to endpoints.
+
+    Attributes
+    ----------
+    on_answer : callable or None
+        Called with an endpoint and the :class:`EndpointAnswer` of each answer, those to
+        probes and copies included, before the answer is handled.
+    """
+
+    on_answer = None
 
     @abc.abstractmethod
     def forward(self, request, options, listener):
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.configuration.blackboard import Endpoint, Incarnation
 from sesamearch.forwarding.budget import RetryUse
 from sesamearch.forwarding.health import Outcomes, Suspicion
 from sesamearch.forwarding.load import EndpointLoad
@@ -10,9 +10,11 @@
 from sesamearch.routing.canary import RouteEvidence
 
 __all__ = [
+    "DEPARTURE_SCHEMA_VERSION",
     "FLEET_SCHEMA_VERSION",
     "Broadcast",
     "BroadcastBatch",
+    "EndpointDeparted",
     "EndpointRestarted",
     "EndpointsDelta",
     "EndpointsRequest",
@@ -27,6 +29,7 @@
 ]
 
 FLEET_SCHEMA_VERSION = 1
+DEPARTURE_SCHEMA_VERSION = 1
 
 
 class FleetHeartbeat(msgspec.Struct, tag="Beat", frozen=True, array_like=True):
@@ -155,6 +158,21 @@
     endpoint: Endpoint
 
 
+class EndpointDeparted(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """An endpoint that said to the sender that it leaves.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; messages of other versions are ignored.
+    incarnation : Incarnation
+        The process that leaves.
+    """
+
+    schema_version: int
+    incarnation: Incarnation
+
+
 class RolloutUpdate(msgspec.Struct, tag="RolloutNews", frozen=True, array_like=True):
     """A rollout, and what a router saw of it since its last update.
 
@@ -211,13 +229,20 @@
     incarnation, sequence : int
         Identify the update within its origin, so that a second copy, which arrives
         through the other relay, is dropped.
-    update : LoadUpdate, EndpointRestarted, RolloutUpdate or RolloutVerdict
+    update : LoadUpdate, EndpointRestarted, EndpointDeparted, RolloutUpdate or
+        RolloutVerdict
     """
 
     origin: str
     incarnation: int
     sequence: int
-    update: LoadUpdate | EndpointRestarted | RolloutUpdate | RolloutVerdict
+    update: (
+        LoadUpdate
+        | EndpointRestarted
+        | EndpointDeparted
+        | RolloutUpdate
+        | RolloutVerdict
+    )
 
 
 class BroadcastBatch(msgspec.Struct, tag="Bundle", frozen=True, array_like=True):
--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -45,6 +45,8 @@
         process's clock.
     is_store_reachable : callable, optional
         Returns whether the store answered the last call.
+    departures : DepartureTracker, optional
+        Endpoints that said that they leave, which the list may not say.
 
     Attributes
     ----------
@@ -53,8 +55,18 @@
         changed endpoints and the names of the removed ones.
     """
 
-    def __init__(self, board, clock, store_regained_s, is_store_reachable=lambda: True):
+    def __init__(
+        self,
+        board,
+        clock,
+        store_regained_s,
+        is_store_reachable=lambda: True,
+        departures=None,
+    ):
         self._is_store_reachable = is_store_reachable
+        self._departures = departures
+        if departures is not None:
+            departures.on_change = self._write
         self._board = board
         self._clock = clock
         self._store_regained_s = store_regained_s
@@ -176,7 +188,10 @@
     def _write(self):
         unlisted = {name: each.endpoint for name, each in self._unlisted.items()}
         lapsed = {name: each.endpoint for name, each in self._lapsed.items()}
-        self._board.endpoints.write({**unlisted, **lapsed, **self._listed})
+        endpoints = {**unlisted, **lapsed, **self._listed}
+        if self._departures is not None:
+            endpoints = self._departures.apply(endpoints)
+        self._board.endpoints.write(endpoints)
 
     # Exchange with other routers.
 
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -44,17 +44,20 @@
 class _ForwardReceiver(ResponseReceiver):
     """Decodes one response and passes it to a :class:`ForwardListener`."""
 
-    __slots__ = ("_listener", "_request_id")
+    __slots__ = ("_listener", "_note", "_request_id")
 
-    def __init__(self, request_id, listener):
+    def __init__(self, request_id, listener, note):
         self._request_id = request_id
         self._listener = listener
+        self._note = note
 
     def matches_request(self, head):
         return request_id_of(head.headers) == self._request_id
 
     def began(self, head):
-        self._listener.answer_began(decode_answer(head))
+        answer = decode_answer(head)
+        self._note(answer)
+        self._listener.answer_began(answer)
 
     def received(self, data):
         self._listener.answer_received(data)
@@ -94,10 +97,11 @@
 class _TimedReceiver(ResponseReceiver):
     """Resolves a Deferred once; the request is cancelled after a timeout."""
 
-    __slots__ = ("_pending_request", "_timer", "answered")
+    __slots__ = ("_note", "_pending_request", "_timer", "answered")
 
-    def __init__(self):
+    def __init__(self, note):
         self.answered = Deferred()
+        self._note = note
         self._pending_request = None
         self._timer = None
 
@@ -127,9 +131,17 @@
     def without_answer(self):
         """Return the result if there is no answer."""
 
+    @abc.abstractmethod
+    def handle_head(self, head):
+        """Handle the head of the answer."""
+
     def matches_request(self, head):
         return True
 
+    def began(self, head):
+        self._note(decode_answer(head))
+        self.handle_head(head)
+
     def received(self, data):
         """Ignore the body."""
 
@@ -147,15 +159,15 @@
 
     __slots__ = ("_body", "_status")
 
-    def __init__(self):
-        super().__init__()
+    def __init__(self, note):
+        super().__init__(note)
         self._status = 0
         self._body = b""
 
     def without_answer(self):
         return ""
 
-    def began(self, head):
+    def handle_head(self, head):
         self._status = head.status
 
     def received(self, data):
@@ -185,7 +197,7 @@
     def without_answer(self):
         return None
 
-    def began(self, head):
+    def handle_head(self, head):
         """Ignore the status: the engine drops the copy by itself after some time."""
 
 
@@ -197,7 +209,7 @@
     def without_answer(self):
         return False
 
-    def began(self, head):
+    def handle_head(self, head):
         self.resolve(True)
 
     def lost(self, loss):
@@ -213,7 +225,7 @@
     def without_answer(self):
         return ""
 
-    def began(self, head):
+    def handle_head(self, head):
         self.resolve(instance_of(head.headers) if head.status == OK else "")
         self.give_up()
 
@@ -226,11 +238,12 @@
     reactor : twisted.internet.interfaces.IReactorTCP
     """
 
-    __slots__ = ("_pools", "_reactor")
+    __slots__ = ("_pools", "_reactor", "on_answer")
 
     def __init__(self, reactor):
         self._reactor = reactor
         self._pools = {}
+        self.on_answer = None
 
     def _pool(self, endpoint):
         pool = self._pools.get(endpoint.name)
@@ -242,7 +255,8 @@
     def forward(self, request, options, listener):
         """Send a request to an endpoint; see ``EndpointClient``."""
         outgoing = encode_request(request, options, self._reactor.seconds())
-        receiver = _ForwardReceiver(request.request_id, listener)
+        note = self._note_of(options.endpoint)
+        receiver = _ForwardReceiver(request.request_id, listener, note)
         pool = self._pool(options.endpoint)
         return pool.send(outgoing, receiver, options.force_new_connection)
 
@@ -251,7 +265,7 @@
         body = msgspec.json.encode(_CopyRequest(request_id, target.address))
         headers = [(b"Host", endpoint.address.encode()), _JSON]
         outgoing = OutgoingRequest(b"POST", COPY_PATH, headers, body)
-        copied = self._ask(endpoint, outgoing, _CopyReceiver(), COPY_TIMEOUT_S)
+        copied = self._ask(endpoint, outgoing, _CopyReceiver, COPY_TIMEOUT_S)
 
         def make_copy(handle):
             if not handle:
@@ -265,25 +279,35 @@
         headers = [(b"Host", endpoint.address.encode())]
         path = HANDLE_PATH + copy.handle.encode()
         outgoing = OutgoingRequest(b"DELETE", path, headers)
-        self._ask(endpoint, outgoing, _FreeReceiver(), COPY_TIMEOUT_S)
+        self._ask(endpoint, outgoing, _FreeReceiver, COPY_TIMEOUT_S)
 
     def identify(self, endpoint, path, timeout_s):
         """Ask which process responds at an address; see ``EndpointClient``."""
         headers = [(b"Host", endpoint.address.encode())]
         outgoing = OutgoingRequest(b"GET", path.encode(), headers)
-        return self._ask(endpoint, outgoing, _IdentityReceiver(), timeout_s)
+        return self._ask(endpoint, outgoing, _IdentityReceiver, timeout_s)
 
     def probe(self, endpoint, timeout_s):
         """Probe an engine by requesting its report; see ``EndpointClient``."""
         headers = [(b"Host", endpoint.address.encode())]
         outgoing = OutgoingRequest(b"GET", REPORT_PATH, headers)
-        return self._ask(endpoint, outgoing, _ProbeReceiver(), timeout_s)
+        return self._ask(endpoint, outgoing, _ProbeReceiver, timeout_s)
+
+    def _note_of(self, endpoint):
+        """Return a callable that reports an answer of an endpoint."""
+
+        def note(answer):
+            if self.on_answer is not None:
+                self.on_answer(endpoint, answer)
+
+        return note
 
-    def _ask(self, endpoint, outgoing, receiver, timeout_s):
+    def _ask(self, endpoint, outgoing, receiver_type, timeout_s):
         """Send a request on a new connection; return the Deferred of its receiver.
 
         A pooled connection may be broken although its endpoint is alive.
         """
+        receiver = receiver_type(self._note_of(endpoint))
         answered = receiver.answered
         pending_request = self._pool(endpoint).send(
             outgoing, receiver, force_new_connection=True
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -33,6 +33,7 @@
 _NOT_RUN = b"x-not-executed"
 _SIGNATURE = b"x-response-signature"
 _LOAD = b"x-server-load"
+_LEAVING = b"server-leaving"
 _AUTHORIZATION_SCHEME = "token "
 # Headers that a caller's ``Connection`` header cannot remove, because the endpoint
 # would run a different request without them.
@@ -193,6 +194,7 @@
         instance=instance_of(headers),
         is_signed=first_value(headers, _SIGNATURE) is not None,
         load=_load(_text(headers, _LOAD)),
+        is_leaving=_text(head.headers, _LEAVING) == "1",
     )
 
 
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -291,3 +291,16 @@
         chosen = world.chooser.for_generation("models", ENGINE, NEED, "r")
         self.assertLessEqual(len(queried), 24)
         self.assertTrue(total(chosen.name).is_empty)
+
+
+class TestReusedAddress(unittest.TestCase):
+    """Two listed endpoints have one address, since the process of one has ended."""
+
+    def test_leaving_endpoint_yields_to_its_successor_in_any_order(self):
+        world = World(1)
+        leaving = Endpoint("old", "10.0.0.9:1", "east", "models", "v1", leaving=True)
+        ready = Endpoint("new", "10.0.0.9:1", "east", "models", "v1")
+        for listed in ((leaving, ready), (ready, leaving)):
+            world.board.endpoints.write({each.name: each for each in listed})
+            found = world.chooser._endpoint_index.at_address("10.0.0.9:1")
+            self.assertEqual(found.name, "new")
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -122,6 +122,17 @@
         self.assertEqual((load.running, load.waiting, load.slots), (3, 0, 8))
         self.assertIsNone(self.decode(200, (b"X-Server-Load", b"3,x")).load)
 
+    def test_process_may_say_that_it_leaves(self):
+        leaving = self.decode(200, (b"server-leaving", b" 1 "))
+        self.assertTrue(leaving.is_leaving)
+        self.assertEqual(leaving.headers, [(b"server-leaving", b" 1 ")])
+        self.assertFalse(self.decode(200).is_leaving)
+        self.assertFalse(self.decode(200, (b"Server-Leaving", b"0")).is_leaving)
+
+    def test_connection_header_does_not_hide_that_a_process_leaves(self):
+        named = (b"Connection", b"close, Server-Leaving")
+        self.assertTrue(self.decode(200, named, (b"Server-Leaving", b"1")).is_leaving)
+
     def test_hop_by_hop_headers_are_dropped(self):
         answer = self.decode(
             200,
