Connect to the address at which an endpoint started again

Callers got 503 although a worker was listed and well: a worker that had started again under its name at another address was sent to at its old one, for as long as it was listed.

Cause: the client kept one pool of connections a name, made for the address that the name had first.

A pool knows its address, and one of another address is closed and replaced. test_requests_reach_its_new_address failed before with (200, 503) != (200, 200).

--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -247,6 +247,10 @@
 
     def _pool(self, endpoint):
         pool = self._pools.get(endpoint.name)
+        if pool is not None and pool.address != endpoint.address:
+            # A process that starts again under its name may have another address.
+            pool.close()
+            pool = None
         if pool is None:
             pool = ConnectionPool(self._reactor, endpoint.address, _idle_timeout_s)
             self._pools[endpoint.name] = pool
--- a/src/sesamearch/wire/pool.py
+++ b/src/sesamearch/wire/pool.py
@@ -59,6 +59,7 @@
 
     Attributes
     ----------
+    address : str
     opened : int
         Number of connections opened so far, failed attempts included.
     """
@@ -70,6 +71,7 @@
         "_port",
         "_reactor",
         "_idle_timeout_s",
+        "address",
         "opened",
     )
 
@@ -77,6 +79,7 @@
         self, reactor, address, idle_timeout_s, connect_timeout_s=CONNECT_TIMEOUT_S
     ):
         self._reactor = reactor
+        self.address = address
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._idle_timeout_s = idle_timeout_s
