Take no retry from the budget if there is nowhere to send it

Callers of a service could be denied retries that the budget should have covered: a try that ended without another endpoint to go to took a retry from it, although nothing was sent. With endpoints that ask for a pause this becomes common, and a pause must cost no budget.

Cause: the budget was asked before the choice. Calls, and generations that have not begun, now look for an endpoint first. A generation that has begun still pays at once, as it waits for an endpoint and is sent on when there is one.

test_refusal_without_another_endpoint_uses_no_retry failed before with [(1, 1), (1, 1)] != [(0, 0), (0, 0)].

--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -78,7 +78,8 @@
         if self.tries:
             return
         self._cause = kind
-        if self._may_send() and self.spend_retry():
+        has_endpoint = self._may_send() and self._choose() is not None
+        if has_endpoint and self.spend_retry():
             self._send()
         else:
             self._give_up(kind, detail)
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -219,7 +219,10 @@
             return
         sent = self.try_count - self._failed_connections
         has_tries_left = self._runs < self.route.max_attempts and sent < MAX_SENDS
-        if has_tries_left and self.remaining_s() > 0 and self.spend_retry():
+        # A generation that has begun may wait for an endpoint, and is sent on then.
+        can_send = self._has_head or self._choose_any() is not None
+        can_send &= has_tries_left and self.remaining_s() > 0
+        if can_send and self.spend_retry():
             self._send()
         else:
             self._give_up(kind, detail)
--- a/tests/platform/test_paused.py
+++ b/tests/platform/test_paused.py
@@ -165,6 +165,19 @@
             self.send(f"r{number}")
         self.assertEqual(router._budgets.recent_retries("desk"), before)
 
+    def test_refusal_without_another_endpoint_uses_no_retry(self):
+        world = PausedWorld(desks=1, engines=1)
+        for worker, data in (
+            (world.desks[0], request_bytes("/look/1")),
+            (world.engines[0], draft_bytes()),
+        ):
+            world.pause(worker, "3")
+            client = world.send_request(data, wait_s=0.05)
+            self.assertEqual(client.status, 429)
+        budgets = world.routers[0]._budgets
+        used = [budgets.recent_retries(each) for each in ("desk", "models")]
+        self.assertEqual(used, [(0, 0), (0, 0)])
+
     def test_requests_are_served_after_the_earliest_end(self):
         self.world.desks[1].slots = 6
         self.world.run(3)
