Test that a leaving engine is not probed for its data centre

The router that gives it no new work also leaves it out of the probes of an unreachable data centre; no test showed that. With the filter taken out by hand the new test fails: the leaving engine answers, and the data centre counts as reachable.

--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -307,3 +307,16 @@
         self.mark(self.backup_of("long"))
         self.world.run(0.5)
         self.assertTrue(self.router.board.endpoints.value[engine.name].leaving)
+
+    def test_data_centre_is_not_probed_at_a_leaving_engine(self):
+        """Only the leaving engine of an unreachable data centre would answer."""
+        leaving, silent = self.world.engines[1], self.world.engines[3]
+        self.mark(leaving)
+        for worker in (self.world.desks[1], silent):
+            self.world.network.blackholed.add(worker.address)
+        for endpoint in list(self.router.board.endpoints.value.values()):
+            if endpoint.data_centre == "west":
+                self.router._outages.note_unreachable(endpoint)
+        self.world.run(5)
+        self.assertTrue(self.router._outages.is_unreachable("west"))
+        self.assertEqual(leaving.arrivals, [])
