Name what tracks leaving endpoints after what it tracks

LeavingTracker, LeavingGossip, LeavingNotice, the record endpoint_leaving and the metric leaving_endpoints replace the names with departure in them. No behaviour changes; the checks of the tests are the same.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -11,7 +11,7 @@
     "DataCentreReachability",
     "Dependency",
     "EndpointChanged",
-    "EndpointDeparture",
+    "EndpointLeaving",
     "EndpointPaused",
     "EndpointReturned",
     "EndpointSuspected",
@@ -271,7 +271,7 @@
     revision: int
 
 
-class EndpointDeparture(Record, frozen=True, tag="endpoint_departure"):
+class EndpointLeaving(Record, frozen=True, tag="endpoint_leaving"):
     """An endpoint said that it leaves, or started again after that.
 
     Parameters
@@ -445,7 +445,7 @@
     RequestUnreadable,
     ConfigurationInForce,
     EndpointChanged,
-    EndpointDeparture,
+    EndpointLeaving,
     EndpointPaused,
     EndpointSuspected,
     EndpointReturned,
--- a/src/sesamearch/command/explain.py
+++ b/src/sesamearch/command/explain.py
@@ -132,7 +132,7 @@
 _ENDPOINT_EVENTS = frozenset(
     (
         "endpoint_changed",
-        "endpoint_departure",
+        "endpoint_leaving",
         "endpoint_paused",
         "endpoint_suspected",
     )
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -21,7 +21,6 @@
 from sesamearch.daemon.platform_ports import PlatformPorts
 from sesamearch.forwarding.budget import FleetView, RetryBudgets
 from sesamearch.forwarding.choice import Chooser
-from sesamearch.forwarding.departures import DepartureTracker
 from sesamearch.forwarding.dispatcher import (
     Dispatcher,
     ForwardCounters,
@@ -29,17 +28,18 @@
 from sesamearch.forwarding.endpoint_index import EndpointIndex
 from sesamearch.forwarding.exchange import ForwardTools
 from sesamearch.forwarding.health import HealthTracker
+from sesamearch.forwarding.leaving import LeavingTracker
 from sesamearch.forwarding.load import LoadTracker
 from sesamearch.forwarding.outage import OutageDetector
 from sesamearch.forwarding.pace import GenerationPace
 from sesamearch.forwarding.pauses import PauseTracker
 from sesamearch.forwarding.prompts import PromptLocations
 from sesamearch.forwarding.restarts import RestartDetector
-from sesamearch.membership.departure_gossip import DepartureGossip
 from sesamearch.membership.fleet import FleetLink
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
 from sesamearch.membership.fleet_message import EndpointRestarted
 from sesamearch.membership.gossip import LoadGossip
+from sesamearch.membership.leaving_gossip import LeavingGossip
 from sesamearch.membership.listing import EndpointListing
 from sesamearch.membership.sockets import PeerSockets
 from sesamearch.platform.client import SWEEP_INTERVAL_S, PlatformEndpointClient
@@ -124,7 +124,7 @@
         self._loads = LoadTracker(reactor)
         self._prompts = PromptLocations(reactor)
         endpoint_index = EndpointIndex(self.board, self._health)
-        self._departures = DepartureTracker(self.counters)
+        self._leaving = LeavingTracker(self.counters)
         self._client = PlatformEndpointClient(reactor)
         self._client.on_answer = self._note_answer
         self.board.endpoints.listen(self._client.discard_unlisted)
@@ -202,7 +202,7 @@
 
     def _note_answer(self, endpoint, answer):
         """Record what an endpoint said of itself in an answer."""
-        self._departures.note_answer(endpoint, answer)
+        self._leaving.note_answer(endpoint, answer)
         self._pauses.note_answer(endpoint, answer)
 
     def _endpoints_to_probe(self):
@@ -235,7 +235,7 @@
             self._reactor,
             lambda: self._store.regained_s,
             lambda: self._store.is_reachable,
-            self._departures,
+            self._leaving,
         )
         self._gossip = LoadGossip(
             self._settings.name,
@@ -246,7 +246,7 @@
             self._budgets,
             self._reactor,
         )
-        self._departure_gossip = DepartureGossip(self._departures)
+        self._leaving_gossip = LeavingGossip(self._leaving)
         self._followers = [
             OperatorFollower(
                 self._store, self.board, self._rollout_controller, self._reactor
@@ -328,7 +328,7 @@
         )
         self._peers.follows_store = self._follows_store
         self._gossip.join(self._peers)
-        self._departure_gossip.join(self._peers)
+        self._leaving_gossip.join(self._peers)
         self._rollout_controller.join(self._peers)
         self._peers.handle(
             EndpointRestarted,
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -41,7 +41,7 @@
         Retries that the retry budget did not allow.
     unreadable : int
         Requests that could not be parsed.
-    departures : int
+    leaving_endpoints : int
         Endpoints that said that they leave, to this router or to another one.
     pauses : int
         Pauses that endpoints asked for.
@@ -50,7 +50,7 @@
     __slots__ = (
         "callers_left",
         "copies",
-        "departures",
+        "leaving_endpoints",
         "pauses",
         "probes",
         "refusals",
--- a/src/sesamearch/forwarding/departures.py
+++ b/src/sesamearch/forwarding/leaving.py
@@ -3,15 +3,15 @@
 import msgspec
 
 from sesamearch.base.log import logger
-from sesamearch.base.record import EndpointDeparture
+from sesamearch.base.record import EndpointLeaving
 
-__all__ = ["DepartureTracker"]
+__all__ = ["LeavingTracker"]
 
 # Names that are kept; bounds the memory, since names are seldom used again.
 MAX_KEPT_NAMES = 4096
 
 
-class DepartureTracker:
+class LeavingTracker:
     """Remembers which processes leave, until a later process of their name is listed.
 
     The list of endpoints may say so later, never, or say again that they are ready.
@@ -61,8 +61,8 @@
         known.add(born_ms)
         if len(self._born_ms) > MAX_KEPT_NAMES:
             del self._born_ms[next(iter(self._born_ms))]
-        self._counters.departures += 1
-        logger.info(EndpointDeparture(name, "leaving", source, born_ms))
+        self._counters.leaving_endpoints += 1
+        logger.info(EndpointLeaving(name, "leaving", source, born_ms))
         if self.on_change is not None:
             self.on_change()
         return True
@@ -105,5 +105,5 @@
         replaced = [born_ms for born_ms in known if born_ms < listed.born_ms]
         known.difference_update(replaced)
         if replaced and listed.born_ms not in known:
-            record = EndpointDeparture(listed.name, "restarted", "list", listed.born_ms)
+            record = EndpointLeaving(listed.name, "restarted", "list", listed.born_ms)
             logger.info(record)
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -10,11 +10,11 @@
 from sesamearch.routing.canary import RouteEvidence
 
 __all__ = [
-    "DEPARTURE_SCHEMA_VERSION",
+    "LEAVING_SCHEMA_VERSION",
     "FLEET_SCHEMA_VERSION",
     "Broadcast",
     "BroadcastBatch",
-    "EndpointDeparted",
+    "LeavingNotice",
     "EndpointRestarted",
     "EndpointsDelta",
     "EndpointsRequest",
@@ -29,7 +29,7 @@
 ]
 
 FLEET_SCHEMA_VERSION = 1
-DEPARTURE_SCHEMA_VERSION = 1
+LEAVING_SCHEMA_VERSION = 1
 
 
 class FleetHeartbeat(msgspec.Struct, tag="Beat", frozen=True, array_like=True):
@@ -158,7 +158,7 @@
     endpoint: Endpoint
 
 
-class EndpointDeparted(msgspec.Struct, tag=True, frozen=True, array_like=True):
+class LeavingNotice(msgspec.Struct, tag=True, frozen=True, array_like=True):
     """An endpoint that said to the sender that it leaves.
 
     Parameters
@@ -229,7 +229,7 @@
     incarnation, sequence : int
         Identify the update within its origin, so that a second copy, which arrives
         through the other relay, is dropped.
-    update : LoadUpdate, EndpointRestarted, EndpointDeparted, RolloutUpdate or
+    update : LoadUpdate, EndpointRestarted, LeavingNotice, RolloutUpdate or
         RolloutVerdict
     """
 
@@ -237,11 +237,7 @@
     incarnation: int
     sequence: int
     update: (
-        LoadUpdate
-        | EndpointRestarted
-        | EndpointDeparted
-        | RolloutUpdate
-        | RolloutVerdict
+        LoadUpdate | EndpointRestarted | LeavingNotice | RolloutUpdate | RolloutVerdict
     )
 
 
--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -45,7 +45,7 @@
         process's clock.
     is_store_reachable : callable, optional
         Returns whether the store answered the last call.
-    departures : DepartureTracker, optional
+    leaving : LeavingTracker, optional
         Endpoints that said that they leave, which the list may not say.
 
     Attributes
@@ -61,12 +61,12 @@
         clock,
         store_regained_s,
         is_store_reachable=lambda: True,
-        departures=None,
+        leaving=None,
     ):
         self._is_store_reachable = is_store_reachable
-        self._departures = departures
-        if departures is not None:
-            departures.on_change = self._write
+        self._leaving = leaving
+        if leaving is not None:
+            leaving.on_change = self._write
         self._board = board
         self._clock = clock
         self._store_regained_s = store_regained_s
@@ -189,8 +189,8 @@
         unlisted = {name: each.endpoint for name, each in self._unlisted.items()}
         lapsed = {name: each.endpoint for name, each in self._lapsed.items()}
         endpoints = {**unlisted, **lapsed, **self._listed}
-        if self._departures is not None:
-            endpoints = self._departures.apply(endpoints)
+        if self._leaving is not None:
+            endpoints = self._leaving.apply(endpoints)
         self._board.endpoints.write(endpoints)
 
     # Exchange with other routers.
--- a/tests/forwarding/test_departures.py
+++ b/tests/forwarding/test_leaving.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from sesamearch.configuration.blackboard import Endpoint, Incarnation
-from sesamearch.forwarding import departures
-from sesamearch.forwarding.departures import DepartureTracker
+from sesamearch.forwarding import leaving
 from sesamearch.forwarding.dispatcher import ForwardCounters
+from sesamearch.forwarding.leaving import LeavingTracker
 from sesamearch.forwarding.request import EndpointAnswer
 
 ENDPOINT = Endpoint("e1", "10.0.0.1:1", "east", "desk", "v1", born_ms=1000)
@@ -17,10 +17,10 @@
     return EndpointAnswer(status, b"", [], is_leaving=True, **fields)
 
 
-class TestDepartureTracker(unittest.TestCase):
+class TestLeavingTracker(unittest.TestCase):
     def setUp(self):
         self.counters = ForwardCounters()
-        self.tracker = DepartureTracker(self.counters)
+        self.tracker = LeavingTracker(self.counters)
         self.told = []
         self.changes = 0
         self.tracker.on_answer = self.told.append
@@ -45,7 +45,7 @@
             self.tracker.update(ENDPOINT.incarnation)
         self.assertTrue(self.is_leaving())
         self.assertEqual(self.told, [ENDPOINT.incarnation])
-        self.assertEqual((self.changes, self.counters.departures), (1, 1))
+        self.assertEqual((self.changes, self.counters.leaving_endpoints), (1, 1))
 
     def test_what_a_peer_said_is_not_told_on(self):
         self.tracker.update(ENDPOINT.incarnation)
@@ -96,8 +96,8 @@
         self.assertFalse(self.is_leaving())
 
     def test_number_of_kept_names_is_bounded(self):
-        for number in range(departures.MAX_KEPT_NAMES + 5):
+        for number in range(leaving.MAX_KEPT_NAMES + 5):
             self.tracker.update(Incarnation(f"e{number}", 1000))
-        self.assertEqual(len(self.tracker._born_ms), departures.MAX_KEPT_NAMES)
+        self.assertEqual(len(self.tracker._born_ms), leaving.MAX_KEPT_NAMES)
         self.assertFalse(self.is_leaving(name="e0"))
-        self.assertTrue(self.is_leaving(name=f"e{departures.MAX_KEPT_NAMES}"))
+        self.assertTrue(self.is_leaving(name=f"e{leaving.MAX_KEPT_NAMES}"))
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -4,9 +4,9 @@
 
 import logbook
 
-from sesamearch.base.record import EndpointDeparture
+from sesamearch.base.record import EndpointLeaving
 from sesamearch.configuration.blackboard import Incarnation
-from sesamearch.membership.fleet_message import EndpointDeparted
+from sesamearch.membership.fleet_message import LeavingNotice
 from tests.platform.world import World, draft_bytes, request_bytes
 
 
@@ -168,11 +168,11 @@
             self.list_as(born=2000, sequence=2)
             self.list_as(born=2000, sequence=3)
         messages = [record.msg for record in handler.records]
-        states = [e.state for e in messages if isinstance(e, EndpointDeparture)]
+        states = [e.state for e in messages if isinstance(e, EndpointLeaving)]
         routers = len(self.world.routers)
         expected = [*["leaving"] * routers, *["restarted"] * routers]
         self.assertEqual(states, expected)
-        counted = [router.counters.departures for router in self.world.routers]
+        counted = [router.counters.leaving_endpoints for router in self.world.routers]
         self.assertEqual(counted, [1] * routers)
 
 
@@ -191,8 +191,8 @@
 
     def test_message_of_another_schema_version_is_ignored(self):
         router = self.world.routers[1]
-        departed = EndpointDeparted(99, Incarnation("desk-0", 0))
-        router._departure_gossip._apply(departed)
+        notice = LeavingNotice(99, Incarnation("desk-0", 0))
+        router._leaving_gossip._apply(notice)
         self.assertFalse(router.board.endpoints.value["desk-0"].leaving)
 
     def test_restarted_router_is_bound_by_the_answers_that_it_gets(self):
@@ -225,7 +225,7 @@
     def mark(self, engine):
         """Have this router know that an engine leaves, as from another router."""
         engine.is_leaving = True
-        self.router._departures.update(Incarnation(engine.name, 0))
+        self.router._leaving.update(Incarnation(engine.name, 0))
 
     def test_generation_of_a_leaving_engine_goes_on_there(self):
         for engine in self.world.engines:
