--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -11,6 +11,8 @@
     "DataCentreReachability",
     "Dependency",
     "EndpointChanged",
+    "EndpointLeaving",
+    "EndpointPaused",
     "EndpointReturned",
     "EndpointSuspected",
     "GenerationResumed",
@@ -328,6 +330,44 @@
     revision: int
 
 
+class EndpointLeaving(Record, frozen=True, tag="endpoint_leaving"):
+    """An endpoint said that it leaves, or started again after that.
+
+    Parameters
+    ----------
+    endpoint : str
+    state : str
+        ``leaving`` (gets no new work) or ``restarted`` (a new process of its name is
+        listed and used).
+    source : str
+        How this router learned it: ``answer``, ``peer`` or ``list``.
+    born_ms : int
+        Start of the process that the state is about, zero if unknown.
+    """
+
+    endpoint: str
+    state: str
+    source: str
+    born_ms: int
+
+
+class EndpointPaused(Record, frozen=True, tag="endpoint_paused"):
+    """An endpoint asked this router to send it nothing for some time.
+
+    Parameters
+    ----------
+    endpoint : str
+    state : str
+        ``paused`` or ``ended``.
+    for_ms : int
+        Time for which it is paused at first; a later answer may extend it.
+    """
+
+    endpoint: str
+    state: str
+    for_ms: int = 0
+
+
 class EndpointSuspected(Record, frozen=True, tag="endpoint_suspected"):
     """An endpoint is suspected to be down, and is avoided for a limited time.
 
@@ -479,6 +519,8 @@
     RequestUnreadable,
     ConfigurationInForce,
     EndpointChanged,
+    EndpointLeaving,
+    EndpointPaused,
     EndpointSuspected,
     EndpointReturned,
     MemberChanged,
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -28,15 +28,18 @@
 from sesamearch.forwarding.endpoint_index import EndpointIndex
 from sesamearch.forwarding.exchange import ForwardTools
 from sesamearch.forwarding.health import HealthTracker
+from sesamearch.forwarding.leaving import LeavingTracker
 from sesamearch.forwarding.load import LoadTracker
 from sesamearch.forwarding.outage import OutageDetector
 from sesamearch.forwarding.pace import GenerationPace
+from sesamearch.forwarding.pauses import PauseTracker
 from sesamearch.forwarding.prompts import PromptLocations
 from sesamearch.forwarding.restarts import RestartDetector
 from sesamearch.membership.fleet import FleetLink
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
 from sesamearch.membership.fleet_message import EndpointRestarted
 from sesamearch.membership.gossip import LoadGossip
+from sesamearch.membership.leaving_gossip import LeavingGossip
 from sesamearch.membership.listing import EndpointListing
 from sesamearch.membership.sockets import PeerSockets
 from sesamearch.platform.client import SWEEP_INTERVAL_S, PlatformEndpointClient
@@ -121,7 +124,9 @@
         self._loads = LoadTracker(reactor)
         self._prompts = PromptLocations(reactor)
         endpoint_index = EndpointIndex(self.board, self._health)
+        self._leaving = LeavingTracker(self.counters)
         self._client = PlatformEndpointClient(reactor)
+        self._client.on_answer = self._note_answer
         self.board.endpoints.listen(self._client.discard_unlisted)
         self._budgets = RetryBudgets(
             reactor,
@@ -149,8 +154,10 @@
         self.board.endpoints.listen(self._restart_detector.discard_unlisted)
         data_centre = self._settings.data_centre
         rng = random.Random(self._settings.name)
+        self._pauses = PauseTracker(reactor, self.counters, rng)
+        self._client.is_paused = self._pauses.is_paused
         self._outages = OutageDetector(
-            self._client, reactor, lambda: self.board.endpoints.value, rng
+            self._client, reactor, self._endpoints_to_probe, rng
         )
         tools = ForwardTools(
             self._client,
@@ -161,6 +168,7 @@
                 data_centre,
                 self._rollout_controller,
                 self._outages,
+                self._pauses,
                 rng,
             ),
             endpoint_index,
@@ -172,6 +180,7 @@
             self._rollout_controller,
             self._restart_detector,
             self._outages,
+            self._pauses,
             reactor,
             self.counters,
             self._metrics,
@@ -197,6 +206,16 @@
         self._health.note_alive(endpoint.name)
         self._outages.note_alive(endpoint)
 
+    def _note_answer(self, endpoint, answer):
+        """Record what an endpoint said of itself in an answer."""
+        self._leaving.note_answer(endpoint, answer)
+        self._pauses.note_answer(endpoint, answer)
+
+    def _endpoints_to_probe(self):
+        """Return the endpoints that may be probed for whether they can be reached."""
+        listed = self.board.endpoints.value
+        return {name: each for name, each in listed.items() if not each.leaving}
+
     def _view_fleet(self):
         if self._peers is None:
             return FleetView(1, frozenset([self._settings.data_centre]))
@@ -222,6 +241,7 @@
             self._reactor,
             lambda: self._store.regained_s,
             lambda: self._store.is_reachable,
+            self._leaving,
         )
         self._gossip = LoadGossip(
             self._settings.name,
@@ -232,6 +252,7 @@
             self._budgets,
             self._reactor,
         )
+        self._leaving_gossip = LeavingGossip(self._leaving)
         self._followers = [
             OperatorFollower(
                 self._store, self.board, self._rollout_controller, self._reactor
@@ -313,6 +334,7 @@
         )
         self._peers.follows_store = self._follows_store
         self._gossip.join(self._peers)
+        self._leaving_gossip.join(self._peers)
         self._rollout_controller.join(self._peers)
         self._peers.handle(
             EndpointRestarted,
@@ -377,6 +399,7 @@
         self._loads.drop_silent_peers()
         self._outages.check()
         self._prompts.drop_expired()
+        self._pauses.drop_expired()
         if self._peers is not None:
             self._budgets.discard_unknown(self._peers.member_list.names)
         self._gossip.refresh()
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -17,11 +17,13 @@
         "endpoint_index": ["EndpointIndex"],
         "gate": ["OpenGate", "TryObserver", "VersionGate"],
         "health": ["EndpointHealth", "HealthTracker", "Outcomes", "Suspicion"],
+        "leaving": ["LeavingTracker"],
         "lifecycle": ["GenerationInputs", "make_lifecycle"],
         "load": ["EndpointLoad", "LoadTracker", "Work"],
         "meter": ["Meter", "NoMeter"],
         "outage": ["OutageDetector"],
         "pace": ["GenerationPace"],
+        "pauses": ["PauseTracker"],
         "prompts": ["PromptLocations"],
         "request": [
             "CallerRequest",
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -47,12 +47,18 @@
         Connections that closed when bytes of a further request had arrived.
     unreadable : int
         Requests that could not be parsed.
+    leaving_endpoints : int
+        Endpoints that said that they leave, to this router or to another one.
+    pauses : int
+        Pauses that endpoints asked for.
     """
 
     __slots__ = (
         "callers_left",
         "callers_unheard",
         "copies",
+        "leaving_endpoints",
+        "pauses",
         "probes",
         "refusals",
         "requests",
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.configuration.blackboard import Endpoint, Incarnation
 
 __all__ = [
     "CallerRequest",
@@ -146,6 +146,13 @@
     is_signed : bool
         Whether the answer carries the endpoint's signature.
     load : LoadReport or None
+    is_leaving : bool
+        Whether the answering process says that it leaves and gets no new work.
+    pause_s : float
+        Time for which the answering process wants nothing from this router; zero if it
+        does not say so.
+    unusable_pause : str
+        The pause that it stated, if it was not taken as stated; empty for none.
     """
 
     status: int
@@ -156,6 +163,21 @@
     instance: str = ""
     is_signed: bool = False
     load: LoadReport | None = None
+    is_leaving: bool = False
+    pause_s: float = 0.0
+    unusable_pause: str = ""
+
+    def incarnation_at(self, endpoint):
+        """Return which process answered a request to an endpoint.
+
+        Returns
+        -------
+        Incarnation or None
+            None if another process answered and did not state its name.
+        """
+        if self.instance and self.instance != endpoint.name:
+            return Incarnation(self.instance, 0)
+        return None if self.is_other_instance else endpoint.incarnation
 
     @property
     def is_success(self):
@@ -184,7 +206,20 @@
 
 
 class EndpointClient(abc.ABC):
-    """Sends requests to endpoints."""
+    """Sends requests to endpoints.
+
+    Attributes
+    ----------
+    on_answer : callable or None
+        Called with an endpoint and the :class:`EndpointAnswer` of each answer, those to
+        probes and copies included, before the answer is handled.
+    is_paused : callable
+        Returns whether an endpoint wants nothing from this router. Probes, copies and
+        the like are not sent to it then, and count as unanswered.
+    """
+
+    on_answer = None
+    is_paused = staticmethod(lambda endpoint: False)
 
     @abc.abstractmethod
     def forward(self, request, options, listener):
--- a/src/sesamearch/forwarding/search.py
+++ b/src/sesamearch/forwarding/search.py
@@ -54,7 +54,7 @@
             Copy to resume from, if any.
         """
         endpoint, copy = self.copies.find()
-        if endpoint is not None and has_copy:
+        if endpoint is not None and has_copy and not self._is_paused(endpoint):
             return endpoint, copy
         return self._find_without_copy(is_resuming), None
 
@@ -78,7 +78,7 @@
         endpoint = self._tools.endpoint_index.find(name)
         if endpoint is None or name in self._excluded or not self._is_usable(endpoint):
             return None
-        return endpoint
+        return None if self._is_paused(endpoint) else endpoint
 
     def _choose_any(self):
         return self._tools.chooser.for_generation(
@@ -96,6 +96,9 @@
         is_staying = is_of_service and not endpoint.leaving
         return is_staying and is_admitted and self._is_reachable(endpoint)
 
+    def _is_paused(self, endpoint):
+        return self._tools.pauses.is_paused(endpoint)
+
     def _is_reachable(self, endpoint):
         is_down = self._tools.health.is_down(endpoint.name)
         is_down |= self._tools.outages.is_unreachable(endpoint.data_centre)
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -12,6 +12,7 @@
         "fleet_keys": ["FLEET_KEYS_KEY", "obtain_fleet_keys"],
         "fleet_message": [
             "FLEET_SCHEMA_VERSION",
+            "LEAVING_SCHEMA_VERSION",
             "Broadcast",
             "BroadcastBatch",
             "EndpointRestarted",
@@ -20,6 +21,7 @@
             "EndpointsSnapshot",
             "FleetHeartbeat",
             "FleetMessage",
+            "LeavingNotice",
             "LoadUpdate",
             "RolloutUpdate",
             "RolloutVerdict",
@@ -27,6 +29,7 @@
             "TableResponse",
         ],
         "gossip": ["LoadGossip"],
+        "leaving_gossip": ["LeavingGossip"],
         "listing": ["EndpointListing"],
         "message": [
             "SCHEMA_VERSION",
