Count only tries with an event against the attempts of a generation

Change: tries that are lost or given up before their first event do not use up the route's attempts; the growing pauses, the retry budget and the deadline bound them. A refusal still says that an engine may have run the request. The tests failed before (one send to the others only, so that the answer was cut; the counter did not exist).

--- a/src/sesamearch/forwarding/allowance.py
+++ b/src/sesamearch/forwarding/allowance.py
@@ -51,6 +51,7 @@
         "_sends",
         "_spend_retry",
         "_spend_retry_again",
+        "_without_event",
         "runs",
     )
 
@@ -64,12 +65,13 @@
         self._sends = 0
         self._failed_connections = 0
         self._pauses = 0
+        self._without_event = 0
         self.runs = 0
 
     @property
     def has_runs_left(self):
         """Bool : whether the generation may run at another engine."""
-        return self.runs < self._max_runs
+        return self.runs - self._without_event < self._max_runs
 
     @property
     def needs_pause(self):
@@ -96,6 +98,13 @@
         """Record that an engine states that it did not run the last send."""
         self.runs -= 1
 
+    def note_no_event(self):
+        """Record that the last send was lost before its first event.
+
+        An engine may have read the prompt, but a generation runs from its first event.
+        """
+        self._without_event += 1
+
     def note_not_connected(self):
         """Record that the last send reached no engine; the next one is free again."""
         self._sends -= 1
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -180,6 +180,11 @@
         """
         self._has_copy = self._timing.has_event_of(attempt)
 
+    def _note_lost_run(self, attempt):
+        """Record that a run that an engine may have begun is lost or given up."""
+        if not self._timing.has_event_of(attempt):
+            self._allowance.note_no_event()
+
     def _recover(self, kind, detail):
         if self.route.is_resumable:
             self._send_again(kind, detail)
@@ -226,6 +231,7 @@
             self.excluded.add(attempt.endpoint.name)
             return
         cause = self._suspicion.cause
+        self._note_lost_run(attempt)
         self._suspicion.note_replaced()
         self._has_given_up_try = True
         attempt.observer.lost()
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -166,6 +166,7 @@
             self._allowance.note_not_run()
             self._send_again(ErrorKind.OVERLOADED, "engines are busy")
         else:
+            self._note_lost_run(attempt)
             self._recover(ErrorKind.ENDPOINT_LOST, "engine lost")
 
     # Ends.
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -364,6 +364,9 @@
 
     def _begin_response(self):
         engine = self._engine
+        if engine.fault == "reset":
+            self.crash()
+            return
         if engine.status != OK:
             engine.ended(self._run, "whole")
             self._reply.answer(engine.status, self._headers, b"")
--- a/tests/forwarding/test_allowance.py
+++ b/tests/forwarding/test_allowance.py
@@ -83,6 +83,17 @@
         self.send(3)
         self.assertFalse(self.allowance.has_runs_left)
 
+    # Guards against attempts used up by tries that were lost before their first event.
+    def test_tries_without_an_event_use_up_no_attempt(self):
+        for _ in range(4):
+            self.send()
+            self.allowance.note_no_event()
+        self.assertTrue(self.allowance.has_runs_left)
+        # An engine may have worked on each, so that a refusal must not deny it.
+        self.assertEqual(self.allowance.runs, 4)
+        self.send(3)
+        self.assertFalse(self.allowance.has_runs_left)
+
     # Guards against engines flooded by answers that wait for a free one.
     def test_pauses_grow_and_allow_few_sends(self):
         self.reject(MAX_FIRST_SENDS - 1)
--- a/tests/platform/test_silent_engine.py
+++ b/tests/platform/test_silent_engine.py
@@ -122,6 +122,22 @@
         self.assert_whole(client)
         self.assert_ran_once()
 
+    # Guards against an answer cut off because other engines lost it before their first
+    # event, while its own engine was only silent.
+    def test_attempts_that_produced_nothing_do_not_use_up_the_limit(self):
+        self.build(engines=6, max_attempts=2)
+        client, engine = self.start()
+        others = [each for each in self.world.engines if each is not engine]
+        for other in others:
+            other.fault = "reset"
+        self.silence(engine)
+        self.world.run(SILENCE_S)
+        self.assertGreater(sum(len(each.runs) for each in others), 1)
+        for other in others:
+            other.fault = ""
+        self.world.run(2 * EVENTS_S)
+        self.assert_whole(client)
+
     # Guards against an answer cut off beside a change of the configuration.
     def test_configuration_changes_during_the_silence(self):
         self.build(engines=1)
