Answer a generation's caller before it loses patience

Cause: callers abandon a generation that pauses too long, also before its first event, and the router took their deadline for the time they wait.

Change: a generation's answer begins before that time, or the caller gets 504. patience_s moves to deadline.py. The test failed before (no status at 18 s).

--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -5,13 +5,13 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
-        "allowance": ["SendAllowance", "patience_s"],
+        "allowance": ["SendAllowance"],
         "attempt": ["Try"],
         "budget": ["FleetView", "RetryBudget", "RetryBudgets", "RetryUse"],
         "call": ["CallExchange"],
         "choice": ["Chooser", "GenerationNeed"],
         "copies": ["CopyManager"],
-        "deadline": ["Deadlines", "answer_margin_s", "deadlines_of"],
+        "deadline": ["Deadlines", "answer_margin_s", "deadlines_of", "patience_s"],
         "dispatcher": ["Dispatcher", "ForwardCounters"],
         "exchange": ["Exchange", "ForwardTools", "retry_after_s"],
         "endpoint_index": ["EndpointIndex"],
--- a/src/sesamearch/forwarding/allowance.py
+++ b/src/sesamearch/forwarding/allowance.py
@@ -1,11 +1,7 @@
 """How often and how soon a generation may be sent to engines."""
 
-__all__ = ["SendAllowance", "patience_s"]
+__all__ = ["SendAllowance"]
 
-# A caller abandons an answer that pauses for longer than the longest of these.
-MIN_PATIENCE_S = 2.0
-PATIENCE_LATENCY_GOALS = 4.0
-PATIENCE_GAP_GOALS = 8.0
 # Sends without a pause at first, failed connections not included, and after each pause.
 MAX_FIRST_SENDS = 8
 MAX_LATER_SENDS = 2
@@ -15,15 +11,6 @@
 MAX_PAUSE_S = 0.8
 
 
-def patience_s(route):
-    """Return the pause after which a caller of a route abandons its answer."""
-    return max(
-        MIN_PATIENCE_S,
-        route.latency_goal_s * PATIENCE_LATENCY_GOALS,
-        route.gap_goal_s * PATIENCE_GAP_GOALS,
-    )
-
-
 class SendAllowance:
     """Limits the runs of a generation, paces its sends and pays for its retries.
 
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -105,7 +105,7 @@
         # Status that was sent to the caller; zero as long as it has heard nothing.
         self._sent_status = 0
         self._on_end = on_end
-        deadlines = deadlines_of(request, route.timeout_s)
+        deadlines = deadlines_of(request, route)
         self.answer_by_s = deadlines.answer_by_s
         self.end_by_s = deadlines.end_by_s
         self._timer = tools.clock.callLater(
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -3,7 +3,8 @@
 import abc
 
 from sesamearch.base.errors import ErrorKind
-from sesamearch.forwarding.allowance import SendAllowance, patience_s
+from sesamearch.forwarding.allowance import SendAllowance
+from sesamearch.forwarding.deadline import patience_s
 from sesamearch.forwarding.exchange import Exchange
 from sesamearch.forwarding.lifecycle import make_lifecycle
 from sesamearch.forwarding.request import ForwardOptions
--- a/tests/forwarding/test_allowance.py
+++ b/tests/forwarding/test_allowance.py
@@ -1,7 +1,6 @@
 """How often a generation is sent, what is paid for, and how pauses grow."""
 
 import unittest
-from types import SimpleNamespace
 
 from sesamearch.forwarding.allowance import (
     MAX_FIRST_SENDS,
@@ -9,7 +8,6 @@
     MAX_LATER_SENDS,
     MAX_PAUSE_S,
     SendAllowance,
-    patience_s,
 )
 
 
@@ -117,17 +115,3 @@
             self.allowance.begin_pause()
         self.allowance.note_event()
         self.assertEqual(self.allowance.begin_pause(), 0.05)
-
-
-class TestPatience(unittest.TestCase):
-    # Guards against an answer that is cut off before its caller would leave.
-    def test_longest_of_the_three_limits(self):
-        for latency_goal_s, gap_goal_s, expected_s in (
-            (0.1, 0.1, 2.0),
-            (4.5, 0.7, 18.0),
-            (1.0, 0.7, 5.6),
-        ):
-            route = SimpleNamespace(
-                latency_goal_s=latency_goal_s, gap_goal_s=gap_goal_s
-            )
-            self.assertAlmostEqual(patience_s(route), expected_s)
--- a/tests/platform/test_deadlines.py
+++ b/tests/platform/test_deadlines.py
@@ -49,6 +49,14 @@
         client = self.leave_at_deadline(data, 1.0)
         self.assertEqual(client.status, 504)
 
+    def test_generation_that_hangs_gets_504_before_its_caller_loses_patience(self):
+        # Guards against a caller that leaves long before its deadline, unanswered.
+        for engine in self.world.engines:
+            engine.prefill_tokens_per_s = 1.0
+        data = draft_bytes(prompt_tokens=800, X_Deadline_Ms="25000")
+        client = self.leave_at_deadline(data, 18.0)
+        self.assertEqual(client.status, 504)
+
     def test_caller_that_sends_its_body_slowly_gets_504(self):
         # Guards against a deadline that is counted from the end of the request.
         make_silent(self.world.desks)
