Let the stand-in of the store come back from an older copy

Nothing showed what routers do when the platform's store returns from a copy some seconds old: the stand-in never lost what it had acknowledged. It now states its era in every response, and restore() puts content, revisions and leases back to a copy, resets connections meanwhile, ends watches from a revision that it no longer has, and raises the era. write_again() repeats what operators and endpoints had written since. Without an era it states none, as an older store does.

Before, restore() and era did not exist (AttributeError in each of its tests, by the code).

--- a/src/sesamearch/standin/platform_store.py
+++ b/src/sesamearch/standin/platform_store.py
@@ -12,6 +12,39 @@
 
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 MS_PER_S = 1000.0
+# Older copies are discarded, except the newest one of them.
+COPY_RETENTION_S = 60.0
+# Keys that operators and endpoints write.
+FOREIGN_PREFIXES = (b"op/", b"servers/")
+
+
+class _Copies(WatchReceiver):
+    """Keeps the recent copies of a store, each with its time."""
+
+    def __init__(self, state, clock):
+        self._state = state
+        self._clock = clock
+        self._copies = [(clock.seconds(), state.copy())]
+
+    def take(self):
+        """Add a copy of the present content."""
+        now_s = self._clock.seconds()
+        self._copies.append((now_s, self._state.copy()))
+        while self._copies[1][0] < now_s - COPY_RETENTION_S:
+            del self._copies[0]
+
+    def changed(self, puts, revision):
+        """Add a copy after each write."""
+        self.take()
+
+    def ended(self):
+        """Do nothing; this watch never ends."""
+
+    def go_back(self, time_s):
+        """Return the content at a time, and forget what came after it."""
+        kept = [entry for entry in self._copies if entry[0] <= time_s]
+        self._copies = kept or self._copies[:1]
+        return self._copies[-1][1]
 
 
 class _PendingWatch(WatchReceiver):
@@ -61,6 +94,11 @@
         """End the watch without a response, as if the store never responds to it."""
         self._close()
 
+    def cut(self):
+        """Reset the connection of the request."""
+        self._close()
+        self._reply.abort()
+
 
 def _event(put, revision):
     key = put.key.decode()
@@ -79,6 +117,17 @@
     }
 
 
+def _find_lost(before, after):
+    """Return operators' and endpoints' writes that a copy lacks; None is a removal."""
+    keys = before.keys() | after.keys()
+    lost = {}
+    for key in sorted(key for key in keys if key.startswith(FOREIGN_PREFIXES)):
+        value = before[key].value if key in before else None
+        if key not in after or after[key].value != value:
+            lost[key] = value
+    return lost
+
+
 class PlatformStoreStandin:
     """Request handler that serves the store's calls from memory, with faults to inject.
 
@@ -104,11 +153,21 @@
         Number of calls by name.
     pending : set of _PendingWatch
         Watch requests that wait for an event.
+    era : int or None
+        Number of the store's returns from an older copy, as all responses state it;
+        None for a store that does not state it.
+    is_away : bool
+        Whether calls get a connection reset.
     """
 
     def __init__(self, clock):
         self._clock = clock
         self.state = MemoryStore(clock)
+        self.era = 1
+        self.is_away = False
+        self._lost = {}
+        self._copies = _Copies(self.state, clock)
+        self.state.watch(b"", 0, self._copies)
         self.refusal = 0
         self.is_silent = False
         self.lost_answers = 0
@@ -132,6 +191,35 @@
         for pending in list(self.pending):
             pending.ended()
 
+    def restore(self, seconds_back, away_s=0.0):
+        """Go away for a time, and come back with the content of `seconds_back` ago.
+
+        Revisions and leases that were given out since are given out again.
+        """
+        self.is_away = True
+        for pending in list(self.pending):
+            pending.cut()
+        time_s = self._clock.seconds() - seconds_back
+        if away_s:
+            self._clock.callLater(away_s, self._come_back, time_s)
+        else:
+            self._come_back(time_s)
+
+    def _come_back(self, time_s):
+        before = self.state.items
+        self.state.restore(self._copies.go_back(time_s))
+        self.state.watch(b"", self.state.revision, self._copies)
+        self._lost = _find_lost(before, self.state.items)
+        self.is_away = False
+        if self.era is not None:
+            self.era += 1
+
+    def write_again(self):
+        """Write again what operators and endpoints had written since the copy."""
+        lost, self._lost = self._lost, {}
+        for key, value in lost.items():
+            self.state.txn([], [Put(key, value)])
+
     def __call__(self, head, body, reply):
         """Handle a request."""
         target = urlsplit(head.target.decode())
@@ -139,6 +227,9 @@
         self.calls[name] += 1
         if self.is_silent:
             return
+        if self.is_away:
+            reply.abort()
+            return
         if self.refusal:
             self.answer(reply, self.refusal, {})
             return
@@ -149,7 +240,10 @@
 
     def answer(self, reply, status, content):
         """Send a response with JSON content."""
-        reply.answer(status, JSON_HEADERS, msgspec.json.encode(content))
+        headers = list(JSON_HEADERS)
+        if self.era is not None:
+            headers.append((b"Store-Era", b"%d" % self.era))
+        reply.answer(status, headers, msgspec.json.encode(content))
 
     def _kv_range(self, query, body, reply):
         found = self.state.range(query.get("prefix", "").encode())
@@ -169,7 +263,7 @@
 
     def _kv_watch(self, query, body, reply):
         revision = int(query["after"])
-        if revision < self.oldest_revision:
+        if not self.oldest_revision <= revision <= self.state.revision:
             self.answer(reply, 410, {})
             return
         prefix = query.get("prefix", "").encode()
@@ -218,6 +312,7 @@
     def _kv_lease(self, query, body, reply):
         ttl_ms = msgspec.json.decode(body)["ttl-ms"]
         lease = self.state.grant_lease(ttl_ms / MS_PER_S)
+        self._copies.take()
         self.answer(reply, 200, {"lease": lease, "ttl-ms": ttl_ms})
 
     def _kv_keep(self, query, body, reply):
--- a/src/sesamearch/store/__init__.py
+++ b/src/sesamearch/store/__init__.py
@@ -13,6 +13,7 @@
             "Put",
             "RangeReply",
             "Store",
+            "StoreCopy",
             "StoredValue",
             "TxnReply",
             "Watch",
--- a/src/sesamearch/store/store.py
+++ b/src/sesamearch/store/store.py
@@ -11,6 +11,7 @@
     "Put",
     "RangeReply",
     "Store",
+    "StoreCopy",
     "StoredValue",
     "TxnReply",
     "Watch",
@@ -164,6 +165,22 @@
         """Watch a prefix for changes after `revision`; return a :class:`Watch`."""
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """Content of a :class:`MemoryStore` at one time.
+
+    Parameters
+    ----------
+    revision : int
+    items : dict from bytes to KeyValue
+    leases : dict from int to float
+        Time to live of each lease.
+    """
+
+    revision: int
+    items: dict[bytes, KeyValue]
+    leases: dict[int, float]
+
+
 class _MemoryWatch(Watch):
     __slots__ = ("_store", "prefix", "receiver")
 
@@ -288,3 +305,20 @@
                 self._deliver(watch, past_revision, puts)
         self.watches.append(watch)
         return watch
+
+    def copy(self):
+        """Return the present content as a :class:`StoreCopy`."""
+        self.expire()
+        return StoreCopy(self.revision, dict(self.items), dict(self._leases))
+
+    def restore(self, copy):
+        """Go back to a :class:`StoreCopy`; its leases run anew, watches are dropped."""
+        now_s = self._clock.seconds()
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.log = [entry for entry in self.log if entry[0] <= copy.revision]
+        self.watches = []
+        self._leases = dict(copy.leases)
+        self._lease_deadlines_s = {
+            lease: now_s + ttl_s for lease, ttl_s in copy.leases.items()
+        }
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -219,6 +219,52 @@
         self.assertEqual(self.recorder.puts, [])
 
 
+class TestStandinRestore(StoreTestCase):
+    # Guards against a stand-in that keeps what a store loses with an older copy.
+
+    def setUp(self):
+        super().setUp()
+        self.standin.put("servers/a", b"old")
+        self.network.run(5)
+        self.standin.put("servers/a", b"new")
+        self.standin.put("servers/b", b"new")
+        self.standin.put("status/c", b"new")
+
+    def content(self):
+        return {key: kv.value for key, kv in self.standin.state.items.items()}
+
+    def test_writes_since_the_copy_are_gone_and_revisions_go_back(self):
+        revision = self.standin.state.revision
+        self.standin.restore(3.0)
+        self.assertEqual(self.content(), {b"servers/a": b"old"})
+        self.assertLess(self.standin.state.revision, revision)
+        self.assertEqual(self.standin.era, 2)
+
+    def test_only_operators_and_endpoints_write_again(self):
+        self.standin.restore(3.0)
+        self.standin.write_again()
+        self.assertEqual(self.content(), {b"servers/a": b"new", b"servers/b": b"new"})
+
+    def test_leases_since_the_copy_are_gone(self):
+        lease = self.standin.state.grant_lease(30)
+        self.standin.restore(3.0)
+        self.assertFalse(self.standin.state.renew_lease(lease))
+
+    def test_store_is_away_until_it_comes_back(self):
+        self.standin.restore(3.0, away_s=1.0)
+        self.assertTrue(self.result(self.store.range(b"")).is_err())
+        self.network.run(1)
+        self.assertEqual(len(self.result(self.store.range(b"")).unwrap().items), 1)
+
+    def test_watch_from_a_revision_that_is_gone_ends(self):
+        recorder = Recorder()
+        revision = self.standin.state.revision
+        self.standin.restore(3.0)
+        self.store.watch(b"", revision, recorder)
+        self.network.run(0.1)
+        self.assertTrue(recorder.has_ended)
+
+
 class TestFleetKeys(StoreTestCase):
     def obtain(self):
         return self.result(Deferred.fromCoroutine(obtain_fleet_keys(self.store)))
