Compare lists of endpoints by the era of the store and the revision

What callers saw: after the store came back from an older copy, changes of endpoints were ignored by all routers until its revisions had passed the last one before, so that requests went on to draining and removed endpoints, and a watch from a revision that had been given out again missed configurations without a sign.

The cause: revisions were compared as plain numbers. The client now decodes the era that each response states, refuses responses of an older era, and when the era rises ends all watches, so that followers read anew as after a 410. StoreRevision orders by era first; lists of endpoints, and the heartbeats, requests and changes about them among routers, carry it (an era that an earlier build does not state is taken as the receiver's own).

A list of a new era may lack live endpoints and contain ended ones. The first are treated as those whose entries lapse in an outage. The second are kept out by what the router itself knew (membership/departures.py): a process that was leaving stays so until another process has its name, a removed one stays removed until the platform would have dropped its entry.

The configuration in force was and is decided by its own version. A store without an era works as before.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -22,6 +22,7 @@
     "RequestUnreadable",
     "RetryDenied",
     "RolloutChanged",
+    "StoreRestored",
     "TryLost",
     "TrySent",
 ]
@@ -366,6 +367,22 @@
     to_new: int = 0
 
 
+class StoreRestored(Record, frozen=True, tag="store_restored"):
+    """The store came back from an older copy, and may lack what it had acknowledged.
+
+    Parameters
+    ----------
+    era : int
+        Number of the store's returns from a copy, as the store states it.
+    revision, revision_before : int
+        Store revisions of the first list of endpoints since, and of the one before.
+    """
+
+    era: int
+    revision: int
+    revision_before: int
+
+
 class DataCentreReachability(Record, frozen=True, tag="data_centre_reachability"):
     """A data centre's endpoints stopped to answer this router, or answer again.
 
@@ -411,5 +428,6 @@
     DataCentreReachability,
     Dependency,
     RolloutChanged,
+    StoreRestored,
     Lifecycle,
 )
--- a/src/sesamearch/configuration/follower.py
+++ b/src/sesamearch/configuration/follower.py
@@ -66,6 +66,8 @@
     ----------
     revision : int
         Store revision up to which changes have been applied.
+    era : int
+        Era of the store that the revisions belong to.
     is_current : bool
         Whether the prefix has been read and is being watched.
     revisions : dict from bytes to int
@@ -83,6 +85,7 @@
         self._max_retry_delay_s = max_retry_delay_s
         self._watch_delay_s = first_watch_delay_s
         self.revision = 0
+        self.era = 0
         self.revisions = {}
         self._store = store
         self._prefix = prefix
@@ -142,6 +145,7 @@
         self._items = {item.key: item.value for item in reply.items}
         self.revisions = {item.key: item.mod_revision for item in reply.items}
         self.revision = reply.revision
+        self.era = reply.era
         self.apply_snapshot(self._items)
         delay_s, self._watch_delay_s = self._watch_delay_s, 0.0
         if delay_s:
@@ -151,6 +155,9 @@
 
     def _start_watch(self):
         self._timer = None
+        if self._store.era != self.era:
+            self.ended()
+            return
         self._watch = self._store.watch(self._prefix, self.revision, self)
 
     def changed(self, puts, revision):
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -8,6 +8,7 @@
         "broadcast_batcher": ["BATCH_INTERVAL_S", "BroadcastBatcher"],
         "broadcasts": ["Broadcasts"],
         "claim_relay": ["ClaimRelay", "choose_writer"],
+        "departures": ["Departures"],
         "fleet": ["FleetLink"],
         "fleet_keys": ["FLEET_KEYS_KEY", "obtain_fleet_keys"],
         "fleet_message": [
@@ -25,6 +26,8 @@
             "RolloutVerdict",
             "TableRequest",
             "TableResponse",
+            "UNSTATED_ERA",
+            "revision_of",
         ],
         "gossip": ["LoadGossip"],
         "listing": ["EndpointListing"],
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -26,6 +26,7 @@
     FleetMessage,
     TableRequest,
     TableResponse,
+    revision_of,
 )
 from sesamearch.membership.member_list import MemberList, RouterCycle, RouterInfo
 from sesamearch.membership.sockets import PeerSockets
@@ -195,10 +196,11 @@
             self.member_list.own,
             self._board.drain.value.draining,
             self._board.configuration.value.revision,
-            revision,
+            revision.number,
             digest,
             routers,
             self.follows_store(),
+            revision.era,
         )
 
     def _sample_routers(self, count):
@@ -306,19 +308,22 @@
 
     def _catch_up(self, heartbeat, now_s):
         """Schedule requests to the sender for newer state that this router lacks."""
-        revision, digest = self._listing.state()
         lacks_table = (
             heartbeat.table_revision > self._board.configuration.value.revision
         )
-        lacks_list = (
-            heartbeat.list_revision > revision and heartbeat.list_digest != digest
-        )
-        if not (lacks_table or lacks_list):
+        if not (lacks_table or self._lacks_list(heartbeat)):
             return
         if self._catch_up_since_s is None:
             self._catch_up_since_s = now_s
             self._reactor.callLater(CATCH_UP_DELAY_S, self._request_missing, heartbeat)
 
+    def _lacks_list(self, heartbeat):
+        """Return whether the sender has a newer list, or the same one in a new era."""
+        own, digest = self._listing.state()
+        other = revision_of(heartbeat.list_era, heartbeat.list_revision, own)
+        is_other = heartbeat.list_digest != digest or other.era > own.era
+        return other > own and is_other
+
     def _request_missing(self, heartbeat):
         """Request what this router still lacks of the state in a heartbeat."""
         self._catch_up_since_s = None
@@ -326,9 +331,10 @@
         table_revision = self._board.configuration.value.revision
         if heartbeat.table_revision > table_revision:
             self._send(heartbeat.sender.address, TableRequest(own, table_revision))
-        revision, digest = self._listing.state()
-        if heartbeat.list_revision > revision and heartbeat.list_digest != digest:
-            self._send(heartbeat.sender.address, EndpointsRequest(own, revision))
+        if self._lacks_list(heartbeat):
+            revision, _ = self._listing.state()
+            request = EndpointsRequest(own, revision.number, revision.era)
+            self._send(heartbeat.sender.address, request)
 
     def _on_table_request(self, message):
         table = self._board.configuration.value
@@ -348,24 +354,32 @@
 
     def _on_endpoints_request(self, message):
         revision, _ = self._listing.state()
-        if revision > message.revision:
-            snapshot = EndpointsSnapshot(revision, self._listing.listed())
+        if revision > revision_of(message.era, message.revision, revision):
+            snapshot = EndpointsSnapshot(
+                revision.number, self._listing.listed(), revision.era
+            )
             self._send(message.address, snapshot)
 
     def _on_endpoints_snapshot(self, message):
         endpoints = {endpoint.name: endpoint for endpoint in message.endpoints}
-        self._listing.apply_snapshot(endpoints, message.revision)
+        own, _ = self._listing.state()
+        revision = revision_of(message.era, message.revision, own)
+        self._listing.apply_snapshot(endpoints, revision)
 
     def _send_endpoints_delta(self, base_digest, revision, changed, removed):
         """Send endpoint changes to the data centre's routers if this one relays."""
         if self.is_relay:
-            delta = EndpointsDelta(base_digest, revision, changed, removed)
+            delta = EndpointsDelta(
+                base_digest, revision.number, changed, removed, revision.era
+            )
             own = self.member_list.own.data_centre
             self._send_to_each(self.member_list.in_data_centre(own), delta)
 
     def _on_endpoints_delta(self, message):
+        own, _ = self._listing.state()
+        revision = revision_of(message.era, message.revision, own)
         self._listing.apply_changes(
-            message.base_digest, message.revision, message.changed, message.removed
+            message.base_digest, revision, message.changed, message.removed
         )
 
     def _on_message(self, data):
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -8,9 +8,11 @@
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.member_list import AgedRouterInfo, RouterInfo
 from sesamearch.routing.canary import RouteEvidence
+from sesamearch.store.store import StoreRevision
 
 __all__ = [
     "FLEET_SCHEMA_VERSION",
+    "UNSTATED_ERA",
     "Broadcast",
     "BroadcastBatch",
     "EndpointRestarted",
@@ -24,9 +26,25 @@
     "RolloutVerdict",
     "TableRequest",
     "TableResponse",
+    "revision_of",
 ]
 
 FLEET_SCHEMA_VERSION = 1
+# Era in messages of an earlier build, which does not state it.
+UNSTATED_ERA = -1
+
+
+def revision_of(era, number, own):
+    """Return the :class:`StoreRevision` that a message states.
+
+    Parameters
+    ----------
+    era, number : int
+        As stated in the message.
+    own : StoreRevision
+        Its era is assumed if the sender does not state one.
+    """
+    return StoreRevision(own.era if era == UNSTATED_ERA else era, number)
 
 
 class FleetHeartbeat(msgspec.Struct, tag="Beat", frozen=True, array_like=True):
@@ -48,6 +66,8 @@
         A sample of the routers that the sender knows.
     follows_store : bool
         Whether the sender watches the store and reaches it.
+    list_era : int
+        Era of the store that `list_revision` belongs to.
     """
 
     schema_version: int
@@ -58,6 +78,7 @@
     list_digest: str
     routers: list[AgedRouterInfo]
     follows_store: bool = False
+    list_era: int = UNSTATED_ERA
 
 
 class TableRequest(msgspec.Struct, tag="TableWanted", frozen=True, array_like=True):
@@ -76,10 +97,11 @@
 class EndpointsRequest(
     msgspec.Struct, tag="EndpointsWanted", frozen=True, array_like=True
 ):
-    """Request for an endpoint list newer than `revision`, to be sent to `address`."""
+    """Request for a newer endpoint list than the sender's, to be sent to `address`."""
 
     address: str
     revision: int
+    era: int = UNSTATED_ERA
 
 
 class EndpointsSnapshot(
@@ -89,6 +111,7 @@
 
     revision: int
     endpoints: list[Endpoint]
+    era: int = UNSTATED_ERA
 
 
 class EndpointsDelta(
@@ -106,12 +129,15 @@
         Endpoints that were added or changed.
     removed : list of str
         Names of the endpoints that were removed.
+    era : int
+        Era of the store that the revision belongs to.
     """
 
     base_digest: str
     revision: int
     changed: list[Endpoint]
     removed: list[str]
+    era: int = UNSTATED_ERA
 
 
 class LoadUpdate(msgspec.Struct, tag="LoadNews", frozen=True, array_like=True):
--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from sesamearch.base.log import logger
-from sesamearch.base.record import EndpointChanged
+from sesamearch.base.record import EndpointChanged, StoreRestored
 from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.membership.departures import Departures
+from sesamearch.store.store import StoreRevision
 
 __all__ = ["EndpointListing"]
 
@@ -62,7 +64,10 @@
         self._listed = {}
         self._lapsed = {}
         self._unlisted = {}
-        self._revision = 0
+        self._revision = StoreRevision()
+        self._restored_s = float("-inf")
+        self._departures = Departures(clock)
+        self._departures_expiry = None
         self._digest = ""
         self._expiry = None
 
@@ -72,12 +77,15 @@
         Parameters
         ----------
         endpoints : dict from str to Endpoint
-        revision : int
-            Store revision of the list. A list older than the current one is ignored.
+        revision : StoreRevision
+            Revision of the list. A list older than the current one is ignored.
         """
         if revision < self._revision:
             return
+        if revision.era > self._revision.era and self._revision.number:
+            self._note_restored(revision)
         self._revision = revision
+        self._departures.note_listed(endpoints)
         if endpoints == self._listed:
             return
         self._log_changes(endpoints)
@@ -92,6 +100,32 @@
             removed = list(before.keys() - endpoints.keys())
             self.on_change(base_digest, revision, changed, removed)
 
+    def _note_restored(self, revision):
+        """Begin a new era: endpoints have time to write again what the copy lacks."""
+        before = self._revision.number
+        logger.warning(StoreRestored(revision.era, revision.number, before))
+        self._restored_s = self._clock.seconds()
+        self._departures.note_restored(self._listed)
+        # Even an equal list has to be corrected.
+        self._write()
+        if self._departures_expiry is None:
+            self._expire_departures()
+
+    def _expire_departures(self):
+        """Write the list again when a correction ends by itself."""
+        self._departures_expiry = None
+        self._write()
+        delay_s = self._departures.deadline_s - self._clock.seconds()
+        if 0 < delay_s < float("inf"):
+            self._departures_expiry = self._clock.callLater(
+                delay_s, self._expire_departures
+            )
+
+    @property
+    def _grace_end_s(self):
+        """Float : until when endpoints may write entries that the store lost."""
+        return max(self._store_regained_s(), self._restored_s) + REREGISTRATION_GRACE_S
+
     def add_unlisted(self, endpoint):
         """Add a restarted endpoint before the store lists it under its new name.
 
@@ -117,8 +151,7 @@
     def _drop_unlisted(self):
         """Drop added endpoints that the store now lists, or has not listed in time."""
         now_s = self._clock.seconds()
-        grace_end_s = self._store_regained_s() + REREGISTRATION_GRACE_S
-        is_late = self._is_store_reachable() and now_s >= grace_end_s
+        is_late = self._is_store_reachable() and now_s >= self._grace_end_s
         self._unlisted = {
             name: each
             for name, each in self._unlisted.items()
@@ -135,30 +168,32 @@
 
     def _log(self, endpoint, state):
         logger.info(
-            EndpointChanged(endpoint.name, endpoint.service, state, self._revision)
+            EndpointChanged(
+                endpoint.name, endpoint.service, state, self._revision.number
+            )
         )
 
     def _keep_lapsed(self, endpoints):
         """Keep endpoints that expired in a store outage, to let them re-register."""
-        grace_end_s = self._store_regained_s() + REREGISTRATION_GRACE_S
         for name in endpoints.keys() & self._lapsed.keys():
             del self._lapsed[name]
-        if self._clock.seconds() >= grace_end_s:
-            return
+        is_in_grace = self._clock.seconds() < self._grace_end_s
         until_s = self._clock.seconds() + MAX_LAPSE_S
         for name in self._listed.keys() - endpoints.keys():
-            if not self._listed[name].leaving:
+            if self._listed[name].leaving or not is_in_grace:
+                self._departures.note_gone(self._listed[name])
+            else:
                 self._lapsed[name] = _Lapsed(self._listed[name], until_s)
                 self._log(self._listed[name], "lapsed")
         if self._lapsed and self._expiry is None:
-            delay_s = grace_end_s - self._clock.seconds()
+            delay_s = max(0.0, self._grace_end_s - self._clock.seconds())
             self._expiry = self._clock.callLater(delay_s, self._drop_lapsed)
 
     def _drop_lapsed(self):
         """Drop the endpoints that had time to re-register since the last outage."""
         self._expiry = None
         now_s = self._clock.seconds()
-        grace_s = self._store_regained_s() + REREGISTRATION_GRACE_S - now_s
+        grace_s = self._grace_end_s - now_s
         if not self._is_store_reachable():
             grace_s = REREGISTRATION_GRACE_S
         kept = {}
@@ -166,6 +201,7 @@
             if grace_s > 0 and now_s < lapsed.until_s:
                 kept[name] = lapsed
             else:
+                self._departures.note_gone(lapsed.endpoint)
                 self._log(lapsed.endpoint, "gone")
         if len(kept) < len(self._lapsed):
             self._lapsed = kept
@@ -176,12 +212,13 @@
     def _write(self):
         unlisted = {name: each.endpoint for name, each in self._unlisted.items()}
         lapsed = {name: each.endpoint for name, each in self._lapsed.items()}
-        self._board.endpoints.write({**unlisted, **lapsed, **self._listed})
+        listed = self._departures.correct(self._listed)
+        self._board.endpoints.write({**unlisted, **lapsed, **listed})
 
     # Exchange with other routers.
 
     def state(self):
-        """Return the store revision and the digest of the list."""
+        """Return the :class:`StoreRevision` and the digest of the list."""
         return self._revision, self._digest
 
     def listed(self):
@@ -195,8 +232,8 @@
         ----------
         base_digest : str
             Digest of the list that the changes are based on.
-        revision : int
-            Store revision of the changed list.
+        revision : StoreRevision
+            Revision of the changed list.
         changed : list of Endpoint
         removed : list of str
 
--- a/src/sesamearch/platform/followers.py
+++ b/src/sesamearch/platform/followers.py
@@ -11,6 +11,7 @@
     decode_order,
     decode_outcome,
 )
+from sesamearch.store.store import StoreRevision
 
 __all__ = ["OperatorFollower", "OutcomeFollower", "ServerFollower"]
 
@@ -135,7 +136,8 @@
         }
         found = [r.unwrap() for r in self._decoded.values() if r.is_ok()]
         endpoints = {endpoint.name: endpoint for endpoint in found}
-        self._listing.apply_snapshot(endpoints, self.revision)
+        revision = StoreRevision(self.era, self.revision)
+        self._listing.apply_snapshot(endpoints, revision)
 
     def _decode(self, key, value):
         decoded = decode_endpoint(key, value)
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -25,6 +25,7 @@
 from sesamearch.platform.watch import PlatformWatch
 from sesamearch.store.store import RangeReply, Store, TxnReply
 from sesamearch.wire.endpoint import OutgoingRequest, ResponseReceiver
+from sesamearch.wire.head import first_value
 from sesamearch.wire.pool import ConnectionPool
 
 __all__ = ["PlatformStore"]
@@ -47,11 +48,19 @@
 REFUSALS = (429, 503)
 _CANCELLED = "cancelled"
 _JSON = (b"Content-Type", b"application/json")
+_ERA = b"store-era"
 
 
 class _Response(msgspec.Struct):
     status: int
     body: bytes
+    # Number of the store's returns from an older copy, None if it is not stated.
+    era: int | None = None
+
+
+def _era_of(headers):
+    text = (first_value(headers, _ERA) or b"").strip()
+    return int(text) if text.isdigit() else None
 
 
 class _Call(ResponseReceiver):
@@ -84,7 +93,8 @@
             self.fail("response too large")
 
     def ended(self):
-        self._resolve(Ok(_Response(self._head.status, b"".join(self._body))))
+        era = _era_of(self._head.headers)
+        self._resolve(Ok(_Response(self._head.status, b"".join(self._body), era)))
 
     def lost(self, loss):
         self.fail(loss.value)
@@ -121,6 +131,11 @@
         infinity if there was none.
     calls : int
         Number of calls made; the platform meters each call.
+    era : int
+        Highest number of the store's returns from an older copy that a response
+        stated; zero before the first one, and for a store that states none.
+    on_restored : callable
+        Called without arguments when the era rises, before the watches end.
     """
 
     def __init__(self, reactor, address, batch_delay_s=BATCH_DELAY_S):
@@ -129,6 +144,9 @@
         self.is_reachable = True
         self.regained_s = float("-inf")
         self.calls = 0
+        self.era = 0
+        self.on_restored = lambda: None
+        self._has_responded = False
         self._watches = set()
         self._next_ping = None
         self._has_missed_ping = False
@@ -165,8 +183,26 @@
         is_served = result.is_ok() and result.unwrap().status not in REFUSALS
         if is_served != self.is_reachable:
             self._set_reachable(is_served, result)
+        if result.is_ok():
+            self._note_era(result.unwrap().era)
         return result
 
+    def _note_era(self, era):
+        """Follow the era; what was read and is watched in an earlier one is void."""
+        is_first, self._has_responded = not self._has_responded, True
+        if era is None or era <= self.era:
+            return
+        self.era = era
+        if is_first:
+            return
+        self.on_restored()
+        for watch in list(self._watches):
+            watch.end()
+
+    def is_outdated(self, response):
+        """Return whether a response is from before the store's last restore."""
+        return response.era is not None and response.era < self.era
+
     def _set_reachable(self, is_served, result):
         self.is_reachable = is_served
         if is_served:
@@ -182,6 +218,8 @@
         if result.is_ok() and result.unwrap().status in REFUSALS:
             detail = f"status {result.unwrap().status}"
             return Err(Problem(ErrorKind.STORE_UNAVAILABLE, detail))
+        if result.is_ok() and self.is_outdated(result.unwrap()):
+            return Err(Problem(ErrorKind.STORE_UNAVAILABLE, "response of an older era"))
         return result
 
     def range(self, prefix, allow_stale=False):
@@ -194,6 +232,7 @@
         if allow_stale:
             path += STALE_OPTION
         items, revision, after = [], 0, b""
+        era = None
         while True:
             page_path = path + (b"&after=" + after if after else b"")
             result = await self._checked_call(b"GET", page_path)
@@ -203,12 +242,16 @@
             if decoded.is_err():
                 return decoded
             page = decoded.unwrap()
+            era = self.era if era is None else era
+            if era != self.era:
+                detail = "store restored between two pages"
+                return Err(Problem(ErrorKind.STORE_UNAVAILABLE, detail))
             items += page.entries
             # The pages are read one after another and are not one snapshot. A watch
             # from the first page's revision misses no change made in between.
             revision = revision or page.store_revision
             if not page.more_pages or not page.entries:
-                return Ok(RangeReply(revision, decode_items(items)))
+                return Ok(RangeReply(revision, decode_items(items), era))
             after = quote(page.entries[-1].key, safe="/").encode()
 
     def txn(self, comparisons, puts):
--- a/src/sesamearch/platform/watch.py
+++ b/src/sesamearch/platform/watch.py
@@ -61,6 +61,11 @@
         if self._retry is not None and self._retry.active():
             self._retry.cancel()
 
+    def end(self):
+        """Stop, because the changes after its revision may never be reported."""
+        self.cancel()
+        self._receiver.ended()
+
     def restart(self):
         """Cancel the pending call, which may never get a response, and retry soon."""
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
@@ -84,7 +89,7 @@
             self._is_stopped = True
             self._store.remove_watch(self)
             self._receiver.ended()
-        elif status == OK:
+        elif status == OK and not self._store.is_outdated(result.unwrap()):
             self._handle_events(decode_body(result.unwrap().body, StoreEvents))
         else:
             self._retry_later()
--- a/src/sesamearch/store/__init__.py
+++ b/src/sesamearch/store/__init__.py
@@ -14,6 +14,7 @@
             "RangeReply",
             "Store",
             "StoreCopy",
+            "StoreRevision",
             "StoredValue",
             "TxnReply",
             "Watch",
--- a/src/sesamearch/store/store.py
+++ b/src/sesamearch/store/store.py
@@ -12,6 +12,7 @@
     "RangeReply",
     "Store",
     "StoreCopy",
+    "StoreRevision",
     "StoredValue",
     "TxnReply",
     "Watch",
@@ -38,6 +39,24 @@
     lease: int = 0
 
 
+class StoreRevision(msgspec.Struct, frozen=True, order=True):
+    """Place of a write among all writes of the store, comparable across its restores.
+
+    A store that comes back from an older copy gives out some revisions again, so that
+    revisions are comparable within one era only.
+
+    Parameters
+    ----------
+    era : int
+        Number of the store's returns from a copy; zero if it states none.
+    number : int
+        Store revision.
+    """
+
+    era: int = 0
+    number: int = 0
+
+
 class StoredValue(msgspec.Struct, frozen=True):
     """Base of structures that are stored as JSON."""
 
@@ -89,10 +108,11 @@
 
 
 class RangeReply(msgspec.Struct, frozen=True):
-    """Keys and values as of one store revision."""
+    """Keys and values as of one store revision, and the era that it belongs to."""
 
     revision: int
     items: list[KeyValue]
+    era: int = 0
 
 
 class TxnReply(msgspec.Struct, frozen=True):
@@ -139,8 +159,16 @@
     Every method except :meth:`watch` returns a Deferred of a ``result.Result``
     whose error is ``ErrorKind.STORE_UNAVAILABLE``. After such an error a write may
     have taken effect, so the writer must read the keys to learn the outcome.
+
+    Attributes
+    ----------
+    era : int
+        Newest known number of the store's returns from an older copy. When it rises,
+        all watches end.
     """
 
+    era = 0
+
     @abc.abstractmethod
     def range(self, prefix, allow_stale=False):
         """Read all keys with a prefix; the result is a :class:`RangeReply`.
--- a/tests/membership/test_listing.py
+++ b/tests/membership/test_listing.py
@@ -2,16 +2,24 @@
 
 import unittest
 
+import logbook
+import msgspec
 from twisted.internet.task import Clock
 
+from sesamearch.base.record import StoreRestored
 from sesamearch.configuration.blackboard import Blackboard, Endpoint
 from sesamearch.membership.listing import EndpointListing
+from sesamearch.store.store import StoreRevision
 
 
 def endpoint(name, leaving=False):
     return Endpoint(name, f"10.0.0.1:{name[1:]}", "east", "desk", "v1", leaving)
 
 
+def at(number, era=1):
+    return StoreRevision(era, number)
+
+
 def listed(*endpoints):
     return {each.name: each for each in endpoints}
 
@@ -22,24 +30,24 @@
         self.board = Blackboard()
         self.regained_s = float("-inf")
         self.listing = EndpointListing(self.board, self.clock, lambda: self.regained_s)
-        self.listing.apply_snapshot(listed(endpoint("e1"), endpoint("e2")), 10)
+        self.listing.apply_snapshot(listed(endpoint("e1"), endpoint("e2")), at(10))
 
     @property
     def names(self):
         return sorted(self.board.endpoints.value)
 
     def test_older_list_is_ignored(self):
-        self.listing.apply_snapshot(listed(endpoint("e1")), 9)
+        self.listing.apply_snapshot(listed(endpoint("e1")), at(9))
         self.assertEqual(self.names, ["e1", "e2"])
 
     def test_removed_endpoint_is_dropped(self):
-        self.listing.apply_snapshot(listed(endpoint("e1")), 11)
+        self.listing.apply_snapshot(listed(endpoint("e1")), at(11))
         self.assertEqual(self.names, ["e1"])
 
     def test_endpoint_that_expired_in_an_outage_is_kept_for_a_grace_time(self):
         self.clock.advance(100)
         self.regained_s = 100.0
-        self.listing.apply_snapshot(listed(endpoint("e1")), 11)
+        self.listing.apply_snapshot(listed(endpoint("e1")), at(11))
         self.assertEqual(self.names, ["e1", "e2"])
         self.clock.advance(2.0)
         self.assertEqual(self.names, ["e1", "e2"])
@@ -51,10 +59,10 @@
         self.listing = EndpointListing(
             self.board, self.clock, lambda: self.regained_s, lambda: self.is_reachable
         )
-        self.listing.apply_snapshot(listed(endpoint("e1"), endpoint("e2")), 10)
+        self.listing.apply_snapshot(listed(endpoint("e1"), endpoint("e2")), at(10))
         self.clock.advance(100)
         self.regained_s = 100.0
-        self.listing.apply_snapshot(listed(endpoint("e1")), 11)
+        self.listing.apply_snapshot(listed(endpoint("e1")), at(11))
         self.clock.advance(1.0)
         self.is_reachable = False
 
@@ -78,18 +86,18 @@
         self.clock.advance(100)
         self.regained_s = 100.0
         self.listing.apply_snapshot(
-            listed(endpoint("e1"), endpoint("e2", leaving=True)), 11
+            listed(endpoint("e1"), endpoint("e2", leaving=True)), at(11)
         )
-        self.listing.apply_snapshot(listed(endpoint("e1")), 12)
+        self.listing.apply_snapshot(listed(endpoint("e1")), at(12))
         self.assertEqual(self.names, ["e1"])
 
     def test_endpoint_that_came_back_and_left_later_is_dropped(self):
         self.clock.advance(100)
         self.regained_s = 100.0
-        self.listing.apply_snapshot(listed(endpoint("e1")), 11)
-        self.listing.apply_snapshot(listed(endpoint("e1"), endpoint("e2")), 12)
+        self.listing.apply_snapshot(listed(endpoint("e1")), at(11))
+        self.listing.apply_snapshot(listed(endpoint("e1"), endpoint("e2")), at(12))
         self.clock.advance(3)
-        self.listing.apply_snapshot(listed(endpoint("e1")), 13)
+        self.listing.apply_snapshot(listed(endpoint("e1")), at(13))
         self.assertEqual(self.names, ["e1"])
 
     def test_listener_gets_changes_with_the_digest_of_their_base(self):
@@ -97,27 +105,108 @@
         self.listing.on_change = lambda *change: notified.append(change)
         _, digest = self.listing.state()
         self.listing.apply_snapshot(
-            listed(endpoint("e1", leaving=True), endpoint("e3")), 11
+            listed(endpoint("e1", leaving=True), endpoint("e3")), at(11)
         )
         ((base_digest, revision, changed, removed),) = notified
-        self.assertEqual((base_digest, revision), (digest, 11))
+        self.assertEqual((base_digest, revision), (digest, at(11)))
         self.assertEqual(sorted(each.name for each in changed), ["e1", "e3"])
         self.assertEqual(removed, ["e2"])
 
     def test_changes_based_on_the_same_list_are_applied(self):
         _, digest = self.listing.state()
         self.assertTrue(
-            self.listing.apply_changes(digest, 11, [endpoint("e3")], ["e1"])
+            self.listing.apply_changes(digest, at(11), [endpoint("e3")], ["e1"])
         )
         self.assertEqual(self.names, ["e2", "e3"])
 
     def test_changes_based_on_another_list_are_rejected(self):
-        self.assertFalse(self.listing.apply_changes("other", 11, [], ["e1"]))
+        self.assertFalse(self.listing.apply_changes("other", at(11), [], ["e1"]))
         _, digest = self.listing.state()
-        self.assertFalse(self.listing.apply_changes(digest, 10, [], ["e1"]))
+        self.assertFalse(self.listing.apply_changes(digest, at(10), [], ["e1"]))
         self.assertEqual(self.names, ["e1", "e2"])
 
     def test_equal_lists_have_equal_digests_at_any_revision(self):
         _, digest = self.listing.state()
-        self.listing.apply_snapshot(listed(endpoint("e2"), endpoint("e1")), 12)
-        self.assertEqual(self.listing.state(), (12, digest))
+        self.listing.apply_snapshot(listed(endpoint("e2"), endpoint("e1")), at(12))
+        self.assertEqual(self.listing.state(), (at(12), digest))
+
+
+class TestRestoredList(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.board = Blackboard()
+        self.listing = EndpointListing(
+            self.board, self.clock, lambda: float("-inf"), lambda: True
+        )
+        self.apply(100, endpoint("e1"), endpoint("e2"))
+
+    def apply(self, number, *endpoints, era=1):
+        self.listing.apply_snapshot(listed(*endpoints), at(number, era))
+
+    @property
+    def found(self):
+        return {name: each.leaving for name, each in self.board.endpoints.value.items()}
+
+    def test_list_of_a_new_era_replaces_one_with_a_higher_revision(self):
+        # Guards against a list that stays as it was when revisions went back.
+        self.apply(50, endpoint("e1"), endpoint("e2"), endpoint("e3"), era=2)
+        self.assertEqual(sorted(self.found), ["e1", "e2", "e3"])
+        self.assertEqual(self.listing.state()[0], at(50, 2))
+
+    def test_list_of_an_earlier_era_is_ignored(self):
+        # Guards against a router that was cut off and passes on its old list.
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=2)
+        self.apply(120, endpoint("e1"))
+        _, digest = self.listing.state()
+        self.assertFalse(self.listing.apply_changes(digest, at(130), [], ["e1"]))
+        self.assertEqual(sorted(self.found), ["e1", "e2"])
+
+    def test_endpoint_that_the_copy_lacks_has_time_to_be_written_again(self):
+        # Guards against a live endpoint that is dropped with the copy.
+        self.apply(50, endpoint("e1"), era=2)
+        self.clock.advance(2.0)
+        self.assertEqual(sorted(self.found), ["e1", "e2"])
+        self.clock.advance(0.5)
+        self.assertEqual(sorted(self.found), ["e1"])
+
+    def test_leaving_endpoint_stays_leaving(self):
+        # Guards against new work for an endpoint that is ready in the copy only.
+        self.apply(101, endpoint("e1", leaving=True), endpoint("e2"))
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=2)
+        self.assertEqual(self.found, {"e1": True, "e2": False})
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=3)
+        self.assertEqual(self.found, {"e1": True, "e2": False})
+
+    def test_restarted_endpoint_is_ready(self):
+        # Guards against a new process that inherits the end of the previous one.
+        self.apply(101, endpoint("e1", leaving=True), endpoint("e2"))
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=2)
+        born = msgspec.structs.replace(endpoint("e1"), born_ms=8)
+        self.apply(51, born, endpoint("e2"), era=2)
+        self.assertEqual(self.found, {"e1": False, "e2": False})
+
+    def test_removed_endpoint_stays_gone_until_its_entry_proves_to_be_live(self):
+        # Guards against new work for an ended endpoint, and against a lost live one.
+        self.apply(101, endpoint("e2"))
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=2)
+        self.assertEqual(sorted(self.found), ["e2"])
+        self.clock.advance(29)
+        self.assertEqual(sorted(self.found), ["e2"])
+        self.clock.advance(2)
+        self.assertEqual(sorted(self.found), ["e1", "e2"])
+
+    def test_endpoint_that_was_listed_again_before_the_restore_is_used(self):
+        # Guards against an endpoint that is barred for an end that it survived.
+        self.apply(101, endpoint("e2"))
+        self.apply(102, endpoint("e1"), endpoint("e2"))
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=2)
+        self.assertEqual(sorted(self.found), ["e1", "e2"])
+
+    def test_first_list_is_no_restore(self):
+        # Guards against a restore that is reported at each start.
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            listing = EndpointListing(self.board, self.clock, lambda: float("-inf"))
+            listing.apply_snapshot(listed(endpoint("e1")), at(10, 7))
+        found = [r.msg for r in handler.records if isinstance(r.msg, StoreRestored)]
+        self.assertEqual(found, [])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -265,6 +265,61 @@
         self.assertTrue(recorder.has_ended)
 
 
+class TestEra(StoreTestCase):
+    def setUp(self):
+        super().setUp()
+        self.restored = []
+        self.store.on_restored = lambda: self.restored.append(self.store.era)
+        for number in range(9):
+            self.standin.put(f"a/{number}", b"x")
+
+    def range(self):
+        return self.result(self.store.range(b"a/"))
+
+    def test_first_response_is_no_restore(self):
+        # Guards against a restore that is noticed at each start.
+        self.standin.era = 7
+        self.assertEqual(self.range().unwrap().era, 7)
+        self.assertEqual(self.restored, [])
+
+    def test_rise_is_noticed_and_ends_the_watches(self):
+        # Guards against a watch that waits for revisions that are given out again.
+        recorder = Recorder()
+        self.network.run(5)
+        self.store.watch(b"a/", self.range().unwrap().revision, recorder)
+        self.network.run(0.1)
+        self.standin.restore(1.0)
+        self.standin.put("a/0", b"y")
+        self.network.run(1.5)
+        self.assertEqual(self.restored, [2])
+        self.assertTrue(recorder.has_ended)
+        self.assertEqual(recorder.puts, [])
+
+    def test_response_of_an_older_era_is_an_error(self):
+        # Guards against a late response from before the restore.
+        self.range()
+        self.standin.era = 3
+        self.range()
+        self.standin.era = 2
+        self.assertTrue(self.range().is_err())
+        self.assertEqual(self.restored, [3])
+
+    def test_pages_of_two_eras_are_an_error(self):
+        # Guards against a list that is half of the copy.
+        self.range()
+        self.standin.page_items = 4
+        done = self.store.range(b"a/")
+        self.network.callLater(0.002, setattr, self.standin, "era", 2)
+        self.assertTrue(self.result(done).is_err())
+        self.assertEqual(self.range().unwrap().era, 2)
+
+    def test_store_that_states_none(self):
+        # Guards against a client that needs the header.
+        self.standin.era = None
+        self.assertEqual(self.range().unwrap().era, 0)
+        self.assertEqual(self.restored, [])
+
+
 class TestFleetKeys(StoreTestCase):
     def obtain(self):
         return self.result(Deferred.fromCoroutine(obtain_fleet_keys(self.store)))
--- /dev/null
+++ b/tests/platform/test_store_restored.py
@@ -0,0 +1,193 @@
+"""The store comes back from an older copy: nothing that was acted on is undone."""
+
+import unittest
+
+import logbook
+
+from sesamearch.base.record import StoreRestored
+from tests.platform.world import World, make_configuration
+
+# The routers notice the return, read anew and write again within this time.
+SETTLED_S = 4.0
+
+
+class RestoredTestCase(unittest.TestCase):
+    def setUp(self):
+        self.world = World(routers=6, desks=2)
+        self.world.run(3)
+
+    def restore(self, seconds_back, away_s=0.5, settled_s=SETTLED_S):
+        self.world.store.restore(seconds_back, away_s)
+        self.world.run(away_s + settled_s)
+
+    def come_back(self, seconds_back):
+        """Restore, let others write again, and wait until the routers have settled."""
+        self.restore(seconds_back, settled_s=1.0)
+        self.world.store.write_again()
+        self.world.run(SETTLED_S)
+
+    def cut(self, number, is_cut=True):
+        address = self.world.routers[number]._settings.peer.listen
+        self.world.sockets[address].is_cut = is_cut
+
+
+class TestConfiguration(RestoredTestCase):
+    def versions(self):
+        return {x.board.configuration.value.revision for x in self.world.routers}
+
+    def test_older_configuration_in_the_copy_is_not_put_in_force(self):
+        # Guards against a configuration that reverts because revisions went back.
+        self.world.store.put("op/config", make_configuration(8))
+        self.world.run(1)
+        seen = []
+        for router in self.world.routers:
+            router.board.configuration.listen(lambda x: seen.append(x.revision))
+        self.restore(3.0)
+        self.assertEqual(self.versions(), {8})
+        self.world.store.write_again()
+        self.world.run(2)
+        self.assertEqual((self.versions(), seen), ({8}, []))
+
+    def test_configuration_after_the_copy_is_put_in_force(self):
+        # Guards against a watch that waits for revisions the store gives out again.
+        for version in range(8, 30):
+            self.world.store.put("op/config", make_configuration(version))
+        self.world.run(1)
+        self.restore(3.0, away_s=0.1, settled_s=0.01)
+        for version in range(30, 60):
+            self.world.store.put("op/config", make_configuration(version))
+        self.world.run(3)
+        self.assertEqual(self.versions(), {59})
+
+    def test_router_that_started_on_the_copy_gets_the_newer_one_from_its_peers(self):
+        # Guards against a restarted router that stays at the copy's configuration.
+        self.world.store.put("op/config", make_configuration(8))
+        self.world.run(1)
+        self.restore(3.0)
+        self.world.routers.append(self.world.add_router(6))
+        self.world.run(3)
+        self.assertEqual(self.versions(), {8})
+
+
+class TestEndpoints(RestoredTestCase):
+    def names(self):
+        return [sorted(x.board.endpoints.value) for x in self.world.routers]
+
+    def leaving(self, name):
+        return {
+            name in x.board.endpoints.value and x.board.endpoints.value[name].leaving
+            for x in self.world.routers
+        }
+
+    def knows(self, name):
+        return {name in x.board.endpoints.value for x in self.world.routers}
+
+    def test_changes_under_lower_revisions_reach_all_routers(self):
+        # Guards against lists that are ignored because their revision is lower.
+        for sequence in range(30):
+            self.world.update_entry(self.world.desks[1], "desk", 1, sequence=sequence)
+        self.world.run(1)
+        self.restore(3.0)
+        self.world.update_entry(self.world.desks[0], "desk", 0, state="draining")
+        self.world.run(1)
+        self.assertEqual(self.leaving("desk-0"), {True})
+
+    def test_endpoint_missing_from_the_copy_is_kept_until_it_is_written_again(self):
+        # Guards against work that is refused for want of an endpoint that is alive.
+        self.world.add_desk(2)
+        self.world.run(1)
+        self.world.store.restore(2.0, 0.2)
+        for _ in range(16):
+            self.world.run(0.1)
+            self.assertEqual(self.knows("desk-2"), {True})
+        self.world.store.write_again()
+        self.world.run(5)
+        self.assertEqual(self.knows("desk-2"), {True})
+
+    def test_endpoint_that_is_not_written_again_is_gone(self):
+        # Guards against an endpoint that is used though it ended with the store.
+        self.world.add_desk(2)
+        self.world.run(1)
+        self.restore(2.0, away_s=0.2, settled_s=5.0)
+        self.assertEqual(self.knows("desk-2"), {False})
+
+    def test_leaving_endpoint_stays_leaving_though_the_copy_says_ready(self):
+        # Guards against new work for an endpoint that announced its end.
+        self.world.update_entry(self.world.desks[0], "desk", 0, state="draining")
+        self.world.run(1)
+        self.world.store.put("servers/desk-9", {"unused": True})
+        self.world.store.restore(3.0, 0.2)
+        for _ in range(40):
+            self.world.run(0.1)
+            self.assertEqual(self.leaving("desk-0"), {True})
+
+    def test_removed_endpoint_stays_gone_though_the_copy_lists_it(self):
+        # Guards against new work for an endpoint that has ended.
+        self.world.store.remove("servers/desk-0")
+        self.world.run(1)
+        self.assertEqual(self.knows("desk-0"), {False})
+        self.world.store.restore(3.0, 0.2)
+        for _ in range(40):
+            self.world.run(0.1)
+            self.assertEqual(self.knows("desk-0"), {False})
+
+    def test_restarted_endpoint_is_used_though_its_predecessor_was_leaving(self):
+        # Guards against a new process that inherits the end of the previous one.
+        self.world.update_entry(self.world.desks[0], "desk", 0, state="draining")
+        self.world.run(1)
+        self.restore(3.0)
+        self.world.update_entry(self.world.desks[0], "desk", 0, born=77)
+        self.world.run(1)
+        self.assertEqual(self.leaving("desk-0"), {False})
+        self.assertEqual(self.knows("desk-0"), {True})
+
+    def test_router_that_was_cut_off_catches_up_with_the_new_era(self):
+        # Guards against an old list with a higher revision that overwrites, or stays.
+        for sequence in range(30):
+            self.world.update_entry(self.world.desks[1], "desk", 1, sequence=sequence)
+        self.world.run(1)
+        for number in (4, 5):
+            self.cut(number)
+        self.world.store.restore(3.0, 0.2)
+        self.world.run(0.4)
+        self.world.update_entry(self.world.desks[0], "desk", 0, state="draining")
+        self.world.run(2)
+        for number in (4, 5):
+            self.cut(number, False)
+        self.world.run(3)
+        self.assertEqual(self.leaving("desk-0"), {True})
+
+    def test_change_of_era_is_logged_once_by_each_router(self):
+        # Guards against a restore that operators cannot see in the logs.
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            self.come_back(2.0)
+            self.world.run(5)
+        records = [r.msg for r in handler.records if isinstance(r.msg, StoreRestored)]
+        self.assertEqual([record.era for record in records], [2] * 6)
+
+
+class TestStoreThatStatesNoEra(RestoredTestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = World(routers=2)
+        self.world.store.era = None
+        self.world.routers = [self.world.add_router(number) for number in (2, 3)]
+        self.world.run(3)
+
+    def test_changes_are_applied_as_before(self):
+        # Guards against a router that relies on the header.
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            self.world.store.put("op/config", make_configuration(8))
+            self.world.update_entry(self.world.desks[0], "desk", 0, state="draining")
+            self.world.run(3)
+        for router in self.world.routers:
+            self.assertEqual(router.board.configuration.value.revision, 8)
+            self.assertTrue(router.board.endpoints.value["desk-0"].leaving)
+        found = [r.msg for r in handler.records if isinstance(r.msg, StoreRestored)]
+        self.assertEqual(found, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
