Recognise a rollout order that a restored store repeats

What callers saw: after the store came back from an older copy, a rollout that was reverted, or complete, began anew when the operator wrote its order again, so that a bad version got requests, and its state was never written again. A router that started on the copy decided anew too.

The cause: an order was new if its revision was higher, and revisions of two eras say nothing about each other. Within an era that rule stays, also for equal orders. A replaced order that the copy brings back stays replaced. Updates and verdicts carry the era, and say where the sender knows that an order is new.

The routers that follow the store write a final state that was acted on again, staggered and under a condition, once they have read the states anew and when they see the repeated order, and tell the others; a relay repeats the verdict to a router that still decides. States and orders of two eras are not compared.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -350,7 +350,8 @@
     cause : str
         ``order`` (begun by the operator's order), ``evidence`` (the target version is
         bad), ``peer`` (reverted by another router), ``written`` (the store contains
-        the outcome) or ``unproved`` (when due, there was too little evidence for the
+        the outcome), ``repeated`` (the order has another revision since the store was
+        restored) or ``unproved`` (when due, there was too little evidence for the
         target version, or no endpoint that runs it).
     score : float
         Strength of the evidence against the target version.
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -197,6 +197,10 @@
     requests, to_new : int
         Requests sent to the service, and how many of them to the new version.
     evidence : list of RouteEvidence
+    era : int
+        Era of the store that the revision belongs to.
+    is_distinct : bool
+        Whether the sender knows that the order repeats none of an earlier era.
     """
 
     name: str
@@ -208,6 +212,8 @@
     requests: int
     to_new: int
     evidence: list[RouteEvidence]
+    era: int = UNSTATED_ERA
+    is_distinct: bool = False
 
 
 class RolloutVerdict(msgspec.Struct, tag=True, frozen=True, array_like=True):
@@ -220,11 +226,17 @@
         Store revision of the rollout order.
     is_bad : bool
         True if the new version was judged bad, False if it has taken over.
+    era : int
+        Era of the store that the revision belongs to.
+    target : str
+        Version that was to take over; empty if the sender does not state it.
     """
 
     service: str
     revision: int
     is_bad: bool
+    era: int = UNSTATED_ERA
+    target: str = ""
 
 
 class Broadcast(msgspec.Struct, tag="Spread", frozen=True, array_like=True):
--- a/src/sesamearch/platform/followers.py
+++ b/src/sesamearch/platform/followers.py
@@ -50,7 +50,7 @@
         for key, value in items.items():
             if not key.startswith(ORDER_PREFIX):
                 continue
-            decoded = decode_order(value, self.revisions[key])
+            decoded = decode_order(value, StoreRevision(self.era, self.revisions[key]))
             if decoded.is_err():
                 logger.error("cannot decode rollout order: {}", decoded.unwrap_err())
             else:
@@ -93,16 +93,20 @@
     def __init__(self, store, rollout_controller, clock):
         super().__init__(store, STATUS_PREFIX, clock, MAX_RETRY_DELAY_S)
         self._rollout_controller = rollout_controller
+        self._applied_era = None
 
     def apply_snapshot(self, items):
-        """Apply the states that can be decoded."""
+        """Apply the states that can be decoded; replace those that a restore lost."""
         decoded = [
-            decode_outcome(key, value, self.revisions[key])
+            decode_outcome(key, value, StoreRevision(self.era, self.revisions[key]))
             for key, value in items.items()
         ]
         self._rollout_controller.apply_outcomes(
             [r.unwrap() for r in decoded if r.is_ok()]
         )
+        if self._applied_era not in (None, self.era):
+            self._rollout_controller.write_states_again()
+        self._applied_era = self.era
 
 
 class ServerFollower(Follower):
--- a/src/sesamearch/platform/rollout.py
+++ b/src/sesamearch/platform/rollout.py
@@ -7,7 +7,7 @@
 from sesamearch.base.errors import ErrorKind
 from sesamearch.rollout.controller import RolloutRegister
 from sesamearch.rollout.order import RolloutOrder, RolloutOutcome, RolloutState
-from sesamearch.store.store import Comparison, Put
+from sesamearch.store.store import Comparison, Put, RangeReply, StoreRevision
 
 __all__ = [
     "ORDER_PREFIX",
@@ -44,8 +44,8 @@
     Parameters
     ----------
     value : bytes
-    revision : int
-        Store revision of the entry.
+    revision : StoreRevision
+        Revision of the entry.
 
     Returns
     -------
@@ -89,6 +89,11 @@
         """Record a final state; see ``RolloutRegister``."""
         return Deferred.fromCoroutine(self._write(order, state, _is_final))
 
+    def restore(self, order, state):
+        """Record again a state that was acted on; see ``RolloutRegister``."""
+        write = self._write(order, state, lambda outcome: outcome.state is state)
+        return Deferred.fromCoroutine(write)
+
     async def _write(self, order, state, is_sufficient):
         """Write `state` unless the stored outcome of the order is sufficient."""
         key = STATUS_PREFIX + order.service.encode()
@@ -97,8 +102,9 @@
             read = await self._read(key)
             if read.is_err():
                 return read
-            item = read.unwrap()
-            outcome = _outcome_of(item, order)
+            reply = read.unwrap()
+            item = reply.items[0] if reply.items else None
+            outcome = _outcome_of(item, reply.era, order)
             if outcome is not None and is_sufficient(outcome):
                 return Ok(outcome)
             known_revision = item.mod_revision if item else 0
@@ -111,18 +117,23 @@
         result = await self._store.range(key)
         if result.is_err():
             return result
-        items = [item for item in result.unwrap().items if item.key == key]
-        return Ok(items[0] if items else None)
+        reply = result.unwrap()
+        items = [item for item in reply.items if item.key == key]
+        return Ok(RangeReply(reply.revision, items, reply.era))
 
 
-def _outcome_of(item, order):
+def _outcome_of(item, era, order):
     """Return the outcome that an entry states for this order, or None.
 
-    An entry that is older than the order belongs to an earlier order.
+    An entry that is older than the order belongs to an earlier order. In a later era
+    than the order's it may be from either, and it is not decided anew.
     """
-    if item is None or item.mod_revision < order.revision:
+    if item is None:
+        return None
+    revision = StoreRevision(era, item.mod_revision)
+    if revision < order.revision:
         return None
-    decoded = decode_outcome(item.key, item.value, item.mod_revision)
+    decoded = decode_outcome(item.key, item.value, revision)
     if decoded.is_err() or decoded.unwrap().target != order.target:
         return None
     return decoded.unwrap()
--- a/src/sesamearch/rollout/__init__.py
+++ b/src/sesamearch/rollout/__init__.py
@@ -25,6 +25,7 @@
             "start_move",
         ],
         "order": ["RolloutOrder", "RolloutOutcome", "RolloutState"],
+        "order_history": ["OrderHistory", "OrderNews"],
         "version": ["VersionChooser", "choose_version_by_share", "request_hash_ratio"],
     },
 )
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -4,15 +4,22 @@
 import hashlib
 from typing import Protocol
 
+import msgspec
 from automat import TypeMachineBuilder
 from twisted.internet.defer import Deferred
 
 from sesamearch.base.log import logger
 from sesamearch.base.record import RolloutChanged
 from sesamearch.forwarding.gate import VersionGate
-from sesamearch.membership.fleet_message import RolloutUpdate, RolloutVerdict
+from sesamearch.membership.fleet_message import (
+    RolloutUpdate,
+    RolloutVerdict,
+    revision_of,
+)
 from sesamearch.rollout.order import RolloutOrder, RolloutState
+from sesamearch.rollout.order_history import OrderHistory, OrderNews
 from sesamearch.routing.canary import CanaryPlan, Evidence, Verdict
+from sesamearch.store.store import StoreRevision
 
 __all__ = ["Rollout", "RolloutController", "RolloutRegister"]
 
@@ -51,6 +58,16 @@
             The state that is stored for the order afterwards.
         """
 
+    @abc.abstractmethod
+    def restore(self, order, state):
+        """Record a final state that was acted on, whatever a restored store says.
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of result.Result[RolloutOutcome, ErrorKind]
+            The state that is stored for the order afterwards.
+        """
+
 
 class _Inputs(Protocol):
     def marked_bad(self) -> None:
@@ -105,11 +122,14 @@
         Requests sent since the last update, and those of them to the new version.
     next_resend_s : float
         Time from which an update is sent even without new evidence.
+    is_distinct : bool
+        Whether the order is known to repeat none of an earlier era of the store.
     """
 
     __slots__ = (
         "begun_s",
         "evidence",
+        "is_distinct",
         "is_writing",
         "next_resend_s",
         "order",
@@ -129,6 +149,7 @@
         self.requests = 0
         self.to_new = 0
         self.is_writing = False
+        self.is_distinct = False
         self.next_resend_s = 0.0
         self.state_machine = _machine(self)
 
@@ -174,6 +195,7 @@
         self._settings = settings
         self._clock = clock
         self._peers = None
+        self._histories = {}
         self.rollouts = {}
 
     def join(self, peers):
@@ -193,26 +215,62 @@
             Operators' orders to move a service to another version, read from the store.
         """
         for order in orders:
-            self._add_order(order, self._clock.seconds())
+            known = self.rollouts.get(order.service)
+            known_order = known.order if known else None
+            rollout = self._add_order(order, self._clock.seconds())
+            if rollout is known and rollout.order is not known_order:
+                self._write_again(rollout)
 
-    def _add_order(self, order, begun_s):
+    def _add_order(self, order, begun_s, is_distinct=False):
         """Return the service's rollout; begin a new one if the order is newer."""
         known = self.rollouts.get(order.service)
-        if known is not None and known.order.revision >= order.revision:
+        history = self._histories.setdefault(order.service, OrderHistory())
+        news = history.judge(order, self._clock.seconds(), is_distinct)
+        if news is OrderNews.REPEATED:
+            self._take_revision(known, order)
+        if news is not OrderNews.NEW:
             return known
         rollout = Rollout(order, self._settings, begun_s)
+        rollout.is_distinct = is_distinct or (
+            known is not None and known.order.revision.era == order.revision.era
+        )
         self.rollouts[order.service] = rollout
         self._log(rollout, "order")
         self._write(rollout, self._register.begin)
         return rollout
 
+    def _take_revision(self, rollout, order):
+        """Take the revision under which an order is stored since a restore."""
+        rollout.order = order
+        rollout.is_distinct = False
+        self._log(rollout, "repeated")
+
+    def write_states_again(self):
+        """Write the final states again that a restored store may have lost."""
+        for rollout in self.rollouts.values():
+            if rollout.state is not RolloutState.IN_PROGRESS:
+                self._write_again(rollout)
+
+    def _write_again(self, rollout):
+        """Write a state again, and tell it to routers that know only the copy."""
+        write = self._register.begin
+        if rollout.state is not RolloutState.IN_PROGRESS:
+            write = self._restore
+            self._broadcast_verdict(rollout, rollout.state is RolloutState.REVERTED)
+        delay_s = self._completion_delay_s()
+        self._clock.callLater(delay_s, self._write, rollout, write)
+
+    def _restore(self, order):
+        rollout = self.rollouts[order.service]
+        return self._register.restore(order, rollout.state)
+
     def _log(self, rollout, cause):
         logger.info(
             RolloutChanged(
                 rollout.order.service,
                 rollout.order.target,
                 rollout.state.value,
-                rollout.order.revision,
+                rollout.order.revision.number,
                 cause,
                 round(rollout.evidence.score, 1),
                 rollout.plan.to_new,
@@ -236,11 +294,16 @@
         rollout = self.rollouts.get(outcome.service)
         if rollout is None or outcome.target != rollout.order.target:
             return
-        if outcome.revision < rollout.order.revision:
+        # A state and an order of two eras do not say which came first.
+        if outcome.revision.era != rollout.order.revision.era:
             return
-        if outcome.state is RolloutState.COMPLETE:
+        if outcome.revision >= rollout.order.revision:
+            self._apply_state(rollout, outcome.state)
+
+    def _apply_state(self, rollout, state):
+        if state is RolloutState.COMPLETE:
             self._complete(rollout)
-        elif outcome.state is RolloutState.REVERTED:
+        elif state is RolloutState.REVERTED:
             self._revert(rollout, "written")
 
     # Version gate
@@ -296,12 +359,14 @@
             self._name,
             rollout.order.service,
             rollout.order.target,
-            rollout.order.revision,
+            rollout.order.revision.number,
             rollout.order.length_s,
             now_s - rollout.begun_s,
             rollout.requests,
             rollout.to_new,
             counts,
+            rollout.order.revision.era,
+            rollout.is_distinct,
         )
         rollout.requests = rollout.to_new = 0
         if self._peers is not None:
@@ -309,12 +374,35 @@
         self._merge_update(rollout, update)
 
     def _receive_update(self, update):
-        order = RolloutOrder(
-            update.service, update.target, update.length_s, update.revision
-        )
-        rollout = self._add_order(order, self._clock.seconds() - update.age_s)
-        if rollout.order.revision == update.revision:
+        revision = self._revision_of(update)
+        order = RolloutOrder(update.service, update.target, update.length_s, revision)
+        begun_s = self._clock.seconds() - update.age_s
+        rollout = self._add_order(order, begun_s, update.is_distinct)
+        if self._is_about(rollout, update.target, revision):
             self._merge_update(rollout, update)
+            self._repeat_verdict(rollout)
+
+    def _revision_of(self, message):
+        known = self.rollouts.get(message.service)
+        own = known.order.revision if known else StoreRevision()
+        return revision_of(message.era, message.revision, own)
+
+    def _is_about(self, rollout, target, revision):
+        """Return whether a message is about a rollout, perhaps in another era."""
+        known = rollout.order
+        if known.revision == revision:
+            return True
+        is_across = known.revision.era != revision.era and not rollout.is_distinct
+        return is_across and known.target == target
+
+    def _repeat_verdict(self, rollout):
+        """Tell a router that still decides, after a restore, how the rollout ended."""
+        now_s = self._clock.seconds()
+        if rollout.state is RolloutState.IN_PROGRESS or now_s < rollout.next_resend_s:
+            return
+        if self._peers.is_relay:
+            rollout.next_resend_s = now_s + ORDER_RESEND_INTERVAL_S
+            self._broadcast_verdict(rollout, rollout.state is RolloutState.REVERTED)
 
     def _merge_update(self, rollout, update):
         rollout.plan.count(update.requests, update.to_new)
@@ -337,13 +425,21 @@
     def _broadcast_verdict(self, rollout, is_bad):
         if self._peers is not None:
             order = rollout.order
-            verdict = RolloutVerdict(order.service, order.revision, is_bad)
+            revision = order.revision
+            verdict = RolloutVerdict(
+                order.service, revision.number, is_bad, revision.era, order.target
+            )
             self._peers.send_to_all(verdict)
 
     def _receive_verdict(self, verdict):
         rollout = self.rollouts.get(verdict.service)
-        if rollout is None or rollout.order.revision != verdict.revision:
+        revision = self._revision_of(verdict)
+        if rollout is None or not self._is_about(rollout, verdict.target, revision):
             return
+        if revision > rollout.order.revision:
+            order = msgspec.structs.replace(rollout.order, revision=revision)
+            self._histories[verdict.service].repeat(order, self._clock.seconds())
+            self._take_revision(rollout, order)
         if verdict.is_bad:
             self._revert(rollout, "peer")
         else:
@@ -405,7 +501,7 @@
             result = await write(rollout.order)
             if result.is_ok():
                 rollout.is_writing = False
-                self._apply_outcome(result.unwrap())
+                self._apply_state(rollout, result.unwrap().state)
                 if rollout.state is RolloutState.COMPLETE:
                     self._broadcast_verdict(rollout, is_bad=False)
                 return
--- a/src/sesamearch/rollout/order.py
+++ b/src/sesamearch/rollout/order.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from sesamearch.store.store import StoreRevision
+
 __all__ = ["RolloutOrder", "RolloutOutcome", "RolloutState"]
 
 
@@ -25,14 +27,23 @@
         Version to move to.
     length_s : float
         Time in which the rollout has to complete.
-    revision : int
-        Store revision of the order; a later order of the service has a higher one.
+    revision : StoreRevision
+        Revision of the order; a later order of the service has a higher one, unless the
+        store was restored meanwhile.
     """
 
     service: str
     target: str
     length_s: float
-    revision: int
+    revision: StoreRevision
+
+    def is_equal_to(self, other):
+        """Return whether another order says the same, under any revision."""
+        return (self.service, self.target, self.length_s) == (
+            other.service,
+            other.target,
+            other.length_s,
+        )
 
 
 class RolloutOutcome(msgspec.Struct, frozen=True):
@@ -42,11 +53,11 @@
     ----------
     service, target : str
     state : RolloutState
-    revision : int
-        Store revision of the state entry.
+    revision : StoreRevision
+        Revision of the state entry.
     """
 
     service: str
     target: str
     state: RolloutState
-    revision: int
+    revision: StoreRevision
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -3,10 +3,16 @@
 import unittest
 
 import logbook
+import msgspec
+from result import Err
+from twisted.internet.defer import succeed
 
+from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.record import StoreRestored
-from tests.platform.world import World, make_configuration
+from tests.platform.world import World, make_configuration, request_bytes
 
+DURATION_S = 12
+STATUS_KEY = b"status/rollout/desk"
 # The routers notice the return, read anew and write again within this time.
 SETTLED_S = 4.0
 
@@ -15,6 +21,7 @@
     def setUp(self):
         self.world = World(routers=6, desks=2)
         self.world.run(3)
+        self.request_count = 0
 
     def restore(self, seconds_back, away_s=0.5, settled_s=SETTLED_S):
         self.world.store.restore(seconds_back, away_s)
@@ -30,6 +37,27 @@
         address = self.world.routers[number]._settings.peer.listen
         self.world.sockets[address].is_cut = is_cut
 
+    def cut_store(self, number):
+        def fail(*arguments, **options):
+            return succeed(Err(Problem(ErrorKind.STORE_UNAVAILABLE, "cut off")))
+
+        router = self.world.routers[number]
+        for follower in (*router._followers, router._outcome_follower):
+            follower.stop()
+        router._store.call = fail
+
+    def send_requests(self, seconds, per_s=40, number=None):
+        clients = []
+        for _ in range(int(seconds * per_s)):
+            self.request_count += 1
+            router = self.request_count % 6 if number is None else number
+            client = self.world.connect(router)
+            clients.append(client)
+            client.send(request_bytes("/look/1", f"q{self.request_count}"))
+            self.world.run(max(0.0, 1 / per_s - 0.01))
+        self.world.run(0.3)
+        return clients
+
 
 class TestConfiguration(RestoredTestCase):
     def versions(self):
@@ -189,5 +217,178 @@
         self.assertEqual(found, [])
 
 
+class TestRollouts(RestoredTestCase):
+    def setUp(self):
+        super().setUp()
+        self.new = [
+            self.world.add_desk(2, version="v2"),
+            self.world.add_desk(3, version="v2"),
+        ]
+        self.world.run(5)
+
+    def order(self, target="v2", duration_s=DURATION_S):
+        order = {"service": "desk", "target": target, "duration-s": duration_s}
+        self.world.store.put("op/rollout/desk", order)
+
+    def status(self):
+        item = self.world.store.state.items.get(STATUS_KEY)
+        return msgspec.json.decode(item.value) if item else None
+
+    def states(self):
+        return {
+            router._rollout_controller.rollouts["desk"].state.value
+            for router in self.world.routers
+            if "desk" in router._rollout_controller.rollouts
+        }
+
+    def targets(self):
+        return {
+            router._rollout_controller.rollouts["desk"].order.target
+            for router in self.world.routers
+        }
+
+    @property
+    def requests_to_new(self):
+        return sum(len(desk.runs) for desk in self.new)
+
+    def revert(self):
+        for desk in self.new:
+            desk.status = 500
+        self.order()
+        self.send_requests(4)
+        self.assertEqual(self.status(), {"state": "reverted", "target": "v2"})
+
+    def complete(self):
+        self.order()
+        self.send_requests(DURATION_S - 1.2)
+        self.world.run(1.0)
+        self.assertEqual(self.status(), {"state": "complete", "target": "v2"})
+
+    def assert_reverted(self):
+        self.assertEqual(self.status(), {"state": "reverted", "target": "v2"})
+        self.assertEqual(self.states(), {"reverted"})
+        before = self.requests_to_new
+        self.send_requests(2)
+        self.assertEqual(self.requests_to_new, before)
+
+    def test_reverted_rollout_whose_order_is_lost_stays_reverted(self):
+        # Guards against a bad version that gets traffic when its order is repeated.
+        self.revert()
+        self.come_back(8.0)
+        self.assert_reverted()
+
+    def test_reverted_rollout_whose_state_is_lost_is_written_again(self):
+        # Guards against an operator who reads that a reverted rollout is in progress.
+        self.revert()
+        self.come_back(3.0)
+        self.assert_reverted()
+
+    def test_order_in_the_copy_that_is_also_written_again_is_no_new_one(self):
+        # Guards against a repeated order under a higher revision that starts again.
+        self.revert()
+        self.restore(1.0, settled_s=2.0)
+        self.order()
+        self.world.run(SETTLED_S)
+        self.assert_reverted()
+
+    def test_completed_rollout_stays_complete(self):
+        # Guards against traffic to old workers, which the platform has stopped.
+        self.complete()
+        self.come_back(8.0)
+        self.world.run(DURATION_S)
+        self.assertEqual(self.status(), {"state": "complete", "target": "v2"})
+        self.assertEqual(self.states(), {"complete"})
+        old = sum(len(desk.runs) for desk in self.world.desks)
+        self.send_requests(1)
+        self.assertEqual(sum(len(desk.runs) for desk in self.world.desks), old)
+
+    def test_completed_rollout_whose_order_is_lost_stays_complete(self):
+        # Guards against a finished rollout that begins anew with the repeated order.
+        self.complete()
+        self.come_back(14.0)
+        self.world.run(DURATION_S)
+        self.assertEqual(self.status(), {"state": "complete", "target": "v2"})
+        self.assertEqual(self.states(), {"complete"})
+
+    def test_rollout_in_progress_goes_on(self):
+        # Guards against a rollout that starts its time and its evidence again.
+        self.order()
+        self.send_requests(4)
+        self.world.store.restore(5.0, 0.3)
+        self.send_requests(1)
+        self.world.store.write_again()
+        self.send_requests(DURATION_S - 6.2)
+        self.world.run(1.2)
+        self.assertEqual(self.status(), {"state": "complete", "target": "v2"})
+        self.assertEqual(self.states(), {"complete"})
+
+    def test_replaced_order_in_the_copy_does_not_begin_again(self):
+        # Guards against an old order that replaces its successor by its era alone.
+        self.revert()
+        self.world.add_desk(4, version="v3")
+        self.world.run(3)
+        self.order("v3")
+        self.world.run(1)
+        self.world.store.restore(2.0, 0.2)
+        for step in range(60):
+            self.world.run(0.1)
+            self.assertEqual(self.targets(), {"v3"})
+            if step == 40:
+                self.world.store.write_again()
+        self.assertEqual(self.status()["target"], "v3")
+
+    def test_later_order_for_the_same_version_starts_again(self):
+        # Guards against a new order that is taken for the repetition of an old one.
+        self.revert()
+        self.come_back(8.0)
+        for desk in self.new:
+            desk.status = 200
+        self.world.run(30)
+        self.order()
+        self.world.run(1)
+        self.assertEqual(self.states(), {"in_progress"})
+        self.send_requests(DURATION_S - 2)
+        self.world.run(0.8)
+        self.assertEqual(self.status()["state"], "complete")
+        self.assertEqual(self.states(), {"complete"})
+
+    def test_other_order_under_a_lower_revision_begins(self):
+        # Guards against a new order that is ignored because revisions went back.
+        self.revert()
+        self.restore(9.0)
+        self.world.add_desk(4, version="v3")
+        self.order("v3")
+        self.world.run(1)
+        self.assertEqual(self.status(), {"state": "in_progress", "target": "v3"})
+
+    def test_restarted_router_on_the_copy_sends_nothing_to_a_reverted_version(self):
+        # Guards against a router that knows only the copy and decides anew.
+        self.revert()
+        self.world.store.restore(8.0, 0.1)
+        self.world.run(0.2)
+        self.world.store.write_again()
+        self.world.routers.append(self.world.add_router(6))
+        self.world.run(SETTLED_S)
+        before = self.requests_to_new
+        self.send_requests(2, number=6)
+        self.assertEqual(self.requests_to_new, before)
+        self.assert_reverted()
+
+    def test_router_that_was_cut_off_takes_the_final_state(self):
+        # Guards against a router that holds the order of the earlier era in progress.
+        self.order(duration_s=60)
+        self.world.run(1)
+        self.cut(5)
+        self.cut_store(5)
+        for desk in self.new:
+            desk.status = 500
+        self.send_requests(3, number=0)
+        self.come_back(6.0)
+        self.assertEqual(self.states(), {"in_progress", "reverted"})
+        self.cut(5, False)
+        self.world.run(3)
+        self.assertEqual(self.states(), {"reverted"})
+
+
 if __name__ == "__main__":
     unittest.main()
