Write the fleet's peer keys again that a restored store has lost

What would have been seen: after the store came back from a copy older than the peer keys, routers that started later created other keys, and the fleet split in two that refuse each other's connections. On the code before, of tests.platform.test_store_restored.TestPeerKeys test_lost_key_is_written_again (the store had none) and test_router_that_started_first (it kept another key) failed; test_few_calls_write_it_again is a bound and passed, as nothing wrote.

The routers that follow the store notice the restore and write their keys again within half a second, one after another, if the store lacks them or holds others; running routers keep theirs all the while, so nothing they hear has a gap. A router that may have started before that checks its keys once, 8 to 16 s after its start, with a stale read, and takes the stored ones. One that hears no others never replaces stored keys.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -37,6 +37,7 @@
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
 from sesamearch.membership.fleet_message import EndpointRestarted
 from sesamearch.membership.gossip import LoadGossip
+from sesamearch.membership.key_keeper import KeyKeeper
 from sesamearch.membership.listing import EndpointListing
 from sesamearch.membership.sockets import PeerSockets
 from sesamearch.platform.client import SWEEP_INTERVAL_S, PlatformEndpointClient
@@ -313,6 +314,10 @@
             lambda update: self._listing.add_unlisted(update.endpoint),
         )
         self._peers.start()
+        rng = random.Random(self._settings.name)
+        keeper = KeyKeeper(self._store, self._peers, self._reactor, rng)
+        self._store.on_restored = keeper.note_restored
+        keeper.start()
         logger.info(Dependency("peers", "regained", self._settings.peer.listen))
 
     def handle_signals(self, load_settings):
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -10,7 +10,12 @@
         "claim_relay": ["ClaimRelay", "choose_writer"],
         "departures": ["Departures"],
         "fleet": ["FleetLink"],
-        "fleet_keys": ["FLEET_KEYS_KEY", "obtain_fleet_keys"],
+        "fleet_keys": [
+            "FLEET_KEYS_KEY",
+            "obtain_fleet_keys",
+            "read_fleet_keys",
+            "restore_fleet_keys",
+        ],
         "fleet_message": [
             "FLEET_SCHEMA_VERSION",
             "Broadcast",
@@ -30,6 +35,7 @@
             "revision_of",
         ],
         "gossip": ["LoadGossip"],
+        "key_keeper": ["KeyKeeper"],
         "listing": ["EndpointListing"],
         "message": [
             "SCHEMA_VERSION",
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -68,6 +68,7 @@
 
     Attributes
     ----------
+    keys : PeerKeys
     member_list : MemberList
     follows_store : callable
         Returns whether this router watches the store and reaches it.
@@ -87,6 +88,8 @@
         sockets_type=PeerSockets,
     ):
         self._reactor = reactor
+        self._sockets_type = sockets_type
+        self.keys = keys
         self._board = board
         self._listing = listing
         self._decode_table = decode_table
@@ -139,6 +142,24 @@
         self._broadcasts.stop()
         self._sockets.stop()
 
+    def change_keys(self, keys):
+        """Replace the keys, and with them all connections."""
+        logger.warning("peer keys changed")
+        self.keys = keys
+        self._sockets.stop()
+        self._sockets = self._sockets_type(
+            self._reactor, self.member_list.own.address, keys, self._on_message
+        )
+        self._sockets.start()
+
+    @property
+    def has_live_members(self):
+        """Bool : whether this router hears from another one."""
+        now_s = self._reactor.seconds()
+        return any(
+            self.member_list.is_live(name, now_s) for name in self.member_list.names
+        )
+
     def handle(self, update_type, handler):
         """Call `handler` with each broadcast update of a type."""
         self._broadcasts.handle(update_type, handler)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,11 @@
 from twisted.internet.defer import Deferred
 
 from sesamearch.base.errors import ErrorKind
-from sesamearch.membership.fleet_keys import FLEET_KEYS_KEY, obtain_fleet_keys
+from sesamearch.membership.fleet_keys import (
+    FLEET_KEYS_KEY,
+    obtain_fleet_keys,
+    restore_fleet_keys,
+)
 from sesamearch.platform.store import PlatformStore
 from sesamearch.standin.network import MemoryNetwork
 from sesamearch.standin.platform_store import PlatformStoreStandin
@@ -337,6 +341,35 @@
         self.standin.refusal = 503
         self.assertTrue(self.obtain().is_err())
 
+    def restore(self, keys, may_replace):
+        restored = restore_fleet_keys(self.store, keys, may_replace)
+        return self.result(Deferred.fromCoroutine(restored))
+
+    def test_lost_keys_are_written_again(self):
+        # Guards against a fleet whose later routers agree on other keys.
+        keys = self.obtain().unwrap()
+        self.standin.remove(FLEET_KEYS_KEY.decode())
+        self.assertEqual(self.restore(keys, False).unwrap(), keys)
+        self.assertEqual(self.obtain().unwrap(), keys)
+
+    def test_other_keys_are_replaced_only_if_allowed(self):
+        # Guards against a router without others that replaces the fleet's keys.
+        keys = self.obtain().unwrap()
+        self.standin.remove(FLEET_KEYS_KEY.decode())
+        other = self.obtain().unwrap()
+        self.assertEqual(self.restore(keys, False).unwrap(), other)
+        self.assertEqual(self.obtain().unwrap(), other)
+        self.assertEqual(self.restore(keys, True).unwrap(), keys)
+        self.assertEqual(self.obtain().unwrap(), keys)
+
+    def test_lost_response_to_the_writing_again(self):
+        # Guards against keys that are taken for written before they are read.
+        keys = self.obtain().unwrap()
+        self.standin.remove(FLEET_KEYS_KEY.decode())
+        self.standin.lost_answers = 1
+        self.assertTrue(self.restore(keys, True).is_err())
+        self.assertEqual(self.restore(keys, True).unwrap(), keys)
+
     def test_invalid_keys_are_an_error(self):
         self.standin.put(FLEET_KEYS_KEY.decode(), b"?")
         self.assertTrue(self.obtain().is_err())
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -9,6 +9,7 @@
 
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.record import StoreRestored
+from sesamearch.membership.fleet_keys import FLEET_KEYS_KEY
 from tests.platform.world import World, make_configuration, request_bytes
 
 DURATION_S = 12
@@ -390,5 +391,43 @@
         self.assertEqual(self.states(), {"reverted"})
 
 
+class TestPeerKeys(RestoredTestCase):
+    def key(self):
+        item = self.world.store.state.items.get(FLEET_KEYS_KEY)
+        return item.value if item else None
+
+    def lose_key(self):
+        """Put the store back to a copy from before the key was written."""
+        self.world.store.restore(60.0, 0.2)
+
+    def test_lost_key_is_written_again(self):
+        # Guards against routers that start later and agree on other keys.
+        key = self.key()
+        self.lose_key()
+        self.world.run(3)
+        self.assertEqual(self.key(), key)
+
+    def test_few_calls_write_it_again(self):
+        # Guards against a rush of all routers at once.
+        self.lose_key()
+        self.world.run(0.3)
+        calls = self.world.store.calls["kv-txn"]
+        self.world.run(10)
+        self.assertLessEqual(self.world.store.calls["kv-txn"] - calls, 4)
+
+    def test_router_that_started_first_takes_the_fleets_key(self):
+        # Guards against a fleet that a new key splits in two.
+        key = self.key()
+        self.lose_key()
+        self.world.run(0.21)
+        self.world.routers.append(self.world.add_router(6))
+        self.world.run(15)
+        self.assertEqual(self.key(), key)
+        links = [router._peers for router in self.world.routers]
+        keys = {link.keys.to_json() for link in links}
+        self.assertEqual(keys, {key})
+        self.assertEqual({link.member_list.size for link in links}, {7})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -98,6 +98,7 @@
 
     def __init__(self, reactor, listen, keys, on_message):
         self._listen = listen
+        self._keys = keys
         self._connected = set()
         self.on_message = on_message
         self.is_cut = False
@@ -130,6 +131,8 @@
         other = self.world.sockets.get(address)
         if other is None or self.is_cut or other.is_cut or other is self:
             return False
+        if other._keys != self._keys:
+            return False
         self.sent_messages += 1
         self.sent_bytes += len(data)
         self.world.network.callLater(0.001, other.receive, data)
