Keep an ended endpoint gone when its restored entry ends

What would have been seen: an endpoint that a router knew as leaving or gone was in the copy that the store came back from; when its entry ended within the grace time, the router kept the endpoint as a ready one that has to write again, for 2.3 s. Two new tests in tests.membership.test_listing showed it before: test_leaving_endpoint_whose_restored_entry_ends_is_gone and test_gone_endpoint_whose_restored_entry_ends_stays_gone ({'e1': False, ...} in place of {'e2': False}). The list without corrections decided whether an endpoint lapsed; now the corrected one does, and departures are forgotten after that. Besides, only routers that must watch the store write the peer keys again, so that others that call it now and then don't.

--- a/src/sesamearch/membership/key_keeper.py
+++ b/src/sesamearch/membership/key_keeper.py
@@ -8,7 +8,7 @@
 
 __all__ = ["KeyKeeper"]
 
-# Routers that notice a restore write the key one after another, so that usually only
+# Routers that follow the store write the key one after another, so that usually only
 # the first one writes.
 MAX_RESTORE_DELAY_S = 0.5
 RETRY_DELAY_S = 1.0
@@ -62,6 +62,8 @@
             await self._keep(may_replace=False)
 
     async def _restore(self):
+        if not self._link.must_watch_store:
+            return
         # A router that hears no others cannot tell whether its key is the fleet's.
         await self._keep(may_replace=self._link.has_live_members)
 
--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -85,11 +85,11 @@
         if revision.era > self._revision.era and self._revision.number:
             self._note_restored(revision)
         self._revision = revision
-        self._departures.note_listed(endpoints)
         if endpoints == self._listed:
             return
         self._log_changes(endpoints)
         self._keep_lapsed(endpoints)
+        self._departures.note_listed(endpoints)
         before, base_digest = self._listed, self._digest
         self._listed = endpoints
         self._digest = _digest(endpoints)
@@ -109,12 +109,15 @@
         # Even an equal list has to be corrected.
         self._write()
         if self._departures_expiry is None:
-            self._expire_departures()
+            self._schedule_departures_expiry()
 
     def _expire_departures(self):
-        """Write the list again when a correction ends by itself."""
+        """Write the list again, since a correction may have ended by itself."""
         self._departures_expiry = None
         self._write()
+        self._schedule_departures_expiry()
+
+    def _schedule_departures_expiry(self):
         delay_s = self._departures.deadline_s - self._clock.seconds()
         if 0 < delay_s < float("inf"):
             self._departures_expiry = self._clock.callLater(
@@ -179,8 +182,10 @@
             del self._lapsed[name]
         is_in_grace = self._clock.seconds() < self._grace_end_s
         until_s = self._clock.seconds() + MAX_LAPSE_S
+        known = self._departures.correct(self._listed)
         for name in self._listed.keys() - endpoints.keys():
-            if self._listed[name].leaving or not is_in_grace:
+            has_left = name not in known or known[name].leaving
+            if has_left or not is_in_grace:
                 self._departures.note_gone(self._listed[name])
             else:
                 self._lapsed[name] = _Lapsed(self._listed[name], until_s)
--- a/tests/membership/test_listing.py
+++ b/tests/membership/test_listing.py
@@ -177,6 +177,20 @@
         self.apply(50, endpoint("e1"), endpoint("e2"), era=3)
         self.assertEqual(self.found, {"e1": True, "e2": False})
 
+    def test_leaving_endpoint_whose_restored_entry_ends_is_gone(self):
+        # Guards against a leaving endpoint that is kept as one that has to write again.
+        self.apply(101, endpoint("e1", leaving=True), endpoint("e2"))
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=2)
+        self.apply(51, endpoint("e2"), era=2)
+        self.assertEqual(self.found, {"e2": False})
+
+    def test_gone_endpoint_whose_restored_entry_ends_stays_gone(self):
+        # Guards against an ended endpoint that is kept as one that has to write again.
+        self.apply(101, endpoint("e2"))
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=2)
+        self.apply(51, endpoint("e2"), era=2)
+        self.assertEqual(self.found, {"e2": False})
+
     def test_restarted_endpoint_is_ready(self):
         # Guards against a new process that inherits the end of the previous one.
         self.apply(101, endpoint("e1", leaving=True), endpoint("e2"))
