Tell processes of one name apart after a restore

What would have been seen: an endpoint was leaving, a later process took its name, and the store came back from a copy that lists the earlier process as ready: the router used that one, and dropped the live one.

Departures were kept by name. They are now kept by process (name, address, start); one that a later process replaced, or that started earlier than the one listed before the restore, is gone, and the replaced one has the time to write again that any live endpoint has.

Listeners now note violations, and the invariant demands that there are none, which is stricter.

--- a/src/sesamearch/membership/departures.py
+++ b/src/sesamearch/membership/departures.py
@@ -2,8 +2,6 @@
 
 import msgspec
 
-from sesamearch.configuration.blackboard import Endpoint
-
 __all__ = ["Departures"]
 
 # A restored list is some seconds old, so that it can contain only endpoints that were
@@ -14,18 +12,25 @@
 STALE_ENTRY_TIMEOUT_S = 30.0
 
 
+class _Process(msgspec.Struct, frozen=True):
+    """What tells a process from others that have its name at other times."""
+
+    name: str
+    address: str
+    born_ms: int
+
+
 class _Departure(msgspec.Struct):
-    endpoint: Endpoint
     # Whether it was removed, rather than announced to be leaving.
     is_gone: bool
-    # When the removal is forgotten.
+    # When it is forgotten.
     until_s: float = float("inf")
     # Whether the store has been restored since.
     is_in_force: bool = False
 
 
 class Departures:
-    """Knows the endpoints that are leaving or gone, and corrects restored lists.
+    """Knows the processes that are leaving or gone, and corrects restored lists.
 
     A process that leaves never becomes ready again, so that an entry of the same
     process that says otherwise comes from the copy.
@@ -50,30 +55,41 @@
         )
 
     def note_gone(self, endpoint):
-        """Remember an endpoint that was removed."""
+        """Remember an endpoint that was removed, or replaced by a later process."""
         until_s = self._clock.seconds() + MEMORY_S
-        self._departures[endpoint.name] = _Departure(endpoint, True, until_s)
+        self._departures[_process_of(endpoint)] = _Departure(True, until_s)
 
     def note_listed(self, endpoints):
-        """Forget what a list confirms: endpoints that left, or another process."""
+        """Forget what a list settles, and what is too long ago to be in a copy.
+
+        Parameters
+        ----------
+        endpoints : dict from str to Endpoint
+        """
+        if not self._departures:
+            return
         now_s = self._clock.seconds()
+        listed = {_process_of(each): each for each in endpoints.values()}
         self._departures = {
-            name: each
-            for name, each in self._departures.items()
-            if now_s < each.until_s and not _is_settled(each, endpoints.get(name))
+            process: each
+            for process, each in self._departures.items()
+            if now_s < each.until_s and not _is_settled(each, listed.get(process))
         }
 
-    def note_restored(self, listed):
-        """Keep what is known of endpoints against the copy that a store returned to.
+    def note_restored(self, listed, copied):
+        """Keep what is known of processes against the copy that a store returned to.
 
         Parameters
         ----------
-        listed : dict from str to Endpoint
-            The last list of the earlier era.
+        listed, copied : dict from str to Endpoint
+            The last list of the earlier era, and the first one of the new era.
         """
         for endpoint in listed.values():
             if endpoint.leaving:
-                self._departures[endpoint.name] = _Departure(endpoint, False)
+                self._departures[_process_of(endpoint)] = _Departure(False)
+        for name in listed.keys() & copied.keys():
+            if copied[name].born_ms < listed[name].born_ms:
+                self.note_gone(copied[name])
         until_s = self._clock.seconds() + STALE_ENTRY_TIMEOUT_S
         for each in self._departures.values():
             each.is_in_force = True
@@ -81,7 +97,7 @@
                 each.until_s = until_s
 
     def correct(self, endpoints):
-        """Return a list without the endpoints that are gone, the leaving ones marked.
+        """Return a list without the processes that are gone, the leaving ones marked.
 
         Parameters
         ----------
@@ -89,28 +105,28 @@
         """
         now_s = self._clock.seconds()
         corrected = dict(endpoints)
-        for name, each in self._departures.items():
-            known = endpoints.get(name)
-            if not each.is_in_force or known is None or now_s >= each.until_s:
+        if not any(each.is_in_force for each in self._departures.values()):
+            return corrected
+        for name, endpoint in endpoints.items():
+            known = self._departures.get(_process_of(endpoint))
+            if known is None or not known.is_in_force or now_s >= known.until_s:
                 continue
-            if each.is_gone:
+            if known.is_gone:
                 del corrected[name]
             else:
-                corrected[name] = msgspec.structs.replace(known, leaving=True)
+                corrected[name] = msgspec.structs.replace(endpoint, leaving=True)
         return corrected
 
 
+def _process_of(endpoint):
+    return _Process(endpoint.name, endpoint.address, endpoint.born_ms)
+
+
 def _is_settled(departure, listed):
-    """Return whether a list makes a departure needless."""
+    """Return whether the list says of a process what the departure says."""
     if listed is None:
-        # One that is gone may be in the copy of a later restore.
-        return departure.is_in_force and not departure.is_gone
-    if not _is_same_process(departure.endpoint, listed):
-        return True
+        return False
     if departure.is_gone:
+        # It was only missing for a time, unless the entry is a restored one.
         return not departure.is_in_force
     return listed.leaving
-
-
-def _is_same_process(known, listed):
-    return known.address == listed.address and known.born_ms == listed.born_ms
--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -83,7 +83,7 @@
         if revision < self._revision:
             return
         if revision.era > self._revision.era and self._revision.number:
-            self._note_restored(revision)
+            self._note_restored(endpoints, revision)
         self._revision = revision
         if endpoints == self._listed:
             return
@@ -100,12 +100,12 @@
             removed = list(before.keys() - endpoints.keys())
             self.on_change(base_digest, revision, changed, removed)
 
-    def _note_restored(self, revision):
+    def _note_restored(self, endpoints, revision):
         """Begin a new era: endpoints have time to write again what the copy lacks."""
         before = self._revision.number
         logger.warning(StoreRestored(revision.era, revision.number, before))
         self._restored_s = self._clock.seconds()
-        self._departures.note_restored(self._listed)
+        self._departures.note_restored(self._listed, endpoints)
         # Even an equal list has to be corrected.
         self._write()
         if self._departures_expiry is None:
@@ -178,18 +178,20 @@
 
     def _keep_lapsed(self, endpoints):
         """Keep endpoints that expired in a store outage, to let them re-register."""
-        for name in endpoints.keys() & self._lapsed.keys():
+        before = self._departures.correct(self._listed)
+        now = self._departures.correct(endpoints)
+        for name in now.keys() & self._lapsed.keys():
             del self._lapsed[name]
         is_in_grace = self._clock.seconds() < self._grace_end_s
         until_s = self._clock.seconds() + MAX_LAPSE_S
-        known = self._departures.correct(self._listed)
-        for name in self._listed.keys() - endpoints.keys():
-            has_left = name not in known or known[name].leaving
-            if has_left or not is_in_grace:
-                self._departures.note_gone(self._listed[name])
-            else:
-                self._lapsed[name] = _Lapsed(self._listed[name], until_s)
-                self._log(self._listed[name], "lapsed")
+        for name, endpoint in self._listed.items():
+            has_left = name not in before or before[name].leaving
+            is_replaced = name in now and not _is_same_process(now[name], endpoint)
+            if is_replaced or (name not in now and (has_left or not is_in_grace)):
+                self._departures.note_gone(endpoint)
+            elif name not in now:
+                self._lapsed[name] = _Lapsed(endpoint, until_s)
+                self._log(endpoint, "lapsed")
         if self._lapsed and self._expiry is None:
             delay_s = max(0.0, self._grace_end_s - self._clock.seconds())
             self._expiry = self._clock.callLater(delay_s, self._drop_lapsed)
@@ -256,6 +258,10 @@
         return True
 
 
+def _is_same_process(one, other):
+    return one.address == other.address and one.born_ms == other.born_ms
+
+
 def _digest(endpoints):
     content = msgspec.json.encode([endpoints[name] for name in sorted(endpoints)])
     return hashlib.blake2b(content, digest_size=8).hexdigest()
--- a/tests/membership/test_listing.py
+++ b/tests/membership/test_listing.py
@@ -199,6 +199,27 @@
         self.apply(51, born, endpoint("e2"), era=2)
         self.assertEqual(self.found, {"e1": False, "e2": False})
 
+    def test_process_that_another_replaced_is_gone(self):
+        # Guards against work for an ended process whose name has a new one.
+        second = msgspec.structs.replace(endpoint("e1"), born_ms=8)
+        self.apply(101, endpoint("e1", leaving=True), endpoint("e2"))
+        self.apply(102, second, endpoint("e2"))
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=2)
+        self.assertEqual(self.board.endpoints.value["e1"], second)
+        self.clock.advance(3)
+        self.assertEqual(self.found, {"e2": False})
+        self.apply(51, second, endpoint("e2"), era=2)
+        self.assertEqual(self.board.endpoints.value["e1"], second)
+
+    def test_earlier_process_in_the_copy_is_gone_though_it_was_never_listed(self):
+        # Guards against a router that started after the earlier process had ended.
+        second = msgspec.structs.replace(endpoint("e1"), born_ms=8)
+        first = msgspec.structs.replace(endpoint("e1"), born_ms=7)
+        listing = EndpointListing(self.board, self.clock, lambda: float("-inf"))
+        listing.apply_snapshot(listed(second), at(100))
+        listing.apply_snapshot(listed(first), at(50, 2))
+        self.assertEqual(self.board.endpoints.value, listed(second))
+
     def test_removed_endpoint_stays_gone_until_its_entry_proves_to_be_live(self):
         # Guards against new work for an ended endpoint, and against a lost live one.
         self.apply(101, endpoint("e2"))
--- a/tests/platform/test_store_restored_fuzz.py
+++ b/tests/platform/test_store_restored_fuzz.py
@@ -39,6 +39,8 @@
         self.requests = 0
         self.is_cut = set()
         self.revisions = {}
+        # An exception in a listener would end the work of the router instead.
+        self.violations = []
         self.finals = {}
         for router in self.world.routers:
             self.watch(router)
@@ -52,7 +54,8 @@
         left = set()
 
         def note(table):
-            assert table.revision >= self.revisions[name], "configuration regressed"
+            if table.revision < self.revisions[name]:
+                self.violations.append(f"{name}: configuration regressed")
             self.revisions[name] = table.revision
 
         def note_endpoints(endpoints):
@@ -61,12 +64,17 @@
                 process = (each.name, each.born_ms)
                 if each.leaving:
                     left.add(process)
-                elif is_recent:
-                    assert process not in left, "leaving endpoint is ready again"
+                elif is_recent and process in left:
+                    self.violations.append(f"{name}: {process} is ready again")
 
         router.board.configuration.listen(note)
         router.board.endpoints.listen(note_endpoints)
 
+    @invariant()
+    def listeners_found_nothing(self):
+        """No listener of a router's state has seen a violation."""
+        assert not self.violations, self.violations
+
     @invariant()
     def final_states_stay(self):
         """A process that acted on a final state of the last order keeps to it."""
@@ -85,6 +93,7 @@
         for _ in range(max(1, int(seconds / 0.5))):
             self.world.run(0.5)
             self.final_states_stay()
+            self.listeners_found_nothing()
 
     @rule(seconds=st.sampled_from([0.5, 2, 6]))
     def wait(self, seconds):
