Take the verdict of a later era for any known order

What would have been seen: a router that was cut off in the second rollout of a service, while the store came back from a copy, stayed in progress although the others had reverted the version. It knew that its order repeated none of an earlier era, and ignored verdicts of later ones too, for which that says nothing. tests.platform.test_store_restored test_router_that_was_cut_off_in_a_second_rollout failed before (in_progress); found by reading.

--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -392,8 +392,9 @@
         known = rollout.order
         if known.revision == revision:
             return True
-        is_across = known.revision.era != revision.era and not rollout.is_distinct
-        return is_across and known.target == target
+        if known.target != target or known.revision.era == revision.era:
+            return False
+        return revision.era > known.revision.era or not rollout.is_distinct
 
     def _repeat_verdict(self, rollout):
         """Tell a router that still decides, after a restore, how the rollout ended."""
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -375,8 +375,8 @@
         self.assertEqual(self.requests_to_new, before)
         self.assert_reverted()
 
-    def test_router_that_was_cut_off_takes_the_final_state(self):
-        # Guards against a router that holds the order of the earlier era in progress.
+    def cut_off_and_revert(self):
+        """Revert a rollout and restore the store while a router is cut off."""
         self.order(duration_s=60)
         self.world.run(1)
         self.cut(5)
@@ -385,11 +385,24 @@
             desk.status = 500
         self.send_requests(3, number=0)
         self.come_back(6.0)
+
+    def test_router_that_was_cut_off_takes_the_final_state(self):
+        # Guards against a router that holds the order of the earlier era in progress.
+        self.cut_off_and_revert()
         self.assertEqual(self.states(), {"in_progress", "reverted"})
         self.cut(5, False)
         self.world.run(3)
         self.assertEqual(self.states(), {"reverted"})
 
+    def test_router_that_was_cut_off_in_a_second_rollout_takes_the_final_state(self):
+        # Guards against a verdict that is ignored, as if the order were a later one.
+        self.order("v9")
+        self.world.run(1)
+        self.cut_off_and_revert()
+        self.cut(5, False)
+        self.world.run(3)
+        self.assertEqual(self.states(), {"reverted"})
+
 
 class TestPeerKeys(RestoredTestCase):
     def key(self):
