Keep an ended endpoint gone when another one changes

What would have been seen: an endpoint that had ended was in the copy that the store came back from and was kept out, until any other endpoint changed; then it got work again. A list of which the process is still part noted it as gone anew, which ended the correction. Only a process that the new list lacks is judged now.

--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -185,11 +185,13 @@
         is_in_grace = self._clock.seconds() < self._grace_end_s
         until_s = self._clock.seconds() + MAX_LAPSE_S
         for name, endpoint in self._listed.items():
+            listed = endpoints.get(name)
+            if listed is not None and _is_same_process(listed, endpoint):
+                continue
             has_left = name not in before or before[name].leaving
-            is_replaced = name in now and not _is_same_process(now[name], endpoint)
-            if is_replaced or (name not in now and (has_left or not is_in_grace)):
+            if name in now or has_left or not is_in_grace:
                 self._departures.note_gone(endpoint)
-            elif name not in now:
+            else:
                 self._lapsed[name] = _Lapsed(endpoint, until_s)
                 self._log(endpoint, "lapsed")
         if self._lapsed and self._expiry is None:
--- a/tests/membership/test_listing.py
+++ b/tests/membership/test_listing.py
@@ -199,6 +199,13 @@
         self.apply(51, born, endpoint("e2"), era=2)
         self.assertEqual(self.found, {"e1": False, "e2": False})
 
+    def test_removed_endpoint_stays_gone_when_another_one_changes(self):
+        # Guards against a change elsewhere that brings an ended endpoint back.
+        self.apply(101, endpoint("e2"))
+        self.apply(50, endpoint("e1"), endpoint("e2"), era=2)
+        self.apply(51, endpoint("e1"), endpoint("e2"), endpoint("e3"), era=2)
+        self.assertEqual(sorted(self.found), ["e2", "e3"])
+
     def test_process_that_another_replaced_is_gone(self):
         # Guards against work for an ended process whose name has a new one.
         second = msgspec.structs.replace(endpoint("e1"), born_ms=8)
