--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -25,6 +25,7 @@
     "RequestUnreadable",
     "RetryDenied",
     "RolloutChanged",
+    "StoreRestored",
     "TryLost",
     "TrySent",
     "TrySuspected",
@@ -447,9 +448,10 @@
         Revision of the operator's order for the rollout.
     cause : str
         ``order`` (begun by the operator's order), ``evidence`` (the target version is
-        bad), ``peer`` (reverted by another router) or ``written`` (the store contains
-        the outcome). A rollout for whose target version there is too little evidence
-        when it is due, or no endpoint that runs it, is reverted as ``written``.
+        bad), ``peer`` (reverted by another router), ``written`` (the store contains
+        the outcome) or ``repeated`` (the order has another revision since the store was
+        restored). A rollout for whose target version there is too little evidence when
+        it is due, or no endpoint that runs it, is reverted as ``written``.
     score : float
         Strength of the evidence against the target version.
     to_new : int
@@ -478,6 +480,22 @@
     old_bad: int = 0
 
 
+class StoreRestored(Record, frozen=True, tag="store_restored"):
+    """The store came back from an older copy, and may lack what it had acknowledged.
+
+    Parameters
+    ----------
+    era : int
+        Number of the store's returns from a copy, as the store states it.
+    revision, revision_before : int
+        Store revisions of the first list of endpoints since, and of the one before.
+    """
+
+    era: int
+    revision: int
+    revision_before: int
+
+
 class DataCentreReachability(Record, frozen=True, tag="data_centre_reachability"):
     """A data centre's endpoints stopped to answer this router, or answer again.
 
@@ -527,5 +545,6 @@
     DataCentreReachability,
     Dependency,
     RolloutChanged,
+    StoreRestored,
     Lifecycle,
 )
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -8,8 +8,14 @@
         "broadcast_batcher": ["BATCH_INTERVAL_S", "BroadcastBatcher"],
         "broadcasts": ["Broadcasts"],
         "claim_relay": ["ClaimRelay", "choose_writer"],
+        "departures": ["Departures"],
         "fleet": ["FleetLink"],
-        "fleet_keys": ["FLEET_KEYS_KEY", "obtain_fleet_keys"],
+        "fleet_keys": [
+            "FLEET_KEYS_KEY",
+            "obtain_fleet_keys",
+            "read_fleet_keys",
+            "restore_fleet_keys",
+        ],
         "fleet_message": [
             "FLEET_SCHEMA_VERSION",
             "LEAVING_SCHEMA_VERSION",
@@ -27,8 +33,11 @@
             "RolloutVerdict",
             "TableRequest",
             "TableResponse",
+            "UNSTATED_ERA",
+            "revision_of",
         ],
         "gossip": ["LoadGossip"],
+        "key_keeper": ["KeyKeeper"],
         "leaving_gossip": ["LeavingGossip"],
         "listing": ["EndpointListing"],
         "message": [
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -8,10 +8,12 @@
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.member_list import AgedRouterInfo, RouterInfo
 from sesamearch.routing.canary_evidence import RouteEvidence
+from sesamearch.store.store import StoreRevision
 
 __all__ = [
     "LEAVING_SCHEMA_VERSION",
     "FLEET_SCHEMA_VERSION",
+    "UNSTATED_ERA",
     "Broadcast",
     "BroadcastBatch",
     "LeavingNotice",
@@ -26,10 +28,26 @@
     "RolloutVerdict",
     "TableRequest",
     "TableResponse",
+    "revision_of",
 ]
 
 FLEET_SCHEMA_VERSION = 1
 LEAVING_SCHEMA_VERSION = 1
+# Era in messages of an earlier build, which does not state it.
+UNSTATED_ERA = -1
+
+
+def revision_of(era, number, own):
+    """Return the :class:`StoreRevision` that a message states.
+
+    Parameters
+    ----------
+    era, number : int
+        As stated in the message.
+    own : StoreRevision
+        Its era is assumed if the sender does not state one.
+    """
+    return StoreRevision(own.era if era == UNSTATED_ERA else era, number)
 
 
 class FleetHeartbeat(msgspec.Struct, tag="Beat", frozen=True, array_like=True):
@@ -51,6 +69,8 @@
         A sample of the routers that the sender knows.
     follows_store : bool
         Whether the sender watches the store and reaches it.
+    list_era : int
+        Era of the store that `list_revision` belongs to.
     """
 
     schema_version: int
@@ -61,6 +81,7 @@
     list_digest: str
     routers: list[AgedRouterInfo]
     follows_store: bool = False
+    list_era: int = UNSTATED_ERA
 
 
 class TableRequest(msgspec.Struct, tag="TableWanted", frozen=True, array_like=True):
@@ -79,10 +100,11 @@
 class EndpointsRequest(
     msgspec.Struct, tag="EndpointsWanted", frozen=True, array_like=True
 ):
-    """Request for an endpoint list newer than `revision`, to be sent to `address`."""
+    """Request for a newer endpoint list than the sender's, to be sent to `address`."""
 
     address: str
     revision: int
+    era: int = UNSTATED_ERA
 
 
 class EndpointsSnapshot(
@@ -92,6 +114,7 @@
 
     revision: int
     endpoints: list[Endpoint]
+    era: int = UNSTATED_ERA
 
 
 class EndpointsDelta(
@@ -109,12 +132,15 @@
         Endpoints that were added or changed.
     removed : list of str
         Names of the endpoints that were removed.
+    era : int
+        Era of the store that the revision belongs to.
     """
 
     base_digest: str
     revision: int
     changed: list[Endpoint]
     removed: list[str]
+    era: int = UNSTATED_ERA
 
 
 class LoadUpdate(msgspec.Struct, tag="LoadNews", frozen=True, array_like=True):
@@ -189,6 +215,10 @@
     requests, to_new : int
         Requests sent to the service, and how many of them to the new version.
     evidence : list of RouteEvidence
+    era : int
+        Era of the store that the revision belongs to.
+    is_distinct : bool
+        Whether the sender knows that the order repeats none of an earlier era.
     """
 
     name: str
@@ -200,6 +230,8 @@
     requests: int
     to_new: int
     evidence: list[RouteEvidence]
+    era: int = UNSTATED_ERA
+    is_distinct: bool = False
 
 
 class RolloutVerdict(msgspec.Struct, tag=True, frozen=True, array_like=True):
@@ -212,11 +244,17 @@
         Store revision of the rollout order.
     is_bad : bool
         True if the new version was judged bad, False if it has taken over.
+    era : int
+        Era of the store that the revision belongs to.
+    target : str
+        Version that was to take over; empty if the sender does not state it.
     """
 
     service: str
     revision: int
     is_bad: bool
+    era: int = UNSTATED_ERA
+    target: str = ""
 
 
 class Broadcast(msgspec.Struct, tag="Spread", frozen=True, array_like=True):
--- a/src/sesamearch/membership/listing.py
+++ b/src/sesamearch/membership/listing.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from sesamearch.base.log import logger
-from sesamearch.base.record import EndpointChanged
+from sesamearch.base.record import EndpointChanged, StoreRestored
 from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.membership.departures import Departures
+from sesamearch.store.store import StoreRevision
 
 __all__ = ["EndpointListing"]
 
@@ -74,7 +76,10 @@
         self._listed = {}
         self._lapsed = {}
         self._unlisted = {}
-        self._revision = 0
+        self._revision = StoreRevision()
+        self._restored_s = float("-inf")
+        self._departures = Departures(clock)
+        self._departures_expiry = None
         self._digest = ""
         self._expiry = None
 
@@ -84,16 +89,19 @@
         Parameters
         ----------
         endpoints : dict from str to Endpoint
-        revision : int
-            Store revision of the list. A list older than the current one is ignored.
+        revision : StoreRevision
+            Revision of the list. A list older than the current one is ignored.
         """
         if revision < self._revision:
             return
+        if revision.era > self._revision.era and self._revision.number:
+            self._note_restored(endpoints, revision)
         self._revision = revision
         if endpoints == self._listed:
             return
         self._log_changes(endpoints)
         self._keep_lapsed(endpoints)
+        self._departures.note_listed(endpoints)
         before, base_digest = self._listed, self._digest
         self._listed = endpoints
         self._digest = _digest(endpoints)
@@ -104,6 +112,35 @@
             removed = list(before.keys() - endpoints.keys())
             self.on_change(base_digest, revision, changed, removed)
 
+    def _note_restored(self, endpoints, revision):
+        """Begin a new era: endpoints have time to write again what the copy lacks."""
+        before = self._revision.number
+        logger.warning(StoreRestored(revision.era, revision.number, before))
+        self._restored_s = self._clock.seconds()
+        self._departures.note_restored(self._listed, endpoints)
+        # Even an equal list has to be corrected.
+        self._write()
+        if self._departures_expiry is None:
+            self._schedule_departures_expiry()
+
+    def _expire_departures(self):
+        """Write the list again, since a correction may have ended by itself."""
+        self._departures_expiry = None
+        self._write()
+        self._schedule_departures_expiry()
+
+    def _schedule_departures_expiry(self):
+        delay_s = self._departures.deadline_s - self._clock.seconds()
+        if 0 < delay_s < float("inf"):
+            self._departures_expiry = self._clock.callLater(
+                delay_s, self._expire_departures
+            )
+
+    @property
+    def _grace_end_s(self):
+        """Float : until when endpoints may write entries that the store lost."""
+        return max(self._store_regained_s(), self._restored_s) + REREGISTRATION_GRACE_S
+
     def add_unlisted(self, endpoint):
         """Add a restarted endpoint before the store lists it under its new name.
 
@@ -129,8 +166,7 @@
     def _drop_unlisted(self):
         """Drop added endpoints that the store now lists, or has not listed in time."""
         now_s = self._clock.seconds()
-        grace_end_s = self._store_regained_s() + REREGISTRATION_GRACE_S
-        is_late = self._is_store_reachable() and now_s >= grace_end_s
+        is_late = self._is_store_reachable() and now_s >= self._grace_end_s
         self._unlisted = {
             name: each
             for name, each in self._unlisted.items()
@@ -147,30 +183,38 @@
 
     def _log(self, endpoint, state):
         logger.info(
-            EndpointChanged(endpoint.name, endpoint.service, state, self._revision)
+            EndpointChanged(
+                endpoint.name, endpoint.service, state, self._revision.number
+            )
         )
 
     def _keep_lapsed(self, endpoints):
         """Keep endpoints that expired in a store outage, to let them re-register."""
-        grace_end_s = self._store_regained_s() + REREGISTRATION_GRACE_S
-        for name in endpoints.keys() & self._lapsed.keys():
+        before = self._departures.correct(self._listed)
+        now = self._departures.correct(endpoints)
+        for name in now.keys() & self._lapsed.keys():
             del self._lapsed[name]
-        if self._clock.seconds() >= grace_end_s:
-            return
+        is_in_grace = self._clock.seconds() < self._grace_end_s
         until_s = self._clock.seconds() + MAX_LAPSE_S
-        for name in self._listed.keys() - endpoints.keys():
-            if not self._listed[name].leaving:
-                self._lapsed[name] = _Lapsed(self._listed[name], until_s)
-                self._log(self._listed[name], "lapsed")
+        for name, endpoint in self._listed.items():
+            listed = endpoints.get(name)
+            if listed is not None and _is_same_process(listed, endpoint):
+                continue
+            has_left = name not in before or before[name].leaving
+            if name in now or has_left or not is_in_grace:
+                self._departures.note_gone(endpoint)
+            else:
+                self._lapsed[name] = _Lapsed(endpoint, until_s)
+                self._log(endpoint, "lapsed")
         if self._lapsed and self._expiry is None:
-            delay_s = grace_end_s - self._clock.seconds()
+            delay_s = max(0.0, self._grace_end_s - self._clock.seconds())
             self._expiry = self._clock.callLater(delay_s, self._drop_lapsed)
 
     def _drop_lapsed(self):
         """Drop the endpoints that had time to re-register since the last outage."""
         self._expiry = None
         now_s = self._clock.seconds()
-        grace_s = self._store_regained_s() + REREGISTRATION_GRACE_S - now_s
+        grace_s = self._grace_end_s - now_s
         if not self._is_store_reachable():
             grace_s = REREGISTRATION_GRACE_S
         kept = {}
@@ -178,6 +222,7 @@
             if grace_s > 0 and now_s < lapsed.until_s:
                 kept[name] = lapsed
             else:
+                self._departures.note_gone(lapsed.endpoint)
                 self._log(lapsed.endpoint, "gone")
         if len(kept) < len(self._lapsed):
             self._lapsed = kept
@@ -188,7 +233,8 @@
     def _write(self):
         unlisted = {name: each.endpoint for name, each in self._unlisted.items()}
         lapsed = {name: each.endpoint for name, each in self._lapsed.items()}
-        endpoints = {**unlisted, **lapsed, **self._listed}
+        listed = self._departures.correct(self._listed)
+        endpoints = {**unlisted, **lapsed, **listed}
         if self._leaving is not None:
             endpoints = self._leaving.apply(endpoints)
         self._board.endpoints.write(endpoints)
@@ -196,7 +242,7 @@
     # Exchange with other routers.
 
     def state(self):
-        """Return the store revision and the digest of the list."""
+        """Return the :class:`StoreRevision` and the digest of the list."""
         return self._revision, self._digest
 
     def listed(self):
@@ -210,8 +256,8 @@
         ----------
         base_digest : str
             Digest of the list that the changes are based on.
-        revision : int
-            Store revision of the changed list.
+        revision : StoreRevision
+            Revision of the changed list.
         changed : list of Endpoint
         removed : list of str
 
@@ -229,6 +275,10 @@
         return True
 
 
+def _is_same_process(one, other):
+    return one.address == other.address and one.born_ms == other.born_ms
+
+
 def _digest(endpoints):
     content = msgspec.json.encode([endpoints[name] for name in sorted(endpoints)])
     return hashlib.blake2b(content, digest_size=8).hexdigest()
--- a/src/sesamearch/store/__init__.py
+++ b/src/sesamearch/store/__init__.py
@@ -13,6 +13,8 @@
             "Put",
             "RangeReply",
             "Store",
+            "StoreCopy",
+            "StoreRevision",
             "StoredValue",
             "TxnReply",
             "Watch",
--- a/src/sesamearch/store/store.py
+++ b/src/sesamearch/store/store.py
@@ -11,6 +11,8 @@
     "Put",
     "RangeReply",
     "Store",
+    "StoreCopy",
+    "StoreRevision",
     "StoredValue",
     "TxnReply",
     "Watch",
@@ -37,6 +39,24 @@
     lease: int = 0
 
 
+class StoreRevision(msgspec.Struct, frozen=True, order=True):
+    """Place of a write among all writes of the store, comparable across its restores.
+
+    A store that comes back from an older copy gives out some revisions again, so that
+    revisions are comparable within one era only.
+
+    Parameters
+    ----------
+    era : int
+        Number of the store's returns from a copy; zero if it states none.
+    number : int
+        Store revision.
+    """
+
+    era: int = 0
+    number: int = 0
+
+
 class StoredValue(msgspec.Struct, frozen=True):
     """Base of structures that are stored as JSON."""
 
@@ -88,10 +108,11 @@
 
 
 class RangeReply(msgspec.Struct, frozen=True):
-    """Keys and values as of one store revision."""
+    """Keys and values as of one store revision, and the era that it belongs to."""
 
     revision: int
     items: list[KeyValue]
+    era: int = 0
 
 
 class TxnReply(msgspec.Struct, frozen=True):
@@ -138,8 +159,16 @@
     Every method except :meth:`watch` returns a Deferred of a ``result.Result``
     whose error is ``ErrorKind.STORE_UNAVAILABLE``. After such an error a write may
     have taken effect, so the writer must read the keys to learn the outcome.
+
+    Attributes
+    ----------
+    era : int
+        Newest known number of the store's returns from an older copy. When it rises,
+        all watches end.
     """
 
+    era = 0
+
     @abc.abstractmethod
     def range(self, prefix, allow_stale=False):
         """Read all keys with a prefix; the result is a :class:`RangeReply`.
@@ -164,6 +193,22 @@
         """Watch a prefix for changes after `revision`; return a :class:`Watch`."""
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """Content of a :class:`MemoryStore` at one time.
+
+    Parameters
+    ----------
+    revision : int
+    items : dict from bytes to KeyValue
+    leases : dict from int to float
+        Time to live of each lease.
+    """
+
+    revision: int
+    items: dict[bytes, KeyValue]
+    leases: dict[int, float]
+
+
 class _MemoryWatch(Watch):
     __slots__ = ("_store", "prefix", "receiver")
 
@@ -288,3 +333,20 @@
                 self._deliver(watch, past_revision, puts)
         self.watches.append(watch)
         return watch
+
+    def copy(self):
+        """Return the present content as a :class:`StoreCopy`."""
+        self.expire()
+        return StoreCopy(self.revision, dict(self.items), dict(self._leases))
+
+    def restore(self, copy):
+        """Go back to a :class:`StoreCopy`; its leases run anew, watches are dropped."""
+        now_s = self._clock.seconds()
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.log = [entry for entry in self.log if entry[0] <= copy.revision]
+        self.watches = []
+        self._leases = dict(copy.leases)
+        self._lease_deadlines_s = {
+            lease: now_s + ttl_s for lease, ttl_s in copy.leases.items()
+        }
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,11 @@
 from twisted.internet.defer import Deferred
 
 from sesamearch.base.errors import ErrorKind
-from sesamearch.membership.fleet_keys import FLEET_KEYS_KEY, obtain_fleet_keys
+from sesamearch.membership.fleet_keys import (
+    FLEET_KEYS_KEY,
+    obtain_fleet_keys,
+    restore_fleet_keys,
+)
 from sesamearch.platform.store import PlatformStore
 from sesamearch.standin.network import MemoryNetwork
 from sesamearch.standin.platform_store import PlatformStoreStandin
@@ -219,6 +223,107 @@
         self.assertEqual(self.recorder.puts, [])
 
 
+class TestStandinRestore(StoreTestCase):
+    # Guards against a stand-in that keeps what a store loses with an older copy.
+
+    def setUp(self):
+        super().setUp()
+        self.standin.put("servers/a", b"old")
+        self.network.run(5)
+        self.standin.put("servers/a", b"new")
+        self.standin.put("servers/b", b"new")
+        self.standin.put("status/c", b"new")
+
+    def content(self):
+        return {key: kv.value for key, kv in self.standin.state.items.items()}
+
+    def test_writes_since_the_copy_are_gone_and_revisions_go_back(self):
+        revision = self.standin.state.revision
+        self.standin.restore(3.0)
+        self.assertEqual(self.content(), {b"servers/a": b"old"})
+        self.assertLess(self.standin.state.revision, revision)
+        self.assertEqual(self.standin.era, 2)
+
+    def test_only_operators_and_endpoints_write_again(self):
+        self.standin.restore(3.0)
+        self.standin.write_again()
+        self.assertEqual(self.content(), {b"servers/a": b"new", b"servers/b": b"new"})
+
+    def test_leases_since_the_copy_are_gone(self):
+        lease = self.standin.state.grant_lease(30)
+        self.standin.restore(3.0)
+        self.assertFalse(self.standin.state.renew_lease(lease))
+
+    def test_store_is_away_until_it_comes_back(self):
+        self.standin.restore(3.0, away_s=1.0)
+        self.assertTrue(self.result(self.store.range(b"")).is_err())
+        self.network.run(1)
+        self.assertEqual(len(self.result(self.store.range(b"")).unwrap().items), 1)
+
+    def test_watch_from_a_revision_that_is_gone_ends(self):
+        recorder = Recorder()
+        revision = self.standin.state.revision
+        self.standin.restore(3.0)
+        self.store.watch(b"", revision, recorder)
+        self.network.run(0.1)
+        self.assertTrue(recorder.has_ended)
+
+
+class TestEra(StoreTestCase):
+    def setUp(self):
+        super().setUp()
+        self.restored = []
+        self.store.on_restored = lambda: self.restored.append(self.store.era)
+        for number in range(9):
+            self.standin.put(f"a/{number}", b"x")
+
+    def range(self):
+        return self.result(self.store.range(b"a/"))
+
+    def test_first_response_is_no_restore(self):
+        # Guards against a restore that is noticed at each start.
+        self.standin.era = 7
+        self.assertEqual(self.range().unwrap().era, 7)
+        self.assertEqual(self.restored, [])
+
+    def test_rise_is_noticed_and_ends_the_watches(self):
+        # Guards against a watch that waits for revisions that are given out again.
+        recorder = Recorder()
+        self.network.run(5)
+        self.store.watch(b"a/", self.range().unwrap().revision, recorder)
+        self.network.run(0.1)
+        self.standin.restore(1.0)
+        self.standin.put("a/0", b"y")
+        self.network.run(1.5)
+        self.assertEqual(self.restored, [2])
+        self.assertTrue(recorder.has_ended)
+        self.assertEqual(recorder.puts, [])
+
+    def test_response_of_an_older_era_is_an_error(self):
+        # Guards against a late response from before the restore.
+        self.range()
+        self.standin.era = 3
+        self.range()
+        self.standin.era = 2
+        self.assertTrue(self.range().is_err())
+        self.assertEqual(self.restored, [3])
+
+    def test_pages_of_two_eras_are_an_error(self):
+        # Guards against a list that is half of the copy.
+        self.range()
+        self.standin.page_items = 4
+        done = self.store.range(b"a/")
+        self.network.callLater(0.002, setattr, self.standin, "era", 2)
+        self.assertTrue(self.result(done).is_err())
+        self.assertEqual(self.range().unwrap().era, 2)
+
+    def test_store_that_states_none(self):
+        # Guards against a client that needs the header.
+        self.standin.era = None
+        self.assertEqual(self.range().unwrap().era, 0)
+        self.assertEqual(self.restored, [])
+
+
 class TestFleetKeys(StoreTestCase):
     def obtain(self):
         return self.result(Deferred.fromCoroutine(obtain_fleet_keys(self.store)))
@@ -236,6 +341,35 @@
         self.standin.refusal = 503
         self.assertTrue(self.obtain().is_err())
 
+    def restore(self, keys, may_replace):
+        restored = restore_fleet_keys(self.store, keys, may_replace)
+        return self.result(Deferred.fromCoroutine(restored))
+
+    def test_lost_keys_are_written_again(self):
+        # Guards against a fleet whose later routers agree on other keys.
+        keys = self.obtain().unwrap()
+        self.standin.remove(FLEET_KEYS_KEY.decode())
+        self.assertEqual(self.restore(keys, False).unwrap(), keys)
+        self.assertEqual(self.obtain().unwrap(), keys)
+
+    def test_other_keys_are_replaced_only_if_allowed(self):
+        # Guards against a router without others that replaces the fleet's keys.
+        keys = self.obtain().unwrap()
+        self.standin.remove(FLEET_KEYS_KEY.decode())
+        other = self.obtain().unwrap()
+        self.assertEqual(self.restore(keys, False).unwrap(), other)
+        self.assertEqual(self.obtain().unwrap(), other)
+        self.assertEqual(self.restore(keys, True).unwrap(), keys)
+        self.assertEqual(self.obtain().unwrap(), keys)
+
+    def test_lost_response_to_the_writing_again(self):
+        # Guards against keys that are taken for written before they are read.
+        keys = self.obtain().unwrap()
+        self.standin.remove(FLEET_KEYS_KEY.decode())
+        self.standin.lost_answers = 1
+        self.assertTrue(self.restore(keys, True).is_err())
+        self.assertEqual(self.restore(keys, True).unwrap(), keys)
+
     def test_invalid_keys_are_an_error(self):
         self.standin.put(FLEET_KEYS_KEY.decode(), b"?")
         self.assertTrue(self.obtain().is_err())
