--- a/src/sesamearch/routing/canary.py
+++ b/src/sesamearch/routing/canary.py
@@ -13,7 +13,7 @@
 # Part of the time from the order to its deadline that the first phase takes. It is
 # short, because generations end long after they began and count only then.
 FIRST_PHASE_LENGTH_RATIO = 0.3
-FIRST_PHASE_MAX_SHARE_RATIO = 0.8
+FIRST_PHASE_MAX_SHARE_RATIO = 0.5
 # For this long after the order the request rate is not known, so the new version gets
 # the fixed share below.
 RATE_WARMUP_S = 0.5
