--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -31,7 +31,7 @@
 from sesamearch.replay.process import Process
 from sesamearch.replay.store import FakeStore, StoreFaults
 from sesamearch.routing.placement import Placement
-from tests.generation.test_generation import RecordedOutcomes, RecordingEngines
+from tests.generation.recorded import RecordedOutcomes, RecordingEngines
 from tests.support import DRAFTING, TICKETING
 
 LIMITS = LimitSettings(body_bytes=2000, receive_timeout_s=5, generations=2)
--- a/tests/operation/test_call.py
+++ b/tests/operation/test_call.py
@@ -11,7 +11,7 @@
 from sesamearch.operation.plain import CallFailure, PlainReply, PlainRequest
 from sesamearch.routing.placement import Placement
 from tests.callers.test_gateway import RecordingPlainClient
-from tests.generation.test_generation import RecordedOutcomes
+from tests.generation.recorded import RecordedOutcomes
 from tests.support import TICKETING
 
 REQUEST = PlainRequest("GET", "/tickets/5", [], b"", "GET /*")
