Keep a silent attempt until another engine takes over

Callers saw an answer cut off as generation-lost although its engine was only silent: when no other engine took it within resume_timeout_s of the stall, the attempt that still ran was cancelled. A caller that came back without its text lost the answer after reattach_timeout_s of silence.

While an attempt is open, only the caller's deadline ends the answer, other engines are looked for as before, and the time to resume begins when the last open attempt is lost. A kept attempt that skips a token cannot go on and is closed, so that nothing waits for it.

Seven of the nine tests failed before: six with GENERATION_LOST ('no endpoint of this version in time', 'engine lost, caller sent no text'), one with IndexError as no second attempt was opened. The other two bound the new wait.

--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -79,9 +79,11 @@
     that sent a cursor.
     The owner calls :meth:`check` regularly to detect stalls and passed deadlines.
 
-    A stalled attempt stays on standby while the next one starts. Both continue
-    the same delivered prefix, with the same version and seed; the first of them to
-    deliver the next token becomes the current attempt, and the others are cancelled.
+    A stalled attempt is kept until another one delivers; while it is open, only the
+    deadline of the request ends the answer. It stays on standby while the next one
+    starts. Both continue the same delivered prefix, with the same version and seed; the
+    first of them to deliver the next token becomes the current attempt, and the others
+    are cancelled.
 
     Parameters
     ----------
@@ -223,8 +225,14 @@
         bool
             Whether the attempt is now the current one.
         """
-        is_next = events and events[0].index == self.offset_tokens
-        if attempt not in self._standbys or not is_next:
+        if attempt not in self._standbys or not events:
+            return False
+        if events[0].index > self.offset_tokens:
+            # It skipped tokens, so it cannot go on with the answer.
+            self._standbys.remove(attempt)
+            attempt.close(cancel=True)
+            return False
+        if events[0].index < self.offset_tokens:
             return False
         self._standbys.remove(attempt)
         if self._current is not None:
@@ -343,19 +351,29 @@
 
     def _recover(self):
         self._stop_retry()
-        if self.offset_tokens and self._text is None:
+        lacks_text = self.offset_tokens and self._text is None
+        now_s = self._clock.seconds()
+        if self._open_attempts():
+            # A silent attempt may go on, and the time to resume begins at its loss.
+            self._resume_deadline_s = now_s + self._policy.resume_timeout_s
+        elif lacks_text:
             self._fail(ErrorKind.GENERATION_LOST, "engine lost, caller sent no text")
-        elif self._clock.seconds() >= self._resume_deadline_s:
+            return
+        elif now_s >= self._resume_deadline_s:
             self._fail(ErrorKind.GENERATION_LOST, "no endpoint of this version in time")
-        elif not self._open_next():
+            return
+        if lacks_text or not self._open_next():
             self._reset_tried()
             self._retry = self._clock.callLater(RETRY_INTERVAL_S, self._recover)
 
+    def _open_attempts(self):
+        attempts = [*self._standbys, self._current]
+        return [a for a in attempts if a is not None and a.is_open]
+
     def _reset_tried(self):
         # All endpoints may be tried again, except those that still have an open
         # stalled attempt: they would stall a second one as well.
-        waiting = [*self._standbys, self._current]
-        self._tried = {a.endpoint.name for a in waiting if a is not None and a.is_open}
+        self._tried = {attempt.endpoint.name for attempt in self._open_attempts()}
 
     def _open_next(self):
         endpoint = self._choose()
--- /dev/null
+++ b/tests/generation/test_silence.py
@@ -0,0 +1,162 @@
+"""Tests of engines that fall silent for a while and go on."""
+
+import msgspec
+
+from sesamearch.base.errors import ErrorKind
+from sesamearch.configuration.blackboard import Endpoint
+from sesamearch.configuration.configuration import ResumePolicy, VersionShare
+from sesamearch.generation.engine import StreamEnd
+from tests.generation.recorded import GenerationCase, RecordingSink
+from tests.support import DRAFTING
+
+SILENCE_S = 1.2
+STEP_S = 0.05
+# Each time limit of this policy passes within the silence.
+POLICY = ResumePolicy(
+    first_token_timeout_s=0.4,
+    resume_first_token_timeout_s=0.2,
+    stall_floor_s=0.2,
+    reattach_timeout_s=0.2,
+    resume_timeout_s=0.5,
+)
+SERVICE = msgspec.structs.replace(DRAFTING, resume=POLICY)
+TWO_VERSIONS = msgspec.structs.replace(
+    SERVICE, versions=[VersionShare("v1", 0.5), VersionShare("v2", 0.5)]
+)
+
+
+class SilenceTest(GenerationCase):
+    def make_generation(self, deadline_s=1000.0, service=SERVICE):
+        return super().make_generation(deadline_s, service)
+
+    def stay_silent(self, seconds=SILENCE_S):
+        for _ in range(round(seconds / STEP_S)):
+            self.advance(STEP_S)
+
+    def refuse_while_silent(self):
+        """Let all attempts but the first be refused while the first is silent."""
+        for _ in range(round(SILENCE_S / STEP_S)):
+            self.advance(STEP_S)
+            for stream in self.engines.opened[1:]:
+                if not stream.is_detached:
+                    stream.end(StreamEnd.REFUSED)
+
+    def start(self, *names):
+        self.set_endpoints(*names)
+        self.generation.start()
+        return self.engines.opened[0]
+
+    def start_with_versions(self):
+        self.generation = self.make_generation(service=TWO_VERSIONS)
+        self.board.endpoints.write(
+            {
+                "e1": Endpoint("e1", "e1", "a", "drafting", "v1"),
+                "e2": Endpoint("e2", "e2", "a", "drafting", "v2"),
+            }
+        )
+        self.generation.start()
+        return self.engines.opened[0]
+
+    def assert_complete(self, tokens):
+        self.assertIsNone(self.sink.problem)
+        self.assertEqual(self.sink.text, "".join(f" t{i}" for i in range(tokens)))
+        self.assertEqual(self.sink.finished, tokens)
+
+    def test_only_engine_silent_in_mid_stream_completes_the_answer(self):
+        # Guards against the loss of an answer whose only engine is silent for longer
+        # than the time to resume.
+        stream = self.start("e1")
+        stream.send(0, 1)
+        self.stay_silent()
+        stream.send(2)
+        stream.finish(3)
+        self.assert_complete(3)
+        self.assertEqual(len(self.engines.opened), 1)
+        self.assertEqual(self.engines.cancelled, [])
+
+    def test_only_engine_silent_before_the_first_token_completes_the_answer(self):
+        # Guards against the same loss before the first token.
+        stream = self.start("e1")
+        self.stay_silent()
+        stream.send(0)
+        stream.finish(1)
+        self.assert_complete(1)
+        self.assertEqual(len(self.engines.opened), 1)
+
+    def test_silent_engine_completes_the_answer_while_the_others_are_full(self):
+        # Guards against the loss of an answer whose engine is silent, because no other
+        # one takes it.
+        stream = self.start("e1", "e2", "e3")
+        stream.send(0, 1)
+        self.refuse_while_silent()
+        stream.send(2)
+        stream.finish(3)
+        self.assert_complete(3)
+
+    def test_silent_engine_begins_the_answer_while_the_others_are_full(self):
+        # Guards against the same loss before the first token.
+        stream = self.start("e1", "e2", "e3")
+        self.refuse_while_silent()
+        stream.send(0)
+        stream.finish(1)
+        self.assert_complete(1)
+
+    def test_silent_attempt_that_skips_a_token_is_not_waited_for(self):
+        # Guards against an answer that waits for an attempt that cannot go on.
+        stream = self.start("e1", "e2")
+        stream.send(0)
+        self.stay_silent(0.25)
+        stream.send(2)
+        self.engines.opened[1].end(StreamEnd.REFUSED)
+        self.set_endpoints()
+        self.stay_silent()
+        self.assertIs(self.sink.problem.kind, ErrorKind.GENERATION_LOST)
+
+    def test_silent_engine_that_is_lost_after_all_ends_the_answer(self):
+        # Guards against an answer that waits for an engine that is gone.
+        stream = self.start("e1")
+        stream.send(0)
+        self.stay_silent()
+        self.set_endpoints()
+        stream.end(StreamEnd.GONE)
+        self.stay_silent(POLICY.resume_timeout_s + 0.2)
+        self.assertIs(self.sink.problem.kind, ErrorKind.GENERATION_LOST)
+
+    def test_silent_engine_that_is_lost_after_all_is_replaced_in_time(self):
+        # Guards against a time to resume that passes while the engine is only silent.
+        stream = self.start("e1")
+        stream.send(0)
+        self.stay_silent()
+        self.set_endpoints()
+        stream.end(StreamEnd.GONE)
+        self.set_endpoints("e2")
+        self.stay_silent(0.2)
+        second = self.engines.opened[1]
+        second.send(1)
+        second.finish(2)
+        self.assert_complete(2)
+
+    def test_silent_engine_is_waited_for_until_the_deadline(self):
+        # Guards against a caller that hears nothing by its deadline.
+        self.generation = self.make_generation(deadline_s=3.0)
+        self.start("e1").send(0)
+        self.stay_silent(2.9)
+        self.assertIsNone(self.sink.problem)
+        self.stay_silent(0.2)
+        self.assertIs(self.sink.problem.kind, ErrorKind.GENERATION_LOST)
+        self.assertEqual(self.engines.cancelled, ["e1"])
+
+    def test_silent_re_attached_attempt_completes_without_the_text(self):
+        # Guards against the loss of a running attempt because the caller sent no text.
+        self.start("e1").send(0, 1)
+        position = self.signer.read(self.sink.cursor, "clerks").unwrap()
+        self.sink = RecordingSink()
+        self.generation = self.make_generation()
+        self.generation.resume_from_cursor(position, None)
+        self.stay_silent()
+        stream = self.engines.attached[0]
+        stream.send(2)
+        stream.finish(3)
+        self.assertIsNone(self.sink.problem)
+        self.assertEqual((self.sink.text, self.sink.finished), (" t2", 3))
+        self.assertEqual(len(self.engines.opened), 1)
