Keep the attempt that delivered when many engines are silent

Callers waited on while the engine of their answer went on: with more silent engines than attempts are kept, the oldest attempt was cancelled for each new one, and its tokens were dropped when it went on. Only the oldest can have delivered, so it has the most progress; now the second oldest is cancelled instead. The bound on kept attempts stays, and has a test.

test_first_of_many_silent_engines_completes_the_answer failed before: ' t0 t1' != ' t0 t1 t2'.

--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -401,7 +401,8 @@
         if stalled.version != self.version:
             self._drop_standbys()
         elif len(self._standbys) > MAX_STANDBYS:
-            self._standbys.pop(0).close(cancel=True)
+            # The oldest attempt is kept: only it can have delivered.
+            self._standbys.pop(1).close(cancel=True)
 
     def _drop_standbys(self):
         standbys, self._standbys = self._standbys, []
--- a/tests/generation/test_silence.py
+++ b/tests/generation/test_silence.py
@@ -83,6 +83,37 @@
         self.assert_complete(1)
         self.assertEqual(len(self.engines.opened), 1)
 
+    def test_first_of_many_silent_engines_completes_the_answer(self):
+        # Guards against cancelling the attempt that delivered, because more engines
+        # are silent than attempts are kept.
+        stream = self.start("e1", "e2", "e3", "e4", "e5", "e6")
+        stream.send(0, 1)
+        self.stay_silent()
+        stream.send(2)
+        others = [other for other in self.engines.opened[1:] if not other.is_detached]
+        stream.finish(3)
+        self.assert_complete(3)
+        self.assertEqual(others, [])
+        self.assertNotIn("e1", self.engines.cancelled)
+
+    def test_last_of_many_silent_engines_completes_the_answer(self):
+        # Guards against doubled tokens of engines that go on together.
+        first = self.start("e1", "e2", "e3", "e4")
+        first.send(0, 1)
+        self.stay_silent()
+        last = self.engines.opened[-1]
+        last.send(2)
+        first.send(2, 3)
+        last.finish(3)
+        self.assert_complete(3)
+
+    def test_number_of_kept_attempts_is_bounded(self):
+        # Guards against a silent data centre that holds an attempt at each engine.
+        self.start(*(f"e{number}" for number in range(12))).send(0)
+        self.stay_silent(6.0)
+        kept = [stream for stream in self.engines.opened if not stream.is_detached]
+        self.assertLessEqual(len(kept), 3)
+
     def test_silent_engine_completes_the_answer_while_the_others_are_full(self):
         # Guards against the loss of an answer whose engine is silent, because no other
         # one takes it.
