Keep a silent attempt when another version is tried before the first token

Callers got generation-lost although their engine was only silent before its first token: the attempt was cancelled as soon as one of another version was opened, also if that one was refused, and two silent versions cancelled each other in turn.

Attempts of several versions are now kept until the first token. The one that brings it fixes the version of the answer and ends the others, so nothing is mixed; an attempt whose engine answers with another version than it was opened for is closed.

The three tests with two versions failed before: GENERATION_LOST ('no endpoint of this version in time') and twice '' != ' t0'.

--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -81,9 +81,9 @@
 
     A stalled attempt is kept until another one delivers; while it is open, only the
     deadline of the request ends the answer. It stays on standby while the next one
-    starts. Both continue the same delivered prefix, with the same version and seed; the
-    first of them to deliver the next token becomes the current attempt, and the others
-    are cancelled.
+    starts. Both continue the same delivered prefix, with the same seed and, after the
+    first token, the same version; the first of them to deliver the next token becomes
+    the current attempt, and the others are cancelled.
 
     Parameters
     ----------
@@ -227,17 +227,19 @@
         """
         if attempt not in self._standbys or not events:
             return False
-        if events[0].index > self.offset_tokens:
-            # It skipped tokens, so it cannot go on with the answer.
+        first = events[0]
+        if first.index > self.offset_tokens or first.version != attempt.version:
+            # It skipped tokens or changed its version, so it cannot go on.
             self._standbys.remove(attempt)
             attempt.close(cancel=True)
             return False
-        if events[0].index < self.offset_tokens:
+        if first.index < self.offset_tokens:
             return False
         self._standbys.remove(attempt)
         if self._current is not None:
             self._current.close(cancel=True)
         self._current = attempt
+        self.version = attempt.version
         return True
 
     def _deliver(self, event):
@@ -398,9 +400,7 @@
         if stalled is None or not stalled.is_open:
             return
         self._standbys.append(stalled)
-        if stalled.version != self.version:
-            self._drop_standbys()
-        elif len(self._standbys) > MAX_STANDBYS:
+        if len(self._standbys) > MAX_STANDBYS:
             # The oldest attempt is kept: only it can have delivered.
             self._standbys.pop(1).close(cancel=True)
 
--- a/tests/generation/test_silence.py
+++ b/tests/generation/test_silence.py
@@ -132,6 +132,39 @@
         stream.finish(1)
         self.assert_complete(1)
 
+    def test_engine_of_another_version_that_refuses_takes_nothing_over(self):
+        # Guards against cancelling a silent attempt for one that never delivers.
+        stream = self.start_with_versions()
+        self.refuse_while_silent()
+        stream.send(0)
+        stream.finish(1)
+        self.assert_complete(1)
+        self.assertEqual(self.sink.version, "v1")
+
+    def test_versions_are_not_mixed_when_the_silent_one_goes_on_first(self):
+        # Guards against an answer that mixes the versions of two kept attempts.
+        first = self.start_with_versions()
+        self.stay_silent()
+        second = self.engines.opened[1]
+        first.send(0)
+        second.send(0, 1, version="v2")
+        first.finish(1)
+        self.assert_complete(1)
+        self.assertEqual(self.sink.version, "v1")
+        self.assertTrue(second.is_detached)
+
+    def test_versions_are_not_mixed_when_the_other_one_delivers_first(self):
+        # Guards against the same when the other version takes over.
+        first = self.start_with_versions()
+        self.stay_silent()
+        second = self.engines.opened[1]
+        second.send(0, version="v2")
+        first.send(0, 1)
+        second.finish(1, version="v2")
+        self.assert_complete(1)
+        self.assertEqual(self.sink.version, "v2")
+        self.assertTrue(first.is_detached)
+
     def test_silent_attempt_that_skips_a_token_is_not_waited_for(self):
         # Guards against an answer that waits for an attempt that cannot go on.
         stream = self.start("e1", "e2")
