Pause and resume a silent attempt with the current one

While the caller's connection was full, only the current attempt was paused. One that was put on standby in the pause was never resumed, so it could not go on, and a standby that went on wrote to the full connection. Both now follow the connection.

test_full_connection_pauses_and_resumes_a_silent_attempt_too failed before: False is not true.

--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -457,17 +457,18 @@
         """Stop reading from the engine while the caller's connection is full."""
         self._paused = True
         self._event_deadline_s = _NEVER_S
-        if self._current is not None:
-            self._current.pause()
+        for attempt in self._open_attempts():
+            attempt.pause()
 
     def resume(self):
         """Continue reading; the pause does not count as a stall."""
         self._paused = False
         self._last_event_s = 0.0
+        for attempt in self._open_attempts():
+            attempt.resume()
         if self._current is not None and self._current.is_open:
             now_s = self._clock.seconds()
             self._event_deadline_s = now_s + self._policy.first_token_timeout_s
-            self._current.resume()
 
     def caller_left(self):
         """Cancel the generation because its caller disconnected."""
--- a/tests/generation/test_silence.py
+++ b/tests/generation/test_silence.py
@@ -224,3 +224,13 @@
         self.assertIsNone(self.sink.problem)
         self.assertEqual((self.sink.text, self.sink.finished), (" t2", 3))
         self.assertEqual(len(self.engines.opened), 1)
+
+    def test_full_connection_pauses_and_resumes_a_silent_attempt_too(self):
+        # Guards against a silent attempt that is never read again after a pause.
+        stream = self.start("e1", "e2")
+        stream.send(0)
+        self.stay_silent(0.25)
+        self.generation.pause()
+        self.assertTrue(stream.is_paused)
+        self.generation.resume()
+        self.assertFalse(stream.is_paused)
