Stop the retry timer when a lost attempt is re-attached

A silent attempt whose connection was then lost was re-attached while the timer that looks for another engine still ran. The timer opened a second attempt in the state "starting", which has no such transition: an unhandled exception in the reactor, with the attempt counted but not started. The timer now stops whenever an attempt begins.

test_lost_connection_of_a_silent_engine_starts_one_attempt failed before with automat's NoTransition ("no transition for opened") in _begin_attempt.

--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -431,6 +431,7 @@
             self.pause()
 
     def _begin_attempt(self, endpoint, timeout_s, stream_id=None):
+        self._stop_retry()
         self.attempts += 1
         self._unrefused_attempts += 1
         self._event_deadline_s = self._clock.seconds() + timeout_s
--- a/tests/generation/test_silence.py
+++ b/tests/generation/test_silence.py
@@ -234,3 +234,14 @@
         self.assertTrue(stream.is_paused)
         self.generation.resume()
         self.assertFalse(stream.is_paused)
+
+    def test_lost_connection_of_a_silent_engine_starts_one_attempt(self):
+        # Guards against a retry beside the attempt that was re-attached.
+        stream = self.start("e1")
+        stream.send(0)
+        self.stay_silent(0.4)
+        self.set_endpoints("e1", "e2")
+        stream.end(StreamEnd.LOST)
+        self.clock.advance(0.15)
+        self.assertEqual(len(self.engines.attached), 1)
+        self.assertEqual(len(self.engines.opened), 1)
