Keep a silent attempt when another engine rejects the rest of the answer

An engine that could not continue the text (status 400, 413 or 422) ended the answer, also while the engine that had taken the request was only silent. The rejection now counts as a refusal while another attempt is open; without one it ends the answer as before.

test_engine_that_rejects_the_rest_takes_nothing_over failed before (see its BAD_REQUEST problem).

--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -302,7 +302,7 @@
             self._standbys.remove(attempt)
         elif attempt is not self._current or self.is_over:
             return
-        elif reason is StreamEnd.INVALID:
+        elif reason is StreamEnd.INVALID and not self._open_attempts():
             self._fail(ErrorKind.BAD_REQUEST, detail)
         else:
             self._handle_failure(_FAILURE_BY_END[reason])
@@ -514,5 +514,6 @@
     StreamEnd.LOST: AttemptFailure.CONNECTION,
     StreamEnd.GONE: AttemptFailure.GONE,
     StreamEnd.REFUSED: AttemptFailure.REFUSED,
+    StreamEnd.INVALID: AttemptFailure.REFUSED,
 }
 _state_machine = _build_state_machine()
--- a/tests/generation/test_silence.py
+++ b/tests/generation/test_silence.py
@@ -245,3 +245,14 @@
         self.clock.advance(0.15)
         self.assertEqual(len(self.engines.attached), 1)
         self.assertEqual(len(self.engines.opened), 1)
+
+    def test_engine_that_rejects_the_rest_takes_nothing_over(self):
+        # Guards against an answer that is cut off by another engine that cannot
+        # continue it, while its own is only silent.
+        stream = self.start("e1", "e2")
+        stream.send(0)
+        self.stay_silent(0.25)
+        self.engines.opened[1].end(StreamEnd.INVALID)
+        stream.send(1)
+        stream.finish(2)
+        self.assert_complete(2)
