Count a silent attempt as an error only if it does not go on

A rollout heard of a cut-off answer whenever an engine was silent for longer than a stall, although the engine went on and completed the answer, and of both outcomes for one attempt. An attempt that is silent now reports its error when it is closed, which is when another engine takes over or the answer ends, and each attempt reports once.

test_silent_engine_that_goes_on_is_no_evidence_of_an_error failed before: [True, False] != [False]. The test of a replaced engine passed before and bounds the change.

--- a/src/sesamearch/generation/attempt.py
+++ b/src/sesamearch/generation/attempt.py
@@ -119,9 +119,11 @@
     __slots__ = (
         "_begun_s",
         "_first_event_s",
+        "_is_reported",
         "_load",
         "_owner",
         "_request",
+        "_silent_gap_s",
         "_stream",
         "_tools",
         "cursor_prefix",
@@ -145,6 +147,8 @@
         self._begun_s = 0.0
         self._first_event_s = None
         self._load = 0
+        self._is_reported = False
+        self._silent_gap_s = None
         self.cursor_prefix = tools.signer.sign(self._cursor())
 
     def _cursor(self):
@@ -195,7 +199,7 @@
         self._tools.placement.started(self.endpoint)
 
     def report(self, is_complete, gap_s):
-        """Record the outcome of the attempt as evidence on its version.
+        """Record the outcome of the attempt as evidence on its version, once.
 
         Parameters
         ----------
@@ -204,6 +208,9 @@
         gap_s : float
             Mean time between its tokens; zero if unknown.
         """
+        if self._is_reported:
+            return
+        self._is_reported = True
         first_s = self._first_event_s
         outcome = Outcome(
             self._request.service.service,
@@ -217,6 +224,20 @@
         )
         self._tools.outcomes.note(outcome)
 
+    def note_silent(self, gap_s):
+        """Report an error when the attempt is closed, unless it goes on before.
+
+        Parameters
+        ----------
+        gap_s : float
+            Mean time between its tokens; zero if unknown.
+        """
+        self._silent_gap_s = gap_s
+
+    def note_answer(self):
+        """Trust the attempt again, because it went on."""
+        self._silent_gap_s = None
+
     def events(self, events):
         """Pass events of this attempt to the owner."""
         if self._first_event_s is None:
@@ -244,5 +265,7 @@
         self._stream.detach()
         self._stream = None
         self._tools.placement.ended(self.endpoint)
+        if self._silent_gap_s is not None:
+            self.report(is_complete=False, gap_s=self._silent_gap_s)
         if cancel:
             self._tools.engines.cancel(self.endpoint, self.stream_id)
--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -277,6 +277,7 @@
             self.resume_latency_s.append(now_s - self._interrupted_at_s)
             self._interrupted_at_s = None
         self._state.delivered()
+        self._current.note_answer()
         self._tools.placement.succeeded(self._current.endpoint)
         self._resume_deadline_s = None
         self._reattached = False
@@ -334,6 +335,8 @@
             self._resume_deadline_s = now_s + self._policy.resume_timeout_s
         if failure is AttemptFailure.REFUSED:
             self._unrefused_attempts -= 1
+        elif failure is AttemptFailure.STALL:
+            self._current.note_silent(self._gap_s)
         elif failure is not AttemptFailure.GONE:
             self._current.report(is_complete=False, gap_s=self._gap_s)
         endpoint = self._current.endpoint
--- a/tests/generation/test_silence.py
+++ b/tests/generation/test_silence.py
@@ -235,6 +235,25 @@
         self.generation.resume()
         self.assertFalse(stream.is_paused)
 
+    def test_silent_engine_that_goes_on_is_no_evidence_of_an_error(self):
+        # Guards against a rollout that is judged by silence of sound engines.
+        stream = self.start("e1")
+        stream.send(0)
+        self.stay_silent()
+        stream.send(1)
+        stream.finish(2)
+        self.assertEqual([outcome.is_cut_off for outcome in self.outcomes], [False])
+
+    def test_silent_engine_that_is_replaced_is_evidence_of_an_error(self):
+        # Guards against a version that falls silent and is not judged for it.
+        self.start("e1", "e2").send(0)
+        self.stay_silent(0.25)
+        second = self.engines.opened[1]
+        second.send(1)
+        second.finish(2)
+        outcomes = [outcome.is_cut_off for outcome in self.outcomes]
+        self.assertEqual(sorted(outcomes), [False, True])
+
     def test_lost_connection_of_a_silent_engine_starts_one_attempt(self):
         # Guards against a retry beside the attempt that was re-attached.
         stream = self.start("e1")
