Leave the engine that the cursor names running at a hand-over

A caller whose engine was silent while its router shut down came back with a cursor that named a cancelled attempt: the router left the newest attempt running, which no cursor names, and cancelled the silent one on standby. The attempt of the last cursor is now left running and the others are cancelled.

test_hand_over_leaves_the_silent_engine_of_the_cursor_running failed before: ['e1'] != ['e2'].

--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -97,6 +97,7 @@
     __slots__ = (
         "_clock",
         "_current",
+        "_cursor_stream_id",
         "_event_deadline_s",
         "_gap_s",
         "_has_begun",
@@ -140,6 +141,8 @@
         self._state = _state_machine(self)
         self._text = []
         self._current = None
+        # The attempt that the caller's last cursor names.
+        self._cursor_stream_id = ""
         self._standbys = []
         self._tried = set()
         # Number of attempts that were not refused by their endpoint, so may have run.
@@ -184,6 +187,7 @@
             return
         else:
             self._text = [delivered]
+        self._cursor_stream_id = cursor.stream_id
         self._unrefused_attempts = 1
         self._interrupted_at_s = self._clock.seconds()
         self._resume_deadline_s = self._interrupted_at_s + self._policy.resume_timeout_s
@@ -278,6 +282,7 @@
             self._interrupted_at_s = None
         self._state.delivered()
         self._current.note_answer()
+        self._cursor_stream_id = self._current.stream_id
         self._tools.placement.succeeded(self._current.endpoint)
         self._resume_deadline_s = None
         self._reattached = False
@@ -481,11 +486,15 @@
             self._end()
 
     def hand_over(self):
-        """End without stopping the engine, so that another router can resume."""
+        """End without stopping the engine, so that another router can resume.
+
+        Attempts that no cursor names are cancelled, since no router can find them.
+        """
         if self.is_over:
             return
-        if self._current is not None:
-            self._current.close(cancel=False)
+        for attempt in self._open_attempts():
+            if attempt.stream_id == self._cursor_stream_id:
+                attempt.close(cancel=False)
         self._end()
         self._sink.fail(Problem(ErrorKind.HAND_OVER, "this router is shutting down"))
 
--- a/tests/generation/test_silence.py
+++ b/tests/generation/test_silence.py
@@ -254,6 +254,13 @@
         outcomes = [outcome.is_cut_off for outcome in self.outcomes]
         self.assertEqual(sorted(outcomes), [False, True])
 
+    def test_hand_over_leaves_the_silent_engine_of_the_cursor_running(self):
+        # Guards against the loss of the attempt that the caller's cursor names.
+        self.start("e1", "e2").send(0)
+        self.stay_silent(0.25)
+        self.generation.hand_over()
+        self.assertEqual(self.engines.cancelled, ["e2"])
+
     def test_lost_connection_of_a_silent_engine_starts_one_attempt(self):
         # Guards against a retry beside the attempt that was re-attached.
         stream = self.start("e1")
