Answer an operation at its caller's deadline while the store is slow

A caller with less time than CLAIM_TIMEOUT_S heard nothing before its deadline while the store was slow: the wait for the claim had no limit but the writer's own. The wait now ends at the caller's deadline with timed-out, whose outcome is unknown and names where to ask again, because an earlier request with the key may have run. A claim that is granted later is released as not run, and nothing is sent.

test_slow_claim_is_answered_at_the_deadline_of_the_caller failed before with IndexError: no answer at the deadline. The other two passed before and bound the change.

--- a/src/sesamearch/operation/operation.py
+++ b/src/sesamearch/operation/operation.py
@@ -153,7 +153,7 @@
 
     async def run(self):
         """Run the operation; return ``Result[PlainReply, Problem]``."""
-        request, claims = self._request, self._tools.claims
+        request = self._request
         claim = Claim(
             new_claim_id(),
             self._tools.router,
@@ -161,8 +161,10 @@
             ClaimState.CLAIMED,
             int(request.deadline_s * _MS),
         )
-        retention_s = request.service.key_retention_s
-        outcome = await claims.claim(request.key, claim, retention_s)
+        outcome = await self._claim(claim)
+        if outcome is None:
+            self._state_machine.ended()
+            return Err(self._timed_out())
         if outcome.held_claim is None:
             self._state_machine.ended()
             return self._refuse(outcome.existing)
@@ -171,6 +173,32 @@
         self._state_machine.ended()
         return result
 
+    def _claim(self, claim):
+        """Return a Deferred of the :class:`ClaimOutcome`; None at the deadline."""
+        request, clock = self._request, self._tools.calls.clock
+        in_time = Deferred()
+        remaining_s = max(0.0, request.deadline_s - clock.seconds())
+        timer = clock.callLater(remaining_s, in_time.callback, None)
+        retention_s = request.service.key_retention_s
+        claimed = self._tools.claims.claim(request.key, claim, retention_s)
+        claimed.addCallback(self._handle_claim, timer, in_time)
+        return in_time
+
+    def _handle_claim(self, outcome, timer, in_time):
+        if timer.active():
+            timer.cancel()
+            in_time.callback(outcome)
+        elif outcome.held_claim is not None:
+            self._tools.claims.settle(outcome.held_claim, ClaimState.NOT_RUN)
+
+    def _timed_out(self):
+        # The store did not say whether an earlier request with this key has run.
+        return Problem(
+            ErrorKind.TIMED_OUT,
+            "the store did not answer in time",
+            ask_again=outcome_path(self._request.service.service),
+        )
+
     def _refuse(self, existing):
         if existing is None:
             return Err(
