Answer a caller that joins an operation at its own deadline

A second caller with the key of an operation that runs in this process was answered only when the first one was, also if its own deadline came before. It now hears then that the operation is still running, and where to ask again.

test_caller_that_joins_is_answered_at_its_own_deadline failed before with IndexError: no answer at its deadline.

--- a/src/sesamearch/operation/operation.py
+++ b/src/sesamearch/operation/operation.py
@@ -251,6 +251,12 @@
 _machine = _build_machine()
 
 
+def _cancel_timer(outcome, timer):
+    if timer.active():
+        timer.cancel()
+    return outcome
+
+
 def _encode_reply(reply):
     if len(reply.body) > MAX_STORED_REPLY_BYTES:
         return msgspec.Raw(b"null")
@@ -351,13 +357,24 @@
             work.addBoth(self._ended, request.key)
         elif running.fingerprint == request.fingerprint:
             running.waiters.append(waiter)
+            self._limit_wait(waiter, request)
         else:
             waiter.callback(Err(Problem(ErrorKind.KEY_REUSED)))
         return waiter
 
     def _ended(self, outcome, key):
         for waiter in self._running.pop(key).waiters:
-            waiter.callback(outcome)
+            if not waiter.called:
+                waiter.callback(outcome)
+
+    def _limit_wait(self, waiter, request):
+        """Answer a caller that joined at its deadline, as its operation still runs."""
+        clock = self._tools.calls.clock
+        path = outcome_path(request.service.service)
+        answer = Err(Problem(ErrorKind.OPERATION_RUNNING, ask_again=path))
+        remaining_s = max(0.0, request.deadline_s - clock.seconds())
+        timer = clock.callLater(remaining_s, waiter.callback, answer)
+        waiter.addBoth(_cancel_timer, timer)
 
     def look_up(self, service, organisation, idempotency_key):
         """Return the outcome of an operation, without running it.
--- a/tests/operation/test_operation.py
+++ b/tests/operation/test_operation.py
@@ -93,3 +93,14 @@
         self.clock.advance(DEADLINE_S)
         self.assertEqual(results[0].unwrap().body, b"done")
         self.assertEqual(self.clock.getDelayedCalls(), [])
+
+    def test_caller_that_joins_is_answered_at_its_own_deadline(self):
+        # Guards against a caller that waits for the deadline of another one.
+        first = self.run_operation(deadline_s=10.0)
+        self.claims.grant()
+        second = self.run_operation()
+        self.clock.advance(DEADLINE_S)
+        self.assertIs(second[0].unwrap_err().kind, ErrorKind.OPERATION_RUNNING)
+        self.client.calls[0][2].callback(Ok(PlainReply(200, [], b"done")))
+        self.assertEqual(first[0].unwrap().body, b"done")
+        self.assertEqual(len(second), 1)
