--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -79,9 +79,11 @@
     that sent a cursor.
     The owner calls :meth:`check` regularly to detect stalls and passed deadlines.
 
-    A stalled attempt stays on standby while the next one starts. Both continue
-    the same delivered prefix, with the same version and seed; the first of them to
-    deliver the next token becomes the current attempt, and the others are cancelled.
+    A stalled attempt is kept until another one delivers; while it is open, only the
+    deadline of the request ends the answer. It stays on standby while the next one
+    starts. Both continue the same delivered prefix, with the same seed and, after the
+    first token, the same version; the first of them to deliver the next token becomes
+    the current attempt, and the others are cancelled.
 
     Parameters
     ----------
@@ -95,6 +97,7 @@
     __slots__ = (
         "_clock",
         "_current",
+        "_cursor_stream_id",
         "_event_deadline_s",
         "_gap_s",
         "_has_begun",
@@ -138,6 +141,8 @@
         self._state = _state_machine(self)
         self._text = []
         self._current = None
+        # The attempt that the caller's last cursor names.
+        self._cursor_stream_id = ""
         self._standbys = []
         self._tried = set()
         # Number of attempts that were not refused by their endpoint, so may have run.
@@ -182,6 +187,7 @@
             return
         else:
             self._text = [delivered]
+        self._cursor_stream_id = cursor.stream_id
         self._unrefused_attempts = 1
         self._interrupted_at_s = self._clock.seconds()
         self._resume_deadline_s = self._interrupted_at_s + self._policy.resume_timeout_s
@@ -223,13 +229,21 @@
         bool
             Whether the attempt is now the current one.
         """
-        is_next = events and events[0].index == self.offset_tokens
-        if attempt not in self._standbys or not is_next:
+        if attempt not in self._standbys or not events:
+            return False
+        first = events[0]
+        if first.index > self.offset_tokens or first.version != attempt.version:
+            # It skipped tokens or changed its version, so it cannot go on.
+            self._standbys.remove(attempt)
+            attempt.close(cancel=True)
+            return False
+        if first.index < self.offset_tokens:
             return False
         self._standbys.remove(attempt)
         if self._current is not None:
             self._current.close(cancel=True)
         self._current = attempt
+        self.version = attempt.version
         return True
 
     def _deliver(self, event):
@@ -267,6 +281,8 @@
             self.resume_latency_s.append(now_s - self._interrupted_at_s)
             self._interrupted_at_s = None
         self._state.delivered()
+        self._current.note_answer()
+        self._cursor_stream_id = self._current.stream_id
         self._tools.placement.succeeded(self._current.endpoint)
         self._resume_deadline_s = None
         self._reattached = False
@@ -292,7 +308,7 @@
             self._standbys.remove(attempt)
         elif attempt is not self._current or self.is_over:
             return
-        elif reason is StreamEnd.INVALID:
+        elif reason is StreamEnd.INVALID and not self._open_attempts():
             self._fail(ErrorKind.BAD_REQUEST, detail)
         else:
             self._handle_failure(_FAILURE_BY_END[reason])
@@ -324,6 +340,8 @@
             self._resume_deadline_s = now_s + self._policy.resume_timeout_s
         if failure is AttemptFailure.REFUSED:
             self._unrefused_attempts -= 1
+        elif failure is AttemptFailure.STALL:
+            self._current.note_silent(self._gap_s)
         elif failure is not AttemptFailure.GONE:
             self._current.report(is_complete=False, gap_s=self._gap_s)
         endpoint = self._current.endpoint
@@ -343,19 +361,29 @@
 
     def _recover(self):
         self._stop_retry()
-        if self.offset_tokens and self._text is None:
+        lacks_text = self.offset_tokens and self._text is None
+        now_s = self._clock.seconds()
+        if self._open_attempts():
+            # A silent attempt may go on, and the time to resume begins at its loss.
+            self._resume_deadline_s = now_s + self._policy.resume_timeout_s
+        elif lacks_text:
             self._fail(ErrorKind.GENERATION_LOST, "engine lost, caller sent no text")
-        elif self._clock.seconds() >= self._resume_deadline_s:
+            return
+        elif now_s >= self._resume_deadline_s:
             self._fail(ErrorKind.GENERATION_LOST, "no endpoint of this version in time")
-        elif not self._open_next():
+            return
+        if lacks_text or not self._open_next():
             self._reset_tried()
             self._retry = self._clock.callLater(RETRY_INTERVAL_S, self._recover)
 
+    def _open_attempts(self):
+        attempts = [*self._standbys, self._current]
+        return [a for a in attempts if a is not None and a.is_open]
+
     def _reset_tried(self):
         # All endpoints may be tried again, except those that still have an open
         # stalled attempt: they would stall a second one as well.
-        waiting = [*self._standbys, self._current]
-        self._tried = {a.endpoint.name for a in waiting if a is not None and a.is_open}
+        self._tried = {attempt.endpoint.name for attempt in self._open_attempts()}
 
     def _open_next(self):
         endpoint = self._choose()
@@ -380,10 +408,9 @@
         if stalled is None or not stalled.is_open:
             return
         self._standbys.append(stalled)
-        if stalled.version != self.version:
-            self._drop_standbys()
-        elif len(self._standbys) > MAX_STANDBYS:
-            self._standbys.pop(0).close(cancel=True)
+        if len(self._standbys) > MAX_STANDBYS:
+            # The oldest attempt is kept: only it can have delivered.
+            self._standbys.pop(1).close(cancel=True)
 
     def _drop_standbys(self):
         standbys, self._standbys = self._standbys, []
@@ -412,6 +439,7 @@
             self.pause()
 
     def _begin_attempt(self, endpoint, timeout_s, stream_id=None):
+        self._stop_retry()
         self.attempts += 1
         self._unrefused_attempts += 1
         self._event_deadline_s = self._clock.seconds() + timeout_s
@@ -438,17 +466,18 @@
         """Stop reading from the engine while the caller's connection is full."""
         self._paused = True
         self._event_deadline_s = _NEVER_S
-        if self._current is not None:
-            self._current.pause()
+        for attempt in self._open_attempts():
+            attempt.pause()
 
     def resume(self):
         """Continue reading; the pause does not count as a stall."""
         self._paused = False
         self._last_event_s = 0.0
+        for attempt in self._open_attempts():
+            attempt.resume()
         if self._current is not None and self._current.is_open:
             now_s = self._clock.seconds()
             self._event_deadline_s = now_s + self._policy.first_token_timeout_s
-            self._current.resume()
 
     def caller_left(self):
         """Cancel the generation because its caller disconnected."""
@@ -457,11 +486,15 @@
             self._end()
 
     def hand_over(self):
-        """End without stopping the engine, so that another router can resume."""
+        """End without stopping the engine, so that another router can resume.
+
+        Attempts that no cursor names are cancelled, since no router can find them.
+        """
         if self.is_over:
             return
-        if self._current is not None:
-            self._current.close(cancel=False)
+        for attempt in self._open_attempts():
+            if attempt.stream_id == self._cursor_stream_id:
+                attempt.close(cancel=False)
         self._end()
         self._sink.fail(Problem(ErrorKind.HAND_OVER, "this router is shutting down"))
 
@@ -493,5 +526,6 @@
     StreamEnd.LOST: AttemptFailure.CONNECTION,
     StreamEnd.GONE: AttemptFailure.GONE,
     StreamEnd.REFUSED: AttemptFailure.REFUSED,
+    StreamEnd.INVALID: AttemptFailure.REFUSED,
 }
 _state_machine = _build_state_machine()
