Count one crash or pause of an engine once, however many routers saw it

Callers saw a good version taken back, and its rollout refused, after a single engine of it crashed or fell silent for 1.2 s. Each router counted the loss once, as one failure of the version; six routers with a generation there counted six, at a likelihood ratio of about 7 each where 600 is bad. The more routers, the surer a good version was reverted by one crash.

The evidence now names the endpoints whose losses it counts, and a router that merges it drops those at an endpoint that already has a loss within the last second. The interval is the one that a router used for its own. Messages of routers without the names are read as before, and theirs by such ones.

--- a/src/sesamearch/rollout/__init__.py
+++ b/src/sesamearch/rollout/__init__.py
@@ -24,6 +24,7 @@
             "read_moves",
             "start_move",
         ],
+        "losses": ["LossFilter"],
         "observer": ["ServiceObserver"],
         "order": ["RolloutOrder", "RolloutOutcome", "RolloutState"],
         "version": ["VersionChooser", "choose_version_by_share", "request_hash_ratio"],
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -13,6 +13,7 @@
 from sesamearch.base.record import RolloutChanged
 from sesamearch.forwarding.gate import VersionGate
 from sesamearch.membership.fleet_message import RolloutUpdate, RolloutVerdict
+from sesamearch.rollout.losses import LossFilter
 from sesamearch.rollout.observer import ServiceObserver
 from sesamearch.rollout.order import RolloutOrder, RolloutState
 from sesamearch.routing.canary import CanaryPlan
@@ -105,6 +106,7 @@
     state : RolloutState
     plan : CanaryPlan
     evidence : Evidence
+    losses : LossFilter
     requests, to_new : int
         Requests sent since the last update, and those of them to the new version.
     next_resend_s : float
@@ -115,6 +117,7 @@
         "begun_s",
         "evidence",
         "is_writing",
+        "losses",
         "next_resend_s",
         "order",
         "plan",
@@ -129,6 +132,7 @@
         self.begun_s = begun_s
         self.plan = CanaryPlan(settings, begun_s, begun_s + order.length_s)
         self.evidence = Evidence()
+        self.losses = LossFilter()
         self.state = RolloutState.IN_PROGRESS
         self.requests = 0
         self.to_new = 0
@@ -345,8 +349,9 @@
 
     def _merge_update(self, rollout, update):
         rollout.plan.count(update.requests, update.to_new)
+        now_s = self._clock.seconds()
         for counts in update.evidence:
-            rollout.evidence.add_counts(counts)
+            rollout.evidence.add_counts(rollout.losses.first_losses(counts, now_s))
         if rollout.evidence.verdict is Verdict.BAD:
             self._revert(rollout, "evidence")
 
--- a/src/sesamearch/rollout/observer.py
+++ b/src/sesamearch/rollout/observer.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sesamearch.forwarding.gate import TryObserver
+from sesamearch.rollout.losses import LossFilter
 from sesamearch.routing.canary_evidence import Measure, RouteEvidence, time_bucket
 
 __all__ = ["ServiceObserver"]
@@ -17,8 +18,6 @@
 # the fewest events of one that ends before.
 PACE_EVENTS = 16
 MIN_PACE_EVENTS = 4
-# An endpoint that crashes breaks off all that it runs. That is one failure.
-LOSS_INTERVAL_S = 1.0
 
 
 class _Outcome(msgspec.Struct, frozen=True):
@@ -95,8 +94,7 @@
 
     def lost(self):
         """Record the loss; one for all that an endpoint breaks off at a time."""
-        if self._observer.is_new_loss(self._endpoint.name):
-            self._observer.record_outcome(self._endpoint, self._route, True)
+        self._observer.record_loss(self._endpoint, self._route)
 
     def ended(self):
         """Record what is known of the pace, and stop to observe the try."""
@@ -150,7 +148,7 @@
 
     __slots__ = (
         "_clock",
-        "_lost_s",
+        "_losses",
         "_on_failure",
         "_open",
         "_recent",
@@ -163,7 +161,7 @@
         self._on_failure = on_failure
         self._open = set()
         self._recent = collections.deque(maxlen=MAX_BASELINE_OUTCOMES)
-        self._lost_s = {}
+        self._losses = LossFilter()
         self._target = None
         self._unsent = {}
 
@@ -196,25 +194,27 @@
         self._target = None
         self._unsent = {}
 
-    def is_new_loss(self, name):
-        """Return whether an endpoint breaks off its first answer in an interval."""
-        last_s = self._lost_s.get(name)
-        self._lost_s = {
-            other: at_s
-            for other, at_s in self._lost_s.items()
-            if at_s > self.now_s - LOSS_INTERVAL_S
-        }
-        self._lost_s.setdefault(name, self.now_s)
-        return last_s is None or last_s <= self.now_s - LOSS_INTERVAL_S
-
     def record_outcome(self, endpoint, route, is_failure):
         """Record an answer or a failure."""
+        self._record_outcome(endpoint.version, route, is_failure)
+        if is_failure and self._target is not None:
+            self._on_failure(endpoint.version)
+
+    def record_loss(self, endpoint, route):
+        """Record a failure, unless the endpoint just lost another answer."""
+        if not self._losses.is_first(endpoint.name, self.now_s):
+            return
         version = endpoint.version
+        self._record_outcome(version, route, True)
+        if self._target is not None:
+            is_new = version == self._target
+            self._unsent[route].note_lost(is_new, endpoint.name)
+            self._on_failure(version)
+
+    def _record_outcome(self, version, route, is_failure):
         self._record(
             _Outcome(self.now_s, route, version, Measure.FAILURE, is_failure=is_failure)
         )
-        if is_failure and self._target is not None:
-            self._on_failure(version)
 
     def record_time(self, endpoint, route, measure, time_s):
         """Record a time to the first event, or between events."""
--- a/src/sesamearch/routing/canary_evidence.py
+++ b/src/sesamearch/routing/canary_evidence.py
@@ -100,6 +100,8 @@
         Times to the answer, or to the first event of a generation.
     new_pace, old_pace : list of TimeCount
         Mean times between the events of a generation.
+    new_lost, old_lost : list of str
+        Endpoints that broke answers off, each of which is counted as a failure.
     """
 
     route: str
@@ -113,6 +115,12 @@
     old_first: list[TimeCount] = []
     new_pace: list[TimeCount] = []
     old_pace: list[TimeCount] = []
+    new_lost: list[str] = []
+    old_lost: list[str] = []
+
+    def note_lost(self, is_new, name):
+        """Name the endpoint of a failure that is counted already."""
+        (self.new_lost if is_new else self.old_lost).append(name)
 
     def count_outcome(self, is_new, is_failure):
         """Count an answer or a failure."""
--- /dev/null
+++ b/tests/platform/test_review_findings.py
@@ -0,0 +1,61 @@
+"""Faults that the review of the incident found."""
+
+import unittest
+
+import msgspec
+
+from tests.platform.test_rollout import DURATION_S
+from tests.platform.world import World, draft_bytes
+
+ROUTERS = 12
+EVENTS = 60
+REQUEST_INTERVAL_S = 0.1
+# Callers of the route `draft` abandon an answer without a first event after this time.
+PATIENCE_S = 18.0
+
+
+class TestTroubleBesideRollout(unittest.TestCase):
+    def setUp(self):
+        self.world = World(routers=ROUTERS, engines=4)
+        self.new = [self.world.add_engine(4 + n, version="v2") for n in range(2)]
+        for engine in self.world.engines + self.new:
+            engine.events = EVENTS
+        self.request_count = 0
+
+    def send(self, seconds):
+        clients = []
+        for _ in range(round(seconds / REQUEST_INTERVAL_S)):
+            self.request_count += 1
+            client = self.world.connect(self.request_count % ROUTERS)
+            client.send(draft_bytes(f"q{self.request_count}"))
+            clients.append(client)
+            self.world.run(REQUEST_INTERVAL_S - 0.01)
+        return clients
+
+    def order_rollout(self):
+        order = {"service": "models", "target": "v2", "duration-s": DURATION_S}
+        self.world.store.put("op/rollout/models", order)
+
+    def state(self):
+        item = self.world.store.state.items[b"status/rollout/models"]
+        return msgspec.json.decode(item.value)["state"]
+
+    # Guards against a good version reverted for one crash that several routers saw.
+    def test_one_crash_does_not_revert_a_good_version(self):
+        self.send(3)
+        self.order_rollout()
+        self.send(4)
+        self.world.crash(self.new[0])
+        self.send(1)
+        self.world.restore(self.new[0])
+        self.send(1)
+        self.assertEqual(self.state(), "in_progress")
+
+    # Guards against a good version reverted for one pause of a sound engine.
+    def test_silent_engine_does_not_revert_a_good_version(self):
+        self.send(3)
+        self.order_rollout()
+        self.send(4)
+        self.world.make_silent(self.new[0], 1.2)
+        self.send(2)
+        self.assertEqual(self.state(), "in_progress")
