Do not refuse a completed service for crashes or for its new load

Callers of a service whose rollout was complete got 503 for good, with its endpoints free, after several of them crashed within a short time. The routers go on to count failures after completion, and a version judged bad then gets no request, though no endpoint of the old version is left. A crash counts as failures of the version, and the update that it sends carries all times since completion, which are compared with those of the old version under another load.

After completion, only answers that say that they failed count now. A version that answers with failures is refused as before, as the bound on answers of a bad version asks.

--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -13,7 +13,7 @@
 from sesamearch.base.record import RolloutChanged
 from sesamearch.forwarding.gate import VersionGate
 from sesamearch.membership.fleet_message import RolloutUpdate, RolloutVerdict
-from sesamearch.rollout.losses import LossFilter
+from sesamearch.rollout.losses import LossFilter, failed_answers
 from sesamearch.rollout.observer import ServiceObserver
 from sesamearch.rollout.order import RolloutOrder, RolloutState
 from sesamearch.routing.canary import CanaryPlan
@@ -351,7 +351,10 @@
         rollout.plan.count(update.requests, update.to_new)
         now_s = self._clock.seconds()
         for counts in update.evidence:
-            rollout.evidence.add_counts(rollout.losses.first_losses(counts, now_s))
+            counts = rollout.losses.first_losses(counts, now_s)
+            if rollout.state is RolloutState.COMPLETE:
+                counts = failed_answers(counts)
+            rollout.evidence.add_counts(counts)
         if rollout.evidence.verdict is Verdict.BAD:
             self._revert(rollout, "evidence")
 
--- a/tests/platform/test_review_findings.py
+++ b/tests/platform/test_review_findings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sesamearch.standin.platform_worker import PREFILL_TOKENS_PER_S
 from tests.platform.test_rollout import DURATION_S
 from tests.platform.world import World, draft_bytes
 
@@ -59,3 +60,32 @@
         self.world.make_silent(self.new[0], 1.2)
         self.send(2)
         self.assertEqual(self.state(), "in_progress")
+
+    # Guards against a service refused for good because its new engines crashed.
+    def test_crashes_after_completion_do_not_refuse_the_service(self):
+        self.send(3)
+        self.order_rollout()
+        self.send(DURATION_S)
+        self.assertEqual(self.state(), "complete")
+        for engine in self.world.engines:
+            self.world.store.remove(f"servers/{engine.name}")
+            self.world.crash(engine)
+        self.new += [self.world.add_engine(6 + n, version="v2") for n in range(4)]
+        self.send(2)
+        self.slow_down_and_crash(self.new)
+        self.world.run(4)
+        clients = self.send(1)
+        self.world.run(3)
+        self.assertEqual({client.status for client in clients}, {200})
+
+    def slow_down_and_crash(self, engines):
+        """Overload engines as after a completion, crash them and start them again."""
+        for engine in engines:
+            engine.prefill_tokens_per_s = PREFILL_TOKENS_PER_S / 5
+        self.send(2)
+        for engine in engines:
+            self.world.crash(engine)
+        self.world.run(0.5)
+        for engine in engines:
+            self.world.restore(engine)
+            engine.prefill_tokens_per_s = PREFILL_TOKENS_PER_S
