Do not complete a rollout whose version was judged bad while the store was down

A version that the routers had judged bad was written as complete, after which the platform stops the old endpoints and callers are refused. A write of the completion that the store does not answer was repeated until it was, whatever the routers learnt meanwhile. When the store came back, that write and the one of the reversal raced, and the store keeps the first.

The completion is now written again only while the rollout is in progress, its evidence is good and endpoints of the version are listed, as for the first write. If that ends, the deadline decides as without an outage.

--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -389,7 +389,7 @@
         now_s, plan = self._clock.seconds(), rollout.plan
         if now_s < plan.completion_s + self._completion_delay_s():
             return
-        if rollout.evidence.verdict is Verdict.GOOD and self._has_target(rollout):
+        if self._is_proved(rollout):
             self._write(rollout, self._end_complete)
         elif now_s >= plan.last_s:
             # Not reverted here until the store says so: another router may have seen
@@ -440,7 +440,7 @@
         Deferred.fromCoroutine(self._write_until_done(rollout, write)).addErrback(fail)
 
     async def _write_until_done(self, rollout, write):
-        while self.rollouts.get(rollout.order.service) is rollout:
+        while self._is_wanted(rollout, write):
             result = await write(rollout.order)
             if result.is_ok():
                 rollout.is_writing = False
@@ -453,6 +453,17 @@
             pause = Deferred()
             self._clock.callLater(WRITE_RETRY_S, pause.callback, None)
             await pause
+        rollout.is_writing = False
+
+    def _is_wanted(self, rollout, write):
+        """Return whether a write is not outdated by a later order or by evidence."""
+        is_outdated = write == self._end_complete and not self._is_proved(rollout)
+        return self.rollouts.get(rollout.order.service) is rollout and not is_outdated
+
+    def _is_proved(self, rollout):
+        is_good = rollout.evidence.verdict is Verdict.GOOD
+        is_open = rollout.state is RolloutState.IN_PROGRESS
+        return is_open and is_good and self._has_target(rollout)
 
 
 _machine = _build_machine()
--- a/tests/platform/test_review_findings.py
+++ b/tests/platform/test_review_findings.py
@@ -4,8 +4,11 @@
 
 import msgspec
 
+from sesamearch.membership.fleet_message import RolloutUpdate
+from sesamearch.rollout.order import RolloutState
+from sesamearch.routing.canary_evidence import RouteEvidence
 from sesamearch.standin.platform_worker import PREFILL_TOKENS_PER_S
-from tests.platform.test_rollout import DURATION_S
+from tests.platform.test_rollout import DURATION_S, RolloutTestCase
 from tests.platform.world import World, draft_bytes
 
 ROUTERS = 12
@@ -89,3 +92,51 @@
         for engine in engines:
             self.world.restore(engine)
             engine.prefill_tokens_per_s = PREFILL_TOKENS_PER_S
+
+
+class TestRolloutStore(RolloutTestCase):
+    # Guards against completing a version that was judged bad while the store was down.
+    def test_version_judged_bad_while_its_completion_is_written_is_reverted(self):
+        for offset_s in (0.0, 0.05, 0.1, 0.15, 0.2, 0.25):
+            with self.subTest(offset_s=offset_s):
+                self.setUp()
+                self.complete_without_the_store()
+                self.receive_late_failures()
+                self.world.run(0.5 + offset_s)
+                self.assertEqual(self.local_states(), {RolloutState.REVERTED})
+                self.world.store.refusal = 0
+                self.world.run(1.5)
+                self.assertEqual(self.status()["state"], "reverted")
+
+    def complete_without_the_store(self):
+        self.order_rollout()
+        self.send_requests(DURATION_S - 1.5)
+        self.world.store.refusal = 503
+        self.world.run(1.5)
+        self.assertEqual(self.local_states(), {RolloutState.IN_PROGRESS})
+
+    def receive_late_failures(self):
+        """Have the routers receive what another one saw that had been cut off."""
+        for router in self.world.routers:
+            controller = router._rollout_controller
+            order = controller.rollouts["desk"].order
+            seen = RouteEvidence("look", new_answers=20, new_failures=20)
+            controller._receive_update(
+                RolloutUpdate(
+                    "router-9",
+                    "desk",
+                    "v2",
+                    order.revision,
+                    DURATION_S,
+                    5,
+                    20,
+                    20,
+                    [seen],
+                )
+            )
+
+    def local_states(self):
+        return {
+            router._rollout_controller.rollouts["desk"].state
+            for router in self.world.routers
+        }
