Do not take the end of an earlier order for that of a later one

A version could be completed without a trial, and its old endpoints stopped: where operators order the same version again, a router that has not seen the later order, or a write that the store executes late, ends the earlier one. The write compared the status entry alone, so its revision was above that of the later order, and all routers took it for that order's state.

The write now also requires that the order is still the one that it ends. Where the order was removed and there is no later one, its end is written as before; a second test holds that (without this part, it fails with 'in_progress' != 'reverted').

Evidence: the first test failed on the code before with 'complete' != 'in_progress'.

--- a/src/sesamearch/platform/rollout.py
+++ b/src/sesamearch/platform/rollout.py
@@ -93,6 +93,8 @@
         """Write `state` unless the stored outcome of the order is sufficient."""
         key = STATUS_PREFIX + order.service.encode()
         value = msgspec.json.encode(_Status(state.value, order.target))
+        # A later order of the service must not get the state of this one.
+        order_checks = [Comparison(_order_key(order), order.revision)]
         for _ in range(MAX_WRITE_ATTEMPTS):
             read = await self._read(key)
             if read.is_err():
@@ -104,7 +106,10 @@
             known_revision = item.mod_revision if item else 0
             # The next read shows whether the write took effect, even if the response
             # was lost.
-            await self._store.txn([Comparison(key, known_revision)], [Put(key, value)])
+            checks = [*order_checks, Comparison(key, known_revision)]
+            written = await self._store.txn(checks, [Put(key, value)])
+            if _is_withdrawn(written, order):
+                order_checks = []
         return Err(ErrorKind.STORE_UNAVAILABLE)
 
     async def _read(self, key):
@@ -115,6 +120,17 @@
         return Ok(items[0] if items else None)
 
 
+def _order_key(order):
+    return ORDER_PREFIX + order.service.encode()
+
+
+def _is_withdrawn(written, order):
+    """Return whether a write was refused though there is no later order."""
+    if written.is_err() or written.unwrap().succeeded:
+        return False
+    return all(item.key != _order_key(order) for item in written.unwrap().found)
+
+
 def _outcome_of(item, order):
     """Return the outcome that an entry states for this order, or None.
 
--- a/tests/platform/test_review_findings.py
+++ b/tests/platform/test_review_findings.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from sesamearch.membership.fleet_message import RolloutUpdate
-from sesamearch.rollout.order import RolloutState
+from sesamearch.rollout.order import RolloutOrder, RolloutState
 from sesamearch.routing.canary_evidence import RouteEvidence
 from sesamearch.standin.platform_worker import PREFILL_TOKENS_PER_S
 from tests.platform.test_rollout import DURATION_S, RolloutTestCase
@@ -140,3 +140,30 @@
             router._rollout_controller.rollouts["desk"].state
             for router in self.world.routers
         }
+
+    # Guards against an end of an earlier order that is taken for that of a later one.
+    def test_late_end_of_an_earlier_order_does_not_end_a_later_one(self):
+        self.order_rollout()
+        self.world.run(0.2)
+        router = self.world.routers[0]
+        controller = router._rollout_controller
+        first = controller.rollouts["desk"].order
+        self.order_rollout()
+        # A router that has not seen the later order yet ends the earlier one.
+        controller._register.end(first, RolloutState.COMPLETE)
+        self.world.run(0.5)
+        second = controller.rollouts["desk"].order
+        self.assertIsInstance(second, RolloutOrder)
+        self.assertGreater(second.revision, first.revision)
+        self.assertEqual(self.status()["state"], "in_progress")
+        self.assertEqual(self.local_states(), {RolloutState.IN_PROGRESS})
+
+    # Guards against a rollout without an end because its order was removed.
+    def test_rollout_whose_order_was_removed_is_ended(self):
+        self.order_rollout()
+        self.send_requests(1)
+        self.world.store.remove("op/rollout/desk")
+        for desk in self.new:
+            desk.status = 500
+        self.send_requests(4)
+        self.assertEqual(self.status()["state"], "reverted")
