Have a restarted router join a rollout instead of beginning it anew

A version on trial got requests, and its order stayed open, beyond the deadline: a router that starts during a rollout reads the order from the store, which does not say when it was given, and took it for new. After a restart of all routers one by one the order ended a whole restart late. Such a router also counted its share of the exposure from zero.

Updates already carry the age of the order. A router that hears of an earlier beginning now takes it over, with the numbers of requests that the sender knows. Without the numbers it would take the rate of requests for tiny and send nearly all of its own to the new version; the second test holds that.

The evidence of before the restart is not taken over; the routers that have it still revert.

--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -189,6 +189,8 @@
     requests, to_new : int
         Requests sent to the service, and how many of them to the new version.
     evidence : list of RouteEvidence
+    all_requests, all_to_new : int
+        The same numbers of all routers, as far as the sender knows, before this update.
     """
 
     name: str
@@ -200,6 +202,8 @@
     requests: int
     to_new: int
     evidence: list[RouteEvidence]
+    all_requests: int = 0
+    all_to_new: int = 0
 
 
 class RolloutVerdict(msgspec.Struct, tag=True, frozen=True, array_like=True):
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -30,6 +30,8 @@
 COMPLETION_STAGGER_S = 0.05
 MAX_STAGGER_STEPS = 8
 WRITE_RETRY_S = 0.3
+# A router that learns of an order so much later than another one started after it.
+MAX_ORDER_DELAY_S = 0.5
 _HASH_VALUES = 1 << 32
 
 
@@ -140,6 +142,11 @@
         self.next_resend_s = 0.0
         self.state_machine = _machine(self)
 
+    def join(self, begun_s, update):
+        """Take over the beginning and the counts of a router that was there before."""
+        self.begun_s = begun_s
+        self.plan.join(begun_s, update.all_requests, update.all_to_new)
+
     def admits(self, version, request_id, now_s):
         """Return whether a request may go to a version."""
         is_new = version == self.order.target
@@ -333,6 +340,8 @@
             rollout.requests,
             rollout.to_new,
             counts,
+            rollout.plan.requests,
+            rollout.plan.to_new,
         )
         rollout.requests = rollout.to_new = 0
         if self._peers is not None:
@@ -343,9 +352,15 @@
         order = RolloutOrder(
             update.service, update.target, update.length_s, update.revision
         )
-        rollout = self._add_order(order, self._clock.seconds() - update.age_s)
-        if rollout.order.revision == update.revision:
-            self._merge_update(rollout, update)
+        begun_s = self._clock.seconds() - update.age_s
+        known = self.rollouts.get(update.service)
+        rollout = self._add_order(order, begun_s)
+        if rollout.order.revision != update.revision:
+            return
+        is_late = begun_s < rollout.begun_s - MAX_ORDER_DELAY_S
+        if is_late or rollout is not known:
+            rollout.join(begun_s, update)
+        self._merge_update(rollout, update)
 
     def _merge_update(self, rollout, update):
         rollout.plan.count(update.requests, update.to_new)
--- a/src/sesamearch/routing/canary.py
+++ b/src/sesamearch/routing/canary.py
@@ -75,6 +75,13 @@
         """Float : when a rollout that is not complete is reverted."""
         return max(self._begun_s, self._deadline_s - REVERT_MARGIN_S)
 
+    def join(self, begun_s, requests, to_new):
+        """Take over what another router knows of an order that was given earlier."""
+        length_s = self._deadline_s - self._begun_s
+        self._begun_s, self._deadline_s = begun_s, begun_s + length_s
+        self.requests = max(self.requests, requests)
+        self.to_new = max(self.to_new, to_new)
+
     def count(self, requests, to_new):
         """Add to the number of requests to the service, from any router."""
         self.requests += requests
--- a/tests/platform/test_review_findings.py
+++ b/tests/platform/test_review_findings.py
@@ -167,3 +167,29 @@
             desk.status = 500
         self.send_requests(4)
         self.assertEqual(self.status()["state"], "reverted")
+
+    # Guards against a restarted router that takes an old order for a new one.
+    def test_router_that_starts_later_knows_the_deadline_of_the_order(self):
+        self.order_rollout()
+        self.send_requests(6)
+        self.world.routers.append(self.world.add_router(3))
+        self.send_requests(1)
+        plans = [
+            router._rollout_controller.rollouts["desk"].plan
+            for router in self.world.routers
+        ]
+        for plan in plans[1:]:
+            self.assertAlmostEqual(plan.completion_s, plans[0].completion_s, delta=0.3)
+            self.assertAlmostEqual(plan.to_new, plans[0].to_new, delta=5)
+
+    # Guards against a restarted router that sends a version on trial all its requests.
+    def test_router_that_starts_later_keeps_to_the_share(self):
+        self.order_rollout()
+        self.send_requests(6)
+        self.world.routers.append(self.world.add_router(3))
+        before = self.requests_to_new
+        clients = self.send_requests(2, routers=4)
+        share = (self.requests_to_new - before) / len(clients)
+        plan = self.world.routers[0]._rollout_controller.rollouts["desk"].plan
+        expected = plan.share(self.world.network.seconds())
+        self.assertLessEqual(share, expected + 0.1)
