Show that a sound try is given up before another engine has it

A silent try is cancelled when an engine is found for it, not when that engine has taken it: if it refuses and no retry is left, callers are cut off (mid-stream, at the end of their patience) or hear 502, although the first engine goes on after 1.2 s. And where the router itself pauses an engine for a slow caller, it takes the engine for silent.

No logic changes here.

--- a/tests/platform/test_review_findings.py
+++ b/tests/platform/test_review_findings.py
@@ -4,18 +4,17 @@
 
 import msgspec
 
+from sesamearch.configuration.platform_settings import PlatformBounds
 from sesamearch.membership.fleet_message import RolloutUpdate
 from sesamearch.rollout.order import RolloutOrder, RolloutState
 from sesamearch.routing.canary_evidence import RouteEvidence
 from sesamearch.standin.platform_worker import PREFILL_TOKENS_PER_S
 from tests.platform.test_rollout import DURATION_S, RolloutTestCase
-from tests.platform.world import World, draft_bytes
+from tests.platform.world import ROUTES, World, draft_bytes, make_configuration
 
 ROUTERS = 12
 EVENTS = 60
 REQUEST_INTERVAL_S = 0.1
-# Callers of the route `draft` abandon an answer without a first event after this time.
-PATIENCE_S = 18.0
 
 
 class TestTroubleBesideRollout(unittest.TestCase):
@@ -193,3 +192,61 @@
         plan = self.world.routers[0]._rollout_controller.rollouts["desk"].plan
         expected = plan.share(self.world.network.seconds())
         self.assertLessEqual(share, expected + 0.1)
+
+
+class _WorldWithOneRetry(World):
+    bounds = msgspec.structs.replace(
+        PlatformBounds(), retry_ratio=0.0, retry_slack=1.0, retry_window_s=10.0
+    )
+
+
+class TestSoundTry(unittest.TestCase):
+    def setUp(self):
+        self.world = _WorldWithOneRetry(engines=2)
+        # Callers of this route wait 2 s for the next event.
+        routes = [{**ROUTES[2], "latency-goal-ms": 400, "gap-target-ms": 200}]
+        self.world.store.put("op/config", make_configuration(8, routes))
+        for engine in self.world.engines:
+            engine.events = EVENTS
+        self.world.run(0.1)
+
+    def start(self, run_s, prompt_tokens=800):
+        client = self.world.connect().send(draft_bytes("r1", prompt_tokens))
+        self.world.run(run_s)
+        self.engine = next(each for each in self.world.engines if each.runs)
+        return client
+
+    def silence_beside_a_full_engine(self):
+        for other in self.world.engines:
+            if other is not self.engine:
+                other.slots = 0
+        self.world.make_silent(self.engine, 1.2)
+        self.world.run(5)
+
+    # Guards against a sound try that is cancelled for an engine that then refuses.
+    def test_answer_goes_on_if_the_engine_that_takes_over_refuses(self):
+        client = self.start(run_s=0.5)
+        self.silence_beside_a_full_engine()
+        self.assertEqual(client.event_ids, list(range(EVENTS)))
+        self.assertTrue(client.is_complete)
+
+    # Guards against the same before the first event.
+    def test_answer_begins_if_the_engine_that_takes_over_refuses(self):
+        client = self.start(run_s=0.2, prompt_tokens=8000)
+        self.silence_beside_a_full_engine()
+        self.assertEqual(client.statuses, [200])
+        self.assertEqual(client.event_ids, list(range(EVENTS)))
+
+    # Guards against a slow caller whose engine is taken for a silent one.
+    def test_pause_of_a_slow_caller_is_no_silence_of_the_engine(self):
+        client = self.start(run_s=0.5)
+        (stream,) = self.world.routers[0].dispatcher._streams
+        producer = stream.tries[0].pending_request.producer
+        # As the transport of a caller does whose buffer is full.
+        producer.pauseProducing()
+        self.world.run(1.0)
+        producer.resumeProducing()
+        self.world.run(3)
+        self.assertEqual(client.event_ids, list(range(EVENTS)))
+        runs = [run for engine in self.world.engines for run in engine.runs]
+        self.assertEqual([run.ended for run in runs], ["whole"])
