Send no verdict on an order that a later one replaced

Routers could send all callers to a version that the store calls reverted. A router whose write of an end is answered after a later order of the service came does not apply it, and its rollout stays in progress; it told the others "not reverted", which they take for completed as long as they have not seen the later order themselves.

The verdict is now sent only if the rollout has ended. A router that has not seen the later order learns the end from the store.

Evidence: the test failed on the commit before: RolloutVerdict(service='desk', revision=5, is_bad=False) was sent for an outcome of reverted.

--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -460,7 +460,9 @@
             if result.is_ok():
                 rollout.is_writing = False
                 self._apply_outcome(result.unwrap())
-                if write in (self._end_complete, self._end_unproved):
+                # Still in progress: a later order came meanwhile.
+                is_ended = rollout.state is not RolloutState.IN_PROGRESS
+                if is_ended and write in (self._end_complete, self._end_unproved):
                     self._broadcast_verdict(
                         rollout, rollout.state is RolloutState.REVERTED
                     )
