--- a/tests/platform/test_review_findings.py
+++ b/tests/platform/test_review_findings.py
@@ -7,7 +7,13 @@
 from sesamearch.configuration.platform_settings import PlatformBounds
 from sesamearch.membership.fleet_message import RolloutUpdate
 from sesamearch.rollout.order import RolloutOrder, RolloutState
-from sesamearch.routing.canary_evidence import RouteEvidence
+from sesamearch.routing.canary_evidence import (
+    Evidence,
+    RouteEvidence,
+    TimeCount,
+    Verdict,
+    time_bucket,
+)
 from sesamearch.standin.platform_worker import PREFILL_TOKENS_PER_S
 from tests.platform.test_rollout import DURATION_S, RolloutTestCase
 from tests.platform.world import ROUTES, World, draft_bytes, make_configuration
@@ -194,6 +200,22 @@
         self.assertLessEqual(share, expected + 0.1)
 
 
+class TestFewLongGenerations(unittest.TestCase):
+    # Guards against a good version refused because few of its answers have a pace.
+    def test_good_version_with_few_long_generations_is_good(self):
+        evidence = Evidence()
+        first, pace = time_bucket(0.1), time_bucket(0.03)
+        for number in range(200):
+            counts = RouteEvidence("chat", new_answers=1, old_answers=4)
+            counts.new_first = [TimeCount(first, 1)]
+            counts.old_first = [TimeCount(first, 4)]
+            if number % 30 == 0:
+                counts.new_pace = [TimeCount(pace, 1)]
+                counts.old_pace = [TimeCount(pace, 4)]
+            evidence.add_counts(counts)
+        self.assertIs(evidence.verdict, Verdict.GOOD)
+
+
 class _WorldWithOneRetry(World):
     bounds = msgspec.structs.replace(
         PlatformBounds(), retry_ratio=0.0, retry_slack=1.0, retry_window_s=10.0
