--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -219,6 +219,8 @@
         Era of the store that the revision belongs to.
     is_distinct : bool
         Whether the sender knows that the order repeats none of an earlier era.
+    all_requests, all_to_new : int
+        The same numbers of all routers, as far as the sender knows, before this update.
     """
 
     name: str
@@ -232,6 +234,8 @@
     evidence: list[RouteEvidence]
     era: int = UNSTATED_ERA
     is_distinct: bool = False
+    all_requests: int = 0
+    all_to_new: int = 0
 
 
 class RolloutVerdict(msgspec.Struct, tag=True, frozen=True, array_like=True):
--- a/src/sesamearch/platform/rollout.py
+++ b/src/sesamearch/platform/rollout.py
@@ -98,6 +98,10 @@
         """Write `state` unless the stored outcome of the order is sufficient."""
         key = STATUS_PREFIX + order.service.encode()
         value = msgspec.json.encode(_Status(state.value, order.target))
+        # A later order of the service must not get the state of this one. In another
+        # era the stored order has another revision.
+        check = Comparison(_order_key(order), order.revision.number)
+        is_withdrawn = False
         for _ in range(MAX_WRITE_ATTEMPTS):
             read = await self._read(key)
             if read.is_err():
@@ -110,7 +114,11 @@
             known_revision = item.mod_revision if item else 0
             # The next read shows whether the write took effect, even if the response
             # was lost.
-            await self._store.txn([Comparison(key, known_revision)], [Put(key, value)])
+            checks = [Comparison(key, known_revision)]
+            if reply.era == order.revision.era and not is_withdrawn:
+                checks.append(check)
+            written = await self._store.txn(checks, [Put(key, value)])
+            is_withdrawn |= _is_withdrawn(written, order)
         return Err(ErrorKind.STORE_UNAVAILABLE)
 
     async def _read(self, key):
@@ -122,6 +130,17 @@
         return Ok(RangeReply(reply.revision, items, reply.era))
 
 
+def _order_key(order):
+    return ORDER_PREFIX + order.service.encode()
+
+
+def _is_withdrawn(written, order):
+    """Return whether a write was refused though there is no later order."""
+    if written.is_err() or written.unwrap().succeeded:
+        return False
+    return all(item.key != _order_key(order) for item in written.unwrap().found)
+
+
 def _outcome_of(item, era, order):
     """Return the outcome that an entry states for this order, or None.
 
--- a/src/sesamearch/rollout/__init__.py
+++ b/src/sesamearch/rollout/__init__.py
@@ -24,6 +24,7 @@
             "read_moves",
             "start_move",
         ],
+        "losses": ["LossFilter"],
         "observer": ["ServiceObserver"],
         "order": ["RolloutOrder", "RolloutOutcome", "RolloutState"],
         "order_history": ["OrderHistory", "OrderNews"],
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -17,6 +17,7 @@
     RolloutVerdict,
     revision_of,
 )
+from sesamearch.rollout.losses import LossFilter, failed_answers
 from sesamearch.rollout.observer import ServiceObserver
 from sesamearch.rollout.order import RolloutOrder, RolloutState
 from sesamearch.rollout.order_history import OrderHistory, OrderNews
@@ -35,6 +36,8 @@
 COMPLETION_STAGGER_S = 0.05
 MAX_STAGGER_STEPS = 8
 WRITE_RETRY_S = 0.3
+# A router that learns of an order so much later than another one started after it.
+MAX_ORDER_DELAY_S = 0.5
 _HASH_VALUES = 1 << 32
 
 
@@ -121,6 +124,7 @@
     state : RolloutState
     plan : CanaryPlan
     evidence : Evidence
+    losses : LossFilter
     requests, to_new : int
         Requests sent since the last update, and those of them to the new version.
     next_resend_s : float
@@ -134,6 +138,7 @@
         "evidence",
         "is_distinct",
         "is_writing",
+        "losses",
         "next_resend_s",
         "order",
         "plan",
@@ -148,6 +153,7 @@
         self.begun_s = begun_s
         self.plan = CanaryPlan(settings, begun_s, begun_s + order.length_s)
         self.evidence = Evidence()
+        self.losses = LossFilter()
         self.state = RolloutState.IN_PROGRESS
         self.requests = 0
         self.to_new = 0
@@ -156,6 +162,11 @@
         self.next_resend_s = 0.0
         self.state_machine = _machine(self)
 
+    def join(self, begun_s, update):
+        """Take over the beginning and the counts of a router that was there before."""
+        self.begun_s = begun_s
+        self.plan.join(begun_s, update.all_requests, update.all_to_new)
+
     def admits(self, version, request_id, now_s):
         """Return whether a request may go to a version."""
         is_new = version == self.order.target
@@ -393,6 +404,8 @@
             counts,
             rollout.order.revision.era,
             rollout.is_distinct,
+            rollout.plan.requests,
+            rollout.plan.to_new,
         )
         rollout.requests = rollout.to_new = 0
         if self._peers is not None:
@@ -403,10 +416,15 @@
         revision = self._revision_of(update)
         order = RolloutOrder(update.service, update.target, update.length_s, revision)
         begun_s = self._clock.seconds() - update.age_s
+        known = self.rollouts.get(update.service)
         rollout = self._add_order(order, begun_s, update.is_distinct)
-        if self._is_about(rollout, update.target, revision):
-            self._merge_update(rollout, update)
-            self._repeat_verdict(rollout)
+        if not self._is_about(rollout, update.target, revision):
+            return
+        is_late = begun_s < rollout.begun_s - MAX_ORDER_DELAY_S
+        if is_late or rollout is not known:
+            rollout.join(begun_s, update)
+        self._merge_update(rollout, update)
+        self._repeat_verdict(rollout)
 
     def _revision_of(self, message):
         known = self.rollouts.get(message.service)
@@ -433,7 +451,11 @@
 
     def _merge_update(self, rollout, update):
         rollout.plan.count(update.requests, update.to_new)
+        now_s = self._clock.seconds()
         for counts in update.evidence:
+            counts = rollout.losses.first_losses(counts, now_s)
+            if rollout.state is RolloutState.COMPLETE:
+                counts = failed_answers(counts)
             rollout.evidence.add_counts(counts)
         if rollout.evidence.verdict is Verdict.BAD:
             self._revert(rollout, "evidence")
@@ -477,7 +499,7 @@
         now_s, plan = self._clock.seconds(), rollout.plan
         if now_s < plan.completion_s + self._completion_delay_s():
             return
-        if rollout.evidence.verdict is Verdict.GOOD and self._has_target(rollout):
+        if self._is_proved(rollout):
             self._write(rollout, self._end_complete)
         elif now_s >= plan.last_s:
             # Not reverted here until the store says so: another router may have seen
@@ -528,19 +550,31 @@
         Deferred.fromCoroutine(self._write_until_done(rollout, write)).addErrback(fail)
 
     async def _write_until_done(self, rollout, write):
-        while self.rollouts.get(rollout.order.service) is rollout:
+        while self._is_wanted(rollout, write):
             result = await write(rollout.order)
             if result.is_ok():
                 rollout.is_writing = False
                 self._apply_state(rollout, result.unwrap().state)
-                is_due = write in (self._end_complete, self._end_unproved)
-                if is_due or rollout.state is RolloutState.COMPLETE:
+                # A later order may have come meanwhile.
+                is_current = self.rollouts.get(rollout.order.service) is rollout
+                if is_current and write in (self._end_complete, self._end_unproved):
                     is_bad = rollout.state is RolloutState.REVERTED
                     self._broadcast_verdict(rollout, is_bad)
                 return
             pause = Deferred()
             self._clock.callLater(WRITE_RETRY_S, pause.callback, None)
             await pause
+        rollout.is_writing = False
+
+    def _is_wanted(self, rollout, write):
+        """Return whether a write is not outdated by a later order or by evidence."""
+        is_outdated = write == self._end_complete and not self._is_proved(rollout)
+        return self.rollouts.get(rollout.order.service) is rollout and not is_outdated
+
+    def _is_proved(self, rollout):
+        is_good = rollout.evidence.verdict is Verdict.GOOD
+        is_open = rollout.state is RolloutState.IN_PROGRESS
+        return is_open and is_good and self._has_target(rollout)
 
 
 _machine = _build_machine()
