Ask no evidence of a time that few answers have

What operators saw in a test: a good version with 200 good answers was taken back, since only 7 of its generations were long enough to have a pace. Each measure needed some thirteen answers by itself. A measure that fewer than a fifth of the old version's answers have is left out of the support; evidence against the version in it still counts.

--- a/src/sesamearch/routing/canary_evidence.py
+++ b/src/sesamearch/routing/canary_evidence.py
@@ -40,6 +40,8 @@
 # A time is slow if it is this many buckets, a factor of 2.4, above the median.
 SLOW_BUCKETS = 10
 MIN_REFERENCE_TIMES = 5
+# Part of the old version's answers that must have a time for it to be asked for.
+MIN_MEASURED_RATIO = 0.2
 # Part of the new version's measurements that may lack a reference in a good version.
 MAX_UNJUDGED_RATIO = 0.2
 MIN_TIME_S = 1e-4
@@ -345,13 +347,23 @@
 
     @property
     def weakest(self):
-        """Support or None : the measure with the least evidence for the version."""
+        """Support or None : the measure with the least evidence for the version.
+
+        A time that few answers of the old version have, such as the pace where most
+        generations are short, is left out: it tells little of either.
+        """
         supports = [
             Support(measure, -test.total, test.sample)
             for measure, test in self._all_routes.items()
+            if not self._is_rare(measure)
         ]
         return min(supports, key=lambda each: each.strength, default=None)
 
+    def _is_rare(self, measure):
+        answers = self._all_routes[Measure.FAILURE].sample.old
+        least = MIN_MEASURED_RATIO * answers
+        return self._all_routes[measure].sample.old < least
+
     def _fails_seldom(self):
         sample = self._all_routes[Measure.FAILURE].sample
         log_ratio = _log_ratio(sample, sample, GOOD_PRIOR_FAILURES)
