Take no engine for silent that is not read from for a slow caller

Found by review; the tests failed before. The connection to the engine is the producer itself now, so that it knows whether it is paused; a stall is measured from the end of the pause.

--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -20,6 +20,11 @@
     work : Work
     observer : TryObserver
     sent_s : float
+
+    Attributes
+    ----------
+    events : EventSplitter or None
+        Splits the answer of a generation into events.
     """
 
     __slots__ = (
@@ -27,6 +32,7 @@
         "_exchange",
         "answer",
         "buffered_bytes",
+        "events",
         "number",
         "observer",
         "options",
@@ -44,6 +50,7 @@
         self.sent_s = sent_s
         self.pending_request = None
         self.answer = None
+        self.events = None
         self.buffered_bytes = 0
         self._body = []
 
@@ -57,6 +64,12 @@
         """Bool : whether the request was written, so that the endpoint may get it."""
         return self.pending_request is not None and self.pending_request.is_sent
 
+    @property
+    def is_paused(self):
+        """Bool : whether this router does not read, because the caller is slow."""
+        producer = self.pending_request.producer if self.pending_request else None
+        return producer is not None and producer.is_paused
+
     @property
     def state(self):
         """Str : ``connecting``, ``sent`` or ``answering``."""
--- a/src/sesamearch/forwarding/stall.py
+++ b/src/sesamearch/forwarding/stall.py
@@ -76,6 +76,7 @@
         "_gap_goal_s",
         "_is_current",
         "_is_probing",
+        "_paused_s",
         "_probe_due_s",
         "_stalls",
         "_suspect",
@@ -91,6 +92,7 @@
         self._is_current = is_current
         self._suspect = suspect
         self._trust = trust
+        self._paused_s = 0.0
         self._probe_due_s = 0.0
         self._is_probing = False
         self._stalls = 0
@@ -115,10 +117,15 @@
             Whether the engine sends events without a stall.
         """
         now_s = self._tools.clock.seconds()
+        if attempt.is_paused:
+            # Nothing is read for a slow caller, whatever the engine sends.
+            self._paused_s = now_s
+            return True
         if attempt.answer is not None and self._timing.has_event_of(attempt):
             if self._timing.events - self._events_at_stall >= EVENTS_TO_RECOVER:
                 self._stalls = 0
-            if now_s - self._timing.last_s <= self._stall_s():
+            silent_s = now_s - max(self._timing.last_s, self._paused_s)
+            if silent_s <= self._stall_s():
                 return True
             self._stalls += 1
             self._events_at_stall = self._timing.events
--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -123,8 +123,8 @@
 
     @property
     def producer(self):
-        """Object or None : the transport that the response is read from."""
-        return self._connection.transport if self._connection else None
+        """EndpointConnection or None : pauses and resumes reading the response."""
+        return self._connection
 
 
 def enable_keepalive(transport):
@@ -160,6 +160,7 @@
         self._head = None
         self.idle_until_s = 0.0
         self.is_closed = False
+        self.is_paused = False
 
     def connectionMade(self):
         """Set the socket options."""
@@ -194,6 +195,26 @@
         parts.append(self._codec.send(h11.EndOfMessage()))
         return b"".join(parts)
 
+    # Push producer of the caller's transport.
+
+    def pauseProducing(self):
+        """Stop to read, because the caller's buffer is full."""
+        self.is_paused = True
+        if not self.is_closed:
+            self.transport.pauseProducing()
+
+    def resumeProducing(self):
+        """Read again."""
+        self.is_paused = False
+        if not self.is_closed:
+            self.transport.resumeProducing()
+
+    def stopProducing(self):
+        """Close the connection, because the caller's is lost."""
+        self.abort()
+
+    # Reading.
+
     def dataReceived(self, data):
         """Read bytes from the endpoint."""
         if self._pending_request is None:
@@ -250,7 +271,7 @@
         if not self.is_closed:
             # A slow reader of this response may have paused the connection, and the
             # next response, or the close of the idle connection, would not be read.
-            self.transport.resumeProducing()
+            self.resumeProducing()
 
     def _skip_response(self):
         """Skip a response that belongs to another request, and read the next one."""
--- a/tests/forwarding/test_stall.py
+++ b/tests/forwarding/test_stall.py
@@ -46,7 +46,9 @@
             lambda attempt, cause: self.abandoned.append(cause),
             self.trusted.append,
         )
-        self.attempt = SimpleNamespace(sent_s=10.0, answer=None, endpoint="e1")
+        self.attempt = SimpleNamespace(
+            sent_s=10.0, answer=None, endpoint="e1", is_paused=False
+        )
         self.detector.schedule_probe(PROBE_INTERVAL_S)
 
     def probe(self, endpoint, timeout_s):
@@ -116,6 +118,19 @@
         self.assertTrue(self.wait(0.4))
         self.assertFalse(self.wait(0.04))
 
+    # Guards against a slow caller whose engine is taken for a silent one.
+    def test_engine_that_is_not_read_from_is_not_stalled(self):
+        self.run_engine(events=1)
+        self.attempt.is_paused = True
+        for _ in range(40):
+            self.clock.advance(0.05)
+            self.assertTrue(self.detector.check(self.attempt))
+        self.attempt.is_paused = False
+        self.clock.advance(0.05)
+        self.assertTrue(self.detector.check(self.attempt))
+        self.clock.advance(1.0)
+        self.assertFalse(self.detector.check(self.attempt))
+
     def test_slow_engine_is_not_taken_for_stalled(self):
         self.run_engine(gap_s=0.2)
         self.assertTrue(self.wait(0.8))
