Hold a silent try until the engine that takes over has begun

What callers saw in a test: an answer cut after event 10 of 60, or 502 before the first, though its engine was only silent for 1.2 s: the engine that was found refused, and the retry budget was spent. Change: the silent try stays open for 0.3 s after the send, less than the 0.4 s for which two engines may run a generation. It is cancelled at the first event of the other, and taken back if no engine accepts, or if it goes on itself.

--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -19,6 +19,9 @@
 
 __all__ = ["GenerationRuns"]
 
+# A suspected try stays open for this long after its generation was sent elsewhere, in
+# case that engine refuses it. It must not run at both for longer.
+HOLD_S = 0.3
 # A refusal is sent so long before the caller would leave that it still arrives.
 REFUSAL_MARGIN_S = 0.2
 LOWEST_URGENCY = 9
@@ -45,6 +48,9 @@
         self._is_broken = False
         self._has_copy = False
         self._has_given_up_try = False
+        self._held_try = None
+        self._held_had_event = False
+        self._hold_timer = None
         self._allowance = SendAllowance(
             self.route.max_attempts, self.spend_retry, self._spend_retry_again
         )
@@ -58,7 +64,7 @@
     # Steps of the answer.
 
     @abc.abstractmethod
-    def begin_reading(self):
+    def begin_reading(self, attempt):
         """Prepare to read the events of a new run."""
 
     @abc.abstractmethod
@@ -123,14 +129,13 @@
         self._stall_detector.schedule_probe(
             RESUME_PROBE_DELAY_S if self._has_head else PROBE_INTERVAL_S
         )
-        self.begin_reading()
         self.tools.prompts.begin(self.request.last_part, endpoint.name)
-        self.send(options, work)
+        self.begin_reading(self.send(options, work))
 
     def _wait(self, detail):
         """Send again after a pause if the caller waits for it, or give up."""
-        if not self._may_wait():
-            self.give_up(self._cause, detail)
+        if self._held_try is not None or not self._may_wait():
+            self._give_up_or_keep(self._cause, detail)
             return
         pause_s = self._allowance.begin_pause()
         self._retry_timer = self.tools.clock.callLater(pause_s, self._send)
@@ -157,7 +162,7 @@
         self._cause = kind
         self._note_break()
         if not self._can_run_again():
-            self.give_up(kind, detail)
+            self._give_up_or_keep(kind, detail)
         elif self._allowance.needs_pause:
             self._wait(detail)
         else:
@@ -225,22 +230,76 @@
         has_copy = self._timing.has_event_of(attempt)
         endpoint, copy = self._search.find_reachable(has_copy, self._is_resuming)
         obstacle = self._obstacle(endpoint)
+        if obstacle is Obstacle.NO_ENGINE and self._is_in_vain():
+            self.give_up(ErrorKind.ENDPOINT_LOST, "no engine is listed")
+            return
         if obstacle is not None:
             self._suspicion.keep(obstacle)
             # Another engine may be free or reachable again next time.
             self.excluded.clear()
             self.excluded.add(attempt.endpoint.name)
             return
-        cause = self._suspicion.cause
-        self._note_lost_run(attempt)
+        self._hold(attempt)
+        self._cause = ErrorKind.ENDPOINT_LOST
+        self._note_break()
+        self._send_to(endpoint, copy)
+
+    # The try that another engine takes over from.
+
+    def _hold(self, attempt):
+        """Keep a suspected try open until another engine has begun or refused."""
         self._suspicion.note_replaced()
         self._has_given_up_try = True
+        self.tries.remove(attempt)
+        self._held_try = attempt
+        self._held_had_event = self._timing.has_event_of(attempt)
+        self._hold_timer = self.tools.clock.callLater(HOLD_S, self._release_held_try)
+
+    def _release_held_try(self):
+        """Cancel the held try, if there is one."""
+        attempt = self._unhold()
+        if attempt is None:
+            return
+        if not self._held_had_event:
+            self._allowance.note_no_event()
         attempt.observer.lost()
         attempt.cancel()
-        self.drop(attempt, cause)
-        self._cause = ErrorKind.ENDPOINT_LOST
-        self._note_break()
-        self._send_to(endpoint, copy)
+        self.drop(attempt, self._suspicion.cause)
+
+    def _unhold(self):
+        attempt, self._held_try = self._held_try, None
+        if self._hold_timer is not None and self._hold_timer.active():
+            self._hold_timer.cancel()
+        return attempt
+
+    def _take_back(self):
+        """Go on with the held try instead of the one that was to take over."""
+        for attempt in list(self.tries):
+            attempt.cancel()
+            self.drop(attempt, "not_needed")
+        self.tries.append(self._unhold())
+        # The copies of the held run and of the one that took over are gone.
+        self._copies.close()
+
+    def _keep_held_try(self):
+        """Go on with the held try, still suspected: no engine has taken over."""
+        self._take_back()
+        attempt = self.tries[0]
+        self._suspicion.note_silent(attempt, self._suspicion.cause)
+        self._suspicion.keep(Obstacle.REFUSED)
+        self.excluded.clear()
+        self.excluded.add(attempt.endpoint.name)
+
+    def _give_up_or_keep(self, kind, detail):
+        if self._held_try is not None:
+            self._keep_held_try()
+        else:
+            self.give_up(kind, detail)
+
+    def _is_in_vain(self):
+        """Return whether a silent request waits for engines of which none is left."""
+        has_engines = bool(self.tools.endpoint_index.serving(self.service.name))
+        return self._has_given_up_try and not self._has_head and not has_engines
 
     def _obstacle(self, endpoint):
         """Return why `endpoint` cannot take over now; pay for the retry if it can."""
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -17,7 +17,6 @@
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
-        self._splitter = EventSplitter()
         self._first_ms = 0
         self._is_prompt_cached = False
 
@@ -37,6 +36,8 @@
 
     def try_received(self, attempt, data):
         """Forward the complete events."""
+        if attempt is self._held_try:
+            self._take_back()
         if not self._is_current(attempt):
             return
         if attempt.has_not_run or not attempt.answer.is_success:
@@ -44,7 +45,7 @@
                 self.reject_body(attempt, Loss.TOO_LARGE)
             return
         try:
-            received = self._splitter.feed(data)
+            received = attempt.events.feed(data)
         except EventError:
             self.reject_body(attempt, Loss.MALFORMED)
             return
@@ -52,9 +53,9 @@
         if events:
             self._forward_events(attempt, events)
 
-    def begin_reading(self):
+    def begin_reading(self, attempt):
         """Prepare to read the events of a new run."""
-        self._splitter = EventSplitter()
+        attempt.events = EventSplitter()
 
     def _accept_event(self, event):
         """Return whether an event is new to the caller, and record it as forwarded."""
@@ -67,6 +68,7 @@
 
     def _forward_events(self, attempt, events):
         self._trust(attempt)
+        self._release_held_try()
         if not attempt.work.is_read:
             attempt.work.prompt_was_read()
             attempt.observer.answered(is_failure=False)
@@ -96,6 +98,8 @@
 
     def try_ended(self, attempt):
         """Handle the end of an engine's answer."""
+        if attempt is self._held_try:
+            self._take_back()
         if not self._is_current(attempt):
             return
         self._trust(attempt)
@@ -129,7 +133,7 @@
         self.close()
 
     def _finish(self, attempt):
-        if self._splitter.has_partial_event:
+        if attempt.events.has_partial_event:
             # The HTTP answer is complete but ends within an event.
             self.note_loss(attempt, Loss.CLOSED_MIDWAY)
             self.drop(attempt, "unfinished_event", attempt.answer.status)
@@ -147,12 +151,14 @@
             self._first_ms,
             self._timing.events,
         )
-        self.reply.write(self._splitter.take_rest())
+        self.reply.write(attempt.events.take_rest())
         self.reply.finish()
         self.close()
 
     def try_lost(self, attempt, loss):
         """Retry or resume at another engine if that is safe."""
+        if attempt is self._held_try:
+            self._release_held_try()
         if not self._is_current(attempt):
             return
         self._suspicion.note_ended()
@@ -221,6 +227,7 @@
     def close(self):
         """End the generation and free its copy."""
         self._lifecycle.ended()
+        self._release_held_try()
         self._copies.close()
         self.tools.prompts.end(self.request.last_part)
         if self._retry_timer is not None and self._retry_timer.active():
