--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -36,9 +36,8 @@
 
     def try_received(self, attempt, data):
         """Forward the complete events."""
-        if attempt is self._held_try:
-            self._take_back()
-        if not self._is_current(attempt):
+        is_held = attempt is self._held_try
+        if not is_held and not self._is_current(attempt):
             return
         if attempt.has_not_run or not attempt.answer.is_success:
             if not attempt.buffer(data):
@@ -50,6 +49,8 @@
             self.reject_body(attempt, Loss.MALFORMED)
             return
         events = [event for event in received if self._accept_event(event)]
+        if events and is_held:
+            self._take_back()
         if events:
             self._forward_events(attempt, events)
 
