Split the controller of rollouts: progress and register in modules of their own

Moved only; Rollout, its machine and its log record to progress.py, the interface to the stored states to register.py.

--- a/src/sesamearch/platform/rollout.py
+++ b/src/sesamearch/platform/rollout.py
@@ -5,8 +5,8 @@
 from twisted.internet.defer import Deferred
 
 from sesamearch.base.errors import ErrorKind
-from sesamearch.rollout.controller import RolloutRegister
 from sesamearch.rollout.order import RolloutOrder, RolloutOutcome, RolloutState
+from sesamearch.rollout.register import RolloutRegister
 from sesamearch.store.store import Comparison, Put, RangeReply, StoreRevision
 
 __all__ = [
--- a/src/sesamearch/rollout/__init__.py
+++ b/src/sesamearch/rollout/__init__.py
@@ -5,7 +5,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
-        "controller": ["Rollout", "RolloutController", "RolloutRegister"],
+        "controller": ["RolloutController"],
         "detector": ["Alarm", "Detector"],
         "leadership": ["LEADER_KEY", "Leadership"],
         "move": [
@@ -28,6 +28,8 @@
         "observer": ["ServiceObserver"],
         "order": ["RolloutOrder", "RolloutOutcome", "RolloutState"],
         "order_history": ["OrderHistory", "OrderNews"],
+        "progress": ["Rollout", "describe_change"],
+        "register": ["RolloutRegister"],
         "version": ["VersionChooser", "choose_version_by_share", "request_hash_ratio"],
     },
 )
--- /dev/null
+++ b/src/sesamearch/rollout/register.py
@@ -0,0 +1,39 @@
+"""Interface to the store of rollout states."""
+
+import abc
+
+__all__ = ["RolloutRegister"]
+
+
+class RolloutRegister(abc.ABC):
+    """Stores the state of rollouts, where operators read it."""
+
+    @abc.abstractmethod
+    def begin(self, order):
+        """Record that an order is in progress, unless it already has a state.
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of result.Result[RolloutOutcome, ErrorKind]
+            The state that is stored for the order afterwards.
+        """
+
+    @abc.abstractmethod
+    def end(self, order, state):
+        """Record a final state, unless another one is already stored.
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of result.Result[RolloutOutcome, ErrorKind]
+            The state that is stored for the order afterwards.
+        """
+
+    @abc.abstractmethod
+    def restore(self, order, state):
+        """Record a final state that was acted on, whatever a restored store says.
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of result.Result[RolloutOutcome, ErrorKind]
+            The state that is stored for the order afterwards.
+        """
--- a/tests/rollout/test_controller.py
+++ b/tests/rollout/test_controller.py
@@ -8,8 +8,9 @@
 
 from sesamearch.configuration.blackboard import Blackboard
 from sesamearch.membership.fleet_message import RolloutVerdict
-from sesamearch.rollout.controller import RolloutController, RolloutRegister
+from sesamearch.rollout.controller import RolloutController
 from sesamearch.rollout.order import RolloutOrder, RolloutOutcome, RolloutState
+from sesamearch.rollout.register import RolloutRegister
 from sesamearch.routing.canary import CanarySettings
 from sesamearch.store.store import StoreRevision
 
