--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -123,12 +123,13 @@
         ``stalled`` (no event for too long) or ``silent`` (no answer to a probe).
     state : str
         ``kept`` (no other engine could take over; the try goes on), ``replaced``
-        (another engine takes over; a :class:`TryLost` follows) or ``answered``.
+        (sent to another engine; a :class:`TryLost` follows once that one has begun, or
+        ``kept`` if it refuses) or ``answered``.
     after_ms : int
         Time since the try was first suspected.
     obstacle : str
-        Why a kept try was not replaced: ``no_engine``, ``no_budget``, ``no_attempts``
-        or ``no_event_numbers``.
+        Why a kept try was not replaced: ``no_engine``, ``no_budget``, ``no_attempts``,
+        ``no_event_numbers`` or ``refused`` (by each engine that was to take over).
     """
 
     request: str
--- a/src/sesamearch/configuration/configuration.py
+++ b/src/sesamearch/configuration/configuration.py
@@ -64,7 +64,8 @@
     reattach_timeout_s : float
         Timeout for re-attaching to a running attempt before it is abandoned.
     resume_timeout_s : float
-        Time after the loss of an attempt until the generation fails.
+        Time from the loss of the last open attempt until the generation fails. Silent
+        attempts stay open.
     """
 
     first_token_timeout_s: Positive = 3.0
