Describe evidence that has times but no outcome yet

A rollout found bad by tries that still run, before any answer, would have raised KeyError while its end was logged, before the peers were told. Found by reading the diff; the test failed before (KeyError).

--- a/src/sesamearch/routing/canary_evidence.py
+++ b/src/sesamearch/routing/canary_evidence.py
@@ -360,9 +360,10 @@
         return min(supports, key=lambda each: each.strength, default=None)
 
     def _is_rare(self, measure):
+        if Measure.FAILURE not in self._all_routes:
+            return False
         answers = self._all_routes[Measure.FAILURE].sample.old
-        least = MIN_MEASURED_RATIO * answers
-        return self._all_routes[measure].sample.old < least
+        return self._all_routes[measure].sample.old < MIN_MEASURED_RATIO * answers
 
     def _fails_seldom(self):
         sample = self._all_routes[Measure.FAILURE].sample
--- a/tests/routing/test_canary_evidence.py
+++ b/tests/routing/test_canary_evidence.py
@@ -109,6 +109,19 @@
         self.assertIs(evidence.verdict, Verdict.BAD)
 
 
+class TestWeakest(unittest.TestCase):
+    # Guards against an error where tries are slow that have not ended yet.
+    def test_times_without_any_outcome(self):
+        evidence = Evidence()
+        counts = RouteEvidence("r")
+        for _ in range(8):
+            counts.count_time(Measure.FIRST, False, time_bucket(FAST_S))
+            counts.count_time(Measure.FIRST, True, time_bucket(5 * FAST_S))
+        evidence.add_counts(counts)
+        self.assertIs(evidence.weakest.measure, Measure.FIRST)
+        self.assertIs(evidence.verdict, Verdict.BAD)
+
+
 class TestGoodVersion(unittest.TestCase):
     def test_verdict_is_open_without_answers(self):
         self.assertIs(Evidence().verdict, Verdict.OPEN)
