Count no attempt of an engine that was not needed after all

A silent engine that goes on within the hold keeps its generation; the engine that was to take over had used up an attempt, and was named as the one that has the prompt. Found by reading; the test failed before.

--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -275,9 +275,12 @@
     def _take_back(self):
         """Go on with the held try instead of the one that was to take over."""
         for attempt in list(self.tries):
+            self._allowance.note_no_event()
             attempt.cancel()
             self.drop(attempt, "not_needed")
-        self.tries.append(self._unhold())
+        held = self._unhold()
+        self.tries.append(held)
+        self.tools.prompts.begin(self.request.last_part, held.endpoint.name)
         # The copies of the held run and of the one that took over are gone.
         self._copies.close()
 
--- a/tests/platform/test_silent_engine.py
+++ b/tests/platform/test_silent_engine.py
@@ -138,6 +138,18 @@
         self.world.run(2 * EVENTS_S)
         self.assert_whole(client)
 
+    # Guards against an attempt used up by an engine that was not needed after all.
+    def test_engine_that_was_not_needed_uses_up_no_attempt(self):
+        self.build(engines=2, max_attempts=2)
+        client, engine = self.start(0.3, prompt_tokens=8000)
+        self.silence(engine, seconds=0.7)
+        self.world.run(0.85)
+        (stream,) = self.world.routers[0].dispatcher._streams
+        self.assertEqual(stream.tries[0].endpoint.name, engine.name)
+        self.assertTrue(stream._allowance.has_runs_left)
+        self.world.run(2 * EVENTS_S)
+        self.assert_whole(client)
+
     # Guards against an answer cut off beside a change of the configuration.
     def test_configuration_changes_during_the_silence(self):
         self.build(engines=1)
