--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -98,6 +98,12 @@
         HTTP status of the answer, zero if there was none.
     after_ms : int
         Time since the request was sent.
+    answering_ms : int or None
+        Time since the head of the answer arrived; None if it did not.
+    events : int
+        Number of events that arrived of this try.
+    parts : list of str
+        The parts of the prompt that other requests may share; empty for a call.
     """
 
     request: str
@@ -106,6 +112,9 @@
     cause: str
     status: int
     after_ms: int
+    answering_ms: int | None = None
+    events: int = 0
+    parts: list[str] = []
 
 
 class TrySuspected(Record, frozen=True, tag="try_suspected"):
--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -25,13 +25,19 @@
     ----------
     events : EventSplitter or None
         Splits the answer of a generation into events.
+    event_count : int
+        Number of events that arrived.
+    answered_s : float or None
+        Time at which the head of the answer arrived.
     """
 
     __slots__ = (
         "_body",
         "_exchange",
         "answer",
+        "answered_s",
         "buffered_bytes",
+        "event_count",
         "events",
         "number",
         "observer",
@@ -50,7 +56,9 @@
         self.sent_s = sent_s
         self.pending_request = None
         self.answer = None
+        self.answered_s = None
         self.events = None
+        self.event_count = 0
         self.buffered_bytes = 0
         self._body = []
 
@@ -97,6 +105,7 @@
     def answer_began(self, answer):
         """Handle the head of the answer."""
         self.answer = answer
+        self.answered_s = self._exchange.now_s
         self._exchange.tools.outages.note_alive(self.endpoint)
         if answer.is_other_instance:
             restarts = self._exchange.tools.restarts
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -208,6 +208,9 @@
         self.tools.counters.tries_lost += 1
         self.tools.meter.try_ended(self.service.name, cause)
         after_ms = round((self.now_s - attempt.sent_s) * 1000)
+        answering_ms = None
+        if attempt.answered_s is not None:
+            answering_ms = round((self.now_s - attempt.answered_s) * 1000)
         logger.info(
             TryLost(
                 self.request.request_id,
@@ -216,6 +219,9 @@
                 cause,
                 status,
                 after_ms,
+                answering_ms,
+                attempt.event_count,
+                self.request.shared_parts,
             )
         )
 
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -65,6 +65,11 @@
     output_tokens: int = 0
     prompt_parts: list[PromptPart] = []
 
+    @property
+    def shared_parts(self):
+        """List of str : names of the prompt's parts that other requests may share."""
+        return [part.name for part in self.prompt_parts[:-1]]
+
     @property
     def last_part(self):
         """Str : name of the prompt's last part, which no other request shares."""
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -70,6 +70,7 @@
     def _forward_events(self, attempt, events):
         self._trust(attempt)
         self._release_held_try()
+        attempt.event_count += len(events)
         if not attempt.work.is_read:
             attempt.work.prompt_was_read()
             attempt.observer.answered(is_failure=False)
