Show that one part of a prompt ends engine after engine

New stand-in: an engine ends as it begins to write on a fatal part, with or without the head of its answer, all its connections with it, and is back after 4 s under another name at its address.

--- a/src/sesamearch/standin/network.py
+++ b/src/sesamearch/standin/network.py
@@ -34,6 +34,7 @@
 
     Attributes
     ----------
+    address : str
     protocol : twisted.internet.protocol.Protocol
     peer : MemoryTransport
         The other end.
@@ -47,7 +48,7 @@
 
     def __init__(self, network, address):
         self._network = network
-        self._address = address
+        self.address = address
         self._is_paused = False
         self._buffered = []
         self.protocol = None
@@ -59,7 +60,7 @@
 
     def _send(self, function, *arguments):
         """Call a function of the other end when what is sent now arrives there."""
-        delay_s = self._network.delay_s(self._address)
+        delay_s = self._network.delay_s(self.address)
         self._network.callLater(delay_s, function, *arguments)
 
     def write(self, data):
@@ -197,6 +198,13 @@
         """Refuse new connections at an address."""
         self._factories.pop(address, None)
 
+    def reset(self, address):
+        """Reset all connections to an address, also those without a request."""
+        for client in self.connections:
+            if client.address == address and client.is_open:
+                client.peer.abortConnection()
+        self.connections = [each for each in self.connections if each.is_open]
+
     def hold(self, address, seconds):
         """Hold up all bytes to and from an address, and new connections to it.
 
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -59,6 +59,13 @@
 
     at_s: float
     path: str
+    parts: list[str] = []
+
+
+def _parts(head):
+    """Return the names of the parts of the prompt that a request states."""
+    prompt = _text(head, b"x-prompt-prefix")
+    return [each.partition(":")[0] for each in prompt.split(",") if each]
 
 
 def _text(head, name):
@@ -115,7 +122,8 @@
     def __call__(self, head, body, reply):
         """Record the arrival of a request, and handle it."""
         path = head.target.decode()
-        self.arrivals.append(WorkerArrival(self.clock.seconds(), path))
+        arrival = WorkerArrival(self.clock.seconds(), path, _parts(head))
+        self.arrivals.append(arrival)
         self.handle(head, body, reply)
 
     def handle(self, head, body, reply):
@@ -245,6 +253,12 @@
         Whether it sends nothing, while its connections stay open.
     frozen_until_s : float
         Time until which it makes no event; afterwards it goes on where it was.
+    fatal_parts : frozenset of str
+        Parts of prompts under which the engine ends as it begins to write.
+    ends_after_head : bool
+        Whether it has sent the head of the answer by then.
+    on_end : callable
+        Called with the engine when a prompt ends it; crashes it.
     """
 
     def __init__(self, clock, name, slots=12, events=DEFAULT_EVENTS):
@@ -256,6 +270,9 @@
         self.neighbours = {}
         self.is_unresponsive = False
         self.frozen_until_s = 0.0
+        self.fatal_parts = frozenset()
+        self.ends_after_head = True
+        self.on_end = PlatformEngineStandin.crash
         self._processors = []
 
     def handle(self, head, body, reply):
@@ -303,7 +320,8 @@
             del self.copies[source.rpartition("/")[2]]
             tokens = 0
         run.prompt_tokens = tokens
-        processor = _GenerationProcessor(self, run, reply, headers)
+        is_fatal = not self.fatal_parts.isdisjoint(_parts(head))
+        processor = _GenerationProcessor(self, run, reply, headers, is_fatal)
         self._processors.append(processor)
         return processor
 
@@ -318,10 +336,11 @@
 class _GenerationProcessor(ReplyListener):
     """Processes a generation."""
 
-    def __init__(self, engine, run, reply, headers):
+    def __init__(self, engine, run, reply, headers, is_fatal):
         self._engine = engine
         self._run = run
         self._reply = reply
+        self._is_fatal = is_fatal
         self._headers = [*headers, (b"Content-Type", b"text/event-stream")]
         self._next_event = 0 if run.after_event is None else run.after_event + 1
         self._timer = None
@@ -371,9 +390,15 @@
             engine.ended(self._run, "whole")
             self._reply.answer(engine.status, self._headers, b"")
             return
+        if self._is_fatal and not engine.ends_after_head:
+            engine.on_end(engine)
+            return
         if not engine.is_unresponsive:
             self._reply.start(OK, [*self._headers, *engine.notices(OK)])
-        self._send_event()
+        if self._is_fatal:
+            self._call_later(EVENT_INTERVAL_S, lambda: engine.on_end(engine))
+        else:
+            self._send_event()
 
     def _send_event(self):
         engine = self._engine
