Refuse prompts with a part under which engines end

Cause: nothing about a request outlived it. A loss was held against the engine alone, so each further request with the part, at this router and at the others, started from nothing, and a single one could end eight engines since. Class: a poisonous request that is retried (a fault in the work taken for one of the worker).

Change: new package quarantine. Each router tells the others which requests were lost with which engine before their answers got under way, and which parts engines write on. A part that was lost with three engines as they began to write (five without the head of an answer), under two requests or more, at times apart, with nothing written on it since while others were written, is quarantined: prompts with it are refused at once by all routers (503 not run, or 502 if an engine had it, with Retry-After), also those that wait, retry or resume. What another part explains does not count; engines that end together count once. The entry is kept in the platform's store, so that it outlives all routers; one relay of each data centre watches it and repeats it to the others. It ends when an engine writes on the part: one request of all routers is let through after a minute, ten and an hour. One request may be lost with five engines that had begun to write, and with eight in all, before its first event.

The counts of store calls in test_fleet rise by one read and one watch for each data centre, as the relays follow one prefix more; the checks stay exact.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -18,6 +18,7 @@
     "GenerationResumed",
     "Lifecycle",
     "MemberChanged",
+    "PromptQuarantineChanged",
     "Record",
     "RequestEnded",
     "RequestRefused",
@@ -520,6 +521,34 @@
     state: str
 
 
+class PromptQuarantineChanged(Record, frozen=True, tag="prompt_quarantine"):
+    """Prompts with some parts are refused from now on, or no longer.
+
+    Parameters
+    ----------
+    parts : list of str
+        Names of the parts; a prompt that contains all of them is refused.
+    state : str
+        ``active`` or ``lifted``.
+    source : str
+        ``own`` (this router decided), ``peer`` or ``store``.
+    trials : int
+        Number of requests that were let through so far.
+    score : float or None
+        Weight of the losses that this router decided on.
+    ends, requests : int or None
+        Numbers of engines and requests among them.
+    """
+
+    parts: list[str]
+    state: str
+    source: str
+    trials: int = 0
+    score: float | None = None
+    ends: int | None = None
+    requests: int | None = None
+
+
 class Lifecycle(Record, frozen=True, tag="lifecycle"):
     """The process started, opened its port, reloaded its settings or stopped.
 
@@ -555,6 +584,7 @@
     DataCentreReachability,
     Dependency,
     RolloutChanged,
+    PromptQuarantineChanged,
     StoreRestored,
     Lifecycle,
 )
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -42,16 +42,20 @@
 from sesamearch.membership.key_keeper import KeyKeeper
 from sesamearch.membership.leaving_gossip import LeavingGossip
 from sesamearch.membership.listing import EndpointListing
+from sesamearch.membership.quarantine_gossip import QuarantineGossip
 from sesamearch.membership.sockets import PeerSockets
 from sesamearch.platform.client import SWEEP_INTERVAL_S, PlatformEndpointClient
 from sesamearch.platform.configuration import decode_configuration
 from sesamearch.platform.followers import (
     OperatorFollower,
     OutcomeFollower,
+    QuarantineFollower,
     ServerFollower,
 )
+from sesamearch.platform.quarantine import PlatformQuarantineRegister
 from sesamearch.platform.rollout import PlatformRolloutRegister
 from sesamearch.platform.store import PlatformStore
+from sesamearch.quarantine.controller import PromptQuarantine
 from sesamearch.rollout.controller import UPDATE_INTERVAL_S as ROLLOUT_INTERVAL_S
 from sesamearch.rollout.controller import RolloutController
 from sesamearch.routing.canary import CanarySettings
@@ -64,6 +68,8 @@
 # endpoint must be known to all.
 BATCH_DELAY_RATIO = 0.1
 UPDATE_INTERVAL_S = 0.25
+# By this time after its start, a router knows whether it relays.
+SETTLE_S = 1.5
 # The load balancer probes readiness once per second, and stops sending requests after
 # two failed probes.
 BALANCER_GRACE_S = 2.6
@@ -110,6 +116,8 @@
         )
         self._peers = None
         self._outcome_follower = None
+        self._quarantine_follower = None
+        self._settled_s = reactor.seconds() + SETTLE_S
         self._make_forwarding()
         self._make_membership()
         self._ports = PlatformPorts(
@@ -160,6 +168,9 @@
         self._outages = OutageDetector(
             self._client, reactor, self._endpoints_to_probe, rng
         )
+        self._quarantine = PromptQuarantine(
+            reactor, PlatformQuarantineRegister(self._store), self.counters, rng
+        )
         tools = ForwardTools(
             self._client,
             Chooser(
@@ -182,6 +193,7 @@
             self._restart_detector,
             self._outages,
             self._pauses,
+            self._quarantine,
             reactor,
             self.counters,
             self._metrics,
@@ -230,6 +242,7 @@
             "endpoints": lambda: len(board.endpoints.value),
             "members": lambda: len(board.members.value),
             "is_relay": lambda: int(self._peers is not None and self._peers.is_relay),
+            "quarantined_prompts": lambda: self._quarantine.active_count,
             "in_flight": lambda: self.dispatcher.in_flight,
             "store_calls": lambda: self._store.calls,
             "endpoint_connections": lambda: self._client.opened,
@@ -254,6 +267,7 @@
             self._reactor,
         )
         self._leaving_gossip = LeavingGossip(self._leaving)
+        self._quarantine_gossip = QuarantineGossip(self._quarantine, self._reactor)
         self._followers = [
             OperatorFollower(
                 self._store, self.board, self._rollout_controller, self._reactor
@@ -336,6 +350,7 @@
         self._peers.follows_store = self._follows_store
         self._gossip.join(self._peers)
         self._leaving_gossip.join(self._peers)
+        self._quarantine_gossip.join(self._peers)
         self._rollout_controller.join(self._peers)
         self._peers.handle(
             EndpointRestarted,
@@ -408,6 +423,8 @@
         if self._peers is not None:
             self._budgets.discard_unknown(self._peers.member_list.names)
         self._gossip.refresh()
+        self._quarantine.refresh()
+        self._quarantine_gossip.refresh()
         self._update_followers()
 
     def _update_followers(self):
@@ -417,9 +434,17 @@
         while it is a relay itself or its data centre has no live relay.
         """
         must_watch_store = self._peers is None or self._peers.must_watch_store
+        has_settled = self._reactor.seconds() >= self._settled_s
+        if must_watch_store and has_settled and self._quarantine_follower is None:
+            # The other routers learn of the quarantines from the relays.
+            self._quarantine_follower = QuarantineFollower(
+                self._store, self._quarantine, self._reactor
+            )
+            self._quarantine_follower.start()
         followers = list(self._followers)
-        if self._outcome_follower is not None:
-            followers.append(self._outcome_follower)
+        for each in (self._outcome_follower, self._quarantine_follower):
+            if each is not None:
+                followers.append(each)
         for follower in followers:
             if must_watch_store:
                 follower.resume()
--- a/src/sesamearch/forwarding/allowance.py
+++ b/src/sesamearch/forwarding/allowance.py
@@ -7,6 +7,10 @@
 MAX_LATER_SENDS = 2
 # Failed connections cause no work at an engine, so that many may be retried for free.
 MAX_FREE_FAILED_CONNECTIONS = 40
+# Engines that may be lost under one request before its first event, and those among
+# them that had begun to write, so that the request is a likely cause.
+MAX_ENGINES_LOST = 8
+MAX_ENGINES_LOST_WRITING = 5
 MIN_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.8
 
@@ -30,6 +34,8 @@
     """
 
     __slots__ = (
+        "_engines_lost",
+        "_engines_lost_writing",
         "_failed_connections",
         "_is_denied",
         "_is_paid",
@@ -53,11 +59,17 @@
         self._failed_connections = 0
         self._pauses = 0
         self._without_event = 0
+        self._engines_lost = 0
+        self._engines_lost_writing = 0
         self.runs = 0
 
     @property
     def has_runs_left(self):
         """Bool : whether the generation may run at another engine."""
+        if self._engines_lost >= MAX_ENGINES_LOST:
+            return False
+        if self._engines_lost_writing >= MAX_ENGINES_LOST_WRITING:
+            return False
         return self.runs - self._without_event < self._max_runs
 
     @property
@@ -92,6 +104,17 @@
         """
         self._without_event += 1
 
+    def note_engine_lost(self, was_writing):
+        """Record that the engine was lost, perhaps under this generation.
+
+        Parameters
+        ----------
+        was_writing : bool
+            Whether it had just begun to write the answer.
+        """
+        self._engines_lost += 1
+        self._engines_lost_writing += was_writing
+
     def note_not_connected(self):
         """Record that the last send reached no engine; the next one is free again."""
         self._sends -= 1
@@ -104,6 +127,8 @@
         self._sends = 0
         self._failed_connections = 0
         self._pauses = 0
+        self._engines_lost = 0
+        self._engines_lost_writing = 0
 
     def begin_pause(self):
         """Return the length of the pause that begins now, longer than the last one."""
--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -27,8 +27,8 @@
         Splits the answer of a generation into events.
     event_count : int
         Number of events that arrived.
-    answered_s : float or None
-        Time at which the head of the answer arrived.
+    answered_s, first_event_s : float or None
+        Times at which the head of the answer and its first event arrived.
     """
 
     __slots__ = (
@@ -39,6 +39,7 @@
         "buffered_bytes",
         "event_count",
         "events",
+        "first_event_s",
         "number",
         "observer",
         "options",
@@ -57,6 +58,7 @@
         self.pending_request = None
         self.answer = None
         self.answered_s = None
+        self.first_event_s = None
         self.events = None
         self.event_count = 0
         self.buffered_bytes = 0
@@ -118,6 +120,7 @@
         """Handle a part of the body."""
         self._exchange.tools.restarts.note_alive(self.endpoint.name)
         self._exchange.tools.outages.note_alive(self.endpoint)
+        self._exchange.tools.quarantine.note_alive(self.endpoint, self.sent_s)
         self._exchange.try_received(self, data)
 
     def answer_ended(self):
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -51,6 +51,8 @@
         Endpoints that said that they leave, to this router or to another one.
     pauses : int
         Pauses that endpoints asked for.
+    quarantines, quarantine_refusals : int
+        Quarantines of parts of prompts that began, and requests refused by them.
     """
 
     __slots__ = (
@@ -60,6 +62,8 @@
         "leaving_endpoints",
         "pauses",
         "probes",
+        "quarantine_refusals",
+        "quarantines",
         "refusals",
         "requests",
         "resumes",
@@ -104,6 +108,7 @@
         self._exchanges = set()
         self._streams = set()
         self._check = None
+        tools.quarantine.on_begin = self._refuse_quarantined
 
     @property
     def in_flight(self):
@@ -207,6 +212,11 @@
         for stream in list(self._streams):
             stream.hand_over()
 
+    def _refuse_quarantined(self):
+        """Refuse the generations in flight that a new quarantine concerns."""
+        for stream in list(self._streams):
+            stream.refuse_if_quarantined()
+
     def _schedule_check(self):
         if self._check is None:
             self._check = self._tools.clock.callLater(
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -45,6 +45,7 @@
     restarts : RestartDetector
     outages : OutageDetector
     pauses : PauseTracker
+    quarantine : PromptQuarantine
     clock : twisted.internet.interfaces.IReactorTime
     counters : ForwardCounters
     meter : Meter
@@ -62,6 +63,7 @@
     restarts: object
     outages: object
     pauses: object
+    quarantine: object
     clock: object
     counters: object
     meter: object
@@ -292,7 +294,7 @@
         if retry_delay_s is not None:
             retry_delay_s = retry_after_s(retry_delay_s, self.remaining_s())
             if kind is not ErrorKind.DRAINING:
-                retry_delay_s = max(retry_delay_s, self._service_wait_s())
+                retry_delay_s = max(retry_delay_s, self._shortest_wait_s())
             headers.append((b"Retry-After", b"%.3f" % retry_delay_s))
         problem = Problem(kind, detail, retry_delay_s)
         status = problem.answer.status
@@ -317,10 +319,10 @@
         self.reply.answer(status, headers, problem.to_json())
         self.close()
 
-    def _service_wait_s(self):
-        """Return how long no endpoint of the service wants requests, zero if one does.
+    def _shortest_wait_s(self):
+        """Return how long a retry cannot help, however long the caller's deadline is.
 
-        A retry before that cannot help, however long the caller's deadline is.
+        No endpoint of the service wants requests until then. Zero if one does.
         """
         serving = self.tools.endpoint_index.serving(self.service.name)
         return self.tools.pauses.wait_s(serving)
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -16,6 +16,8 @@
     StallDetector,
 )
 from sesamearch.forwarding.suspicion import Obstacle, TrySuspicion
+from sesamearch.quarantine.controller import retry_after_s
+from sesamearch.wire.endpoint import Loss
 
 __all__ = ["GenerationRuns"]
 
@@ -25,6 +27,11 @@
 # A refusal is sent so long before the caller would leave that it still arrives.
 REFUSAL_MARGIN_S = 0.2
 LOWEST_URGENCY = 9
+# An engine that writes for so long does not end under the prompt.
+MIN_WRITTEN_S = 1.0
+# An engine that is lost so soon after the head of its answer had just begun to write.
+MAX_BEGUN_S = 0.4
+_ENGINE_LOSSES = (Loss.CLOSED_UNANSWERED, Loss.CLOSED_MIDWAY)
 
 
 class GenerationRuns(Exchange):
@@ -46,6 +53,7 @@
         self._suspicion = TrySuspicion(self.tools, self.request.request_id)
         self._has_head = False
         self._is_broken = False
+        self._is_written = False
         self._has_copy = False
         self._has_given_up_try = False
         self._held_try = None
@@ -93,6 +101,9 @@
         self._retry_timer = None
         if self.is_over or self.tries:
             return
+        if self._quarantine() is not None:
+            self._give_up_quarantined()
+            return
         endpoint, copy = self._search.find(self._has_copy, self._is_resuming)
         if endpoint is None:
             # Engines that failed before may be back next time.
@@ -111,6 +122,7 @@
         self._has_copy = False
         self.excluded.add(endpoint.name)
         self._allowance.note_sent()
+        self.tools.quarantine.note_sent(self.request.request_id)
         backup_address = ""
         if self.route.is_resumable:
             backup_address = self._copies.begin(endpoint)
@@ -200,6 +212,55 @@
     def _is_current(self, attempt):
         return not self.is_over and attempt in self.tries
 
+    # Prompts under which engines end.
+
+    def _quarantine(self):
+        request = self.request
+        return self.tools.quarantine.find(request.shared_parts, request.request_id)
+
+    def refuse_if_quarantined(self):
+        """Refuse a generation before its first event if its prompt ends engines."""
+        if self.is_over or self._has_head or self._quarantine() is None:
+            return
+        self._give_up_quarantined()
+
+    def _give_up_quarantined(self):
+        """End the answer, because engines end under a part of its prompt."""
+        self.tools.counters.quarantine_refusals += 1
+        quarantine = self._quarantine()
+        parts = " ".join(quarantine.parts) if quarantine else ""
+        detail = f"engines end under these parts of the prompt: {parts}"
+        self.give_up(ErrorKind.PROMPT_QUARANTINED, detail)
+
+    def _shortest_wait_s(self):
+        wait_s = super()._shortest_wait_s()
+        quarantine = self._quarantine()
+        return wait_s if quarantine is None else max(wait_s, retry_after_s(quarantine))
+
+    def _note_engine_lost(self, attempt, loss):
+        """Record what the loss of an engine says about the prompt."""
+        if self._is_written or loss not in _ENGINE_LOSSES or not attempt.is_sent:
+            return
+        answering_s = float("inf")
+        if attempt.answered_s is not None:
+            answering_s = self.now_s - attempt.answered_s
+        was_writing = answering_s <= MAX_BEGUN_S
+        if not self._has_head:
+            self._allowance.note_engine_lost(was_writing)
+        quarantine = self.tools.quarantine
+        quarantine.note_lost(attempt.endpoint, self.request, was_writing)
+
+    def _note_progress(self, attempt):
+        """Record events of a try; an engine that goes on writes on the prompt."""
+        if attempt.first_event_s is None:
+            attempt.first_event_s = self.now_s
+        if not self._is_written and self.now_s - attempt.first_event_s >= MIN_WRITTEN_S:
+            self._note_written()
+
+    def _note_written(self):
+        self._is_written = True
+        self.tools.quarantine.note_written(self.request.shared_parts)
+
     # Stalls.
 
     def check(self):
@@ -226,6 +287,9 @@
 
     def _replace(self):
         """Cancel a suspected try and resume at another engine, or keep it for now."""
+        if self._quarantine() is not None:
+            self._give_up_quarantined()
+            return
         attempt = self.tries[0]
         has_copy = self._timing.has_event_of(attempt)
         endpoint, copy = self._search.find_reachable(has_copy, self._is_resuming)
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -22,6 +22,9 @@
 
     def start(self):
         """Send the first try, unless the prompt cannot be read before the deadline."""
+        if self._quarantine() is not None:
+            self._give_up_quarantined()
+            return
         self._is_prompt_cached = bool(self.tools.prompts.find(self.request.last_part))
         shortest_s = self.tools.pace.shortest_s(self.request.prompt_tokens)
         if not self._is_prompt_cached and self.remaining_s() < shortest_s:
@@ -71,6 +74,7 @@
         self._trust(attempt)
         self._release_held_try()
         attempt.event_count += len(events)
+        self._note_progress(attempt)
         if not attempt.work.is_read:
             attempt.work.prompt_was_read()
             attempt.observer.answered(is_failure=False)
@@ -144,6 +148,8 @@
         self.tools.health.note_answer(attempt.endpoint.name, False)
         if attempt.number == 1 and self._timing.mean_gap_s:
             self.tools.health.note_gap(attempt.endpoint.name, self._timing.mean_gap_s)
+        if attempt.event_count:
+            self._note_written()
         if not self._has_head:
             self._start_answer(attempt)
         self.log_end(
@@ -175,6 +181,9 @@
             self._send_again(ErrorKind.OVERLOADED, "engines are busy")
         else:
             self._note_lost_run(attempt)
+            self._note_engine_lost(attempt, loss)
+            if self.is_over:
+                return
             self._recover(ErrorKind.ENDPOINT_LOST, "engine lost")
 
     # Ends.
@@ -231,6 +240,7 @@
         self._lifecycle.ended()
         self._release_held_try()
         self._copies.close()
+        self.tools.quarantine.note_over(self.request.request_id)
         self.tools.prompts.end(self.request.last_part)
         if self._retry_timer is not None and self._retry_timer.active():
             self._retry_timer.cancel()
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -7,12 +7,15 @@
 from sesamearch.forwarding.health import Outcomes, Suspicion
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.member_list import AgedRouterInfo, RouterInfo
+from sesamearch.quarantine.entry import Quarantine
+from sesamearch.quarantine.evidence import EngineLoss
 from sesamearch.routing.canary_evidence import RouteEvidence
 from sesamearch.store.store import StoreRevision
 
 __all__ = [
     "LEAVING_SCHEMA_VERSION",
     "FLEET_SCHEMA_VERSION",
+    "QUARANTINE_SCHEMA_VERSION",
     "UNSTATED_ERA",
     "Broadcast",
     "BroadcastBatch",
@@ -24,6 +27,8 @@
     "FleetHeartbeat",
     "FleetMessage",
     "LoadUpdate",
+    "LossReport",
+    "QuarantineUpdate",
     "RolloutUpdate",
     "RolloutVerdict",
     "TableRequest",
@@ -33,6 +38,7 @@
 
 FLEET_SCHEMA_VERSION = 1
 LEAVING_SCHEMA_VERSION = 1
+QUARANTINE_SCHEMA_VERSION = 1
 # Era in messages of an earlier build, which does not state it.
 UNSTATED_ERA = -1
 
@@ -199,6 +205,44 @@
     incarnation: Incarnation
 
 
+class LossReport(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """What the sender saw of engines that ended, and of the prompts they ran.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; messages of other versions are ignored.
+    losses : list of EngineLoss
+        Requests that were lost with their engine.
+    written : list of str
+        Parts of prompts on which an engine has written since others ended under them.
+    alive : list of Incarnation
+        Engines that have not ended, although a request at them was lost.
+    known : list of str
+        Parts of prompts on which engines wrote before the losses.
+    """
+
+    schema_version: int
+    losses: list[EngineLoss]
+    written: list[str]
+    alive: list[Incarnation]
+    known: list[str] = []
+
+
+class QuarantineUpdate(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Quarantines that the sender knows, those that were lifted included.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; messages of other versions are ignored.
+    quarantines : list of Quarantine
+    """
+
+    schema_version: int
+    quarantines: list[Quarantine]
+
+
 class RolloutUpdate(msgspec.Struct, tag="RolloutNews", frozen=True, array_like=True):
     """A rollout, and what a router saw of it since its last update.
 
@@ -271,15 +315,21 @@
     incarnation, sequence : int
         Identify the update within its origin, so that a second copy, which arrives
         through the other relay, is dropped.
-    update : LoadUpdate, EndpointRestarted, LeavingNotice, RolloutUpdate or
-        RolloutVerdict
+    update : LoadUpdate, EndpointRestarted, LeavingNotice, RolloutUpdate, or another
+        update type of this module
     """
 
     origin: str
     incarnation: int
     sequence: int
     update: (
-        LoadUpdate | EndpointRestarted | LeavingNotice | RolloutUpdate | RolloutVerdict
+        LoadUpdate
+        | EndpointRestarted
+        | LeavingNotice
+        | RolloutUpdate
+        | RolloutVerdict
+        | LossReport
+        | QuarantineUpdate
     )
 
 
--- a/src/sesamearch/platform/followers.py
+++ b/src/sesamearch/platform/followers.py
@@ -5,6 +5,7 @@
 from sesamearch.configuration.follower import Follower
 from sesamearch.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from sesamearch.platform.endpoints import ENDPOINT_PREFIX, decode_endpoint
+from sesamearch.platform.quarantine import QUARANTINE_PREFIX, decode_quarantine
 from sesamearch.platform.rollout import (
     ORDER_PREFIX,
     STATUS_PREFIX,
@@ -13,7 +14,12 @@
 )
 from sesamearch.store.store import StoreRevision
 
-__all__ = ["OperatorFollower", "OutcomeFollower", "ServerFollower"]
+__all__ = [
+    "OperatorFollower",
+    "OutcomeFollower",
+    "QuarantineFollower",
+    "ServerFollower",
+]
 
 OPERATOR_PREFIX = b"op/"
 MAX_RETRY_DELAY_S = 1.0
@@ -109,6 +115,36 @@
         self._applied_era = self.era
 
 
+class QuarantineFollower(Follower):
+    """Follows the stored quarantines of prompts.
+
+    Parameters
+    ----------
+    store : Store
+    quarantine : PromptQuarantine
+    clock : twisted.internet.interfaces.IReactorTime
+    """
+
+    def __init__(self, store, quarantine, clock):
+        super().__init__(store, QUARANTINE_PREFIX, clock, MAX_RETRY_DELAY_S)
+        self._quarantine = quarantine
+
+    def apply_snapshot(self, items):
+        """Apply the quarantines that can be decoded."""
+        found = []
+        for key, value in items.items():
+            decoded = decode_quarantine(value)
+            if decoded.is_err():
+                logger.warning(
+                    "skipped invalid quarantine key={} fault={}",
+                    key.decode(errors="replace"),
+                    decoded.unwrap_err(),
+                )
+            else:
+                found.append(decoded.unwrap())
+        self._quarantine.update_stored(found)
+
+
 class ServerFollower(Follower):
     """Follows the entries in which endpoints register themselves.
 
--- /dev/null
+++ b/src/sesamearch/quarantine/__init__.py
@@ -0,0 +1,16 @@
+"""Quarantine of the parts of prompts under which engines end."""
+
+from sesamearch.quarantine.controller import PromptQuarantine, retry_after_s
+from sesamearch.quarantine.entry import Quarantine
+from sesamearch.quarantine.evidence import EngineLoss, LossEvidence, Suspect
+from sesamearch.quarantine.register import QuarantineRegister
+
+__all__ = [
+    "EngineLoss",
+    "LossEvidence",
+    "PromptQuarantine",
+    "Quarantine",
+    "QuarantineRegister",
+    "Suspect",
+    "retry_after_s",
+]
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -76,7 +76,7 @@
         self.assertEqual(sorted(data_centres), ["east", "east", "west", "west"])
 
     def test_only_relays_watch_the_store(self):
-        self.assertEqual(len(self.world.store.pending), 2 * 4)
+        self.assertEqual(len(self.world.store.pending), 3 * 4)
 
     def test_configuration_reaches_all_routers(self):
         self.world.store.put("op/config", make_configuration(8, ROUTES[:1]))
@@ -231,8 +231,10 @@
 
     def test_start_of_a_fleet_costs_few_calls_of_the_store(self):
         calls = FleetWorld(16).store.calls
-        self.assertEqual(calls["kv-range"], 3 * 16)
-        self.assertEqual(calls["kv-watch"], 2 * 4)
+        # Each router reads the configuration, endpoints and keys, and one relay of each
+        # data centre reads the quarantined prompts for all.
+        self.assertEqual(calls["kv-range"], 3 * 16 + 4)
+        self.assertEqual(calls["kv-watch"], 3 * 4)
         self.assertLessEqual(calls["kv-txn"], 16)
 
 
@@ -341,7 +343,7 @@
     def test_one_router_of_each_data_centre_watches(self):
         data_centres = [each._settings.data_centre for each in self.watchers()]
         self.assertEqual(sorted(data_centres), ["east", "west"])
-        self.assertEqual(len(self.world.store.pending), 2 * 2)
+        self.assertEqual(len(self.world.store.pending), 3 * 2)
 
     def test_leaving_endpoint_is_known_in_time_after_the_relay_fell_silent(self):
         self.world.cut_sockets(self.first_relay("east"))
--- a/tests/platform/test_fatal_prompt.py
+++ b/tests/platform/test_fatal_prompt.py
@@ -24,7 +24,7 @@
         self.assertGreaterEqual(whole, 0.9 * len(requests))
         self.assertGreater(len(requests), 10)
 
-    # Guards against a request that is sent to engine after engine, all of which it ends.
+    # Guards against a request that is sent on and on, to engines that it ends.
     def test_one_request_ends_a_bounded_number_of_engines(self):
         storm = PromptStorm(routers=1, engines=12)
         storm.send(("5c1e", FATAL_PART))
--- /dev/null
+++ b/tests/quarantine/test_evidence.py
@@ -0,0 +1,162 @@
+import unittest
+
+from twisted.internet.task import Clock
+
+from sesamearch.configuration.blackboard import Incarnation
+from sesamearch.quarantine.evidence import (
+    EVIDENCE_LIFETIME_S,
+    MAX_ENDS,
+    EngineLoss,
+    LossEvidence,
+)
+
+GAP_S = 0.4
+
+
+class EvidenceTestCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.clock.advance(10.0)
+        self.evidence = LossEvidence(self.clock)
+        self.engines = 0
+
+    def end_engine(self, *requests, gap_s=GAP_S):
+        """End a new engine under requests, given as (id, parts, was writing)."""
+        self.clock.advance(gap_s)
+        self.engines += 1
+        engine = Incarnation(f"e{self.engines}", 1)
+        for request_id, parts, was_writing in requests:
+            self.evidence.add(EngineLoss(engine, request_id, parts, was_writing))
+        return engine
+
+    def suspect(self, *parts, quarantined=()):
+        suspect = self.evidence.find_suspect(parts, quarantined)
+        return set(suspect.parts) if suspect else None
+
+
+class TestFatalPart(EvidenceTestCase):
+    def setUp(self):
+        super().setUp()
+        self.evidence.note_history(["first"])
+
+    def end_by(self, *numbers, writing=True):
+        for number in numbers:
+            parts = ["first", "dead", f"m{number}"]
+            self.end_engine((f"q{number}", parts, writing))
+
+    def test_part_is_found_by_three_ends_if_the_engines_were_writing(self):
+        self.end_by(1, 2)
+        self.evidence.note_written(["first"])
+        self.assertIsNone(self.suspect("first", "dead", "m2"))
+        self.end_by(3)
+        self.assertEqual(self.suspect("first", "dead", "m3"), {"dead"})
+
+    def test_part_is_found_by_five_ends_without_an_answer(self):
+        self.end_by(1, 2, 3, 4, writing=False)
+        self.evidence.note_written(["first"])
+        self.assertIsNone(self.suspect("first", "dead"))
+        self.end_by(5, writing=False)
+        self.assertEqual(self.suspect("first", "dead"), {"dead"})
+
+    # Guards against a prompt that is refused for the engines that one request met.
+    def test_one_request_makes_nothing_suspect(self):
+        self.evidence.note_written(["first"])
+        for _ in range(8):
+            self.end_by(1)
+        self.assertIsNone(self.suspect("first", "dead", "m1"))
+
+    def test_end_before_the_part_was_written_does_not_count(self):
+        self.end_by(1, 2)
+        self.evidence.note_written(["first", "dead"])
+        self.end_by(3, 4)
+        self.assertIsNone(self.suspect("dead"))
+
+    # Guards against refusing the sound requests that share the first part.
+    def test_parts_that_always_occur_together_are_suspect_together(self):
+        self.evidence = LossEvidence(self.clock)
+        self.end_by(1, 2)
+        self.evidence.note_written(["other"])
+        self.end_by(3)
+        self.end_by(4)
+        self.assertEqual(self.suspect("dead"), {"first", "dead"})
+        self.evidence.note_written(["first"])
+        self.assertEqual(self.suspect("dead"), {"dead"})
+
+    def test_two_fatal_parts_are_found(self):
+        self.end_by(1, 2, 3)
+        self.evidence.note_written(["first"])
+        quarantined = [frozenset(self.suspect("dead"))]
+        for number in (4, 5, 6):
+            parts = ["first", "worse", f"m{number}"]
+            self.end_engine((f"q{number}", parts, True))
+        self.evidence.note_written(["first"])
+        self.assertEqual(self.suspect("worse", quarantined=quarantined), {"worse"})
+
+    # Guards against more and more refused parts, all of requests beside a fatal one.
+    def test_end_that_a_quarantine_explains_does_not_count_against_others(self):
+        self.evidence.note_written(["first"])
+        for number in range(5):
+            fatal = (f"q{number}", ["first", "dead"], True)
+            beside = (f"s{number}", ["first", "rare"], True)
+            self.end_engine(fatal, beside)
+        self.evidence.note_written(["first"])
+        quarantined = [frozenset(["dead"])]
+        self.assertIsNone(self.suspect("rare", quarantined=quarantined))
+
+    def test_part_whose_ends_another_part_explains_with_more_is_not_suspect(self):
+        self.evidence.note_written(["first"])
+        self.end_by(1)
+        for number in range(2, 6):
+            fatal = (f"q{number}", ["first", "dead"], True)
+            beside = (f"s{number}", ["first", "rare"], True)
+            self.end_engine(fatal, beside)
+        self.evidence.note_written(["first"])
+        self.assertIsNone(self.suspect("rare"))
+        self.assertEqual(self.suspect("dead", "rare"), {"dead"})
+
+
+class TestOtherCauses(EvidenceTestCase):
+    # Guards against taking the loss of a data centre for the fault of a prompt.
+    def test_engines_that_end_together_count_once(self):
+        self.evidence.note_written(["other"])
+        for number in range(20):
+            self.end_engine((f"q{number}", ["first", f"m{number}"], False), gap_s=0.001)
+        self.evidence.note_written(["other"])
+        self.assertIsNone(self.suspect("first"))
+
+    # Guards against refusing all prompts when the engines end under every one.
+    def test_more_evidence_is_needed_if_nothing_is_written_at_all(self):
+        for number in range(4):
+            self.end_engine((f"q{number}", ["first"], True))
+        self.assertIsNone(self.suspect("first"))
+
+    def test_part_that_was_written_before_needs_more_evidence(self):
+        self.evidence.note_history(["first"])
+        for number in range(4):
+            self.end_engine((f"q{number}", ["first"], True))
+            self.evidence.note_written(["other"])
+        self.assertIsNone(self.suspect("first"))
+        self.end_engine(("q4", ["first"], True))
+        self.assertEqual(self.suspect("first"), {"first"})
+
+    # Guards against taking a reset connection for the end of an engine.
+    def test_engine_that_goes_on_has_not_ended(self):
+        engine = self.end_engine(("q1", ["dead"], True))
+        sent_s = self.clock.seconds() - 1.0
+        self.assertFalse(self.evidence.may_be_alive(engine, sent_s))
+        self.clock.advance(0.5)
+        self.assertTrue(self.evidence.may_be_alive(engine, sent_s))
+        self.assertFalse(self.evidence.may_be_alive(engine, self.clock.seconds()))
+
+    def test_old_evidence_is_dropped(self):
+        self.end_engine(("q1", ["dead"], True))
+        self.end_engine(("q2", ["dead"], True))
+        self.clock.advance(EVIDENCE_LIFETIME_S)
+        self.end_engine(("q3", ["dead"], True))
+        self.evidence.note_written(["other"])
+        self.assertIsNone(self.suspect("dead"))
+
+    def test_number_of_ends_is_bounded(self):
+        for number in range(2 * MAX_ENDS):
+            self.end_engine((f"q{number}", ["dead"], False))
+        self.assertEqual(len(self.evidence._ends), MAX_ENDS)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,6 +10,7 @@
     "store",
     "configuration",
     "routing",
+    "quarantine",
     "forwarding",
     "generation",
     "operation",
