Keep the right to a trial if the store tells of it before it answers the write

Found by the new tests of changes: a relay heard of its own claim through its watch before the answer of the write, so that it took the trial for another router's, and no request was let through.

With it the tests of what routers know (restarted, all restarted, cut off, joined later, without peers, restored store), of refusals, of two fatal parts, of one that begins to be fatal, and of other causes: a storm of engine losses, a data centre lost four times. An answer that ends cleanly inside an event counts as the loss of its engine as well. Stopping a router moved into the world of the tests.

--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -143,6 +143,9 @@
             # The HTTP answer is complete but ends within an event.
             self.note_loss(attempt, Loss.CLOSED_MIDWAY)
             self.drop(attempt, "unfinished_event", attempt.answer.status)
+            self._note_engine_lost(attempt, Loss.CLOSED_MIDWAY)
+            if self.is_over:
+                return
             self._recover(ErrorKind.ENDPOINT_LOST, "answer ended within an event")
             return
         self.tools.health.note_answer(attempt.endpoint.name, False)
--- a/src/sesamearch/quarantine/controller.py
+++ b/src/sesamearch/quarantine/controller.py
@@ -360,10 +360,13 @@
             )
             return
         self._claiming.discard(key)
-        if claimed.supersedes(self._entries.get(key)):
-            self._trials[key] = _Trial()
+        known = self._entries.get(key)
+        if known is not None and known.change > claimed.change:
+            return
+        self._trials[key] = _Trial()
+        if claimed.supersedes(known):
             self._apply(claimed, "own")
-            self.on_decision(claimed)
+        self.on_decision(claimed)
 
     def refresh(self):
         """Store what could not be stored before; called at intervals."""
--- a/tests/platform/test_fatal_prompt.py
+++ b/tests/platform/test_fatal_prompt.py
@@ -4,7 +4,7 @@
 
 import logbook
 
-from sesamearch.base.record import TryLost
+from sesamearch.base.record import PromptQuarantineChanged, TryLost
 from tests.platform.prompt_storm import (
     CONTACT_S,
     COUNTED_ENDS,
@@ -64,3 +64,203 @@
         self.assertEqual(lost.parts, ["5c1e", FATAL_PART])
         self.assertIsNotNone(lost.answering_ms)
         self.assertEqual(lost.events, 0)
+
+
+class QuarantineTestCase(unittest.TestCase):
+    routers, engines = 4, 12
+
+    def setUp(self):
+        self.storm = PromptStorm(self.routers, self.engines)
+        self.storm.send_mixed(2, fatal_share=0.0)
+
+    def quarantine(self):
+        """Send fatal prompts until they are refused everywhere."""
+        while not self.is_refused():
+            self.storm.send_mixed(1)
+        self.storm.run(5)
+
+    def is_refused(self):
+        return all(r._quarantine.active_count for r in self.storm.routers)
+
+    def restart(self, *numbers):
+        for number in numbers:
+            self.storm.stop_router(self.storm.routers[number])
+        for number in numbers:
+            self.storm.routers[number] = self.storm.add_router(number)
+
+    def assert_no_further_arrival(self, seconds=3, **options):
+        before = len(self.storm.fatal_arrivals())
+        sent = [
+            self.storm.send(("5c1e", FATAL_PART), **options) for _ in range(seconds)
+        ]
+        self.storm.run(2)
+        self.assertEqual(len(self.storm.fatal_arrivals()), before)
+        return sent
+
+
+class TestRefusals(QuarantineTestCase):
+    # Guards against callers that come back in a loop, and against an untrue answer.
+    def test_caller_is_told_at_once_that_nothing_ran_and_when_to_come_back(self):
+        self.quarantine()
+        request = self.storm.send(("5c1e", FATAL_PART))
+        self.storm.run(0.05)
+        self.assertEqual(request.client.status, 503)
+        self.assertIn(b'"ran":"not_run"', request.client.received)
+        self.assertIn(b"Retry-After: 60.000", request.client.received)
+        self.assertIn(FATAL_PART.encode(), request.client.received)
+
+    # Guards against "not run" for a prompt that an engine had.
+    def test_request_that_an_engine_had_is_not_said_not_to_have_run(self):
+        self.quarantine()
+        answered = [r.client.status for r in self.storm.sent if r.is_fatal]
+        self.assertIn(502, answered)
+        had = {run.request_id for e in self.storm.engines_ever for run in e.runs}
+        for number, request in enumerate(self.storm.sent):
+            if request.client.status == 503:
+                self.assertNotIn(f"q{number}", had)
+
+    # Guards against refusing sound requests with the same caller and other parts.
+    def test_sound_requests_beside_the_fatal_part_are_served(self):
+        self.quarantine()
+        since_s = self.storm.network.seconds()
+        self.storm.send_mixed(5)
+        self.storm.run(5)
+        sound = self.storm.sound(since_s)
+        self.assertGreater(len(sound), 3)
+        self.assertTrue(all(each.is_whole for each in sound))
+
+    def test_decision_is_logged_with_its_evidence(self):
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            self.quarantine()
+        messages = [record.msg for record in handler.records]
+        found = [m for m in messages if isinstance(m, PromptQuarantineChanged)]
+        own = [each for each in found if each.source == "own"]
+        self.assertEqual(own[0].parts, [FATAL_PART])
+        self.assertGreaterEqual(own[0].requests, 2)
+        self.assertGreaterEqual(own[0].score, 3.0)
+        self.assertEqual(len(found), self.routers)
+
+
+class TestKnowledge(QuarantineTestCase):
+    # Guards against a router that knows nothing after its restart.
+    def test_restarted_router_refuses_again(self):
+        self.quarantine()
+        self.restart(2)
+        self.storm.run(CONTACT_S)
+        self.assert_no_further_arrival(router=2)
+
+    # Guards against a fleet that forgets all when it loses power.
+    def test_routers_that_all_restarted_refuse_again(self):
+        self.quarantine()
+        self.restart(*range(self.routers))
+        self.storm.run(CONTACT_S)
+        for router in range(self.routers):
+            self.assert_no_further_arrival(router=router)
+
+    def test_router_that_joins_later_refuses(self):
+        self.quarantine()
+        self.storm.routers.append(self.storm.add_router(self.routers))
+        self.storm.run(CONTACT_S)
+        self.assert_no_further_arrival(router=self.routers)
+
+    # Guards against a router that the decision did not reach, as it was cut off.
+    def test_router_that_was_cut_off_refuses_soon_after(self):
+        address = self.storm.routers[3]._settings.peer.listen
+        self.storm.sockets[address].is_cut = True
+        while not self.storm.routers[0]._quarantine.active_count:
+            self.storm.send_mixed(1)
+        self.storm.sockets[address].is_cut = False
+        self.storm.run(CONTACT_S)
+        self.assert_no_further_arrival(router=3)
+
+    # Guards against a data centre that reaches the store but no other data centre.
+    def test_router_without_peers_learns_from_the_store(self):
+        for router in self.storm.routers[1::2]:
+            self.storm.sockets[router._settings.peer.listen].is_cut = True
+        self.storm.run(4)
+        while not self.storm.routers[0]._quarantine.active_count:
+            self.storm.send_mixed(1)
+        self.storm.run(CONTACT_S)
+        for router in range(self.routers):
+            self.assert_no_further_arrival(router=router)
+
+    # Guards against a quarantine that a store from an older copy undoes.
+    def test_store_that_comes_back_without_the_entry_gets_it_again(self):
+        self.quarantine()
+        self.storm.store.restore(30.0, away_s=0.5)
+        self.storm.run(4)
+        self.restart(*range(self.routers))
+        self.storm.run(CONTACT_S)
+        self.assert_no_further_arrival()
+
+
+class TestChanges(QuarantineTestCase):
+    def test_two_fatal_parts_are_both_refused(self):
+        self.storm.fatal_parts = (FATAL_PART, "worse")
+        for engine in self.storm.engines:
+            engine.fatal_parts = frozenset(self.storm.fatal_parts)
+        self.storm.send_mixed(12)
+        before = [len(self.storm.fatal_arrivals(p)) for p in self.storm.fatal_parts]
+        self.storm.send_mixed(4)
+        after = [len(self.storm.fatal_arrivals(p)) for p in self.storm.fatal_parts]
+        self.assertEqual(before, after)
+        self.assertTrue(all(r._quarantine.active_count for r in self.storm.routers))
+
+    # Guards against a part that is refused for ever, though it harms no longer.
+    def test_part_that_is_fatal_no_longer_is_served_after_a_trial(self):
+        self.quarantine()
+        for engine in self.storm.engines:
+            engine.fatal_parts = frozenset()
+        self.storm.fatal_parts = ()
+        self.storm.run(65)
+        for _ in range(4):
+            self.storm.send(("5c1e", FATAL_PART), router=1)
+            self.storm.run(4)
+        self.assertTrue(self.storm.sent[-1].is_whole)
+        self.assertFalse(any(r._quarantine.active_count for r in self.storm.routers))
+
+    # Guards against trials by which one router after the other ends an engine.
+    def test_trial_of_a_part_that_is_still_fatal_reaches_one_engine(self):
+        self.quarantine()
+        before = len(self.storm.fatal_arrivals())
+        self.storm.run(65)
+        for number in range(3 * self.routers):
+            self.storm.send(("5c1e", FATAL_PART), router=number % self.routers)
+            self.storm.run(0.3)
+        self.assertEqual(len(self.storm.fatal_arrivals()) - before, 1)
+
+    # Guards against a part that has always been written and then begins to be fatal.
+    def test_part_that_becomes_fatal_is_refused(self):
+        for engine in self.storm.engines:
+            engine.fatal_parts = frozenset()
+        for _ in range(6):
+            self.storm.send(("5c1e", FATAL_PART))
+            self.storm.run(0.5)
+        for engine in self.storm.engines:
+            engine.fatal_parts = frozenset([FATAL_PART])
+        self.storm.send_mixed(10)
+        self.assertTrue(self.is_refused())
+        self.assert_no_further_arrival()
+
+
+class TestOtherCauses(unittest.TestCase):
+    # Guards against taking a storm of engine losses for the fault of the prompts.
+    def test_storm_without_a_cause_is_served_whole(self):
+        storm = PromptStorm(9, 20, seed=1)
+        storm.lose_at_random(24, per_s=2.7)
+        storm.send_mixed(24, fatal_share=0.0)
+        storm.run(10)
+        self.assertTrue(all(each.is_whole for each in storm.sent))
+
+    # Guards against taking the loss of a data centre, again and again, for the same.
+    def test_data_centre_that_is_lost_several_times_makes_nothing_suspect(self):
+        storm = PromptStorm(4, 12)
+        for _ in range(4):
+            storm.send_mixed(3, fatal_share=0.0)
+            for engine in list(storm.engines)[::2]:
+                storm.lose_engine(engine)
+        storm.run(8)
+        entries = [e for r in storm.routers for e in r._quarantine.entries]
+        self.assertEqual(entries, [])
+        self.assertTrue(all(each.is_whole for each in storm.sent))
--- a/tests/platform/test_store_restored_fuzz.py
+++ b/tests/platform/test_store_restored_fuzz.py
@@ -186,7 +186,7 @@
     @rule(index=st.integers(0, ROUTERS - 1))
     def restart(self, index):
         router = self.world.routers[index]
-        stop_router(self.world, router)
+        self.world.stop_router(router)
         self.is_cut.discard(index)
         self.world.routers[index] = self.world.add_router(index)
         self.watch(self.world.routers[index])
@@ -227,20 +227,6 @@
         assert states.pop().encode() in status, status
 
 
-def stop_router(world, router):
-    """Stop a router as if its process was killed."""
-    followers = [*router._followers, router._outcome_follower]
-    for follower in followers:
-        if follower is not None:
-            follower.stop()
-    for loop, _ in router._loops:
-        loop.stop()
-    router._peers.stop()
-    host = router._settings.listen.partition(":")[0]
-    for port in (8740, 8749, 7200):
-        world.network.close(f"{host}:{port}")
-
-
 TestRestoredStore = RestoredStore.TestCase
 TestRestoredStore.settings = settings(
     derandomize=True,
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -319,6 +319,19 @@
         router.start().unwrap()
         return router
 
+    def stop_router(self, router):
+        """Stop a router as if its process was killed."""
+        followers = [*router._followers, router._outcome_follower]
+        for follower in (*followers, router._quarantine_follower):
+            if follower is not None:
+                follower.stop()
+        for loop, _ in router._loops:
+            loop.stop()
+        router._peers.stop()
+        host = router._settings.listen.partition(":")[0]
+        for port in (8740, 8749, 7200):
+            self.network.close(f"{host}:{port}")
+
     def connect(self, number=0, port=8740):
         """Return a client connected to a router."""
         factory = _RawFactory()
