Bound the engines that one request may end in the product's own interface

Five are the limit now. Engines that the request did not reach, and losses after the first token, do not count: StreamEnd.BROKEN_OFF tells an answer that broke off from a connection that was never made.

--- a/src/sesamearch/generation/engine.py
+++ b/src/sesamearch/generation/engine.py
@@ -71,12 +71,15 @@
     """Why an attempt ended without a final event.
 
     After ``LOST`` the attempt may still run, because only its connection may have
-    failed. After ``REFUSED`` it has not run, because the engine accepts no more work.
-    After ``GONE`` the engine does not know the attempt. After ``INVALID`` the engine
-    rejected the request, as any other engine would.
+    failed. The same holds after ``BROKEN_OFF``, but the engine had received the
+    request, so that it may have ended under it. After ``REFUSED`` it has not run,
+    because the engine accepts no more work. After ``GONE`` the engine does not know the
+    attempt. After ``INVALID`` the engine rejected the request, as any other engine
+    would.
     """
 
     LOST = "lost"
+    BROKEN_OFF = "broken_off"
     REFUSED = "refused"
     GONE = "gone"
     INVALID = "invalid"
--- a/src/sesamearch/generation/generation.py
+++ b/src/sesamearch/generation/generation.py
@@ -14,6 +14,9 @@
 
 RETRY_INTERVAL_S = 0.1
 MAX_STANDBYS = 2
+# Engines that may break off a generation before its first token: they may all have
+# ended under it.
+MAX_ENGINES_LOST = 5
 # Weight of the newest gap in the moving average of token gaps.
 _GAP_WEIGHT_RATIO = 0.1
 _NEVER_S = float("inf")
@@ -98,6 +101,7 @@
         "_clock",
         "_current",
         "_cursor_stream_id",
+        "_engines_lost",
         "_event_deadline_s",
         "_gap_s",
         "_has_begun",
@@ -147,6 +151,7 @@
         self._tried = set()
         # Number of attempts that were not refused by their endpoint, so may have run.
         self._unrefused_attempts = 0
+        self._engines_lost = 0
         self._has_begun = False
         self._paused = False
         self._reattached = False
@@ -311,6 +316,8 @@
         elif reason is StreamEnd.INVALID and not self._open_attempts():
             self._fail(ErrorKind.BAD_REQUEST, detail)
         else:
+            if reason is StreamEnd.BROKEN_OFF and not self.offset_tokens:
+                self._engines_lost += 1
             self._handle_failure(_FAILURE_BY_END[reason])
 
     # Failures and the next attempt
@@ -366,6 +373,9 @@
         if self._open_attempts():
             # A silent attempt may go on, and the time to resume begins at its loss.
             self._resume_deadline_s = now_s + self._policy.resume_timeout_s
+        elif self._engines_lost >= MAX_ENGINES_LOST and not self.offset_tokens:
+            self._fail(ErrorKind.GENERATION_LOST, "engines end under this request")
+            return
         elif lacks_text:
             self._fail(ErrorKind.GENERATION_LOST, "engine lost, caller sent no text")
             return
@@ -524,6 +534,7 @@
 
 _FAILURE_BY_END = {
     StreamEnd.LOST: AttemptFailure.CONNECTION,
+    StreamEnd.BROKEN_OFF: AttemptFailure.CONNECTION,
     StreamEnd.GONE: AttemptFailure.GONE,
     StreamEnd.REFUSED: AttemptFailure.REFUSED,
     StreamEnd.INVALID: AttemptFailure.REFUSED,
--- a/src/sesamearch/generation/http_engine.py
+++ b/src/sesamearch/generation/http_engine.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from twisted.internet.defer import CancelledError
+from twisted.web.client import ResponseFailed, ResponseNeverReceived
 
 from sesamearch.base.http import FrameReceiver, TurnEndCallbacks, make_http_client
 from sesamearch.generation.engine import (
@@ -108,8 +109,11 @@
 
     def _handle_request_failure(self, failure):
         self._request = None
-        if not failure.check(CancelledError):
-            self._finish(StreamEnd.LOST, failure.getErrorMessage())
+        if failure.check(CancelledError):
+            return
+        was_sent = failure.check(ResponseNeverReceived, ResponseFailed)
+        reason = StreamEnd.BROKEN_OFF if was_sent else StreamEnd.LOST
+        self._finish(reason, failure.getErrorMessage())
 
     def _handle_frames(self, frames):
         if not self._frames:
@@ -130,7 +134,7 @@
 
     def _handle_body_end(self):
         self._deliver()
-        self._finish(StreamEnd.LOST, "stream ended before its final event")
+        self._finish(StreamEnd.BROKEN_OFF, "stream ended before its final event")
 
     def _finish(self, reason, detail):
         receiver = self._receiver
