--- a/src/sesamearch/command/main.py
+++ b/src/sesamearch/command/main.py
@@ -17,6 +17,7 @@
     add_publish,
     add_status,
 )
+from sesamearch.command.quarantine import add_quarantine
 from sesamearch.command.terminal import (
     EXIT_CODES,
     add_command,
@@ -54,6 +55,7 @@
     add_history(commands)
     add_move(commands)
     add_status(commands)
+    add_quarantine(commands)
     _add_ask(commands)
     add_explain(commands)
     _add_keys(commands)
--- a/src/sesamearch/platform/quarantine.py
+++ b/src/sesamearch/platform/quarantine.py
@@ -6,12 +6,18 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
-from sesamearch.base.errors import ErrorKind
+from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.quarantine.entry import Quarantine
 from sesamearch.quarantine.register import QuarantineRegister
 from sesamearch.store.store import Comparison, Put
 
-__all__ = ["QUARANTINE_PREFIX", "PlatformQuarantineRegister", "decode_quarantine"]
+__all__ = [
+    "QUARANTINE_PREFIX",
+    "PlatformQuarantineRegister",
+    "decode_quarantine",
+    "lift_quarantine",
+    "read_quarantines",
+]
 
 QUARANTINE_PREFIX = b"sesamearch/quarantine/"
 MAX_WRITE_ATTEMPTS = 3
@@ -99,3 +105,50 @@
     """Return whether a stored entry is older than `quarantine`, or cannot be read."""
     decoded = decode_quarantine(item.value)
     return decoded.is_err() or quarantine.supersedes(decoded.unwrap())
+
+
+async def read_quarantines(store):
+    """Read all stored quarantines, those that were lifted included.
+
+    Returns
+    -------
+    result.Result[list of Quarantine, Problem]
+        Entries that cannot be decoded are left out.
+    """
+    read = await store.range(QUARANTINE_PREFIX)
+    if read.is_err():
+        return Err(Problem(read.unwrap_err()))
+    decoded = [decode_quarantine(item.value) for item in read.unwrap().items]
+    return Ok([each.unwrap() for each in decoded if each.is_ok()])
+
+
+async def lift_quarantine(store, parts):
+    """Lift the quarantine of some parts, for all routers.
+
+    Parameters
+    ----------
+    store : Store
+    parts : iterable of str
+        All parts of the quarantine.
+
+    Returns
+    -------
+    result.Result[Quarantine, Problem]
+        The entry as it is stored now.
+    """
+    read = await read_quarantines(store)
+    if read.is_err():
+        return read
+    found = [each for each in read.unwrap() if each.key == frozenset(parts)]
+    if not found or not found[0].is_active:
+        detail = f"no quarantine of {' '.join(sorted(parts))} is active"
+        return Err(Problem(ErrorKind.BAD_REQUEST, detail))
+    lifted = msgspec.structs.replace(
+        found[0], change=found[0].change + 1, is_active=False
+    )
+    written = await PlatformQuarantineRegister(store).write(lifted)
+    if written.is_err():
+        return Err(Problem(written.unwrap_err()))
+    if not written.unwrap():
+        return Err(Problem(ErrorKind.CONFIGURATION_CONFLICT, "it changed meanwhile"))
+    return Ok(lifted)
--- a/tests/platform/prompt_storm.py
+++ b/tests/platform/prompt_storm.py
@@ -120,6 +120,12 @@
                 self.send(("5c1e", middle))
             self.run(1.0 / rate - 0.01)
 
+    def make_harmless(self):
+        """Let no part be fatal from now on."""
+        self.fatal_parts = ()
+        for engine in self.engines:
+            engine.fatal_parts = frozenset()
+
     def lose_at_random(self, seconds, per_s):
         """Schedule ends of random engines for no cause."""
         for _ in range(round(seconds * per_s)):
--- a/tests/platform/test_fatal_prompt.py
+++ b/tests/platform/test_fatal_prompt.py
@@ -210,9 +210,7 @@
     # Guards against a part that is refused for ever, though it harms no longer.
     def test_part_that_is_fatal_no_longer_is_served_after_a_trial(self):
         self.quarantine()
-        for engine in self.storm.engines:
-            engine.fatal_parts = frozenset()
-        self.storm.fatal_parts = ()
+        self.storm.make_harmless()
         self.storm.run(65)
         for _ in range(4):
             self.storm.send(("5c1e", FATAL_PART), router=1)
