Show the quarantine that refused a request in its explanation

request_refused names the parts for which a prompt is refused, and `explain` shows the decision on them with its evidence, also for a request that was sent to no engine. The test failed before: no such line in the context. Where no engine has ended, an event of an engine costs no comparison.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -216,6 +216,8 @@
     try_state : str
         State of the try that was still running: ``connecting`` (no endpoint can have
         got the request), ``sent`` or ``answering``; empty without one.
+    parts : list of str
+        Parts of its prompt under which engines end, if it was refused for them.
     """
 
     request: str
@@ -232,6 +234,7 @@
     in_force_ms: int = 0
     left_ms: int | None = None
     try_state: str = ""
+    parts: list[str] = []
 
 
 class RequestEnded(Record, frozen=True, tag="request_ended"):
--- a/src/sesamearch/command/explain.py
+++ b/src/sesamearch/command/explain.py
@@ -53,8 +53,9 @@
     lines : list of LogEntry
         Entries of the request itself, in order of time.
     context : list of LogEntry
-        Changes of the endpoints that the request was sent to, the configuration,
-        dependencies and rollouts, before and during the request. Only from the router
+        Changes of the endpoints that the request was sent to, of the quarantines of
+        parts of its prompt, the configuration, dependencies and rollouts, before and
+        during the request. Only from the router
         that logged the first entry of the request.
     cause : str
         One sentence about how the request ended and why.
@@ -117,6 +118,7 @@
     if not own:
         return None
     endpoints = {getattr(entry.record, "endpoint", "") for entry in own} - {""}
+    parts = {part for entry in own for part in getattr(entry.record, "parts", ())}
     node, begin_s, end_s = own[0].node, own[0].at - CONTEXT_S, own[-1].at
     context = [
         entry
@@ -124,7 +126,7 @@
         if entry.node == node
         and begin_s <= entry.at <= end_s
         and getattr(entry.record, "request", None) is None
-        and _is_about(entry.record, endpoints)
+        and _is_about(entry.record, endpoints, parts)
     ]
     return Explanation(request_id, own, context, _cause(own))
 
@@ -139,8 +141,10 @@
 )
 
 
-def _is_about(record, endpoints):
+def _is_about(record, endpoints, parts):
     event = record.__struct_config__.tag
+    if event == "prompt_quarantine":
+        return not parts.isdisjoint(record.parts)
     if event in _ENDPOINT_EVENTS:
         return record.endpoint in endpoints
     return event in ("configuration_in_force", "dependency", "rollout_changed")
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -314,11 +314,16 @@
                 self.revision,
                 left_ms=self._left_ms(),
                 try_state=self._try_state(),
+                parts=self._quarantined_parts(),
             )
         )
         self.reply.answer(status, headers, problem.to_json())
         self.close()
 
+    def _quarantined_parts(self):
+        """Return the parts of the prompt for which it is refused, if any."""
+        return []
+
     def _shortest_wait_s(self):
         """Return how long a retry cannot help, however long the caller's deadline is.
 
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -227,11 +227,14 @@
     def _give_up_quarantined(self):
         """End the answer, because engines end under a part of its prompt."""
         self.tools.counters.quarantine_refusals += 1
-        quarantine = self._quarantine()
-        parts = " ".join(quarantine.parts) if quarantine else ""
+        parts = " ".join(self._quarantined_parts())
         detail = f"engines end under these parts of the prompt: {parts}"
         self.give_up(ErrorKind.PROMPT_QUARANTINED, detail)
 
+    def _quarantined_parts(self):
+        quarantine = self._quarantine()
+        return quarantine.parts if quarantine is not None else []
+
     def _shortest_wait_s(self):
         wait_s = super()._shortest_wait_s()
         quarantine = self._quarantine()
--- a/src/sesamearch/quarantine/controller.py
+++ b/src/sesamearch/quarantine/controller.py
@@ -194,8 +194,10 @@
 
     def note_alive(self, endpoint, sent_s):
         """Record that an engine still answers a try that was sent at `sent_s`."""
+        if not self._evidence.has_ends:
+            return
         engine = endpoint.incarnation
-        if self._evidence.may_be_alive(engine, sent_s):
+        if self._evidence.disproves_end(engine, sent_s):
             self._evidence.discard(engine)
             self.on_alive(engine)
 
--- a/src/sesamearch/quarantine/evidence.py
+++ b/src/sesamearch/quarantine/evidence.py
@@ -154,6 +154,11 @@
         self._history_s = {}
         self._last_written_s = float("-inf")
 
+    @property
+    def has_ends(self):
+        """Bool : whether any engine is known to have ended."""
+        return bool(self._ends)
+
     def add(self, loss):
         """Add an :class:`EngineLoss`."""
         now_s = self._clock.seconds()
@@ -214,7 +219,7 @@
             for end in self._ends.values()
         )
 
-    def may_be_alive(self, engine, sent_s):
+    def disproves_end(self, engine, sent_s):
         """Return whether data for a try that was sent at `sent_s` disproves an end."""
         end = self._ends.get(engine)
         if end is None or sent_s >= end.at_s:
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -11,6 +11,7 @@
 from sesamearch.base.log import RecordHandler, logger
 from sesamearch.base.record import RECORDS
 from sesamearch.command.explain import explain_request, read_entries
+from tests.platform.prompt_storm import FATAL_PART, PromptStorm
 from tests.platform.world import World, draft_bytes, request_bytes
 
 ROOT = Path(__file__).parents[2]
@@ -116,6 +117,22 @@
         self.assertEqual(events[0], "try_sent")
         self.assertIn("generation_resumed", events)
 
+    # Guards against a refusal whose evidence is in the lines of another router.
+    def test_refused_prompt_is_shown_with_the_decision(self):
+        with self.handler.applicationbound():
+            storm = PromptStorm(routers=2, engines=8)
+            storm.send_mixed(2, fatal_share=0.0)
+            while not all(r._quarantine.active_count for r in storm.routers):
+                storm.send_mixed(1)
+            storm.send(("5c1e", FATAL_PART))
+            storm.run(0.1)
+            name = f"q{len(storm.sent) - 1}"
+        explanation = self.explain(name)
+        self.assertIn("refused with 503 (prompt-quarantined", explanation.cause)
+        self.assertIn(FATAL_PART, explanation.cause)
+        events = [each.record.__struct_config__.tag for each in explanation.context]
+        self.assertIn("prompt_quarantine", events)
+
     def test_context_contains_only_endpoints_of_the_request(self):
         with self.handler.applicationbound():
             self.world.update_entry(self.world.desks[0], "desk", 0, state="draining")
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -143,10 +143,10 @@
     def test_engine_that_goes_on_has_not_ended(self):
         engine = self.end_engine(("q1", ["dead"], True))
         sent_s = self.clock.seconds() - 1.0
-        self.assertFalse(self.evidence.may_be_alive(engine, sent_s))
+        self.assertFalse(self.evidence.disproves_end(engine, sent_s))
         self.clock.advance(0.5)
-        self.assertTrue(self.evidence.may_be_alive(engine, sent_s))
-        self.assertFalse(self.evidence.may_be_alive(engine, self.clock.seconds()))
+        self.assertTrue(self.evidence.disproves_end(engine, sent_s))
+        self.assertFalse(self.evidence.disproves_end(engine, self.clock.seconds()))
 
     def test_old_evidence_is_dropped(self):
         self.end_engine(("q1", ["dead"], True))
