--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -166,7 +166,7 @@
         self._pauses = PauseTracker(reactor, self.counters, rng)
         self._client.is_paused = self._pauses.is_paused
         self._outages = OutageDetector(
-            self._client, reactor, self._endpoints_to_probe, rng
+            self._probe, reactor, self._endpoints_to_probe, rng
         )
         self._quarantine = PromptQuarantine(
             reactor, PlatformQuarantineRegister(self._store), self.counters, rng
@@ -204,6 +204,13 @@
         spec = self.board.configuration.value.services.get(service)
         return spec.health_path if spec else ""
 
+    def _probe(self, endpoint, timeout_s):
+        """Probe an endpoint without sending a plain service a request to run."""
+        spec = self.board.configuration.value.services.get(endpoint.service)
+        is_plain = spec is not None and spec.engine is None
+        health_path = spec.health_path if is_plain else ""
+        return self._client.probe(endpoint, timeout_s, health_path)
+
     def _handle_restart(self, endpoint, name):
         """Use a restarted endpoint under its new name, and notify the other routers."""
         restarted = msgspec.structs.replace(
--- a/src/sesamearch/forwarding/outage.py
+++ b/src/sesamearch/forwarding/outage.py
@@ -22,7 +22,8 @@
 
     Parameters
     ----------
-    client : EndpointClient
+    probe : callable
+        Called with an endpoint and a timeout; returns a Deferred of whether it answers.
     clock : twisted.internet.interfaces.IReactorTime
     endpoints : callable
         Returns the listed endpoints by name.
@@ -30,16 +31,16 @@
     """
 
     __slots__ = (
-        "_client",
         "_clock",
         "_endpoints",
         "_failed_s",
         "_next_probe_s",
+        "_probe_endpoint",
         "_random",
     )
 
-    def __init__(self, client, clock, endpoints, rng):
-        self._client = client
+    def __init__(self, probe, clock, endpoints, rng):
+        self._probe_endpoint = probe
         self._clock = clock
         self._endpoints = endpoints
         self._random = rng
@@ -91,7 +92,7 @@
             del self._next_probe_s[data_centre]
             return
         endpoint = self._random.choice(local)
-        answered = self._client.probe(endpoint, PROBE_TIMEOUT_S)
+        answered = self._probe_endpoint(endpoint, PROBE_TIMEOUT_S)
         answered.addCallback(self._handle_probe, endpoint)
 
     def _handle_probe(self, is_alive, endpoint):
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -281,8 +281,15 @@
         """
 
     @abc.abstractmethod
-    def probe(self, endpoint, timeout_s):
-        """Probe whether an engine is alive.
+    def probe(self, endpoint, timeout_s, health_path=""):
+        """Probe whether an endpoint is alive.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        timeout_s : float
+        health_path : str
+            Path at which a plain service answers probes; empty for an engine.
 
         Returns
         -------
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -298,10 +298,11 @@
         outgoing = OutgoingRequest(b"GET", path.encode(), headers)
         return self._ask(endpoint, outgoing, _IdentityReceiver, timeout_s)
 
-    def probe(self, endpoint, timeout_s):
-        """Probe an engine by requesting its report; see ``EndpointClient``."""
+    def probe(self, endpoint, timeout_s, health_path=""):
+        """Probe an endpoint by its health path or report; see ``EndpointClient``."""
         headers = [(b"Host", endpoint.address.encode())]
-        outgoing = OutgoingRequest(b"GET", REPORT_PATH, headers)
+        path = health_path.encode() or REPORT_PATH
+        outgoing = OutgoingRequest(b"GET", path, headers)
         return self._ask(endpoint, outgoing, _ProbeReceiver, timeout_s)
 
     def _note_of(self, endpoint):
--- a/tests/forwarding/test_outage.py
+++ b/tests/forwarding/test_outage.py
@@ -24,7 +24,10 @@
 
 def make_outages(clock, board, client=None):
     return OutageDetector(
-        client or ProbeClient(), clock, lambda: board.endpoints.value, random.Random(1)
+        (client or ProbeClient()).probe,
+        clock,
+        lambda: board.endpoints.value,
+        random.Random(1),
     )
 
 
