Let prompts end engines in the soak, beside its other faults

New promise "few ends": at most three arrivals later than 3 s after the fifth end, by undisturbed routers.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -6,6 +6,8 @@
 from tests.platform.world import draft_bytes, request_bytes
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from soak.plan import FATAL_PART
+
 __all__ = ["Attempt", "Connection", "RequestKind", "open_connection"]
 
 SIGNATURE_HEADER = b"x-response-signature"
@@ -43,6 +45,8 @@
         API key.
     sent_s : float
         Time when the request was created, on the reactor's clock as all times here.
+    is_fatal : bool
+        Whether engines end under its prompt.
 
     Attributes
     ----------
@@ -62,6 +66,7 @@
     __slots__ = (
         "body",
         "ended_s",
+        "is_fatal",
         "is_whole",
         "key",
         "kind",
@@ -73,7 +78,8 @@
         "status",
     )
 
-    def __init__(self, request_id, kind, router, key, sent_s):
+    def __init__(self, request_id, kind, router, key, sent_s, is_fatal=False):
+        self.is_fatal = is_fatal
         self.request_id = request_id
         self.kind = kind
         self.router = router
@@ -90,6 +96,8 @@
         """Return the request as bytes."""
         fields = {"Authorization": f"Token {self.key}"}
         fields["X_Deadline_Ms"] = str(int(self.kind.timeout_s * 1000))
+        if self.is_fatal:
+            fields["X_Prompt_Prefix"] = f"5c1e:200,{FATAL_PART}:100,{self.request_id}:9"
         if self.kind is RequestKind.DRAFT:
             return draft_bytes(self.request_id, 400, **fields)
         method = "POST" if self.kind is RequestKind.POST else "GET"
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -160,8 +160,15 @@
         self.process = StandinProcess(
             deployment.reactor, arguments, deployment.handle_note, deployment.log
         )
+        self.process.on_exit = self._handle_exit
         self.process.start()
 
+    def _handle_exit(self, process):
+        """Start a new process in place of one that a prompt ended."""
+        if process is self.process and not self._deployment.is_over:
+            self._deployment.add_disturbance(endpoint=self.name)
+            self._deployment.reactor.callLater(ENDPOINT_RESTART_DELAY_S, self._restart)
+
     def crash(self):
         """Kill the process and start a new one after ``ENDPOINT_RESTART_DELAY_S``."""
         self.process.kill()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "EVENTS_PER_GENERATION",
+    "FATAL_PART",
     "DeploymentSize",
     "FaultKind",
     "FaultPlan",
@@ -19,6 +20,12 @@
 FIRST_FAULT_S = 0.5
 PLANNED_WORK_EVERY = 3
 EVENTS_PER_GENERATION = 30
+# Seeds that also have prompts under which engines end: some of those with faults and of
+# those with planned work. This is not drawn, so that it changes no plan.
+FATAL_PROMPTS_EVERY = 4
+FATAL_PROMPTS_BESIDE_WORK_EVERY = 24
+FATAL_PROMPTS_FROM_S = 1.0
+FATAL_PART = "dead"
 
 
 class FaultKind(StrEnum):
@@ -143,12 +150,16 @@
     faults_s : float
         Time after which no more faults start.
     faults : list of ScheduledFault
+    fatal_from_s : float or None
+        Time from which some prompts end each engine that begins to write on them; None
+        for never.
     """
 
     seed: int
     size: DeploymentSize
     faults_s: float
     faults: list[ScheduledFault]
+    fatal_from_s: float | None = None
 
     @property
     def is_planned_work(self):
@@ -190,4 +201,11 @@
         for_s = rng.uniform(min_s, max_s)
         faults.append(ScheduledFault(kind, number, round(at_s, 3), round(for_s, 3)))
         at_s += rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
-    return FaultPlan(seed, size, faults_s, faults)
+    fatal_from_s = FATAL_PROMPTS_FROM_S if _has_fatal_prompts(seed) else None
+    return FaultPlan(seed, size, faults_s, faults, fatal_from_s)
+
+
+def _has_fatal_prompts(seed):
+    if seed % PLANNED_WORK_EVERY:
+        return seed % FATAL_PROMPTS_EVERY == 1
+    return seed % FATAL_PROMPTS_BESIDE_WORK_EVERY == 12
--- a/soak/promise.py
+++ b/soak/promise.py
@@ -16,7 +16,14 @@
 ]
 
 # Promises with a time bound, which can break on a machine short of processors.
-TIMED_PROMISES = ("drained", "final answer", "in force", "revoked", "stopped")
+TIMED_PROMISES = (
+    "drained",
+    "few ends",
+    "final answer",
+    "in force",
+    "revoked",
+    "stopped",
+)
 
 # Statuses with which a router states that it did not run the request.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -46,6 +53,9 @@
         Allowed delay of the final response beyond a route's timeout.
     stop_s : float
         From a caller's disconnect until no endpoint works on its request.
+    counted_ends, contact_s, late_arrivals : int, float, int
+        Of the requests under whose prompts engines end, how many may reach engines
+        later than `contact_s` after the engine that ended as number `counted_ends`.
     """
 
     apply_s: float = 2.0
@@ -53,6 +63,9 @@
     settle_s: float = 3.0
     late_s: float = 0.5
     stop_s: float = 0.5
+    counted_ends: int = 5
+    contact_s: float = 3.0
+    late_arrivals: int = 3
 
 
 class ObservedRun:
@@ -208,10 +221,36 @@
             self._check_runs(attempt, runs)
             self._check_key(attempt, runs)
             self._check_time(attempt, runs)
+        self._check_fatal_prompts()
         for request_id in self._history.runs:
             known = request_id in self._history.attempts
             self._check("asked", known, request_id, "no caller sent this request")
 
+    def _check_fatal_prompts(self):
+        """Check that prompts under which engines end reach few of them."""
+        bounds = self._bounds
+        runs = [
+            (attempt, run)
+            for attempt in self._history.attempts.values()
+            if attempt.is_fatal
+            for run in self._history.runs.get(attempt.request_id, [])
+        ]
+        ends_s = {}
+        for _, run in runs:
+            if run.ended is not None and run.ended.how == "crashed":
+                ends_s.setdefault(run.began.endpoint, run.ended.at_s)
+        if len(ends_s) < bounds.counted_ends:
+            return
+        since_s = sorted(ends_s.values())[bounds.counted_ends - 1] + bounds.contact_s
+        late = [
+            run.began.endpoint
+            for attempt, run in runs
+            if run.began.at_s > since_s
+            and self._is_undisturbed(attempt, run.began.at_s)
+        ]
+        detail = f"{len(ends_s)} engines ended, later arrivals at {late}"
+        self._check("few ends", len(late) <= bounds.late_arrivals, "", detail)
+
     def _check_response(self, attempt, runs):
         name = attempt.request_id
         if attempt.status == 200 and attempt.kind is RequestKind.DRAFT:
--- a/soak/run.py
+++ b/soak/run.py
@@ -104,6 +104,14 @@
 
     async def _inject_faults(self):
         self._traffic.start()
+        if self._plan.fatal_from_s is not None:
+            reactor.callLater(
+                self._plan.fatal_from_s,
+                setattr,
+                self._traffic,
+                "has_fatal_prompts",
+                True,
+            )
         for fault in self._plan.faults:
             reactor.callLater(fault.at_s, self._injector.inject, fault)
         last_fault_end_s = max(
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -1,5 +1,6 @@
 """Run one stand-in process: ``python -m soak.standin store|desk|models ...``."""
 
+import os
 import sys
 
 from sesamearch.base.reactor import install_monotonic_reactor
@@ -23,7 +24,7 @@
 from sesamearch.store.store import Put  # noqa: E402
 from sesamearch.wire.caller import CallerFactory, CallerLimits  # noqa: E402
 from soak.note import Acknowledged, Command, RunBegan, RunEnded, encode  # noqa: E402
-from soak.plan import EVENTS_PER_GENERATION  # noqa: E402
+from soak.plan import EVENTS_PER_GENERATION, FATAL_PART  # noqa: E402
 
 LEASE_TTL_S = 2.5
 HEARTBEAT_INTERVAL_S = 0.8
@@ -85,6 +86,11 @@
 class _Engine(_RunReporter, PlatformEngineStandin):
     service = "models"
 
+    def end(self):
+        """End the process, as a prompt does that contains the fatal part."""
+        self.crash()
+        os._exit(1)
+
 
 class _Registration:
     """Registers an endpoint in the store under a lease, which heartbeats renew."""
@@ -186,6 +192,8 @@
         endpoint = _DeskService(reactor, name, SLOTS)
     else:
         endpoint = _Engine(reactor, name, SLOTS, EVENTS_PER_GENERATION)
+        endpoint.fatal_parts = frozenset([FATAL_PART])
+        endpoint.on_end = _Engine.end
     registration = _Registration(endpoint, public_address, zone, store_address)
 
     def apply_command(command):
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -4,7 +4,7 @@
 
 from tests.platform.world import KEY
 
-from soak.caller import Attempt, open_connection
+from soak.caller import Attempt, RequestKind, open_connection
 
 __all__ = ["Traffic"]
 
@@ -20,6 +20,7 @@
 EARLY_LEAVE_RATIO = 0.08
 MAX_LEAVE_AFTER_S = 0.4
 MAX_KEEPALIVE_CONNECTIONS = 6
+FATAL_RATIO = 0.3
 WRONG_KEY = "key-of-nobody"
 
 
@@ -46,6 +47,8 @@
         self._calls = []
         self.is_over = False
         self.in_flight = 0
+        # Whether some prompts are such that engines end under them.
+        self.has_fatal_prompts = False
 
     def start(self):
         """Start sending requests of each kind."""
@@ -111,7 +114,10 @@
         self._count += 1
         number = router.number
         name = f"{kind.value}-{self._count}"
-        attempt = Attempt(name, kind, number, key, self._reactor.seconds())
+        is_fatal = kind is RequestKind.DRAFT and self.has_fatal_prompts
+        is_fatal = is_fatal and self._rng.random() < FATAL_RATIO
+        now_s = self._reactor.seconds()
+        attempt = Attempt(name, kind, number, key, now_s, is_fatal)
         self._deployment.history.attempts[name] = attempt
         self.in_flight += 1
         connections = self._connections.setdefault(number, [])
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -21,6 +21,14 @@
         ]
         self.assertEqual(planned_only, [True, False, False, True, False, False])
 
+    # Guards against kept seeds whose plans change, so that they guard nothing.
+    def test_fatal_prompts_change_no_plan(self):
+        plans = [generate_plan(n, DeploymentSize(), SECONDS) for n in range(1, 61)]
+        fatal = [plan.seed for plan in plans if plan.fatal_from_s is not None]
+        expected = [n for n in range(1, 61, 4) if n % 3]
+        self.assertEqual(fatal, sorted([*expected, 12, 36, 60]))
+        self.assertEqual(plans[4].faults[0].kind, FaultKind.ENDPOINT_LINK_DELAY)
+
     def test_faults_target_existing_processes_and_overlap(self):
         size = DeploymentSize(routers=2, services=1, engines=1)
         counts = {"router": 2, "endpoint": 2, "store": 1, "operator": 1}
--- a/tests/soak/test_promise.py
+++ b/tests/soak/test_promise.py
@@ -23,7 +23,7 @@
     return b"".join(b"id: %d\ndata: x\n\n" % number for number in numbers)
 
 
-class TestPromises(unittest.TestCase):
+class PromiseTestCase(unittest.TestCase):
     def setUp(self):
         self.history = History(EVENTS)
         self.history.keys[KEY] = KeyValidity(-1.0, 0.0)
@@ -71,6 +71,8 @@
             violation.promise for violation in find_violations(self.history, Bounds())
         ]
 
+
+class TestPromises(PromiseTestCase):
     def test_undisturbed_request_breaks_no_promise(self):
         self.add_run(self.add_response(), until_s=AT_S + 0.1)
         self.assertEqual(self.broken_promises(), [])
@@ -170,3 +172,29 @@
         self.assertEqual(self.broken_promises(), ["not cut"])
         self.history.disturbances.append(Disturbance(AT_S - 1, AT_S))
         self.assertEqual(self.broken_promises(), [])
+
+
+class TestFatalPrompts(PromiseTestCase):
+    def add_fatal_runs(self, arrivals_s):
+        """Add requests that each end an engine shortly after they arrive."""
+        for number, at_s in enumerate(arrivals_s):
+            attempt = self.add_attempt(f"f{number}", RequestKind.DRAFT, sent_s=at_s)
+            attempt.is_fatal = True
+            attempt.status = 502
+            attempt.is_whole = True
+            run = self.add_run(attempt, f"models-{number}", at_s)
+            run.ended = RunEnded(f"models-{number}", 1, "crashed", at_s + 0.1)
+
+    def test_few_arrivals_after_the_fifth_end_are_allowed(self):
+        self.add_fatal_runs([100, 101, 102, 103, 104, 110, 111, 112])
+        self.assertEqual(self.broken_promises(), [])
+        self.assertEqual(self.history.checks["few ends"], 1)
+
+    def test_more_arrivals_after_the_fifth_end(self):
+        self.add_fatal_runs([100, 101, 102, 103, 104, 110, 111, 112, 113])
+        self.assertEqual(self.broken_promises(), ["few ends"])
+
+    def test_arrivals_from_a_disturbed_router_do_not_count(self):
+        self.add_fatal_runs([100, 101, 102, 103, 104, 110, 111, 112, 113])
+        self.history.disturbances.append(Disturbance(112.5, 112.6, router=0))
+        self.assertEqual(self.broken_promises(), [])
