Judge the losses of engines by the parts of prompts alone

Indexed by part, and with only those parts compared that every counted engine has: 4 ms at worst, 0.5 ms once the common part was written on. Same decisions: test_evidence unchanged.

--- a/src/sesamearch/quarantine/evidence.py
+++ b/src/sesamearch/quarantine/evidence.py
@@ -75,23 +75,38 @@
 
 
 class _EngineEnd:
-    """The losses of one engine."""
+    """The losses of one engine, by the parts of their prompts."""
 
-    __slots__ = ("at_s", "losses")
+    __slots__ = ("_by_part", "_requests", "at_s")
 
     def __init__(self, at_s):
         self.at_s = at_s
-        self.losses = {}
+        self._requests = set()
+        self._by_part = {}
+
+    def add(self, loss):
+        """Add an :class:`EngineLoss`; a request counts once."""
+        is_known = loss.request_id in self._requests
+        if is_known or len(self._requests) >= MAX_LOSSES_PER_END:
+            return
+        self._requests.add(loss.request_id)
+        for part in loss.parts:
+            self._by_part.setdefault(part, []).append(loss)
+
+    @property
+    def parts(self):
+        return self._by_part.keys()
 
     def losses_with(self, part):
-        return [loss for loss in self.losses.values() if part in loss.parts]
+        return self._by_part.get(part, ())
 
     def is_explained(self, part, quarantined):
         """Return whether the end has a known cause other than `part`."""
         return any(
-            part not in key and key.issubset(loss.parts)
+            key.issubset(loss.parts)
             for key in quarantined
-            for loss in self.losses.values()
+            if part not in key
+            for loss in self.losses_with(next(iter(key)))
         )
 
 
@@ -166,8 +181,7 @@
         end = self._ends.get(loss.engine)
         if end is None:
             end = self._ends[loss.engine] = _EngineEnd(now_s)
-        if len(end.losses) < MAX_LOSSES_PER_END:
-            end.losses[loss.request_id] = loss
+        end.add(loss)
 
     def _drop_old(self, now_s):
         old = [
@@ -262,8 +276,8 @@
 
     def _is_dominated(self, count, quarantined):
         """Return whether a part without history explains these ends and more."""
-        first = count.ends[0].losses.values()
-        others = {part for loss in first for part in loss.parts} - {count.part}
+        first, *later = [end.parts for end in count.ends]
+        others = set(first).intersection(*later) - {count.part}
         return any(
             count.is_exceeded_by(self._count(part, quarantined))
             for part in others
