Ask for more evidence against a part while engines end without it

Each end that a part does not explain now asks for half a loss more, up to five. The unit test failed before (four ends of a rare part among eight made it suspect).

--- a/src/sesamearch/quarantine/evidence.py
+++ b/src/sesamearch/quarantine/evidence.py
@@ -21,9 +21,12 @@
 # One request counts for less than a suspect, however many engines were lost under it:
 # the requests of a lost engine often go on together, and are lost together again.
 MAX_SCORE_PER_REQUEST = 2.0
-# Without any generation that was written meanwhile, the engines may end under all
-# prompts, so that more evidence is needed.
-SCORE_WITHOUT_CONTROL = 5.0
+# Each end that a part does not explain shows that engines end for other causes too, so
+# that more evidence is needed.
+SCORE_PER_OTHER_END = 0.5
+# The most that is needed; also if no generation at all was written meanwhile, so that
+# engines may end under all prompts.
+MAX_SUSPECT_SCORE = 5.0
 # Engines that end together have a common cause, such as their data centre.
 SIMULTANEOUS_S = 0.25
 EVIDENCE_LIFETIME_S = 600.0
@@ -261,7 +264,8 @@
         found = [
             part
             for part, count in counts.items()
-            if self._is_suspect(count) and not self._is_dominated(count, quarantined)
+            if self._is_suspect(count, quarantined)
+            and not self._is_dominated(count, quarantined)
         ]
         if not found:
             return None
@@ -293,11 +297,22 @@
                 count.add(end, losses)
         return count
 
-    def _is_suspect(self, count):
+    def _is_suspect(self, count, quarantined):
         if count.score < SUSPECT_SCORE:
             return False
-        has_control = self._last_written_s >= count.ends[0].at_s
-        return has_control or count.score >= SCORE_WITHOUT_CONTROL
+        first_s = count.ends[0].at_s
+        if self._last_written_s < first_s:
+            return count.score >= MAX_SUSPECT_SCORE
+        others = self._count_ends_since(first_s, quarantined) - len(count.ends)
+        needed_score = SUSPECT_SCORE + SCORE_PER_OTHER_END * others
+        return count.score >= min(needed_score, MAX_SUSPECT_SCORE)
+
+    def _count_ends_since(self, first_s, quarantined):
+        """Return the number of ends from a time on without a known cause."""
+        return sum(
+            end.at_s >= first_s and not end.is_explained(None, quarantined)
+            for end in self._ends.values()
+        )
 
     def _parts_that_occur_with(self, part, ends):
         """Return all parts that may be the cause of the ends instead of `part`.
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -139,6 +139,17 @@
         self.end_engine(("q4", ["first"], True))
         self.assertEqual(self.suspect("first"), {"first"})
 
+    # Guards against refusing a rare part for its bad luck in a storm of engine losses.
+    def test_ends_that_a_part_does_not_explain_ask_for_more_evidence(self):
+        for number in range(4):
+            self.end_engine((f"q{number}", ["first", "rare"], True))
+            self.end_engine((f"s{number}", ["first", f"m{number}"], False))
+            self.evidence.note_written(["first"])
+        self.assertIsNone(self.suspect("rare"))
+        self.end_engine(("q4", ["first", "rare"], True))
+        self.evidence.note_written(["first"])
+        self.assertEqual(self.suspect("rare"), {"rare"})
+
     # Guards against taking a reset connection for the end of an engine.
     def test_engine_that_goes_on_has_not_ended(self):
         engine = self.end_engine(("q1", ["dead"], True))
