Repeat a lifted quarantine for half a minute only

Relays repeated every entry each second for ever, also those that were lifted. The test failed before: no such list. A method that finds the quarantine of a request is named for it.

--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -101,7 +101,7 @@
         self._retry_timer = None
         if self.is_over or self.tries:
             return
-        if self._quarantine() is not None:
+        if self._find_quarantine() is not None:
             self._give_up_quarantined()
             return
         endpoint, copy = self._search.find(self._has_copy, self._is_resuming)
@@ -214,13 +214,14 @@
 
     # Prompts under which engines end.
 
-    def _quarantine(self):
+    def _find_quarantine(self):
+        """Return the quarantine by which this request is refused, or None."""
         request = self.request
         return self.tools.quarantine.find(request.shared_parts, request.request_id)
 
     def refuse_if_quarantined(self):
         """Refuse a generation before its first event if its prompt ends engines."""
-        if self.is_over or self._has_head or self._quarantine() is None:
+        if self.is_over or self._has_head or self._find_quarantine() is None:
             return
         self._give_up_quarantined()
 
@@ -232,12 +233,12 @@
         self.give_up(ErrorKind.PROMPT_QUARANTINED, detail)
 
     def _quarantined_parts(self):
-        quarantine = self._quarantine()
+        quarantine = self._find_quarantine()
         return quarantine.parts if quarantine is not None else []
 
     def _shortest_wait_s(self):
         wait_s = super()._shortest_wait_s()
-        quarantine = self._quarantine()
+        quarantine = self._find_quarantine()
         return wait_s if quarantine is None else max(wait_s, retry_after_s(quarantine))
 
     def _note_engine_lost(self, attempt, loss):
@@ -290,7 +291,7 @@
 
     def _replace(self):
         """Cancel a suspected try and resume at another engine, or keep it for now."""
-        if self._quarantine() is not None:
+        if self._find_quarantine() is not None:
             self._give_up_quarantined()
             return
         attempt = self.tries[0]
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -22,7 +22,7 @@
 
     def start(self):
         """Send the first try, unless the prompt cannot be read before the deadline."""
-        if self._quarantine() is not None:
+        if self._find_quarantine() is not None:
             self._give_up_quarantined()
             return
         self._is_prompt_cached = bool(self.tools.prompts.find(self.request.last_part))
--- a/src/sesamearch/membership/quarantine_gossip.py
+++ b/src/sesamearch/membership/quarantine_gossip.py
@@ -107,8 +107,9 @@
         if self._peers is None or now_s < self._repeat_s or not self._peers.is_relay:
             return
         self._repeat_s = now_s + REPEAT_INTERVAL_S
-        if self._quarantine.entries:
-            self._send(self._quarantine.entries)
+        news = self._quarantine.news
+        if news:
+            self._send(news)
 
     def _apply_report(self, report):
         if not _is_known(report):
--- a/src/sesamearch/quarantine/controller.py
+++ b/src/sesamearch/quarantine/controller.py
@@ -26,6 +26,8 @@
 MIN_DECISION_DELAY_S = 0.05
 MAX_DECISION_DELAY_S = 0.3
 MAX_ENTRIES = 1024
+# Lifted quarantines are repeated to the other routers for so long.
+NEWS_LIFETIME_S = 30.0
 # A router that has seen engines write on a part for which another one reports losses
 # says so after a random time up to this, unless a third one does before.
 MAX_HISTORY_DELAY_S = 0.15
@@ -132,6 +134,16 @@
         """List of Quarantine : all known entries, those that were lifted included."""
         return list(self._entries.values())
 
+    @property
+    def news(self):
+        """List of Quarantine : entries that are active or were lifted lately."""
+        since_s = self._clock.seconds() - NEWS_LIFETIME_S
+        return [
+            entry
+            for key, entry in self._entries.items()
+            if entry.is_active or self._changed_s[key] > since_s
+        ]
+
     # Requests.
 
     def find(self, parts, request_id):
--- a/tests/quarantine/test_controller.py
+++ b/tests/quarantine/test_controller.py
@@ -11,6 +11,7 @@
 from sesamearch.forwarding.dispatcher import ForwardCounters
 from sesamearch.forwarding.request import CallerRequest, PromptPart
 from sesamearch.quarantine.controller import (
+    NEWS_LIFETIME_S,
     TRIAL_DELAYS_S,
     PromptQuarantine,
     retry_after_s,
@@ -104,6 +105,16 @@
         self.quarantine.update(Quarantine(["dead"], 3, is_active=False))
         self.assertIsNone(self.find("dead"))
 
+    # Guards against messages that go on for ever after a quarantine.
+    def test_lifted_entry_is_news_for_a_time(self):
+        self.quarantine.update(Quarantine(["dead"], 1))
+        self.clock.advance(2 * NEWS_LIFETIME_S)
+        self.assertEqual(len(self.quarantine.news), 1)
+        self.quarantine.update(Quarantine(["dead"], 2, is_active=False))
+        self.assertEqual(len(self.quarantine.news), 1)
+        self.clock.advance(2 * NEWS_LIFETIME_S)
+        self.assertEqual(self.quarantine.news, [])
+
     # Guards against ends that several routers saw one of each, so that none decided.
     def test_losses_of_other_routers_are_decided_on_after_a_delay(self):
         self.quarantine.note_written(["first"])
