Keep a silent engine's answer that a new quarantine concerns

The quarantine only keeps it from being sent to another engine now: the try is kept, with the obstacle "quarantined". The test failed before (cut off in the silence).

--- a/src/sesamearch/base/request_record.py
+++ b/src/sesamearch/base/request_record.py
@@ -122,7 +122,8 @@
         Time since the try was first suspected.
     obstacle : str
         Why a kept try was not replaced: ``no_engine``, ``no_budget``, ``no_attempts``,
-        ``no_event_numbers`` or ``refused`` (by each engine that was to take over).
+        ``no_event_numbers``, ``quarantined`` (its prompt) or ``refused`` (by each
+        engine that was to take over).
     """
 
     request: str
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -291,9 +291,6 @@
 
     def _replace(self):
         """Cancel a suspected try and resume at another engine, or keep it for now."""
-        if self._find_quarantine() is not None:
-            self._give_up_quarantined()
-            return
         attempt = self.tries[0]
         has_copy = self._timing.has_event_of(attempt)
         endpoint, copy = self._search.find_reachable(has_copy, self._is_resuming)
@@ -378,6 +375,8 @@
             return Obstacle.NO_EVENT_NUMBERS
         if not self._allowance.has_runs_left:
             return Obstacle.NO_ATTEMPTS
+        if self._find_quarantine() is not None:
+            return Obstacle.QUARANTINED
         if endpoint is None:
             return Obstacle.NO_ENGINE
         return None if self._allowance.pay() else Obstacle.NO_BUDGET
--- a/src/sesamearch/forwarding/suspicion.py
+++ b/src/sesamearch/forwarding/suspicion.py
@@ -21,6 +21,7 @@
     NO_BUDGET = "no_budget"
     NO_ATTEMPTS = "no_attempts"
     NO_EVENT_NUMBERS = "no_event_numbers"
+    QUARANTINED = "quarantined"
     REFUSED = "refused"
 
 
--- a/tests/platform/test_fatal_prompt.py
+++ b/tests/platform/test_fatal_prompt.py
@@ -5,6 +5,7 @@
 import logbook
 
 from sesamearch.base.record import PromptQuarantineChanged, TryLost
+from sesamearch.quarantine.entry import Quarantine
 from tests.platform.prompt_storm import (
     CONTACT_S,
     COUNTED_ENDS,
@@ -128,6 +129,20 @@
         self.assertGreater(len(sound), 3)
         self.assertTrue(all(each.is_whole for each in sound))
 
+    # Guards against cutting off an answer that its engine goes on with.
+    def test_answer_under_way_outlives_a_quarantine_and_a_silence(self):
+        for engine in self.storm.engines:
+            engine.events = 120
+        request = self.storm.send(("5c1e", "b07"), router=0)
+        self.storm.run(2.5)
+        name = f"q{len(self.storm.sent) - 1}"
+        (engine,) = (e for e in self.storm.engines if name in e.served)
+        for router in self.storm.routers:
+            router._quarantine.update(Quarantine(["b07"], 1))
+        self.storm.make_silent(engine, 1.2)
+        self.storm.run(4)
+        self.assertTrue(request.is_whole)
+
     def test_decision_is_logged_with_its_evidence(self):
         handler = logbook.TestHandler()
         with handler.applicationbound():
