--- a/tests/platform/test_fatal_prompt.py
+++ b/tests/platform/test_fatal_prompt.py
@@ -37,8 +37,8 @@
         for routers, engines, seed in ((9, 20, 1), (9, 20, 2), (9, 20, 3), (40, 60, 1)):
             with self.subTest(routers=routers, seed=seed):
                 storm = PromptStorm(routers, engines, seed)
-                storm.send_mixed(16)
-                storm.run(5)
+                storm.send_mixed(24)
+                storm.run(15)
                 self.assert_few_arrivals(storm)
                 since_s = storm.ended_s[:COUNTED_ENDS][-1] + 2 * CONTACT_S
                 self.assert_served(storm.sound(since_s))
