Decode the limits that endpoints name, and log, count and show them

Now endpoint_limited says which router heard what, when and from where; try_sent says the limit of the endpoint that a request goes to; sesamearch_limited_endpoints and limit_changes count them. With these, sends of routers that know a limit (each counts for itself) differ from sends of routers that know none. Nothing decides by it yet.

What is newer: an answer whose request was sent after another answer had arrived. If that is not known, the lower limit holds. Absent in a refusal or a probe says nothing; malformed changes nothing; too high is bounded.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -23,6 +23,7 @@
     "Dependency",
     "EndpointChanged",
     "EndpointLeaving",
+    "EndpointLimited",
     "EndpointPaused",
     "EndpointReturned",
     "EndpointSuspected",
@@ -103,6 +104,30 @@
     born_ms: int
 
 
+class EndpointLimited(Record, frozen=True, tag="endpoint_limited"):
+    """An endpoint named the rate of requests that it takes from all routers.
+
+    Parameters
+    ----------
+    endpoint : str
+    state : str
+        ``limited``, ``changed`` or ``ended``.
+    limit_per_s : float or None
+        The limit in force; None once it has ended.
+    source : str
+        ``answer`` (to this router), ``peer`` (another router heard it) or ``list``
+        (another process of the name is listed).
+    age_ms : int
+        Time since the answer that says so.
+    """
+
+    endpoint: str
+    state: str
+    limit_per_s: float | None
+    source: str
+    age_ms: int = 0
+
+
 class EndpointPaused(Record, frozen=True, tag="endpoint_paused"):
     """An endpoint asked this router to send it nothing for some time.
 
@@ -317,6 +342,7 @@
     ConfigurationInForce,
     EndpointChanged,
     EndpointLeaving,
+    EndpointLimited,
     EndpointPaused,
     EndpointSuspected,
     EndpointReturned,
--- a/src/sesamearch/base/request_record.py
+++ b/src/sesamearch/base/request_record.py
@@ -48,6 +48,9 @@
         engine from whose copy the generation resumes; empty if none.
     after_event : int or None
         Last event that the caller received, if the generation resumes.
+    limit_per_s : float or None
+        Requests a second that the endpoint takes from all routers, as far as this
+        router knows; None if it names no limit.
     """
 
     request: str
@@ -60,6 +63,7 @@
     backup: str = ""
     copy: str = ""
     after_event: int | None = None
+    limit_per_s: float | None = None
 
     @property
     def is_routine(self):
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -29,6 +29,7 @@
 from sesamearch.forwarding.exchange import ForwardTools
 from sesamearch.forwarding.health import HealthTracker
 from sesamearch.forwarding.leaving import LeavingTracker
+from sesamearch.forwarding.limits import LimitTracker
 from sesamearch.forwarding.load import LoadTracker
 from sesamearch.forwarding.outage import OutageDetector
 from sesamearch.forwarding.pace import GenerationPace
@@ -165,6 +166,7 @@
         rng = random.Random(self._settings.name)
         self._pauses = PauseTracker(reactor, self.counters, rng)
         self._client.is_paused = self._pauses.is_paused
+        self._limits = LimitTracker(reactor, self.counters)
         self._outages = OutageDetector(
             self._probe, reactor, self._endpoints_to_probe, rng
         )
@@ -193,6 +195,7 @@
             self._restart_detector,
             self._outages,
             self._pauses,
+            self._limits,
             self._quarantine,
             reactor,
             self.counters,
@@ -226,10 +229,11 @@
         self._health.note_alive(endpoint.name)
         self._outages.note_alive(endpoint)
 
-    def _note_answer(self, endpoint, answer):
-        """Record what an endpoint said of itself in an answer."""
+    def _note_answer(self, endpoint, answer, asked_s):
+        """Record what an endpoint said of itself in the answer to a request."""
         self._leaving.note_answer(endpoint, answer)
         self._pauses.note_answer(endpoint, answer)
+        self._limits.note_answer(endpoint, answer, asked_s)
 
     def _endpoints_to_probe(self):
         """Return the endpoints that may be probed for whether they can be reached."""
@@ -249,6 +253,7 @@
             "endpoints": lambda: len(board.endpoints.value),
             "members": lambda: len(board.members.value),
             "is_relay": lambda: int(self._peers is not None and self._peers.is_relay),
+            "limited_endpoints": lambda: self._limits.active_count,
             "quarantined_prompts": lambda: self._quarantine.active_count,
             "in_flight": lambda: self.dispatcher.in_flight,
             "store_calls": lambda: self._store.calls,
@@ -427,6 +432,7 @@
         self._outages.check()
         self._prompts.drop_expired()
         self._pauses.drop_expired()
+        self._limits.drop_expired(self.board.endpoints.value)
         if self._peers is not None:
             self._budgets.discard_unknown(self._peers.member_list.names)
         self._gossip.refresh()
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -19,6 +19,7 @@
         "health": ["EndpointHealth", "HealthTracker", "Outcomes", "Suspicion"],
         "leaving": ["LeavingTracker"],
         "lifecycle": ["GenerationInputs", "make_lifecycle"],
+        "limits": ["LimitStatement", "LimitTracker"],
         "load": ["EndpointLoad", "LoadTracker", "Work"],
         "meter": ["Meter", "NoMeter"],
         "outage": ["OutageDetector"],
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -51,6 +51,8 @@
         Endpoints that said that they leave, to this router or to another one.
     pauses : int
         Pauses that endpoints asked for.
+    limit_changes : int
+        Limits of endpoints that began, changed or ended.
     quarantines, quarantine_refusals : int
         Quarantines of parts of prompts that began, and requests refused by them.
     """
@@ -60,6 +62,7 @@
         "callers_unheard",
         "copies",
         "leaving_endpoints",
+        "limit_changes",
         "pauses",
         "probes",
         "quarantine_refusals",
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -45,6 +45,7 @@
     restarts : RestartDetector
     outages : OutageDetector
     pauses : PauseTracker
+    limits : LimitTracker
     quarantine : PromptQuarantine
     clock : twisted.internet.interfaces.IReactorTime
     counters : ForwardCounters
@@ -63,6 +64,7 @@
     restarts: object
     outages: object
     pauses: object
+    limits: object
     quarantine: object
     clock: object
     counters: object
@@ -195,6 +197,7 @@
                 options.backup_address,
                 options.copy.target_address if options.copy else "",
                 options.after_event,
+                self.tools.limits.limit_per_s(options.endpoint),
             )
         )
         self.tools.counters.tries += 1
--- /dev/null
+++ b/src/sesamearch/forwarding/limits.py
@@ -0,0 +1,222 @@
+"""Limits that endpoints name for the requests of all routers together."""
+
+import msgspec
+
+from sesamearch.base.log import logger
+from sesamearch.base.record import EndpointLimited
+from sesamearch.configuration.blackboard import Incarnation
+
+__all__ = ["LimitStatement", "LimitTracker"]
+
+# Statements that are kept; bounds the memory.
+MAX_KEPT_STATEMENTS = 4096
+# A statement that a limit has ended is kept for so long, so that an older one that
+# arrives later does not bring the limit back.
+KEPT_ENDED_S = 30.0
+# What a process stated that is not listed is dropped after so long.
+KEPT_UNLISTED_S = 60.0
+# An endpoint that names malformed limits is logged once in this time.
+WARNING_INTERVAL_S = 60.0
+
+
+class LimitStatement(msgspec.Struct, frozen=True):
+    """What an answer says of the limit of the process that gave it.
+
+    Parameters
+    ----------
+    limit_per_s : float or None
+        Requests a second; None for no limit.
+    asked_s : float
+        Time at which the request of the answer was sent, on this router's clock.
+    heard_s : float
+        Time at which the answer arrived, at this router or at another one.
+    """
+
+    limit_per_s: float | None
+    asked_s: float
+    heard_s: float
+
+    def replaces(self, known):
+        """Return whether this statement is to be followed in place of a known one.
+
+        An answer is newer than another one if its request was sent after that one had
+        arrived. If the order is not known, the lower limit is followed.
+        """
+        if self.asked_s > known.heard_s:
+            return True
+        if known.asked_s > self.heard_s:
+            return False
+        return _rate(self) < _rate(known)
+
+
+def _rate(statement):
+    limit_per_s = statement.limit_per_s
+    return float("inf") if limit_per_s is None else limit_per_s
+
+
+class LimitTracker:
+    """Tracks which limits are in force, from answers to any router.
+
+    A limit belongs to one process. It holds until a later answer of that process names
+    another or none; a later process of the same name has none.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+    counters : ForwardCounters
+
+    Attributes
+    ----------
+    on_answer : callable or None
+        Called with an :class:`Incarnation` and its :class:`LimitStatement` if an answer
+        to this router has changed the limit.
+    """
+
+    __slots__ = ("_clock", "_counters", "_statements", "_warned_s", "on_answer")
+
+    def __init__(self, clock, counters):
+        self._clock = clock
+        self._counters = counters
+        self._statements = {}
+        self._warned_s = {}
+        self.on_answer = None
+
+    def note_answer(self, endpoint, answer, asked_s):
+        """Record what an answer says of the limit.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        answer : EndpointAnswer
+        asked_s : float
+            Time at which its request was sent.
+        """
+        names_limit = answer.limit_per_s is not None or answer.unusable_limit
+        if not names_limit and not self._statements:
+            return
+        incarnation = answer.incarnation_at(endpoint)
+        if incarnation is None:
+            return
+        if answer.unusable_limit:
+            self._warn(incarnation, answer)
+        elif names_limit or self._shows_end(incarnation, answer):
+            now_s = self._clock.seconds()
+            statement = LimitStatement(answer.limit_per_s, asked_s, now_s)
+            self._note_own(incarnation, statement)
+
+    def _shows_end(self, incarnation, answer):
+        """Return whether an answer without a limit says that there is none any more.
+
+        Refusals, probes and malformed answers may lack what whole answers name.
+        """
+        return answer.is_signed and incarnation in self._statements
+
+    def _note_own(self, incarnation, statement):
+        known = self._statements.get(incarnation)
+        if known is not None and known.limit_per_s == statement.limit_per_s:
+            if statement.heard_s > known.heard_s:
+                self._statements[incarnation] = statement
+            return
+        if self._apply(incarnation, statement, "answer") and self.on_answer is not None:
+            self.on_answer(incarnation, statement)
+
+    def update(self, incarnation, statement):
+        """Apply what another router heard."""
+        if incarnation not in self._statements and statement.limit_per_s is None:
+            return
+        self._apply(incarnation, statement, "peer")
+
+    def _apply(self, incarnation, statement, source):
+        """Follow a statement unless a known one holds; return whether it changes it."""
+        known = self._statements.get(incarnation)
+        if known is not None and not statement.replaces(known):
+            return False
+        self._statements[incarnation] = statement
+        if len(self._statements) > MAX_KEPT_STATEMENTS:
+            dropped = next(iter(self._statements))
+            del self._statements[dropped]
+            logger.warning("too many limits are known, dropped that of {}", dropped)
+        before = known.limit_per_s if known is not None else None
+        if before == statement.limit_per_s:
+            return False
+        self._counters.limit_changes += 1
+        self._log(incarnation, before, statement, source)
+        return True
+
+    def _log(self, incarnation, before, statement, source):
+        state = "changed" if before is not None else "limited"
+        if statement.limit_per_s is None:
+            state = "ended"
+        age_ms = round((self._clock.seconds() - statement.heard_s) * 1000)
+        name, limit_per_s = incarnation.name, statement.limit_per_s
+        logger.info(EndpointLimited(name, state, limit_per_s, source, age_ms))
+
+    def _warn(self, incarnation, answer):
+        now_s = self._clock.seconds()
+        warned_s = self._warned_s.get(incarnation, float("-inf"))
+        if now_s - warned_s < WARNING_INTERVAL_S:
+            return
+        self._warned_s[incarnation] = now_s
+        logger.warning(
+            "malformed limit ignored endpoint={} stated={!r}",
+            incarnation.name,
+            answer.unusable_limit,
+        )
+
+    def find(self, endpoint):
+        """Return the :class:`LimitStatement` about an endpoint's process, or None."""
+        if not self._statements:
+            return None
+        found = self._statements.get(endpoint.incarnation)
+        if found is None:
+            # A statement without a start time is of any process of the name.
+            found = self._statements.get(Incarnation(endpoint.name, 0))
+        return found
+
+    def limit_per_s(self, endpoint):
+        """Return the limit of an endpoint, or None if it has none."""
+        statement = self.find(endpoint)
+        return statement.limit_per_s if statement is not None else None
+
+    def is_limited(self, endpoint):
+        """Return whether an endpoint has a limit."""
+        return self.limit_per_s(endpoint) is not None
+
+    @property
+    def statements(self):
+        """Dict from Incarnation to LimitStatement : those of ended limits included."""
+        return dict(self._statements)
+
+    @property
+    def active_count(self):
+        """Int : number of endpoints that have a limit."""
+        kept = self._statements.values()
+        return sum(each.limit_per_s is not None for each in kept)
+
+    def drop_expired(self, endpoints):
+        """Drop what is no longer needed; called at intervals.
+
+        Parameters
+        ----------
+        endpoints : dict from str to Endpoint
+            The listed endpoints by name.
+        """
+        now_s = self._clock.seconds()
+        for incarnation, statement in list(self._statements.items()):
+            listed = endpoints.get(incarnation.name)
+            age_s = now_s - statement.heard_s
+            if listed is not None and listed.born_ms > incarnation.born_ms > 0:
+                self._drop_replaced(incarnation, statement)
+            elif listed is None and age_s > KEPT_UNLISTED_S:
+                del self._statements[incarnation]
+            elif statement.limit_per_s is None and age_s > KEPT_ENDED_S:
+                del self._statements[incarnation]
+        oldest_s = now_s - WARNING_INTERVAL_S
+        self._warned_s = {i: s for i, s in self._warned_s.items() if s > oldest_s}
+
+    def _drop_replaced(self, incarnation, statement):
+        """Drop what a process stated that another one of its name has replaced."""
+        del self._statements[incarnation]
+        if statement.limit_per_s is not None:
+            ended = msgspec.structs.replace(statement, limit_per_s=None)
+            self._log(incarnation, statement.limit_per_s, ended, "list")
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -158,6 +158,11 @@
         does not say so.
     unusable_pause : str
         The pause that it stated, if it was not taken as stated; empty for none.
+    limit_per_s : float or None
+        Requests a second that the answering process takes from all routers together;
+        None if it names no limit.
+    unusable_limit : str
+        The limit that it named, if that is malformed; empty for none.
     """
 
     status: int
@@ -171,6 +176,8 @@
     is_leaving: bool = False
     pause_s: float = 0.0
     unusable_pause: str = ""
+    limit_per_s: float | None = None
+    unusable_limit: str = ""
 
     def incarnation_at(self, endpoint):
         """Return which process answered a request to an endpoint.
@@ -217,7 +224,8 @@
     ----------
     on_answer : callable or None
         Called with an endpoint and the :class:`EndpointAnswer` of each answer, those to
-        probes and copies included, before the answer is handled.
+        probes and copies included, before the answer is handled, and with the time at
+        which its request was sent.
     is_paused : callable
         Returns whether an endpoint wants nothing from this router. Probes, copies and
         the like are not sent to it then, and count as unanswered.
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -306,11 +306,12 @@
         return self._ask(endpoint, outgoing, _ProbeReceiver, timeout_s)
 
     def _note_of(self, endpoint):
-        """Return a callable that reports an answer of an endpoint."""
+        """Return a callable that reports an answer to a request that is sent now."""
+        sent_s = self._reactor.seconds()
 
         def note(answer):
             if self.on_answer is not None:
-                self.on_answer(endpoint, answer)
+                self.on_answer(endpoint, answer, sent_s)
 
         return note
 
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -12,6 +12,7 @@
 from sesamearch.wire.head import first_value, strip_hop_by_hop
 
 __all__ = [
+    "MAX_LIMIT_PER_S",
     "MAX_PAUSE_S",
     "decode_answer",
     "decode_request",
@@ -39,12 +40,16 @@
 _SIGNATURE = b"x-response-signature"
 _LOAD = b"x-server-load"
 _LEAVING = b"server-leaving"
+# Requests a second that the endpoint takes from all routers together.
+_LIMIT = b"server-limit"
 _RETRY_AFTER = b"retry-after"
 _UNAVAILABLE = 503
 # Longest pause that is granted to an endpoint.
 MAX_PAUSE_S = 600.0
+# Highest limit that is told apart from a higher one.
+MAX_LIMIT_PER_S = 1e6
 MAX_LOGGED_CHARACTERS = 32
-_SECONDS = re.compile(r"\d+(?:\.\d*)?|\.\d+", re.ASCII)
+_DECIMAL = re.compile(r"\d+(?:\.\d*)?|\.\d+", re.ASCII)
 _AUTHORIZATION_SCHEME = "token "
 # Headers that a caller's ``Connection`` header cannot remove, because the endpoint
 # would run a different request without them.
@@ -224,6 +229,7 @@
     headers = strip_hop_by_hop(head.headers)
     is_other_instance = head.status == 421
     pause_s, unusable_pause = _pause(head)
+    limit_per_s, unusable_limit = _limit(head)
     return EndpointAnswer(
         status=head.status,
         reason=head.reason,
@@ -236,6 +242,8 @@
         is_leaving=_text(head.headers, _LEAVING) == "1",
         pause_s=pause_s,
         unusable_pause=unusable_pause,
+        limit_per_s=limit_per_s,
+        unusable_limit=unusable_limit,
     )
 
 
@@ -247,13 +255,26 @@
     if head.status != _UNAVAILABLE:
         return 0.0, ""
     text = _text(head.headers, _RETRY_AFTER)
-    stated_s = float(text) if _SECONDS.fullmatch(text) else 0.0
-    is_malformed = bool(text) and not _SECONDS.fullmatch(text)
+    stated_s = float(text) if _DECIMAL.fullmatch(text) else 0.0
+    is_malformed = bool(text) and not _DECIMAL.fullmatch(text)
     is_unusable = is_malformed or stated_s > MAX_PAUSE_S
     shown = text[:MAX_LOGGED_CHARACTERS] if is_unusable else ""
     return min(stated_s, MAX_PAUSE_S), shown
 
 
+def _limit(head):
+    """Return the limit that an endpoint names, and its text if that is unusable.
+
+    A limit that is too high is bounded; a malformed one counts as none.
+    """
+    if first_value(head.headers, _LIMIT) is None:
+        return None, ""
+    text = _text(head.headers, _LIMIT)
+    if not _DECIMAL.fullmatch(text):
+        return None, text[:MAX_LOGGED_CHARACTERS] or "empty"
+    return min(float(text), MAX_LIMIT_PER_S), ""
+
+
 def _load(text):
     numbers = [_integer(part.strip()) for part in text.split(",")]
     if len(numbers) != 3 or None in numbers:
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -100,6 +100,8 @@
         Whether all its answers say that it leaves.
     retry_after : str
         ``Retry-After`` of its 503 answers; empty for none.
+    limit : str
+        ``Server-Limit`` of its answers; empty for none.
     fault : str
         ``mute`` (no response), ``reset`` (reset instead of a response) or
         ``truncate`` (reset in the middle of the response); empty for none.
@@ -118,6 +120,7 @@
         self.arrivals = []
         self.is_leaving = False
         self.retry_after = ""
+        self.limit = ""
 
     def __call__(self, head, body, reply):
         """Record the arrival of a request, and handle it."""
@@ -153,6 +156,8 @@
         headers = []
         if self.is_leaving:
             headers.append((b"Server-Leaving", b"1"))
+        if self.limit:
+            headers.append((b"Server-Limit", self.limit.encode()))
         if self.retry_after and status == 503:
             headers.append((b"Retry-After", self.retry_after.encode()))
         return headers
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -3,6 +3,7 @@
 from sesamearch.configuration.blackboard import Endpoint
 from sesamearch.forwarding.request import ForwardOptions, MemoryCopy
 from sesamearch.platform.headers import (
+    MAX_LIMIT_PER_S,
     MAX_PAUSE_S,
     decode_answer,
     decode_request,
@@ -174,6 +175,27 @@
             self.assertEqual((answer.pause_s, answer.unusable_pause), (0.0, ""))
         self.assertEqual(self.decode(503).pause_s, 0.0)
 
+    def test_answer_may_name_a_limit(self):
+        for text, limit_per_s in ((b"1.3", 1.3), (b"0", 0.0), (b" .5 ", 0.5)):
+            for status in (200, 500, 503):
+                answer = self.decode(status, (b"Server-Limit", text))
+                stated = (answer.limit_per_s, answer.unusable_limit)
+                self.assertEqual(stated, (limit_per_s, ""))
+        self.assertIsNone(self.decode(200).limit_per_s)
+
+    def test_malformed_limit_is_none_and_shown(self):
+        for value in (b"-1", b"1e3", b"nan", b"inf", b"1,2", b"0x1", b"\xb2"):
+            answer = self.decode(200, (b"Server-Limit", value))
+            self.assertIsNone(answer.limit_per_s)
+            self.assertEqual(answer.unusable_limit, value.decode("latin-1"))
+        self.assertEqual(
+            self.decode(200, (b"Server-Limit", b"")).unusable_limit, "empty"
+        )
+
+    def test_huge_limit_is_bounded(self):
+        answer = self.decode(200, (b"Server-Limit", b"9" * 400))
+        self.assertEqual(answer.limit_per_s, MAX_LIMIT_PER_S)
+
     def test_malformed_pause_is_none_and_shown(self):
         malformed = ("soon", "-3", "nan", "inf", "1e3", "2, 5", "1_000", "\u0662")
         date = "Fri, 04 Dec 2026 11:00:00 GMT"
