Tell all routers which limits endpoints name

A router that has not heard a limit itself sends by load alone, and so does one that has started since.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -42,6 +42,7 @@
 from sesamearch.membership.gossip import LoadGossip
 from sesamearch.membership.key_keeper import KeyKeeper
 from sesamearch.membership.leaving_gossip import LeavingGossip
+from sesamearch.membership.limit_gossip import LimitGossip
 from sesamearch.membership.listing import EndpointListing
 from sesamearch.membership.quarantine_gossip import QuarantineGossip
 from sesamearch.membership.sockets import PeerSockets
@@ -279,6 +280,7 @@
             self._reactor,
         )
         self._leaving_gossip = LeavingGossip(self._leaving)
+        self._limit_gossip = LimitGossip(self._limits, self._reactor)
         self._quarantine_gossip = QuarantineGossip(self._quarantine, self._reactor)
         self._followers = [
             OperatorFollower(
@@ -362,6 +364,7 @@
         self._peers.follows_store = self._follows_store
         self._gossip.join(self._peers)
         self._leaving_gossip.join(self._peers)
+        self._limit_gossip.join(self._peers)
         self._quarantine_gossip.join(self._peers)
         self._rollout_controller.join(self._peers)
         self._peers.handle(
@@ -437,6 +440,7 @@
             self._budgets.discard_unknown(self._peers.member_list.names)
         self._gossip.refresh()
         self._quarantine.refresh()
+        self._limit_gossip.refresh()
         self._quarantine_gossip.refresh()
         self._update_followers()
 
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -19,6 +19,7 @@
         "fleet_message": [
             "FLEET_SCHEMA_VERSION",
             "LEAVING_SCHEMA_VERSION",
+            "LIMIT_SCHEMA_VERSION",
             "Broadcast",
             "BroadcastBatch",
             "EndpointRestarted",
@@ -28,6 +29,8 @@
             "FleetHeartbeat",
             "FleetMessage",
             "LeavingNotice",
+            "LimitNotice",
+            "LimitReport",
             "LoadUpdate",
             "RolloutUpdate",
             "RolloutVerdict",
@@ -39,6 +42,7 @@
         "gossip": ["LoadGossip"],
         "key_keeper": ["KeyKeeper"],
         "leaving_gossip": ["LeavingGossip"],
+        "limit_gossip": ["LimitGossip", "make_notice", "read_notice"],
         "listing": ["EndpointListing"],
         "message": [
             "SCHEMA_VERSION",
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -15,11 +15,14 @@
 __all__ = [
     "LEAVING_SCHEMA_VERSION",
     "FLEET_SCHEMA_VERSION",
+    "LIMIT_SCHEMA_VERSION",
     "QUARANTINE_SCHEMA_VERSION",
     "UNSTATED_ERA",
     "Broadcast",
     "BroadcastBatch",
     "LeavingNotice",
+    "LimitNotice",
+    "LimitReport",
     "EndpointRestarted",
     "EndpointsDelta",
     "EndpointsRequest",
@@ -38,6 +41,7 @@
 
 FLEET_SCHEMA_VERSION = 1
 LEAVING_SCHEMA_VERSION = 1
+LIMIT_SCHEMA_VERSION = 1
 QUARANTINE_SCHEMA_VERSION = 1
 # Era in messages of an earlier build, which does not state it.
 UNSTATED_ERA = -1
@@ -205,6 +209,38 @@
     incarnation: Incarnation
 
 
+class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What a process said of its limit in an answer to some router.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+    limit_per_s : float or None
+        Requests a second from all routers together; None for no limit.
+    asked_age_s, heard_age_s : float
+        Time since the request of the answer was sent, and since the answer arrived.
+    """
+
+    incarnation: Incarnation
+    limit_per_s: float | None
+    asked_age_s: float
+    heard_age_s: float
+
+
+class LimitReport(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Limits of endpoints that the sender knows, those that have ended included.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; messages of other versions are ignored.
+    notices : list of LimitNotice
+    """
+
+    schema_version: int
+    notices: list[LimitNotice]
+
+
 class LossReport(msgspec.Struct, tag=True, frozen=True, array_like=True):
     """What the sender saw of engines that ended, and of the prompts they ran.
 
@@ -315,8 +351,8 @@
     incarnation, sequence : int
         Identify the update within its origin, so that a second copy, which arrives
         through the other relay, is dropped.
-    update : LoadUpdate, EndpointRestarted, LeavingNotice, RolloutUpdate, or another
-        update type of this module
+    update : LoadUpdate, EndpointRestarted, LeavingNotice, LimitReport, RolloutUpdate
+        or another update type of this module
     """
 
     origin: str
@@ -326,6 +362,7 @@
         LoadUpdate
         | EndpointRestarted
         | LeavingNotice
+        | LimitReport
         | RolloutUpdate
         | RolloutVerdict
         | LossReport
