--- a/bench/forward.py
+++ b/bench/forward.py
@@ -13,9 +13,11 @@
 from sesamearch.forwarding.endpoint_index import EndpointIndex
 from sesamearch.forwarding.gate import OpenGate
 from sesamearch.forwarding.health import HealthTracker
+from sesamearch.forwarding.limits import LimitTracker
 from sesamearch.forwarding.load import EndpointLoad, LoadTracker
 from sesamearch.forwarding.outage import OutageDetector
 from sesamearch.forwarding.pauses import PauseTracker
+from sesamearch.forwarding.permits import NoPermits
 from sesamearch.routing.table import EngineTraits
 
 ENGINE = EngineTraits(12, 88_000, 8, supports_backups=True)
@@ -40,6 +42,8 @@
         OpenGate(),
         OutageDetector(None, clock, lambda: board.endpoints.value, random.Random(1)),
         PauseTracker(clock, ForwardCounters(), random.Random(1)),
+        LimitTracker(clock, ForwardCounters()),
+        NoPermits(),
         random.Random(1),
     )
     endpoints = [
--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -5,6 +5,7 @@
 
 from sesamearch.base.request_record import (
     GenerationResumed,
+    PermitDecided,
     Record,
     RequestEnded,
     RequestRefused,
@@ -30,6 +31,7 @@
     "GenerationResumed",
     "Lifecycle",
     "MemberChanged",
+    "PermitDecided",
     "PromptQuarantineChanged",
     "Record",
     "RequestEnded",
@@ -335,6 +337,7 @@
     TrySuspected,
     RetryDenied,
     GenerationResumed,
+    PermitDecided,
     RequestRefused,
     RequestEnded,
     RequestUnread,
--- a/src/sesamearch/base/request_record.py
+++ b/src/sesamearch/base/request_record.py
@@ -5,6 +5,7 @@
 __all__ = [
     "GenerationResumed",
     "Record",
+    "PermitDecided",
     "RequestEnded",
     "RequestRefused",
     "RequestUnread",
@@ -71,6 +72,32 @@
         return True
 
 
+class PermitDecided(Record, frozen=True, tag="permit_decided"):
+    """A request waited for a permit of an endpoint that limits its requests.
+
+    Parameters
+    ----------
+    request, endpoint : str
+        Request ID and name of the endpoint.
+    state : str
+        ``granted``, ``denied`` (no permit comes up in the time that the request has) or
+        ``unanswered`` (no router that accounts for the endpoint answered).
+    waited_ms : int
+        Time for which the request waited.
+    limit_per_s : float or None
+        The limit, as far as this router knows.
+    wait_ms : int
+        Time until another request could be granted a permit.
+    """
+
+    request: str
+    endpoint: str
+    state: str
+    waited_ms: int
+    limit_per_s: float | None
+    wait_ms: int
+
+
 class TryLost(Record, frozen=True, tag="try_lost"):
     """A try ended without a usable answer from the endpoint.
 
@@ -126,8 +153,9 @@
         Time since the try was first suspected.
     obstacle : str
         Why a kept try was not replaced: ``no_engine``, ``no_budget``, ``no_attempts``,
-        ``no_event_numbers``, ``quarantined`` (its prompt) or ``refused`` (by each
-        engine that was to take over).
+        ``no_event_numbers``, ``quarantined`` (its prompt), ``refused`` (by each engine
+        that was to take over) or ``no_permit`` (its limit is used up, or not known to
+        be free yet).
     """
 
     request: str
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -44,6 +44,7 @@
 from sesamearch.membership.leaving_gossip import LeavingGossip
 from sesamearch.membership.limit_gossip import LimitGossip
 from sesamearch.membership.listing import EndpointListing
+from sesamearch.membership.permit_relay import PermitRelay
 from sesamearch.membership.quarantine_gossip import QuarantineGossip
 from sesamearch.membership.sockets import PeerSockets
 from sesamearch.platform.client import SWEEP_INTERVAL_S, PlatformEndpointClient
@@ -168,6 +169,11 @@
         self._pauses = PauseTracker(reactor, self.counters, rng)
         self._client.is_paused = self._pauses.is_paused
         self._limits = LimitTracker(reactor, self.counters)
+        self._permits = PermitRelay(
+            self._limits, endpoint_index.find, reactor, self.counters
+        )
+        self._client.is_limited = self._limits.is_limited
+        self._client.permits = self._permits
         self._outages = OutageDetector(
             self._probe, reactor, self._endpoints_to_probe, rng
         )
@@ -184,6 +190,8 @@
                 self._rollout_controller,
                 self._outages,
                 self._pauses,
+                self._limits,
+                self._permits,
                 rng,
             ),
             endpoint_index,
@@ -197,8 +205,10 @@
             self._outages,
             self._pauses,
             self._limits,
+            self._permits,
             self._quarantine,
             reactor,
+            rng,
             self.counters,
             self._metrics,
         )
@@ -365,6 +375,7 @@
         self._gossip.join(self._peers)
         self._leaving_gossip.join(self._peers)
         self._limit_gossip.join(self._peers)
+        self._permits.join(self._peers)
         self._quarantine_gossip.join(self._peers)
         self._rollout_controller.join(self._peers)
         self._peers.handle(
@@ -436,6 +447,7 @@
         self._prompts.drop_expired()
         self._pauses.drop_expired()
         self._limits.drop_expired(self.board.endpoints.value)
+        self._permits.refresh()
         if self._peers is not None:
             self._budgets.discard_unknown(self._peers.member_list.names)
         self._gossip.refresh()
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -48,8 +48,20 @@
     def _send(self):
         endpoint = self._choose()
         if endpoint is None:
+            self._give_up_unsent()
+        elif self.permit.covers(endpoint):
+            self._send_to(endpoint)
+        else:
+            self.claim_permit(endpoint, self._send)
+
+    def _give_up_unsent(self):
+        if self.permit.denied and not self._runs:
+            detail = "the endpoints take no more requests for now"
+            self._give_up(ErrorKind.OVERLOADED, detail)
+        else:
             self._give_up(self._cause, "no endpoint left to try")
-            return
+
+    def _send_to(self, endpoint):
         self.excluded.add(endpoint.name)
         options = ForwardOptions(
             endpoint,
@@ -64,8 +76,14 @@
             self._hedge_timer = self.tools.clock.callLater(delay_s, self._send_hedge)
 
     def _choose(self):
+        held = self.permit.held_endpoint()
+        if held is not None:
+            return held
         return self.tools.chooser.for_call(
-            self.service.name, self.request.request_id, self.excluded
+            self.service.name,
+            self.request.request_id,
+            self.excluded,
+            self.permit.denied,
         )
 
     def _may_send(self):
@@ -78,8 +96,11 @@
     def _send_hedge(self):
         has_pending_try = not self.is_over and len(self.tries) == 1
         if has_pending_try and self._streamed_try is None and self._may_send():
-            if self._choose() is not None and self.spend_retry():
-                self._send()
+            endpoint = self._choose()
+            # A limited endpoint has no room for a request that another one has.
+            is_free = endpoint is not None and self.permit.covers(endpoint)
+            if is_free and self.spend_retry():
+                self._send_to(endpoint)
 
     def _send_again(self, kind, detail):
         """Retry after a try without a usable answer, or give up."""
--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -30,6 +30,10 @@
 FAILURE_COST_REQUESTS = 40.0
 
 
+def _without(endpoints, names):
+    return [each for each in endpoints if each.name not in names]
+
+
 class GenerationNeed(msgspec.Struct, frozen=True):
     """Resources that a generation needs on its engine.
 
@@ -59,6 +63,8 @@
         Decides which versions a request may go to.
     outages : OutageDetector
     pauses : PauseTracker
+    limits : LimitTracker
+    permits : PermitSource
     rng : random.Random, optional
     """
 
@@ -67,9 +73,11 @@
         "_endpoint_index",
         "_gate",
         "_health",
+        "_limits",
         "_loads",
         "_outages",
         "_pauses",
+        "_permits",
         "_random",
     )
 
@@ -82,10 +90,14 @@
         gate,
         outages,
         pauses,
+        limits,
+        permits,
         rng=None,
     ):
         self._outages = outages
         self._pauses = pauses
+        self._limits = limits
+        self._permits = permits
         self._gate = gate
         self._endpoint_index = endpoint_index
         self._loads = loads
@@ -93,23 +105,51 @@
         self._data_centre = data_centre
         self._random = rng or random.Random()
 
-    def _candidates(self, service, excluded, request_id):
+    def _candidates(self, service, excluded, request_id, denied=frozenset()):
         """Return the endpoints to compare: a sample if there are many.
 
         Endpoints that are down or in an unreachable data centre are included only if
-        there are no others; those that asked for a pause never are.
+        there are no others; those that asked for a pause never are. Nor are those that
+        denied a permit, but they count for the version gate: that the old version
+        takes no more is no reason to send more to the new one.
         """
         serving = self._endpoint_index.serving(service)
         if len(serving) > SAMPLE_SIZE:
             drawn = self._random.sample(serving, SAMPLE_SIZE)
-            found = self._reachable(self._allowed(drawn, excluded, request_id))
-            if found:
-                return found[:MAX_CANDIDATES]
+            allowed = self._allowed(drawn, excluded, request_id)
+            found = self._reachable(_without(allowed, denied))
+            unlimited = self._unlimited(found)
+            if unlimited:
+                return unlimited[:MAX_CANDIDATES]
+        allowed = _without(self._allowed(serving, excluded, request_id), denied)
+        return self._sample(self._reachable(allowed) or allowed)
+
+    def _sample(self, endpoints):
+        """Return so many endpoints that they can be compared, unlimited ones first."""
+        if len(endpoints) <= MAX_CANDIDATES:
+            return endpoints
+        preferred = self._unlimited(endpoints) or endpoints
+        count = min(MAX_CANDIDATES, len(preferred))
+        return self._random.sample(preferred, count)
+
+    def _unlimited(self, endpoints):
+        """Return the endpoints that name no limit."""
+        if not self._limits.has_any:
+            return endpoints
+        return [each for each in endpoints if not self._limits.is_limited(each)]
+
+    def has_unlimited(self, service, request_id, excluded=frozenset()):
+        """Return whether a request may go to an endpoint that names no limit.
+
+        Parameters
+        ----------
+        service, request_id : str
+        excluded : set of str
+            Names of endpoints not to count.
+        """
+        serving = self._endpoint_index.serving(service)
         allowed = self._allowed(serving, excluded, request_id)
-        found = self._reachable(allowed) or allowed
-        if len(found) > MAX_CANDIDATES:
-            found = self._random.sample(found, MAX_CANDIDATES)
-        return found
+        return bool(self._unlimited(self._reachable(allowed)))
 
     def _allowed(self, endpoints, excluded, request_id):
         """Return the endpoints that the version gate allows.
@@ -136,12 +176,32 @@
             and not self._outages.is_unreachable(each.data_centre)
         ]
 
+    def _within_limits(self, endpoints, has_room):
+        """Return the endpoints among which the limits leave a choice.
+
+        Those without a limit go first while one of them has room. Where all have one,
+        those that have a permit first do.
+        """
+        unlimited = self._unlimited(endpoints)
+        if len(unlimited) == len(endpoints):
+            return endpoints
+        limited = [each for each in endpoints if self._limits.is_limited(each)]
+        due = [each for each in limited if self._permits.is_trial_due(each)]
+        if due:
+            return due
+        if any(map(has_room, unlimited)):
+            return unlimited
+        waits_s = {each.name: self._permits.wait_s(each) for each in limited}
+        shortest_s = 0.0 if unlimited else min(waits_s.values())
+        ready = [each for each in limited if waits_s[each.name] <= shortest_s]
+        return unlimited + ready
+
     def _cheapest(self, endpoints, cost):
         if not endpoints:
             return None
         return min(endpoints, key=lambda each: (cost(each), self._random.random()))
 
-    def for_call(self, service, request_id, excluded=frozenset()):
+    def for_call(self, service, request_id, excluded=frozenset(), denied=frozenset()):
         """Choose an endpoint for a plain call.
 
         Parameters
@@ -149,14 +209,20 @@
         service, request_id : str
         excluded : set of str
             Names of endpoints not to choose.
+        denied : set of str
+            Names of limited endpoints that have no permit for the request.
 
         Returns
         -------
         Endpoint or None
         """
-        endpoints = self._candidates(service, excluded, request_id)
+        endpoints = self._candidates(service, excluded, request_id, denied)
         baseline = self._health.baseline([each.name for each in endpoints])
 
+        def has_room(endpoint):
+            running = self._loads.total(endpoint.name).running
+            return running < max(endpoint.slots, 1)
+
         def cost(endpoint):
             running = self._loads.total(endpoint.name).running
             is_remote = endpoint.data_centre != self._data_centre
@@ -167,10 +233,17 @@
                 + FAILURE_COST_REQUESTS * excess
             )
 
-        return self._cheapest(endpoints, cost)
+        return self._cheapest(self._within_limits(endpoints, has_room), cost)
 
     def for_generation(
-        self, service, engine, need, request_id, excluded=frozenset(), cached_at=""
+        self,
+        service,
+        engine,
+        need,
+        request_id,
+        excluded=frozenset(),
+        cached_at="",
+        denied=frozenset(),
     ):
         """Choose an endpoint for a generation.
 
@@ -184,22 +257,31 @@
             Names of endpoints not to choose.
         cached_at : str
             Name of the endpoint that has the prompt cached; empty for none.
+        denied : set of str
+            Names of limited endpoints that have no permit for the request.
 
         Returns
         -------
         Endpoint or None
         """
-        endpoints = self._candidates(service, excluded, request_id)
+        endpoints = self._candidates(service, excluded, request_id, denied)
         names = [each.name for each in endpoints]
         baseline = self._health.baseline(names)
         slowness = self._health.slowness(names)
         unreachable = self._unreachable_counts(service)
 
+        def is_full_at(endpoint, load):
+            memory_tokens = load.memory_tokens + need.memory_tokens
+            has_slot = load.running < (endpoint.slots or engine.slots)
+            return not has_slot or memory_tokens > engine.memory_tokens
+
+        def has_room(endpoint):
+            return not is_full_at(endpoint, self._loads.total(endpoint.name))
+
         def cost(endpoint):
             load = self._loads.total(endpoint.name)
             is_remote = endpoint.data_centre != self._data_centre
-            is_full = load.running >= (endpoint.slots or engine.slots)
-            is_full |= load.memory_tokens + need.memory_tokens > engine.memory_tokens
+            is_full = is_full_at(endpoint, load)
             excess = self._health.excess(endpoint.name, baseline)
             is_cached = endpoint.name == cached_at
             prompt_tokens = 0 if is_cached else need.prompt_tokens
@@ -213,7 +295,7 @@
                 * (unreachable[endpoint.data_centre] >= OUTAGE_MIN_ENDPOINTS)
             )
 
-        return self._cheapest(endpoints, cost)
+        return self._cheapest(self._within_limits(endpoints, has_room), cost)
 
     def for_backup(self, primary, engine, need, request_id):
         """Choose the endpoint that holds the backup of a generation's memory.
@@ -243,9 +325,11 @@
 
         def cost(endpoint):
             load = self._loads.total(endpoint.name)
-            return unreachable[
-                endpoint.data_centre
-            ] > 0, load.memory_tokens + load.unread_tokens
+            return (
+                unreachable[endpoint.data_centre] > 0,
+                self._limits.is_limited(endpoint),
+                load.memory_tokens + load.unread_tokens,
+            )
 
         return self._cheapest(with_room, cost)
 
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -53,6 +53,11 @@
         Pauses that endpoints asked for.
     limit_changes : int
         Limits of endpoints that began, changed or ended.
+    permits_claimed, permits_granted, permits_denied, permits_unanswered : int
+        Claims of permits for endpoints that name a limit, and what became of them; the
+        unanswered ones are among the denied ones.
+    sends_without_permit : int
+        Requests sent to a limited endpoint without a permit; none are expected.
     quarantines, quarantine_refusals : int
         Quarantines of parts of prompts that began, and requests refused by them.
     """
@@ -64,6 +69,10 @@
         "leaving_endpoints",
         "limit_changes",
         "pauses",
+        "permits_claimed",
+        "permits_denied",
+        "permits_granted",
+        "permits_unanswered",
         "probes",
         "quarantine_refusals",
         "quarantines",
@@ -71,6 +80,7 @@
         "requests",
         "resumes",
         "retries_denied",
+        "sends_without_permit",
         "streams_cut",
         "tries",
         "tries_kept",
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -15,6 +15,8 @@
 )
 from sesamearch.forwarding.attempt import Try
 from sesamearch.forwarding.deadline import MIN_TRY_S, deadlines_of
+from sesamearch.forwarding.permits import PermitClaim
+from sesamearch.forwarding.request_permit import RequestPermit
 from sesamearch.wire.endpoint import Loss
 from sesamearch.wire.reply import ReplyListener
 
@@ -26,6 +28,12 @@
 # Upper bound of Retry-After, as a share of the time until the caller's deadline.
 RETRY_AFTER_RATIO = 0.3
 MIN_RETRY_AFTER_S = 0.05
+LOWEST_RANK = 9
+# A request waits for a permit for this share of its time, so that enough is left for
+# the endpoint.
+PERMIT_WAIT_RATIO = 0.5
+# A refused caller is told to wait for up to so many times the time until a permit.
+MAX_PERMIT_WAIT_RATIO = 2.0
 
 
 class ForwardTools(msgspec.Struct):
@@ -46,8 +54,10 @@
     outages : OutageDetector
     pauses : PauseTracker
     limits : LimitTracker
+    permits : PermitSource
     quarantine : PromptQuarantine
     clock : twisted.internet.interfaces.IReactorTime
+    rng : random.Random
     counters : ForwardCounters
     meter : Meter
     """
@@ -65,8 +75,10 @@
     outages: object
     pauses: object
     limits: object
+    permits: object
     quarantine: object
     clock: object
+    rng: object
     counters: object
     meter: object
 
@@ -106,6 +118,7 @@
         self.try_count = 0
         self.is_over = False
         self.excluded = set()
+        self.permit = RequestPermit(tools, request.request_id)
         # Status that was sent to the caller; zero as long as it has heard nothing.
         self._sent_status = 0
         self._on_end = on_end
@@ -177,8 +190,45 @@
         logger.info(RetryDenied(self.request.request_id, service, own, known))
         return False
 
+    @property
+    def rank(self):
+        """Int : priority of the request, zero is the highest."""
+        organisation = self.organisation
+        rank = self.route.priority
+        if organisation is not None and organisation.priority is not None:
+            rank = organisation.priority
+        return min(rank, LOWEST_RANK)
+
+    def claim_permit(self, endpoint, proceed, has_begun=False, wait_s=None):
+        """Claim a permit for a limited endpoint.
+
+        The request does not wait for it if an endpoint without a limit is left.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        proceed : callable
+            Called without arguments once it is granted or denied, unless the request is
+            over.
+        has_begun : bool
+            Whether the caller has a part of the answer.
+        wait_s : float or None
+            How long to wait for the permit; by default a share of the remaining time.
+        """
+        if wait_s is None:
+            wait_s = self.remaining_s() * PERMIT_WAIT_RATIO
+        is_left = self.tools.chooser.has_unlimited(
+            self.service.name, self.request.request_id, self.excluded
+        )
+        by_s = self.now_s + (0.0 if is_left else wait_s)
+        claim = PermitClaim(self.rank, has_begun, by_s)
+        self.permit.claim(endpoint, claim, lambda: self.is_over or proceed())
+
     def send(self, options, work):
         """Send the request to one endpoint and return the :class:`Try`."""
+        if not self.permit.covers(options.endpoint):
+            self.tools.counters.sends_without_permit += 1
+        self.permit.use(options.endpoint)
         self.try_count += 1
         is_resumed = options.after_event is not None
         observer = self.tools.gate.sent(options.endpoint, self.route.name, is_resumed)
@@ -264,6 +314,7 @@
         self.is_over = True
         if self._timer.active():
             self._timer.cancel()
+        self.permit.withdraw()
         self.cancel_tries()
         self._on_end(self)
 
@@ -333,7 +384,19 @@
         No endpoint of the service wants requests until then. Zero if one does.
         """
         serving = self.tools.endpoint_index.serving(self.service.name)
-        return self.tools.pauses.wait_s(serving)
+        return max(self.tools.pauses.wait_s(serving), self._permit_wait_s(serving))
+
+    def _permit_wait_s(self, endpoints):
+        """Return how long none of some endpoints can have a permit.
+
+        A random part is added, so that the callers that are refused do not all come
+        back for the same permit.
+        """
+        limits, permits = self.tools.limits, self.tools.permits
+        if not endpoints or not all(map(limits.is_limited, endpoints)):
+            return 0.0
+        wait_s = min(map(permits.wait_s, endpoints))
+        return wait_s * self.tools.rng.uniform(1.0, MAX_PERMIT_WAIT_RATIO)
 
     def log_end(self, outcome, attempt, status, first_ms=0, events=0):
         """Log and measure the outcome of the request."""
--- a/src/sesamearch/forwarding/limits.py
+++ b/src/sesamearch/forwarding/limits.py
@@ -167,11 +167,21 @@
         """Return the :class:`LimitStatement` about an endpoint's process, or None."""
         if not self._statements:
             return None
-        found = self._statements.get(endpoint.incarnation)
-        if found is None:
-            # A statement without a start time is of any process of the name.
-            found = self._statements.get(Incarnation(endpoint.name, 0))
-        return found
+        return self._statements.get(self.key_of(endpoint))
+
+    def key_of(self, endpoint):
+        """Return the :class:`Incarnation` under which an endpoint's limit is known.
+
+        A statement without a start time is of any process of the name.
+        """
+        if endpoint.incarnation in self._statements:
+            return endpoint.incarnation
+        return Incarnation(endpoint.name, 0)
+
+    def limit_of(self, incarnation):
+        """Return the limit of a process, or None if it has none."""
+        statement = self._statements.get(incarnation)
+        return statement.limit_per_s if statement is not None else None
 
     def limit_per_s(self, endpoint):
         """Return the limit of an endpoint, or None if it has none."""
@@ -182,16 +192,26 @@
         """Return whether an endpoint has a limit."""
         return self.limit_per_s(endpoint) is not None
 
+    @property
+    def has_any(self):
+        """Bool : whether any limit is in force or has ended lately."""
+        return bool(self._statements)
+
     @property
     def statements(self):
         """Dict from Incarnation to LimitStatement : those of ended limits included."""
         return dict(self._statements)
 
+    @property
+    def limited(self):
+        """Set of Incarnation : the processes that have a limit."""
+        kept = self._statements.items()
+        return {key for key, each in kept if each.limit_per_s is not None}
+
     @property
     def active_count(self):
         """Int : number of endpoints that have a limit."""
-        kept = self._statements.values()
-        return sum(each.limit_per_s is not None for each in kept)
+        return len(self.limited)
 
     def drop_expired(self, endpoints):
         """Drop what is no longer needed; called at intervals.
--- /dev/null
+++ b/src/sesamearch/forwarding/permit_ledger.py
@@ -0,0 +1,81 @@
+"""The accounts of permits that this router holds for all routers."""
+
+from sesamearch.forwarding.permits import (
+    GRANTED,
+    NO_CLAIM,
+    PermitAccount,
+    PermitRate,
+)
+
+__all__ = ["PermitLedger"]
+
+
+class PermitLedger:
+    """Holds one :class:`PermitAccount` for each limited process that it is asked for.
+
+    Parameters
+    ----------
+    clock : twisted.internet.interfaces.IReactorTime
+    limits : LimitTracker
+    """
+
+    __slots__ = ("_accounts", "_clock", "_limits", "_shares")
+
+    def __init__(self, clock, limits):
+        self._clock = clock
+        self._limits = limits
+        # By incarnation of the endpoint.
+        self._accounts = {}
+        self._shares = {}
+
+    def claim(self, incarnation, share_ratio, claim, on_decision):
+        """Grant or deny a claim to the permits of one process.
+
+        Parameters
+        ----------
+        incarnation : Incarnation
+        share_ratio : float
+            Part of the limit that this router may grant.
+        claim : PermitClaim
+        on_decision : callable
+
+        Returns
+        -------
+        PendingPermit
+        """
+        limit_per_s = self._limits.limit_of(incarnation)
+        if limit_per_s is None:
+            on_decision(GRANTED)
+            return NO_CLAIM
+        self._shares[incarnation] = share_ratio
+        rate = PermitRate(limit_per_s, share_ratio)
+        account = self._accounts.get(incarnation)
+        if account is None:
+            account = self._accounts[incarnation] = PermitAccount(self._clock, rate)
+        account.set_rate(rate)
+        return account.claim(claim, on_decision)
+
+    def open(self, incarnation, share_ratio):
+        """Begin to gather the permits of a process before the first claim."""
+        limit_per_s = self._limits.limit_of(incarnation)
+        if limit_per_s is not None and incarnation not in self._accounts:
+            self._shares[incarnation] = share_ratio
+            rate = PermitRate(limit_per_s, share_ratio)
+            self._accounts[incarnation] = PermitAccount(self._clock, rate)
+
+    def granted_s(self, incarnation):
+        """Return when a permit was last granted, or None if none is known of."""
+        account = self._accounts.get(incarnation)
+        return account.granted_s if account is not None else None
+
+    def refresh(self):
+        """Follow limits that have changed or ended; called at intervals."""
+        for incarnation, account in list(self._accounts.items()):
+            limit_per_s = self._limits.limit_of(incarnation)
+            if limit_per_s is None:
+                del self._accounts[incarnation]
+                del self._shares[incarnation]
+                account.close()
+            else:
+                share_ratio = self._shares[incarnation]
+                account.set_rate(PermitRate(limit_per_s, share_ratio))
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sesamearch.configuration.blackboard import Endpoint, Incarnation
+from sesamearch.forwarding.permits import NoPermits
 
 __all__ = [
     "CallerRequest",
@@ -228,11 +229,17 @@
         which its request was sent.
     is_paused : callable
         Returns whether an endpoint wants nothing from this router. Probes, copies and
-        the like are not sent to it then, and count as unanswered.
+        the like are not sent to it then.
+    is_limited : callable
+        Returns whether an endpoint limits the requests of all routers. Probes, copies
+        and the like are sent to it only with a permit.
+    permits : PermitSource
     """
 
     on_answer = None
     is_paused = staticmethod(lambda endpoint: False)
+    is_limited = staticmethod(lambda endpoint: False)
+    permits = NoPermits()
 
     @abc.abstractmethod
     def forward(self, request, options, listener):
@@ -301,6 +308,7 @@
 
         Returns
         -------
-        twisted.internet.defer.Deferred of bool
-            Whether it answered within `timeout_s`.
+        twisted.internet.defer.Deferred of bool or None
+            Whether it answered within `timeout_s`; None if no probe was sent, because
+            the endpoint is paused or has no permit for it.
         """
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -26,7 +26,6 @@
 HOLD_S = 0.3
 # A refusal is sent so long before the caller would leave that it still arrives.
 REFUSAL_MARGIN_S = 0.2
-LOWEST_URGENCY = 9
 # An engine that writes for so long does not end under the prompt.
 MIN_WRITTEN_S = 1.0
 # An engine that is lost so soon after the head of its answer had just begun to write.
@@ -65,7 +64,7 @@
         self._cause = ErrorKind.NO_ENDPOINT
         self._retry_timer = None
         self._search = EngineSearch(
-            self.tools, self.service, self.request, self.excluded
+            self.tools, self.service, self.request, self.excluded, self.permit
         )
         self._copies = self._search.copies
 
@@ -86,13 +85,6 @@
         """Int : number of tries that an engine may have run."""
         return self._allowance.runs
 
-    def _urgency(self):
-        organisation = self.organisation
-        rank = self.route.priority
-        if organisation is not None and organisation.priority is not None:
-            rank = organisation.priority
-        return min(rank, LOWEST_URGENCY)
-
     def _spend_retry_again(self):
         return self.tools.budgets.take(self.service.name)
 
@@ -105,15 +97,37 @@
             self._give_up_quarantined()
             return
         endpoint, copy = self._search.find(self._has_copy, self._is_resuming)
-        if endpoint is None:
-            # Engines that failed before may be back next time.
-            self.excluded.clear()
-            self._wait("no engine is available")
+        if endpoint is None or self.permit.is_exhausted:
+            self._wait_for_engine()
+        elif not self.permit.covers(endpoint):
+            self._claim_permit(endpoint, self._send)
         elif self._allowance.pay():
             self._send_to(endpoint, copy)
         else:
+            self.permit.withdraw()
             self._wait("too many retries")
 
+    def _wait_for_engine(self):
+        """Wait until an engine may be available again."""
+        detail = "no engine is available"
+        if self.permit.denied:
+            detail = "the engines take no more requests for now"
+            if self._cause is ErrorKind.NO_ENDPOINT:
+                self._cause = ErrorKind.OVERLOADED
+        # Engines that failed or denied a permit may be back next time.
+        self.excluded.clear()
+        self.permit.withdraw()
+        self.permit.reset()
+        self._wait(detail)
+
+    def _claim_permit(self, endpoint, proceed):
+        """Claim a permit for a limited engine, and go on once it is decided."""
+        wait_s = None
+        if self._is_resuming:
+            pause_s = patience_s(self.route) - REFUSAL_MARGIN_S - self._pause_s()
+            wait_s = max(0.0, pause_s)
+        self.claim_permit(endpoint, proceed, self._is_resuming, wait_s)
+
     @property
     def _is_resuming(self):
         return self._last_event is not None
@@ -131,7 +145,7 @@
             self.end_by_s,
             self.organisation.name if self.organisation else "",
             self._last_event,
-            self._urgency(),
+            self.rank,
             backup_address,
             copy,
         )
@@ -293,6 +307,9 @@
         """Cancel a suspected try and resume at another engine, or keep it for now."""
         attempt = self.tries[0]
         has_copy = self._timing.has_event_of(attempt)
+        if self.permit.is_pending:
+            self._suspicion.keep(Obstacle.NO_PERMIT)
+            return
         endpoint, copy = self._search.find_reachable(has_copy, self._is_resuming)
         obstacle = self._obstacle(endpoint)
         if obstacle is Obstacle.NO_ENGINE and self._is_in_vain():
@@ -303,12 +320,23 @@
             # Another engine may be free or reachable again next time.
             self.excluded.clear()
             self.excluded.add(attempt.endpoint.name)
+            if obstacle is Obstacle.NO_PERMIT:
+                self._claim_permit(endpoint, self._replace_suspected)
+            else:
+                self.permit.reset()
             return
         self._hold(attempt)
         self._cause = ErrorKind.ENDPOINT_LOST
         self._note_break()
         self._send_to(endpoint, copy)
 
+    def _replace_suspected(self):
+        """Replace the try now that a permit was decided, unless its engine answered."""
+        if self._suspicion.is_on and self.tries:
+            self._replace()
+        else:
+            self.permit.withdraw()
+
     # The try that another engine takes over from.
 
     def _hold(self, attempt):
@@ -379,4 +407,6 @@
             return Obstacle.QUARANTINED
         if endpoint is None:
             return Obstacle.NO_ENGINE
+        if not self.permit.covers(endpoint):
+            return Obstacle.NO_PERMIT
         return None if self._allowance.pay() else Obstacle.NO_BUDGET
--- a/src/sesamearch/forwarding/search.py
+++ b/src/sesamearch/forwarding/search.py
@@ -16,6 +16,7 @@
     request : CallerRequest
     excluded : set of str
         Names of engines not to choose; the caller changes it.
+    permit : RequestPermit
 
     Attributes
     ----------
@@ -23,9 +24,18 @@
     copies : CopyManager
     """
 
-    __slots__ = ("_excluded", "_request", "_service", "_tools", "copies", "need")
-
-    def __init__(self, tools, service, request, excluded):
+    __slots__ = (
+        "_excluded",
+        "_permit",
+        "_request",
+        "_service",
+        "_tools",
+        "copies",
+        "need",
+    )
+
+    def __init__(self, tools, service, request, excluded, permit):
+        self._permit = permit
         self._tools = tools
         self._service = service
         self._request = request
@@ -54,7 +64,11 @@
             Copy to resume from, if any.
         """
         endpoint, copy = self.copies.find()
-        if endpoint is not None and has_copy and not self._is_paused(endpoint):
+        held = self._permit.held_endpoint()
+        if held is not None:
+            has_copy = has_copy and endpoint is not None and endpoint.name == held.name
+            return held, copy if has_copy else None
+        if endpoint is not None and has_copy and self._is_available(endpoint):
             return endpoint, copy
         return self._find_without_copy(is_resuming), None
 
@@ -78,7 +92,7 @@
         endpoint = self._tools.endpoint_index.find(name)
         if endpoint is None or name in self._excluded or not self._is_usable(endpoint):
             return None
-        return None if self._is_paused(endpoint) else endpoint
+        return endpoint if self._is_available(endpoint) else None
 
     def _choose_any(self):
         return self._tools.chooser.for_generation(
@@ -88,6 +102,7 @@
             self._request.request_id,
             self._excluded,
             self._tools.prompts.find(self._request.last_part),
+            self._permit.denied,
         )
 
     def _is_usable(self, endpoint):
@@ -96,8 +111,11 @@
         is_staying = is_of_service and not endpoint.leaving
         return is_staying and is_admitted and self._is_reachable(endpoint)
 
-    def _is_paused(self, endpoint):
-        return self._tools.pauses.is_paused(endpoint)
+    def _is_available(self, endpoint):
+        """Return whether an engine neither asked for a pause nor denied a permit."""
+        if endpoint.name in self._permit.denied:
+            return False
+        return not self._tools.pauses.is_paused(endpoint)
 
     def _is_reachable(self, endpoint):
         is_down = self._tools.health.is_down(endpoint.name)
--- a/src/sesamearch/forwarding/stall.py
+++ b/src/sesamearch/forwarding/stall.py
@@ -153,6 +153,8 @@
         self._probe_due_s = self._tools.clock.seconds() + PROBE_INTERVAL_S
         if not self._is_current(attempt) or self._timing.has_event_of(attempt):
             return
+        if is_alive is None:
+            return
         if is_alive:
             self._trust(attempt)
         else:
--- a/src/sesamearch/forwarding/suspicion.py
+++ b/src/sesamearch/forwarding/suspicion.py
@@ -23,6 +23,7 @@
     NO_EVENT_NUMBERS = "no_event_numbers"
     QUARANTINED = "quarantined"
     REFUSED = "refused"
+    NO_PERMIT = "no_permit"
 
 
 class _Inputs(Protocol):
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -5,6 +5,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "accountant": ["ACCOUNTANTS", "AccountantOrder"],
         "broadcast_batcher": ["BATCH_INTERVAL_S", "BroadcastBatcher"],
         "broadcasts": ["Broadcasts"],
         "claim_relay": ["ClaimRelay", "choose_writer"],
@@ -32,6 +33,11 @@
             "LimitNotice",
             "LimitReport",
             "LoadUpdate",
+            "PERMIT_SCHEMA_VERSION",
+            "PermitReply",
+            "PermitRequest",
+            "PermitState",
+            "PermitWithdrawal",
             "RolloutUpdate",
             "RolloutVerdict",
             "TableRequest",
@@ -65,6 +71,7 @@
             "MemberList",
             "RouterInfo",
         ],
+        "permit_relay": ["PermitRelay"],
         "sockets": ["PeerSockets"],
     },
 )
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -164,6 +164,20 @@
         """Call `handler` with each broadcast update of a type."""
         self._broadcasts.handle(update_type, handler)
 
+    def handle_message(self, message_type, handler):
+        """Call `handler` with each message of a type that is sent to this router."""
+        self._message_handlers[message_type] = handler
+
+    def send_to(self, address, message):
+        """Send a message to one router.
+
+        Returns
+        -------
+        bool
+            False if it was not sent, because the connection is not established yet.
+        """
+        return self._send(address, message)
+
     def send_to_all(self, update):
         """Broadcast an update to every router."""
         self._broadcasts.send_to_all(update)
@@ -409,4 +423,6 @@
         except msgspec.DecodeError as error:
             logger.warning("dropped peer message that cannot be decoded: {}", error)
             return
-        self._message_handlers[type(message)](message)
+        handler = self._message_handlers.get(type(message))
+        if handler is not None:
+            handler(message)
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -1,5 +1,7 @@
 """Messages on the peer links of a large fleet, and the version of their layout."""
 
+import enum
+
 import msgspec
 
 from sesamearch.configuration.blackboard import Endpoint, Incarnation
@@ -16,6 +18,7 @@
     "LEAVING_SCHEMA_VERSION",
     "FLEET_SCHEMA_VERSION",
     "LIMIT_SCHEMA_VERSION",
+    "PERMIT_SCHEMA_VERSION",
     "QUARANTINE_SCHEMA_VERSION",
     "UNSTATED_ERA",
     "Broadcast",
@@ -31,6 +34,10 @@
     "FleetMessage",
     "LoadUpdate",
     "LossReport",
+    "PermitReply",
+    "PermitRequest",
+    "PermitState",
+    "PermitWithdrawal",
     "QuarantineUpdate",
     "RolloutUpdate",
     "RolloutVerdict",
@@ -42,6 +49,7 @@
 FLEET_SCHEMA_VERSION = 1
 LEAVING_SCHEMA_VERSION = 1
 LIMIT_SCHEMA_VERSION = 1
+PERMIT_SCHEMA_VERSION = 1
 QUARANTINE_SCHEMA_VERSION = 1
 # Era in messages of an earlier build, which does not state it.
 UNSTATED_ERA = -1
@@ -376,6 +384,87 @@
     broadcasts: list[Broadcast]
 
 
+class PermitRequest(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """A claim to a permit, sent to the accountant of an endpoint.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; messages of other versions are ignored.
+    address : str
+        Address of the sender, for the reply.
+    number : int
+        Identifies the claim within its sender.
+    data_centre : str
+        Data centre of the endpoint.
+    notice : LimitNotice
+        The process, and what the sender knows of its limit.
+    rank : int
+    has_begun : bool
+        As in :class:`PermitClaim`.
+    patience_s : float
+        Time for which the claim may wait.
+    """
+
+    schema_version: int
+    address: str
+    number: int
+    data_centre: str
+    notice: LimitNotice
+    rank: int
+    has_begun: bool
+    patience_s: float
+
+
+class PermitState(enum.Enum):
+    """What an accountant says of a claim."""
+
+    GRANTED = "granted"
+    WAITING = "waiting"
+    DENIED = "denied"
+    NOT_ACCOUNTANT = "not_accountant"
+
+
+class PermitReply(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """What became of a claim.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; messages of other versions are ignored.
+    name : str
+        Name of the accountant.
+    number : int
+        Number of the claim.
+    state : PermitState
+    wait_s : float
+        Time until another claim could be granted.
+    """
+
+    schema_version: int
+    name: str
+    number: int
+    state: PermitState
+    wait_s: float
+
+
+class PermitWithdrawal(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """A claim that is no longer needed, or a permit that was not used.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; messages of other versions are ignored.
+    address : str
+        Address of the sender of the claim.
+    number : int
+    """
+
+    schema_version: int
+    address: str
+    number: int
+
+
 FleetMessage = (
     FleetHeartbeat
     | BroadcastBatch
@@ -385,4 +474,7 @@
     | EndpointsSnapshot
     | EndpointsDelta
     | Broadcast
+    | PermitRequest
+    | PermitReply
+    | PermitWithdrawal
 )
--- a/src/sesamearch/membership/member_list.py
+++ b/src/sesamearch/membership/member_list.py
@@ -25,6 +25,8 @@
 # of the fleet at a time, so what they know of each other is older in a larger fleet.
 FORGET_TIMEOUT_S = 20.0
 FORGET_TIMEOUT_PER_ROUTER_S = 0.1
+# The same for a router to count as present, which it is unless it has just ended.
+PRESENT_TIMEOUT_S = 3.0
 
 
 class RouterInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -167,6 +169,13 @@
         """Set of str : names of all known routers except this one."""
         return self._entries.keys()
 
+    def present_routers(self, now_s):
+        """Return the other routers that some router has heard from lately."""
+        timeout_s = PRESENT_TIMEOUT_S + FORGET_TIMEOUT_PER_ROUTER_S * self.size
+        oldest_s = now_s - timeout_s
+        entries = self._entries.values()
+        return [entry.router for entry in entries if entry.alive_s >= oldest_s]
+
     @property
     def routers(self):
         """List of RouterInfo : all known routers except this one."""
--- /dev/null
+++ b/src/sesamearch/membership/permit_relay.py
@@ -0,0 +1,386 @@
+"""Permits of limited endpoints: claimed from their accountants, and granted to others.
+
+An endpoint's limit is for all routers together, so one of them, its accountant, grants
+the permits to send to it. The others ask it for each request.
+"""
+
+import itertools
+
+from sesamearch.base.log import logger
+from sesamearch.forwarding.permit_ledger import PermitLedger
+from sesamearch.forwarding.permits import (
+    NO_CLAIM,
+    PendingPermit,
+    PermitClaim,
+    PermitDecision,
+    PermitSource,
+)
+from sesamearch.membership.accountant import AccountantOrder
+from sesamearch.membership.fleet_message import (
+    PERMIT_SCHEMA_VERSION,
+    PermitReply,
+    PermitRequest,
+    PermitState,
+    PermitWithdrawal,
+)
+from sesamearch.membership.limit_gossip import make_notice, read_notice
+
+__all__ = ["PermitRelay"]
+
+# An accountant that has not answered by then is taken for silent.
+ANSWER_TIMEOUT_S = 0.15
+# A message is sent again after this time while the connection is being established.
+CONNECT_RETRY_S = 0.01
+MAX_SENDS = 12
+# A silent accountant is asked again after this time.
+SILENCE_S = 2.0
+# Without an accountant, permits are claimed again after this time.
+UNANSWERED_WAIT_S = 0.5
+# A limited endpoint to which no request was sent for so long is asked for its limit.
+TRIAL_INTERVAL_S = 5.0
+# A permit that was granted to another router can be given back for so long.
+RETURN_TIMEOUT_S = 1.0
+
+
+class _AskedClaim(PendingPermit):
+    """A claim of this router that its accountants decide."""
+
+    __slots__ = (
+        "accountants",
+        "asked",
+        "claim",
+        "endpoint",
+        "number",
+        "on_cancel",
+        "on_decision",
+        "own_claim",
+        "timer",
+    )
+
+    def __init__(self, number, endpoint, claim, on_decision, on_cancel):
+        self.number = number
+        self.endpoint = endpoint
+        self.claim = claim
+        self.on_decision = on_decision
+        self.on_cancel = on_cancel
+        # Accountants that are still to be asked, and the one that was asked last.
+        self.accountants = []
+        self.asked = None
+        # The claim at this router's own ledger, if it is the accountant.
+        self.own_claim = NO_CLAIM
+        self.timer = None
+
+    def cancel(self):
+        """Withdraw the claim, or give back its permit."""
+        self.on_cancel(self)
+
+
+class _ServedClaim:
+    """A claim of another router that this one decides as an accountant."""
+
+    __slots__ = ("ends_s", "pending", "state")
+
+    def __init__(self):
+        self.pending = NO_CLAIM
+        self.state = PermitState.WAITING
+        self.ends_s = float("inf")
+
+
+class PermitRelay(PermitSource):
+    """Claims permits from the accountants of endpoints, and is one for others.
+
+    Parameters
+    ----------
+    limits : LimitTracker
+    find_endpoint : callable
+        Returns the listed endpoint with a name, or None.
+    clock : twisted.internet.interfaces.IReactorTime
+    counters : ForwardCounters
+    """
+
+    __slots__ = (
+        "_asked",
+        "_clock",
+        "_counters",
+        "_find_endpoint",
+        "_free_s",
+        "_ledger",
+        "_limits",
+        "_numbers",
+        "_opened",
+        "_order",
+        "_peers",
+        "_served",
+        "_silent_until_s",
+    )
+
+    def __init__(self, limits, find_endpoint, clock, counters):
+        self._limits = limits
+        self._find_endpoint = find_endpoint
+        self._clock = clock
+        self._counters = counters
+        self._ledger = PermitLedger(clock, limits)
+        self._order = AccountantOrder(clock)
+        self._peers = None
+        self._numbers = itertools.count(1)
+        # Claims of this router by number, and those of others by address and number.
+        self._asked = {}
+        self._served = {}
+        self._silent_until_s = {}
+        # Processes whose limits this router has considered as their accountant.
+        self._opened = set()
+        # When endpoints may have a permit, as last heard, by name.
+        self._free_s = {}
+
+    def join(self, peers):
+        """Ask and answer the other routers through a :class:`FleetLink`."""
+        self._peers = peers
+        self._order.join(peers.member_list)
+        peers.handle_message(PermitRequest, self._on_request)
+        peers.handle_message(PermitReply, self._on_reply)
+        peers.handle_message(PermitWithdrawal, self._on_withdrawal)
+
+    # Claims of this router.
+
+    def claim(self, endpoint, claim, on_decision):
+        """Claim a permit; see ``PermitSource``."""
+        self._counters.permits_claimed += 1
+        is_hopeless = self._clock.seconds() + self.wait_s(endpoint) > claim.by_s
+        if is_hopeless and not claim.has_begun:
+            self._counters.permits_denied += 1
+            on_decision(PermitDecision(False, self.wait_s(endpoint)))
+            return NO_CLAIM
+        number = next(self._numbers)
+        asked = _AskedClaim(number, endpoint, claim, on_decision, self._withdraw)
+        if self._order.own is None:
+            self._claim_own(asked)
+        else:
+            self._asked[number] = asked
+            asked.accountants = self._live_accountants(endpoint)
+            self._ask_next(asked)
+        return asked
+
+    def _live_accountants(self, endpoint):
+        now_s = self._clock.seconds()
+        accountants = self._order.accountants(endpoint.name, endpoint.data_centre)
+        return [
+            each
+            for each in accountants
+            if self._silent_until_s.get(each.name, now_s) <= now_s
+        ]
+
+    def _ask_next(self, asked):
+        """Ask the next accountant."""
+        if not asked.accountants:
+            self._decide_unanswered(asked)
+            return
+        asked.asked = asked.accountants.pop(0)
+        if asked.asked == self._order.own:
+            self._claim_own(asked)
+            return
+        asked.timer = self._clock.callLater(
+            ANSWER_TIMEOUT_S, self._handle_silence, asked
+        )
+        self._send(asked.asked.address, self._make_request(asked))
+
+    def _decide_unanswered(self, asked):
+        self._counters.permits_unanswered += 1
+        decision = PermitDecision(False, UNANSWERED_WAIT_S, is_answered=False)
+        self._decide(asked, decision)
+
+    def _claim_own(self, asked):
+        endpoint = asked.endpoint
+        share_ratio = self._order.share_ratio(endpoint.name, endpoint.data_centre)
+        if not share_ratio:
+            self._decide_unanswered(asked)
+            return
+        key = self._limits.key_of(endpoint)
+        asked.own_claim = self._ledger.claim(
+            key, share_ratio, asked.claim, lambda each: self._decide(asked, each)
+        )
+
+    def _make_request(self, asked):
+        now_s = self._clock.seconds()
+        statement = self._limits.find(asked.endpoint)
+        key = self._limits.key_of(asked.endpoint)
+        return PermitRequest(
+            PERMIT_SCHEMA_VERSION,
+            self._order.own.address,
+            asked.number,
+            asked.endpoint.data_centre,
+            make_notice(key, statement, now_s),
+            asked.claim.rank,
+            asked.claim.has_begun,
+            max(0.0, asked.claim.by_s - now_s),
+        )
+
+    def _send(self, address, message, tries=MAX_SENDS):
+        """Send a message, again while the connection is being established."""
+        is_sent = self._peers.send_to(address, message)
+        if not is_sent and tries > 1:
+            self._clock.callLater(
+                CONNECT_RETRY_S, self._send, address, message, tries - 1
+            )
+
+    def _handle_silence(self, asked):
+        name = asked.asked.name
+        until_s = self._clock.seconds() + SILENCE_S
+        if self._silent_until_s.get(name, 0.0) < self._clock.seconds():
+            logger.info("accountant is silent name={} until_s={:.1f}", name, until_s)
+        self._silent_until_s[name] = until_s
+        self._ask_next(asked)
+
+    def _on_reply(self, reply):
+        if not _is_known(reply):
+            return
+        self._silent_until_s.pop(reply.name, None)
+        asked = self._asked.get(reply.number)
+        if asked is None or asked.asked.name != reply.name:
+            if reply.state is PermitState.GRANTED:
+                self._send_withdrawal(reply.name, reply.number)
+            return
+        if reply.state is PermitState.WAITING:
+            patience_s = max(0.0, asked.claim.by_s - self._clock.seconds())
+            self._stop_timer(asked)
+            asked.timer = self._clock.callLater(
+                patience_s + ANSWER_TIMEOUT_S, self._handle_silence, asked
+            )
+        elif reply.state is PermitState.NOT_ACCOUNTANT:
+            self._stop_timer(asked)
+            self._ask_next(asked)
+        else:
+            is_granted = reply.state is PermitState.GRANTED
+            self._decide(asked, PermitDecision(is_granted, reply.wait_s))
+
+    def _decide(self, asked, decision):
+        self._forget(asked)
+        self._note_decision(asked, decision)
+
+    def _note_decision(self, asked, decision):
+        name = asked.endpoint.name
+        self._free_s[name] = self._clock.seconds() + decision.wait_s
+        if decision.is_granted:
+            self._counters.permits_granted += 1
+        else:
+            self._counters.permits_denied += 1
+        asked.on_decision(decision)
+
+    def _forget(self, asked):
+        self._stop_timer(asked)
+        self._asked.pop(asked.number, None)
+
+    def _stop_timer(self, asked):
+        timer, asked.timer = asked.timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _withdraw(self, asked):
+        """Withdraw a claim, or give back its permit."""
+        self._forget(asked)
+        asked.own_claim.cancel()
+        if asked.asked is not None and asked.asked != self._order.own:
+            self._send_withdrawal(asked.asked.name, asked.number)
+
+    def _send_withdrawal(self, name, number):
+        router = self._peers.member_list.find(name)
+        if router is not None:
+            own = self._order.own.address
+            withdrawal = PermitWithdrawal(PERMIT_SCHEMA_VERSION, own, number)
+            self._send(router.address, withdrawal)
+
+    # What is known of endpoints.
+
+    def wait_s(self, endpoint):
+        """Return the time until a permit may be free; see ``PermitSource``."""
+        free_s = self._free_s.get(endpoint.name, 0.0)
+        return max(0.0, free_s - self._clock.seconds())
+
+    def is_trial_due(self, endpoint):
+        """Return whether to ask an endpoint for its limit; see ``PermitSource``."""
+        if not self._is_first(endpoint):
+            return False
+        heard_s = self._limits.find(endpoint).heard_s
+        granted_s = self._ledger.granted_s(self._limits.key_of(endpoint)) or heard_s
+        last_s = max(granted_s, heard_s)
+        return self._clock.seconds() - last_s >= TRIAL_INTERVAL_S
+
+    def refresh(self):
+        """Follow changed limits and drop what is over; called at intervals."""
+        self._ledger.refresh()
+        self._open_accounts()
+        now_s = self._clock.seconds()
+        over = [key for key, each in self._served.items() if each.ends_s <= now_s]
+        for key in over:
+            del self._served[key]
+        self._free_s = {n: s for n, s in self._free_s.items() if s > now_s}
+        silent = self._silent_until_s.items()
+        self._silent_until_s = {n: s for n, s in silent if s > now_s}
+
+    def _open_accounts(self):
+        """Open accounts for new limits, if this router is their first accountant."""
+        limited = self._limits.limited
+        for incarnation in limited - self._opened:
+            endpoint = self._find_endpoint(incarnation.name)
+            if endpoint is not None and self._is_first(endpoint):
+                self._ledger.open(incarnation, 1.0)
+        self._opened = limited
+
+    def _is_first(self, endpoint):
+        order = self._order.accountants(endpoint.name, endpoint.data_centre)
+        return bool(order) and order[0] == self._order.own
+
+    # Claims of other routers.
+
+    def _on_request(self, request):
+        if not _is_known(request):
+            return
+        notice = request.notice
+        now_s = self._clock.seconds()
+        self._limits.update(notice.incarnation, read_notice(notice, now_s))
+        name = notice.incarnation.name
+        share_ratio = self._order.share_ratio(name, request.data_centre)
+        served = _ServedClaim()
+
+        def reply(state, wait_s):
+            served.state = state
+            message = PermitReply(
+                PERMIT_SCHEMA_VERSION,
+                self._order.own.name,
+                request.number,
+                state,
+                wait_s,
+            )
+            self._send(request.address, message)
+
+        def decide(decision):
+            served.ends_s = self._clock.seconds() + RETURN_TIMEOUT_S
+            is_granted = decision.is_granted
+            state = PermitState.GRANTED if is_granted else PermitState.DENIED
+            reply(state, decision.wait_s)
+
+        if not share_ratio:
+            reply(PermitState.NOT_ACCOUNTANT, 0.0)
+            return
+        claim = PermitClaim(request.rank, request.has_begun, now_s + request.patience_s)
+        served.pending = self._ledger.claim(
+            notice.incarnation, share_ratio, claim, decide
+        )
+        self._served[request.address, request.number] = served
+        if served.state is PermitState.WAITING:
+            reply(PermitState.WAITING, 0.0)
+
+    def _on_withdrawal(self, withdrawal):
+        if not _is_known(withdrawal):
+            return
+        key = withdrawal.address, withdrawal.number
+        served = self._served.pop(key, None)
+        if served is not None:
+            served.pending.cancel()
+
+
+def _is_known(message):
+    if message.schema_version == PERMIT_SCHEMA_VERSION:
+        return True
+    version = message.schema_version
+    logger.warning("ignored permit message of schema version {}", version)
+    return False
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from sesamearch.base.log import logger
+from sesamearch.forwarding.permits import NoPermits, PermitClaim
 from sesamearch.forwarding.request import EndpointClient, MemoryCopy
 from sesamearch.platform.headers import (
     decode_answer,
@@ -35,6 +36,9 @@
 IDLE_REUSE_RATIO = 0.6
 DEFAULT_KEEP_ALIVE_S = 0.4
 SWEEP_INTERVAL_S = 0.5
+# Probes and the like go after all requests of callers, and wait little for a permit.
+PROBE_RANK = 10
+PROBE_PERMIT_WAIT_S = 0.2
 
 
 def _idle_timeout_s(head):
@@ -131,6 +135,10 @@
     def without_answer(self):
         """Return the result if there is no answer."""
 
+    def not_sent(self):
+        """Return the result if the request is not sent."""
+        return self.without_answer()
+
     @abc.abstractmethod
     def handle_head(self, head):
         """Handle the head of the answer."""
@@ -209,6 +217,9 @@
     def without_answer(self):
         return False
 
+    def not_sent(self):
+        return None
+
     def handle_head(self, head):
         self.resolve(True)
 
@@ -238,13 +249,22 @@
     reactor : twisted.internet.interfaces.IReactorTCP
     """
 
-    __slots__ = ("_pools", "_reactor", "is_paused", "on_answer")
+    __slots__ = (
+        "_pools",
+        "_reactor",
+        "is_limited",
+        "is_paused",
+        "on_answer",
+        "permits",
+    )
 
     def __init__(self, reactor):
         self._reactor = reactor
         self._pools = {}
         self.on_answer = None
         self.is_paused = lambda endpoint: False
+        self.is_limited = lambda endpoint: False
+        self.permits = NoPermits()
 
     def _pool(self, endpoint):
         pool = self._pools.get(endpoint.name)
@@ -322,12 +342,26 @@
         """
         receiver = receiver_type(self._note_of(endpoint))
         if self.is_paused(endpoint):
-            return succeed(receiver.without_answer())
+            return succeed(receiver.not_sent())
         answered = receiver.answered
-        pending_request = self._pool(endpoint).send(
-            outgoing, receiver, force_new_connection=True
-        )
-        receiver.start(pending_request, self._reactor, timeout_s)
+
+        def send():
+            pending_request = self._pool(endpoint).send(
+                outgoing, receiver, force_new_connection=True
+            )
+            receiver.start(pending_request, self._reactor, timeout_s)
+
+        def decide(decision):
+            if decision.is_granted:
+                send()
+            else:
+                receiver.resolve(receiver.not_sent())
+
+        if self.is_limited(endpoint):
+            by_s = self._reactor.seconds() + PROBE_PERMIT_WAIT_S
+            self.permits.claim(endpoint, PermitClaim(PROBE_RANK, False, by_s), decide)
+        else:
+            send()
         return answered
 
     def discard_unlisted(self, endpoints):
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -11,8 +11,10 @@
 from sesamearch.forwarding.endpoint_index import EndpointIndex
 from sesamearch.forwarding.gate import OpenGate
 from sesamearch.forwarding.health import HealthTracker
+from sesamearch.forwarding.limits import LimitTracker
 from sesamearch.forwarding.load import EndpointLoad, LoadTracker
 from sesamearch.forwarding.pauses import PauseTracker
+from sesamearch.forwarding.permits import NoPermits
 from sesamearch.forwarding.request import EndpointAnswer
 from sesamearch.routing.table import EngineTraits
 from tests.forwarding.test_outage import make_outages
@@ -31,6 +33,8 @@
         self.loads = LoadTracker(self.clock)
         self.outages = make_outages(self.clock, self.board)
         self.pauses = PauseTracker(self.clock, ForwardCounters(), random.Random(1))
+        self.limits = LimitTracker(self.clock, ForwardCounters())
+        self.permits = NoPermits()
         endpoint_index = EndpointIndex(self.board, self.health)
         self.chooser = Chooser(
             endpoint_index,
@@ -40,6 +44,8 @@
             OpenGate(),
             self.outages,
             self.pauses,
+            self.limits,
+            self.permits,
             random.Random(1),
         )
         endpoints = [
--- a/tests/platform/limit_storm.py
+++ b/tests/platform/limit_storm.py
@@ -51,9 +51,11 @@
         self.network.callLater(delay_s, setattr, worker, "limit", text)
 
     def send(self, router=None, path=None, **fields):
-        """Send a request of a caller that does not repeat it."""
+        """Send a request of a caller that does not repeat it; None if no router is."""
         number = len(self.clients)
         live = [n for n, each in enumerate(self.routers) if each is not None]
+        if not live:
+            return None
         router = self.random.choice(live) if router is None else router
         path = path or self.random.choice(("/post/1", "/look/1"))
         if path.startswith("/draft/"):
@@ -61,12 +63,21 @@
         else:
             method = "POST" if path.startswith("/post/") else "GET"
             data = request_bytes(path, f"q{number}", method, **fields)
-        client = self.connect(router).send(data)
+        client = self.connect(router)
+        if client.transport is None:
+            # The router has just ended.
+            return client
+        client.send(data)
         client.sent_s = self.now_s
         client.path = path
+        client.took_s = 0.0
+        client.on_data = self._note_answer
         self.clients.append(client)
         return client
 
+    def _note_answer(self, client):
+        client.took_s = client.took_s or self.now_s - client.sent_s
+
     def send_for(self, seconds, rate, router=None, path=None):
         """Send requests at random times, at random routers or at one of them."""
         until_s = self.now_s + seconds
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -151,9 +151,12 @@
         self.received = b""
         self.is_closed = False
         self.was_reset = False
+        self.on_data = None
 
     def dataReceived(self, data):
         self.received += data
+        if self.on_data is not None:
+            self.on_data(self)
 
     def connectionLost(self, reason):
         self.is_closed = True
