--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -47,10 +47,10 @@
 
     def _send(self):
         endpoint = self._choose()
-        if endpoint is None:
-            self._give_up_unsent()
-        elif self.permit.covers(endpoint):
+        if endpoint is not None and self.permit.covers(endpoint):
             self._send_to(endpoint)
+        elif endpoint is None or self.permit.is_exhausted:
+            self._give_up_unsent()
         else:
             self.claim_permit(endpoint, self._send)
 
--- a/src/sesamearch/forwarding/limits.py
+++ b/src/sesamearch/forwarding/limits.py
@@ -70,9 +70,18 @@
     on_answer : callable or None
         Called with an :class:`Incarnation` and its :class:`LimitStatement` if an answer
         to this router has changed the limit.
+    on_change : callable or None
+        Called with an :class:`Incarnation` whose limit has begun, changed or ended.
     """
 
-    __slots__ = ("_clock", "_counters", "_statements", "_warned_s", "on_answer")
+    __slots__ = (
+        "_clock",
+        "_counters",
+        "_statements",
+        "_warned_s",
+        "on_answer",
+        "on_change",
+    )
 
     def __init__(self, clock, counters):
         self._clock = clock
@@ -80,6 +89,7 @@
         self._statements = {}
         self._warned_s = {}
         self.on_answer = None
+        self.on_change = None
 
     def note_answer(self, endpoint, answer, asked_s):
         """Record what an answer says of the limit.
@@ -141,6 +151,8 @@
             return False
         self._counters.limit_changes += 1
         self._log(incarnation, before, statement, source)
+        if self.on_change is not None:
+            self.on_change(incarnation)
         return True
 
     def _log(self, incarnation, before, statement, source):
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -97,10 +97,13 @@
             self._give_up_quarantined()
             return
         endpoint, copy = self._search.find(self._has_copy, self._is_resuming)
-        if endpoint is None or self.permit.is_exhausted:
+        if endpoint is None:
             self._wait_for_engine()
         elif not self.permit.covers(endpoint):
-            self._claim_permit(endpoint, self._send)
+            if self.permit.is_exhausted:
+                self._wait_for_engine()
+            else:
+                self._claim_permit(endpoint, self._send)
         elif self._allowance.pay():
             self._send_to(endpoint, copy)
         else:
@@ -323,6 +326,7 @@
             if obstacle is Obstacle.NO_PERMIT:
                 self._claim_permit(endpoint, self._replace_suspected)
             else:
+                self.permit.withdraw()
                 self.permit.reset()
             return
         self._hold(attempt)
--- a/src/sesamearch/membership/permit_relay.py
+++ b/src/sesamearch/membership/permit_relay.py
@@ -127,6 +127,7 @@
         self._asked = {}
         self._served = {}
         self._silent_until_s = {}
+        limits.on_change = self._note_change
         # Processes whose limits this router has considered as their accountant.
         self._opened = set()
         # When endpoints may have a permit, as last heard, by name.
@@ -304,6 +305,11 @@
         last_s = max(granted_s, heard_s)
         return self._clock.seconds() - last_s >= TRIAL_INTERVAL_S
 
+    def _note_change(self, incarnation):
+        """Follow a changed limit at once."""
+        self._free_s.pop(incarnation.name, None)
+        self._ledger.refresh()
+
     def refresh(self):
         """Follow changed limits and drop what is over; called at intervals."""
         self._ledger.refresh()
