Let endpoints name limits in the soak, beside its other faults

All endpoints of some seeds (those that have neither fatal prompts nor planned work alone, and two of the latter) name limits that add up to less than callers ask for, until the end of the faults; every arrival at them is noted, and counts unless its router was itself disturbed. Faults and order of no seed change.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,7 +11,7 @@
 from sesamearch.platform.store import PlatformStore
 from sesamearch.store.store import Put
 from soak.link import Link, LinkState
-from soak.note import Acknowledged, Command, RunBegan
+from soak.note import Acknowledged, Command, LimitedArrival, LimitNamed, RunBegan
 from soak.process import RouterProcess, StandinProcess
 from soak.promise import Disturbance, KeyValidity, ObservedRun
 
@@ -147,6 +147,7 @@
         self.name = ""
         self.process = None
         self.is_draining = False
+        self._limit_per_s = None
         self.start()
 
     def start(self):
@@ -162,6 +163,8 @@
         )
         self.process.on_exit = self._handle_exit
         self.process.start()
+        if self._limit_per_s is not None:
+            self.name_limit(self._limit_per_s)
 
     def _handle_exit(self, process):
         """Start a new process in place of one that a prompt ended."""
@@ -174,6 +177,12 @@
         self.process.kill()
         self._deployment.reactor.callLater(ENDPOINT_RESTART_DELAY_S, self._restart)
 
+    def name_limit(self, limit_per_s):
+        """Have the process name a limit in its answers from now on; None for none."""
+        self._limit_per_s = limit_per_s
+        text = "" if limit_per_s is None else str(limit_per_s)
+        self.process.send_command(Command(limit=text))
+
     def drain(self):
         """Drain the endpoint; replace its process after ``DRAIN_S``."""
         self.is_draining = True
@@ -261,9 +270,27 @@
         elif isinstance(note, Acknowledged):
             if note.state == "draining":
                 self.history.drain_acknowledged_s.setdefault(note.endpoint, note.at_s)
+        elif isinstance(note, LimitNamed):
+            self.history.limits.append(note)
+        elif isinstance(note, LimitedArrival):
+            arrivals = self.history.limited_arrivals
+            arrivals.setdefault(note.endpoint, []).append(note)
         else:
             self._runs[note.endpoint, note.number].ended = note
 
+    def name_limits(self, limits):
+        """Have each endpoint name its limit of a :class:`PlannedLimits`."""
+        for endpoint in self.endpoints:
+            is_service = endpoint.number < self._size.services
+            endpoint.name_limit(
+                limits.service_per_s if is_service else limits.engine_per_s
+            )
+
+    def end_limits(self):
+        """Have no endpoint name a limit any more."""
+        for endpoint in self.endpoints:
+            endpoint.name_limit(None)
+
     @property
     def newest_key(self):
         """Str : API key added by the latest configuration."""
--- a/soak/note.py
+++ b/soak/note.py
@@ -2,7 +2,16 @@
 
 import msgspec
 
-__all__ = ["Acknowledged", "Command", "RunBegan", "RunEnded", "decode_note", "encode"]
+__all__ = [
+    "Acknowledged",
+    "Command",
+    "LimitNamed",
+    "LimitedArrival",
+    "RunBegan",
+    "RunEnded",
+    "decode_note",
+    "encode",
+]
 
 
 class RunBegan(msgspec.Struct, tag="began"):
@@ -69,6 +78,40 @@
     at_s: float
 
 
+class LimitNamed(msgspec.Struct, tag="limit"):
+    """An endpoint names a limit in its answers from now on.
+
+    Parameters
+    ----------
+    endpoint : str
+        Instance id of the endpoint.
+    limit_per_s : float
+        Requests a second from all routers together.
+    at_s : float
+    """
+
+    endpoint: str
+    limit_per_s: float
+    at_s: float
+
+
+class LimitedArrival(msgspec.Struct, tag="arrival"):
+    """A request of any kind reached an endpoint that names a limit.
+
+    Parameters
+    ----------
+    endpoint : str
+        Instance id of the endpoint.
+    request_id : str
+        Empty for a probe or the like.
+    at_s : float
+    """
+
+    endpoint: str
+    request_id: str
+    at_s: float
+
+
 class Command(msgspec.Struct):
     """A change of a stand-in's behaviour; fields that are None change nothing.
 
@@ -82,6 +125,8 @@
         Status code of the responses of a plain endpoint.
     state : str or None
         State that the endpoint registers in the store.
+    limit : str or None
+        Requests a second that the endpoint names as its limit.
     refusal : int or None
         Status code with which the store refuses all requests; zero serves them.
     lost_answers : int or None
@@ -95,6 +140,7 @@
     fault: str | None = None
     status: int | None = None
     state: str | None = None
+    limit: str | None = None
     refusal: int | None = None
     lost_answers: int | None = None
     is_silent: bool | None = None
@@ -102,4 +148,6 @@
 
 
 encode = msgspec.json.Encoder().encode
-decode_note = msgspec.json.Decoder(RunBegan | RunEnded | Acknowledged).decode
+decode_note = msgspec.json.Decoder(
+    RunBegan | RunEnded | Acknowledged | LimitNamed | LimitedArrival
+).decode
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -11,6 +11,7 @@
     "DeploymentSize",
     "FaultKind",
     "FaultPlan",
+    "PlannedLimits",
     "ScheduledFault",
     "generate_plan",
 ]
@@ -26,6 +27,13 @@
 FATAL_PROMPTS_BESIDE_WORK_EVERY = 24
 FATAL_PROMPTS_FROM_S = 1.0
 FATAL_PART = "dead"
+# Seeds whose endpoints name limits, chosen in the same way. Together they take less
+# than callers ask for.
+LIMITS_EVERY = 4
+LIMITS_BESIDE_WORK_EVERY = 24
+LIMITS_FROM_S = 1.0
+SERVICE_LIMIT_PER_S = 5.0
+ENGINE_LIMIT_PER_S = 0.6
 
 
 class FaultKind(StrEnum):
@@ -140,6 +148,22 @@
     for_s: float
 
 
+class PlannedLimits(msgspec.Struct, frozen=True):
+    """Limits that the endpoints name until the end of the faults.
+
+    Parameters
+    ----------
+    from_s : float
+        Start, counted from the start of the traffic.
+    service_per_s, engine_per_s : float
+        Requests a second that each service and each engine takes from all routers.
+    """
+
+    from_s: float
+    service_per_s: float
+    engine_per_s: float
+
+
 class FaultPlan(msgspec.Struct, frozen=True):
     """All faults of a run, ordered by start time.
 
@@ -153,6 +177,7 @@
     fatal_from_s : float or None
         Time from which some prompts end each engine that begins to write on them; None
         for never.
+    limits : PlannedLimits or None
     """
 
     seed: int
@@ -160,6 +185,7 @@
     faults_s: float
     faults: list[ScheduledFault]
     fatal_from_s: float | None = None
+    limits: PlannedLimits | None = None
 
     @property
     def is_planned_work(self):
@@ -202,7 +228,16 @@
         faults.append(ScheduledFault(kind, number, round(at_s, 3), round(for_s, 3)))
         at_s += rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
     fatal_from_s = FATAL_PROMPTS_FROM_S if _has_fatal_prompts(seed) else None
-    return FaultPlan(seed, size, faults_s, faults, fatal_from_s)
+    limits = None
+    if _has_limits(seed):
+        limits = PlannedLimits(LIMITS_FROM_S, SERVICE_LIMIT_PER_S, ENGINE_LIMIT_PER_S)
+    return FaultPlan(seed, size, faults_s, faults, fatal_from_s, limits)
+
+
+def _has_limits(seed):
+    if seed % PLANNED_WORK_EVERY:
+        return seed % LIMITS_EVERY == 2
+    return seed % LIMITS_BESIDE_WORK_EVERY == 18
 
 
 def _has_fatal_prompts(seed):
--- a/soak/promise.py
+++ b/soak/promise.py
@@ -21,6 +21,7 @@
     "few ends",
     "final answer",
     "in force",
+    "limit",
     "revoked",
     "stopped",
 )
@@ -56,6 +57,9 @@
     counted_ends, contact_s, late_arrivals : int, float, int
         Of the requests under whose prompts engines end, how many may reach engines
         later than `contact_s` after the engine that ended as number `counted_ends`.
+    limit_window_s, limit_ratio, limit_slack : float, float, int
+        From `contact_s` after an endpoint named its limit, a window holds no more than
+        `limit_ratio` times what the limit allows, and `limit_slack`.
     """
 
     apply_s: float = 2.0
@@ -66,6 +70,9 @@
     counted_ends: int = 5
     contact_s: float = 3.0
     late_arrivals: int = 3
+    limit_window_s: float = 4.0
+    limit_ratio: float = 1.5
+    limit_slack: int = 5
 
 
 class ObservedRun:
@@ -159,6 +166,9 @@
     keys : dict from str to KeyValidity
     drain_acknowledged_s : dict from str to float
         When the store acknowledged an endpoint's draining, by instance id.
+    limits : list of soak.note.LimitNamed
+    limited_arrivals : dict from str to list of soak.note.LimitedArrival
+        What reached endpoints that name a limit, by instance id.
     disturbances : list of Disturbance
     checks : collections.Counter
         Number of checks by promise.
@@ -170,6 +180,8 @@
         self.runs = {}
         self.keys = {}
         self.drain_acknowledged_s = {}
+        self.limits = []
+        self.limited_arrivals = {}
         self.disturbances = []
         self.checks = Counter()
 
@@ -222,6 +234,8 @@
             self._check_key(attempt, runs)
             self._check_time(attempt, runs)
         self._check_fatal_prompts()
+        for named in self._history.limits:
+            self._check_limit(named)
         for request_id in self._history.runs:
             known = request_id in self._history.attempts
             self._check("asked", known, request_id, "no caller sent this request")
@@ -251,6 +265,43 @@
         detail = f"{len(ends_s)} engines ended, later arrivals at {late}"
         self._check("few ends", len(late) <= bounds.late_arrivals, "", detail)
 
+    def _check_limit(self, named):
+        """Check that an endpoint got no more than it named, from sound routers."""
+        bounds, history = self._bounds, self._history
+        allowed = bounds.limit_window_s * named.limit_per_s * bounds.limit_ratio
+        allowed += bounds.limit_slack
+        times = [
+            each.at_s
+            for each in history.limited_arrivals.get(named.endpoint, [])
+            if each.at_s >= named.at_s + bounds.contact_s and self._counts(each)
+        ]
+        for index, begin_s in enumerate(times):
+            until_s = begin_s + bounds.limit_window_s
+            if not history.is_endpoint_undisturbed(
+                named.endpoint, begin_s, until_s, bounds
+            ):
+                continue
+            arrived = sum(at_s <= until_s for at_s in times[index:])
+            detail = (
+                f"{named.endpoint}: {arrived} in {bounds.limit_window_s} s, "
+                f"limit {named.limit_per_s} a second"
+            )
+            self._check("limit", arrived <= allowed, "", detail)
+
+    def _counts(self, arrival):
+        """Return whether an arrival came from a router that nothing disturbed itself.
+
+        Disturbances of the store and of other routers excuse nothing.
+        """
+        attempt = self._history.attempts.get(arrival.request_id)
+        if attempt is None:
+            return True
+        since_s = arrival.at_s - self._bounds.settle_s
+        return not any(
+            each.router == attempt.router and each.overlaps(since_s, arrival.at_s)
+            for each in self._history.disturbances
+        )
+
     def _check_response(self, attempt, runs):
         name = attempt.request_id
         if attempt.status == 200 and attempt.kind is RequestKind.DRAFT:
--- a/soak/run.py
+++ b/soak/run.py
@@ -112,12 +112,16 @@
                 "has_fatal_prompts",
                 True,
             )
+        limits = self._plan.limits
+        if limits is not None:
+            reactor.callLater(limits.from_s, self.deployment.name_limits, limits)
         for fault in self._plan.faults:
             reactor.callLater(fault.at_s, self._injector.inject, fault)
         last_fault_end_s = max(
             (fault.at_s + fault.for_s for fault in self._plan.faults), default=0.0
         )
         await deferLater(reactor, max(self._plan.faults_s, last_fault_end_s))
+        self.deployment.end_limits()
 
     async def _recover(self):
         """Wait until each router serves again, for at most ``RECOVERY_TIMEOUT_S``."""
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -23,7 +23,16 @@
 )
 from sesamearch.store.store import Put  # noqa: E402
 from sesamearch.wire.caller import CallerFactory, CallerLimits  # noqa: E402
-from soak.note import Acknowledged, Command, RunBegan, RunEnded, encode  # noqa: E402
+from sesamearch.wire.head import first_value  # noqa: E402
+from soak.note import (  # noqa: E402
+    Acknowledged,
+    Command,
+    LimitedArrival,
+    LimitNamed,
+    RunBegan,
+    RunEnded,
+    encode,
+)
 from soak.plan import EVENTS_PER_GENERATION, FATAL_PART  # noqa: E402
 
 LEASE_TTL_S = 2.5
@@ -54,10 +63,24 @@
 
 
 class _RunReporter:
-    """Mixin of stand-in workers that sends a note at the start and end of each run."""
+    """Mixin of stand-in workers that sends a note at the start and end of each run.
+
+    While it names a limit, it also sends one for each request that reaches it.
+    """
 
     service = ""
 
+    def name_limit(self, limit):
+        self.limit = limit
+        if limit:
+            send_note(LimitNamed(self.name, float(limit), self.clock.seconds()))
+
+    def handle(self, head, body, reply):
+        if self.limit:
+            request_id = (first_value(head.headers, b"x-attempt-id") or b"").decode()
+            send_note(LimitedArrival(self.name, request_id, self.clock.seconds()))
+        super().handle(head, body, reply)
+
     def make_processor(self, run, head, reply, headers):
         began = RunBegan(
             self.name,
@@ -201,6 +224,8 @@
             endpoint.fault = command.fault
         if command.status is not None:
             endpoint.status = command.status
+        if command.limit is not None:
+            endpoint.name_limit(command.limit)
         if command.state is not None:
             registration.set_state(command.state)
 
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -29,6 +29,13 @@
         self.assertEqual(fatal, sorted([*expected, 12, 36, 60]))
         self.assertEqual(plans[4].faults[0].kind, FaultKind.ENDPOINT_LINK_DELAY)
 
+    def test_limits_change_no_plan(self):
+        plans = [generate_plan(n, DeploymentSize(), SECONDS) for n in range(1, 61)]
+        limited = [plan.seed for plan in plans if plan.limits is not None]
+        expected = [n for n in range(2, 61, 4) if n % 3]
+        self.assertEqual(limited, sorted([*expected, 18, 42]))
+        self.assertEqual(plans[1].faults[0].kind, FaultKind.CONFIGURATION)
+
     def test_faults_target_existing_processes_and_overlap(self):
         size = DeploymentSize(routers=2, services=1, engines=1)
         counts = {"router": 2, "endpoint": 2, "store": 1, "operator": 1}
--- a/tests/soak/test_promise.py
+++ b/tests/soak/test_promise.py
@@ -3,7 +3,7 @@
 import unittest
 
 from soak.caller import Attempt, RequestKind
-from soak.note import RunBegan, RunEnded
+from soak.note import LimitedArrival, LimitNamed, RunBegan, RunEnded
 from soak.promise import (
     Bounds,
     Disturbance,
@@ -198,3 +198,44 @@
         self.add_fatal_runs([100, 101, 102, 103, 104, 110, 111, 112, 113])
         self.history.disturbances.append(Disturbance(112.5, 112.6, router=0))
         self.assertEqual(self.broken_promises(), [])
+
+
+class TestLimits(PromiseTestCase):
+    def add_arrivals(self, count, endpoint="desk-1-1"):
+        """Add requests to an endpoint with a limit of two a second, 0.1 s apart."""
+        self.history.limits.append(LimitNamed(endpoint, 2.0, AT_S - 10))
+        arrivals = self.history.limited_arrivals.setdefault(endpoint, [])
+        for number in range(count):
+            at_s = AT_S + number / 10
+            self.add_attempt(f"l{number}", sent_s=at_s).status = 429
+            arrivals.append(LimitedArrival(endpoint, f"l{number}", at_s))
+
+    def test_as_many_as_allowed(self):
+        self.add_arrivals(17)
+        self.assertEqual(self.broken_promises(), [])
+        self.assertEqual(self.history.checks["limit"], 17)
+
+    def test_more_than_allowed(self):
+        self.add_arrivals(18)
+        self.assertEqual(self.broken_promises(), ["limit"])
+
+    def test_probes_count(self):
+        self.add_arrivals(17)
+        probe = LimitedArrival("desk-1-1", "", AT_S + 2)
+        self.history.limited_arrivals["desk-1-1"].append(probe)
+        self.assertEqual(self.broken_promises(), ["limit"])
+
+    def test_arrivals_from_a_disturbed_router_do_not_count(self):
+        self.add_arrivals(18)
+        self.history.disturbances.append(Disturbance(AT_S + 1, AT_S + 1.1, router=0))
+        self.assertEqual(self.broken_promises(), [])
+
+    def test_disturbance_of_the_store_excuses_nothing(self):
+        self.add_arrivals(18)
+        self.history.disturbances.append(Disturbance(AT_S, AT_S + 5))
+        self.assertEqual(self.broken_promises(), ["limit"])
+
+    def test_arrivals_while_the_limit_becomes_known_do_not_count(self):
+        self.add_arrivals(18)
+        self.history.limits[0] = LimitNamed("desk-1-1", 2.0, AT_S - 1)
+        self.assertEqual(self.broken_promises(), [])
