--- a/src/sesamearch/base/request_record.py
+++ b/src/sesamearch/base/request_record.py
@@ -234,6 +234,8 @@
         got the request), ``sent`` or ``answering``; empty without one.
     parts : list of str
         Parts of its prompt under which engines end, if it was refused for them.
+    limited : list of str
+        Endpoints that limit the requests of all routers and had no permit for it.
     """
 
     request: str
@@ -251,6 +253,7 @@
     left_ms: int | None = None
     try_state: str = ""
     parts: list[str] = []
+    limited: list[str] = []
 
 
 class RequestEnded(Record, frozen=True, tag="request_ended"):
--- a/src/sesamearch/command/explain.py
+++ b/src/sesamearch/command/explain.py
@@ -55,7 +55,7 @@
     context : list of LogEntry
         Changes of the endpoints that the request was sent to, of the quarantines of
         parts of its prompt, the configuration, dependencies and rollouts, before and
-        during the request. Only from the router
+        during the request, and the limits that were in force. Only from the router
         that logged the first entry of the request.
     cause : str
         One sentence about how the request ended and why.
@@ -118,6 +118,9 @@
     if not own:
         return None
     endpoints = {getattr(entry.record, "endpoint", "") for entry in own} - {""}
+    endpoints |= {
+        name for entry in own for name in getattr(entry.record, "limited", ())
+    }
     parts = {part for entry in own for part in getattr(entry.record, "parts", ())}
     node, begin_s, end_s = own[0].node, own[0].at - CONTEXT_S, own[-1].at
     context = [
@@ -128,13 +131,29 @@
         and getattr(entry.record, "request", None) is None
         and _is_about(entry.record, endpoints, parts)
     ]
-    return Explanation(request_id, own, context, _cause(own))
+    limits = _limits_in_force(entries, node, begin_s, endpoints)
+    return Explanation(request_id, own, limits + context, _cause(own))
+
+
+def _limits_in_force(entries, node, at_s, endpoints):
+    """Return the entries of limits that some endpoints named before and still had."""
+    latest = {}
+    for entry in entries:
+        is_limit = entry.record.__struct_config__.tag == "endpoint_limited"
+        if is_limit and entry.node == node and entry.at < at_s:
+            latest[entry.record.endpoint] = entry
+    return [
+        entry
+        for name, entry in sorted(latest.items())
+        if name in endpoints and entry.record.state != "ended"
+    ]
 
 
 _ENDPOINT_EVENTS = frozenset(
     (
         "endpoint_changed",
         "endpoint_leaving",
+        "endpoint_limited",
         "endpoint_paused",
         "endpoint_suspected",
     )
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -29,6 +29,7 @@
 RETRY_AFTER_RATIO = 0.3
 MIN_RETRY_AFTER_S = 0.05
 LOWEST_RANK = 9
+MAX_LOGGED_ENDPOINTS = 8
 # A request waits for a permit for this share of its time, so that enough is left for
 # the endpoint.
 PERMIT_WAIT_RATIO = 0.5
@@ -369,6 +370,7 @@
                 left_ms=self._left_ms(),
                 try_state=self._try_state(),
                 parts=self._quarantined_parts(),
+                limited=sorted(self.permit.refused_by)[:MAX_LOGGED_ENDPOINTS],
             )
         )
         self.reply.answer(status, headers, problem.to_json())
--- a/src/sesamearch/forwarding/request_permit.py
+++ b/src/sesamearch/forwarding/request_permit.py
@@ -40,10 +40,20 @@
     Attributes
     ----------
     denied : set of str
-        Names of the endpoints whose permits were denied.
+        Names of the endpoints whose permits were denied; they are not asked again
+        until :meth:`reset`.
+    refused_by : set of str
+        Names of all endpoints whose permits were ever denied.
     """
 
-    __slots__ = ("_claim", "_claims", "_request_id", "_tools", "denied")
+    __slots__ = (
+        "_claim",
+        "_claims",
+        "_request_id",
+        "_tools",
+        "denied",
+        "refused_by",
+    )
 
     def __init__(self, tools, request_id):
         self._tools = tools
@@ -51,6 +61,7 @@
         self._claim = None
         self._claims = 0
         self.denied = set()
+        self.refused_by = set()
 
     @property
     def is_pending(self):
@@ -119,6 +130,7 @@
             current.is_over = True
             self._claim = None
             self.denied.add(current.endpoint.name)
+            self.refused_by.add(current.endpoint.name)
         self._log(current, decision, now_s - current.claimed_s)
 
     def _log(self, current, decision, waited_s):
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -11,6 +11,7 @@
 from sesamearch.base.log import RecordHandler, logger
 from sesamearch.base.record import RECORDS
 from sesamearch.command.explain import explain_request, read_entries
+from tests.platform.limit_storm import LimitStorm
 from tests.platform.prompt_storm import FATAL_PART, PromptStorm
 from tests.platform.world import World, draft_bytes, request_bytes
 
@@ -133,6 +134,24 @@
         events = [each.record.__struct_config__.tag for each in explanation.context]
         self.assertIn("prompt_quarantine", events)
 
+    # Guards against refusals whose cause was logged long before the request.
+    def test_limit_that_refused_a_request_is_shown_however_old(self):
+        storm = LimitStorm(routers=1, desks=1)
+        handler = RecordHandler(self.log, "router-0", storm.network.seconds)
+        with handler.applicationbound():
+            storm.name_limit(storm.desks[0], 0.0, 0.3)
+            storm.send(path="/look/1")
+            storm.run(30.0)
+            clients = [storm.send(path="/look/1") for _ in range(3)]
+            storm.run(1.0)
+        self.assertEqual([each.status for each in clients], [200, 429, 429])
+        explanation = self.explain("q3")
+        self.assertIn("refused with 429 (overloaded", explanation.cause)
+        self.assertIn("take no more requests", explanation.cause)
+        (limit,) = explanation.context
+        self.assertEqual(limit.record.limit_per_s, 0.3)
+        self.assertEqual(explanation.lines[-1].record.limited, ["desk-0"])
+
     def test_context_contains_only_endpoints_of_the_request(self):
         with self.handler.applicationbound():
             self.world.update_entry(self.world.desks[0], "desk", 0, state="draining")
