--- a/src/sesamearch/membership/accountant.py
+++ b/src/sesamearch/membership/accountant.py
@@ -33,7 +33,14 @@
     clock : twisted.internet.interfaces.IReactorTime
     """
 
-    __slots__ = ("_clock", "_derived_s", "_joined_s", "_member_list", "_orders")
+    __slots__ = (
+        "_clock",
+        "_derived_s",
+        "_joined_s",
+        "_member_list",
+        "_orders",
+        "_present",
+    )
 
     def __init__(self, clock):
         self._clock = clock
@@ -41,12 +48,13 @@
         self._joined_s = 0.0
         self._derived_s = 0.0
         self._orders = {}
+        # Routers that are present, this one included, by data centre.
+        self._present = {}
 
     def join(self, member_list):
         """Choose among the routers of a :class:`MemberList` from now on."""
         self._member_list = member_list
         self._joined_s = self._clock.seconds()
-        self._orders = {}
 
     @property
     def own(self):
@@ -69,22 +77,32 @@
         if self._member_list is None:
             return []
         now_s = self._clock.seconds()
-        if now_s - self._derived_s > REFRESH_INTERVAL_S:
-            self._orders = {}
-            self._derived_s = now_s
+        if not self._present or now_s - self._derived_s > REFRESH_INTERVAL_S:
+            self._refresh(now_s)
         key = name, data_centre
         if key not in self._orders:
             if len(self._orders) >= MAX_KEPT_ORDERS:
                 self._orders = {}
-            self._orders[key] = self._derive(name, data_centre, now_s)
+            self._orders[key] = self._derive(name, data_centre)
         return self._orders[key]
 
-    def _derive(self, name, data_centre, now_s):
-        routers = [self.own, *self._member_list.present_routers(now_s)]
-        local = [each for each in routers if each.data_centre == data_centre]
+    def _refresh(self, now_s):
+        self._orders = {}
+        self._derived_s = now_s
+        self._present = {}
+        for router in (self.own, *self._member_list.present_routers(now_s)):
+            self._present.setdefault(router.data_centre, []).append(router)
+
+    def _derive(self, name, data_centre):
+        local = self._present.get(data_centre, [])
         if len(local) >= ACCOUNTANTS:
             return _rank(name, local)
-        remote = [each for each in routers if each.data_centre != data_centre]
+        remote = [
+            router
+            for other, routers in self._present.items()
+            if other != data_centre
+            for router in routers
+        ]
         return (_rank(name, local) + _rank(name, remote))[:ACCOUNTANTS]
 
     def share_ratio(self, name, data_centre):
