Wait before a request that has lost three engines is sent to a fourth

What was seen: one request ended up to eight engines (nine with two parts) in 3 s if they ended before they had written a byte, while the evidence of all routers needed two or three requests.

Cause: a request was sent on at once after each loss; the limit of eight only ends it.

Change: after three losses before its first event, each further send waits 0.6 s, and is dropped if the prompt is refused by then.

Which limit does it loosen: a request that has lost three engines may now wait for an engine before its first event, up to the time its caller leaves. test_request_that_may_end_engines_is_not_sent_on_at_once and test_each_send_after_three_lost_engines_waits failed before.

--- a/src/sesamearch/forwarding/allowance.py
+++ b/src/sesamearch/forwarding/allowance.py
@@ -11,6 +11,10 @@
 # them that had begun to write, so that the request is a likely cause.
 MAX_ENGINES_LOST = 8
 MAX_ENGINES_LOST_WRITING = 5
+# After so many lost engines, there is a pause before each further send, in which other
+# routers may find that the prompt ends engines.
+MAX_ENGINES_LOST_AT_ONCE = 3
+ENGINE_LOST_PAUSE_S = 0.6
 MIN_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.8
 
@@ -75,10 +79,17 @@
     @property
     def needs_pause(self):
         """Bool : whether enough was sent in vain since the last pause."""
+        if self.has_lost_engines:
+            return self._sends > 0
         if self._pauses:
             return self._sends + self._failed_connections >= MAX_LATER_SENDS
         return self._sends >= MAX_FIRST_SENDS
 
+    @property
+    def has_lost_engines(self):
+        """Bool : whether the request may be the cause of the losses of engines."""
+        return self._engines_lost >= MAX_ENGINES_LOST_AT_ONCE
+
     def pay(self):
         """Return whether the next send is paid for, from the retry budget if needed."""
         if not self._is_paid:
@@ -133,6 +144,8 @@
     def begin_pause(self):
         """Return the length of the pause that begins now, longer than the last one."""
         pause_s = min(MIN_PAUSE_S * 2**self._pauses, MAX_PAUSE_S)
+        if self.has_lost_engines:
+            pause_s = max(pause_s, ENGINE_LOST_PAUSE_S)
         self._pauses += 1
         self._sends = 0
         self._failed_connections = 0
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -173,14 +173,15 @@
         """Return whether the answer waits for an engine.
 
         Before its first event, a request is refused instead, unless it was taken from
-        a silent engine, which may be able to run it again soon.
+        a silent engine, which may be able to run it again soon, or has lost engines.
         """
         limit_s = patience_s(self.route)
         if self._has_head:
             return self._pause_s() < limit_s
         has_engines = bool(self.tools.endpoint_index.serving(self.service.name))
         limit_s -= REFUSAL_MARGIN_S
-        return self._has_given_up_try and has_engines and self._pause_s() < limit_s
+        has_cause = self._has_given_up_try or self._allowance.has_lost_engines
+        return has_cause and has_engines and self._pause_s() < limit_s
 
     def _pause_s(self):
         since_s = self._timing.last_s or self.request.received_s
--- a/tests/forwarding/test_allowance.py
+++ b/tests/forwarding/test_allowance.py
@@ -3,6 +3,8 @@
 import unittest
 
 from sesamearch.forwarding.allowance import (
+    ENGINE_LOST_PAUSE_S,
+    MAX_ENGINES_LOST_AT_ONCE,
     MAX_FIRST_SENDS,
     MAX_FREE_FAILED_CONNECTIONS,
     MAX_LATER_SENDS,
@@ -109,6 +111,21 @@
         self.assertLess(pauses[0], pauses[1])
         self.assertEqual(pauses[-1], MAX_PAUSE_S)
 
+    # Guards against a request that goes on ending engines until it has ended eight.
+    def test_each_send_after_three_lost_engines_waits(self):
+        for _ in range(MAX_ENGINES_LOST_AT_ONCE):
+            self.assertFalse(self.allowance.needs_pause)
+            self.send()
+            self.allowance.note_no_event()
+            self.allowance.note_engine_lost(was_writing=False)
+        self.assertTrue(self.allowance.needs_pause)
+        self.assertEqual(self.allowance.begin_pause(), ENGINE_LOST_PAUSE_S)
+        self.assertFalse(self.allowance.needs_pause)
+        self.send()
+        self.assertTrue(self.allowance.needs_pause)
+        self.allowance.note_event()
+        self.assertFalse(self.allowance.needs_pause)
+
     # Guards against a long pause after a break that follows an earlier one.
     def test_an_event_ends_the_growth(self):
         for _ in range(4):
--- a/tests/platform/test_fatal_prompt.py
+++ b/tests/platform/test_fatal_prompt.py
@@ -70,6 +70,20 @@
                 since_s = storm.ended_s[COUNTED_ENDS - 1] + 2 * CONTACT_S
                 self.assert_served(storm.sound(since_s))
 
+    # Guards against a request that is sent on at once each time it ends an engine that
+    # has not written a byte, until it has ended eight.
+    def test_request_that_may_end_engines_is_not_sent_on_at_once(self):
+        storm = PromptStorm(routers=1, engines=12)
+        for engine in storm.engines:
+            engine.ends_after_head = False
+        storm.send(("5c1e", FATAL_PART))
+        while len(storm.ended_s) < 6:
+            storm.run(0.05)
+        times = storm.ended_s
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        self.assertLess(max(gaps[:2]), 0.7)
+        self.assertGreater(min(gaps[2:]), 1.0)
+
     # Guards against losses in the log that cannot be told from each other.
     def test_log_says_what_a_lost_engine_was_doing_and_for_which_parts(self):
         handler = logbook.TestHandler()
