--- a/src/sesamearch/daemon/platform_metrics.py
+++ b/src/sesamearch/daemon/platform_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a router on the platform: counters and latency histograms."""
 
+import importlib
 from collections import deque
 
 from sesamearch.base.log import logger
@@ -9,6 +10,17 @@
 
 _PREFIX = "sesamearch_"
 MAX_BUFFERED_SAMPLES = 5000
+# Modules of the exporter, in the order in which they are imported one at a time. Each
+# takes a part of the time of the whole, in which the reactor stands still.
+_EXPORTER_MODULES = (
+    "http.server",
+    "prometheus_client",
+    "opentelemetry.trace",
+    "opentelemetry.metrics",
+    "opentelemetry.sdk.resources",
+    "opentelemetry.sdk.metrics",
+    "opentelemetry.exporter.prometheus",
+)
 LATENCY_BUCKETS_S = (
     0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.5, 4.5, 10.0, 25.0
 )  # fmt: skip
@@ -33,9 +45,23 @@
         self._buffered = deque(maxlen=MAX_BUFFERED_SAMPLES)
         self._instruments = None
         self._render = None
-
-    def load(self):
-        """Load the exporter and record the buffered samples."""
+        self._modules = list(_EXPORTER_MODULES)
+
+    def load_step(self):
+        """Load a part of the exporter.
+
+        Returns
+        -------
+        bool
+            Whether all of it is loaded, and the buffered samples are recorded.
+        """
+        if self._modules:
+            importlib.import_module(self._modules.pop(0))
+            return False
+        self._load()
+        return True
+
+    def _load(self):
         from opentelemetry.exporter.prometheus import PrometheusMetricReader
         from opentelemetry.metrics import Observation
         from opentelemetry.sdk.metrics import MeterProvider
--- a/src/sesamearch/daemon/platform_ports.py
+++ b/src/sesamearch/daemon/platform_ports.py
@@ -12,9 +12,10 @@
 # Callers that connect before the first configuration and endpoints are read wait for
 # them, but no longer than this.
 MAX_START_WAIT_S = 0.25
-# Loading the exporter blocks the reactor for about 0.1 s, so it is delayed until
-# callers are served.
+# Loading the exporter takes about 0.1 s, so it is delayed until callers are served, and
+# done in steps between which the reactor serves them.
 METRICS_DELAY_S = 2.0
+METRICS_STEP_DELAY_S = 0.02
 METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 OK = 200
 UNAVAILABLE = 503
@@ -80,7 +81,7 @@
         self._board.endpoints.listen(self._open_if_initialised)
         self._board.drain.listen(self._handle_drain_phase)
         self._reactor.callLater(MAX_START_WAIT_S, self._open)
-        self._reactor.callLater(METRICS_DELAY_S, self._serve_metrics)
+        self._reactor.callLater(METRICS_DELAY_S, self._load_metrics)
         readiness = self._make_factory(self._answer_readiness)
         self._listen(self._reactor, self._settings.readiness_listen, readiness)
 
@@ -156,8 +157,14 @@
     def _answer_readiness(self, head, body, reply):
         reply.answer(OK if self.is_ready else UNAVAILABLE, [], b"")
 
+    def _load_metrics(self):
+        """Load the exporter step by step, then listen for scrapes."""
+        if self._metrics.load_step():
+            self._serve_metrics()
+        else:
+            self._reactor.callLater(METRICS_STEP_DELAY_S, self._load_metrics)
+
     def _serve_metrics(self):
-        self._metrics.load()
         factory = self._make_factory(self._answer_metrics)
         try:
             self._listen(self._reactor, self._settings.metrics_listen, factory)
