Split the permits: the account, and the part that serves other routers, in modules of their own

permit_relay held both sides of the messages, and permits the interface beside its account. The check of a message's version stood in four modules. A pure move, but for one fault found in the read: a claim whose first accountant was silent while the limit ended, and was forgotten, raised at the second one; it is granted now (test_limit_that_ends_while_an_accountant_is_silent_grants failed before).

--- a/src/sesamearch/forwarding/permit_ledger.py
+++ b/src/sesamearch/forwarding/permit_ledger.py
@@ -1,11 +1,7 @@
 """The accounts of permits that this router holds for all routers."""
 
-from sesamearch.forwarding.permits import (
-    GRANTED,
-    NO_CLAIM,
-    PermitAccount,
-    PermitRate,
-)
+from sesamearch.forwarding.permit_account import PermitAccount, PermitRate
+from sesamearch.forwarding.permits import GRANTED, NO_CLAIM
 
 __all__ = ["PermitLedger"]
 
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -43,6 +43,7 @@
             "TableRequest",
             "TableResponse",
             "UNSTATED_ERA",
+            "is_known_version",
             "revision_of",
         ],
         "gossip": ["LoadGossip"],
@@ -72,6 +73,7 @@
             "RouterInfo",
         ],
         "permit_relay": ["PermitRelay"],
+        "permit_server": ["PermitServer"],
         "sockets": ["PeerSockets"],
     },
 )
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sesamearch.base.log import logger
 from sesamearch.configuration.blackboard import Endpoint, Incarnation
 from sesamearch.forwarding.budget import RetryUse
 from sesamearch.forwarding.health import Outcomes, Suspicion
@@ -43,6 +44,7 @@
     "RolloutVerdict",
     "TableRequest",
     "TableResponse",
+    "is_known_version",
     "revision_of",
 ]
 
@@ -55,6 +57,18 @@
 UNSTATED_ERA = -1
 
 
+def is_known_version(message, version):
+    """Return whether a message has a layout that this build knows; log if not."""
+    if message.schema_version == version:
+        return True
+    logger.warning(
+        "ignored {} of schema version {}",
+        type(message).__name__,
+        message.schema_version,
+    )
+    return False
+
+
 def revision_of(era, number, own):
     """Return the :class:`StoreRevision` that a message states.
 
--- a/src/sesamearch/membership/leaving_gossip.py
+++ b/src/sesamearch/membership/leaving_gossip.py
@@ -1,9 +1,9 @@
 """Exchange of the endpoints that leave among the routers."""
 
-from sesamearch.base.log import logger
 from sesamearch.membership.fleet_message import (
     LEAVING_SCHEMA_VERSION,
     LeavingNotice,
+    is_known_version,
 )
 
 __all__ = ["LeavingGossip"]
@@ -37,8 +37,5 @@
             self._peers.send_to_all(notice)
 
     def _apply(self, notice):
-        if notice.schema_version == LEAVING_SCHEMA_VERSION:
+        if is_known_version(notice, LEAVING_SCHEMA_VERSION):
             self._leaving.update(notice.incarnation)
-        else:
-            version = notice.schema_version
-            logger.warning("ignored notice of schema version {}", version)
--- a/src/sesamearch/membership/limit_gossip.py
+++ b/src/sesamearch/membership/limit_gossip.py
@@ -1,11 +1,11 @@
 """Exchange of the limits that endpoints name among the routers."""
 
-from sesamearch.base.log import logger
 from sesamearch.forwarding.limits import LimitStatement
 from sesamearch.membership.fleet_message import (
     LIMIT_SCHEMA_VERSION,
     LimitNotice,
     LimitReport,
+    is_known_version,
 )
 from sesamearch.membership.member_list import RELAYS_PER_DATA_CENTRE
 
@@ -105,9 +105,7 @@
         self._send({each: statements[each] for each in taken if each in statements})
 
     def _apply(self, report):
-        if report.schema_version != LIMIT_SCHEMA_VERSION:
-            version = report.schema_version
-            logger.warning("ignored report of limits of schema version {}", version)
+        if not is_known_version(report, LIMIT_SCHEMA_VERSION):
             return
         now_s = self._clock.seconds()
         for notice in report.notices:
--- a/src/sesamearch/membership/permit_relay.py
+++ b/src/sesamearch/membership/permit_relay.py
@@ -1,4 +1,4 @@
-"""Permits of limited endpoints: claimed from their accountants, and granted to others.
+"""Permits of limited endpoints, claimed from their accountants.
 
 An endpoint's limit is for all routers together, so one of them, its accountant, grants
 the permits to send to it. The others ask it for each request.
@@ -9,9 +9,9 @@
 from sesamearch.base.log import logger
 from sesamearch.forwarding.permit_ledger import PermitLedger
 from sesamearch.forwarding.permits import (
+    GRANTED,
     NO_CLAIM,
     PendingPermit,
-    PermitClaim,
     PermitDecision,
     PermitSource,
 )
@@ -22,8 +22,10 @@
     PermitRequest,
     PermitState,
     PermitWithdrawal,
+    is_known_version,
 )
-from sesamearch.membership.limit_gossip import make_notice, read_notice
+from sesamearch.membership.limit_gossip import make_notice
+from sesamearch.membership.permit_server import PermitServer
 
 __all__ = ["PermitRelay"]
 
@@ -38,8 +40,6 @@
 UNANSWERED_WAIT_S = 0.5
 # A limited endpoint to which no request was sent for so long is asked for its limit.
 TRIAL_INTERVAL_S = 5.0
-# A permit that was granted to another router can be given back for so long.
-RETURN_TIMEOUT_S = 1.0
 
 
 class _AskedClaim(PendingPermit):
@@ -75,17 +75,6 @@
         self.on_cancel(self)
 
 
-class _ServedClaim:
-    """A claim of another router that this one decides as an accountant."""
-
-    __slots__ = ("ends_s", "pending", "state")
-
-    def __init__(self):
-        self.pending = NO_CLAIM
-        self.state = PermitState.WAITING
-        self.ends_s = float("inf")
-
-
 class PermitRelay(PermitSource):
     """Claims permits from the accountants of endpoints, and is one for others.
 
@@ -110,7 +99,7 @@
         "_opened",
         "_order",
         "_peers",
-        "_served",
+        "_server",
         "_silent_until_s",
     )
 
@@ -123,9 +112,11 @@
         self._order = AccountantOrder(clock)
         self._peers = None
         self._numbers = itertools.count(1)
-        # Claims of this router by number, and those of others by address and number.
+        self._server = PermitServer(
+            self._ledger, limits, self._order, self._send, clock
+        )
+        # Claims by number.
         self._asked = {}
-        self._served = {}
         self._silent_until_s = {}
         limits.on_change = self._note_change
         # Processes whose limits this router has considered as their accountant.
@@ -137,11 +128,11 @@
         """Ask and answer the other routers through a :class:`FleetLink`."""
         self._peers = peers
         self._order.join(peers.member_list)
-        peers.handle_message(PermitRequest, self._on_request)
-        peers.handle_message(PermitReply, self._on_reply)
-        peers.handle_message(PermitWithdrawal, self._on_withdrawal)
+        peers.handle_message(PermitRequest, self._server.handle_request)
+        peers.handle_message(PermitWithdrawal, self._server.handle_withdrawal)
+        peers.handle_message(PermitReply, self._handle_reply)
 
-    # Claims of this router.
+    # Claims.
 
     def claim(self, endpoint, claim, on_decision):
         """Claim a permit; see ``PermitSource``."""
@@ -172,6 +163,10 @@
 
     def _ask_next(self, asked):
         """Ask the next accountant."""
+        if not self._limits.is_limited(asked.endpoint):
+            # The limit has ended while an accountant did not answer.
+            self._decide(asked, GRANTED)
+            return
         if not asked.accountants:
             self._decide_unanswered(asked)
             return
@@ -231,8 +226,8 @@
         self._silent_until_s[name] = until_s
         self._ask_next(asked)
 
-    def _on_reply(self, reply):
-        if not _is_known(reply):
+    def _handle_reply(self, reply):
+        if not is_known_version(reply, PERMIT_SCHEMA_VERSION):
             return
         self._silent_until_s.pop(reply.name, None)
         asked = self._asked.get(reply.number)
@@ -313,11 +308,9 @@
     def refresh(self):
         """Follow changed limits and drop what is over; called at intervals."""
         self._ledger.refresh()
+        self._server.refresh()
         self._open_accounts()
         now_s = self._clock.seconds()
-        over = [key for key, each in self._served.items() if each.ends_s <= now_s]
-        for key in over:
-            del self._served[key]
         self._free_s = {n: s for n, s in self._free_s.items() if s > now_s}
         silent = self._silent_until_s.items()
         self._silent_until_s = {n: s for n, s in silent if s > now_s}
@@ -334,59 +327,3 @@
     def _is_first(self, endpoint):
         order = self._order.accountants(endpoint.name, endpoint.data_centre)
         return bool(order) and order[0] == self._order.own
-
-    # Claims of other routers.
-
-    def _on_request(self, request):
-        if not _is_known(request):
-            return
-        notice = request.notice
-        now_s = self._clock.seconds()
-        self._limits.update(notice.incarnation, read_notice(notice, now_s))
-        name = notice.incarnation.name
-        share_ratio = self._order.share_ratio(name, request.data_centre)
-        served = _ServedClaim()
-
-        def reply(state, wait_s):
-            served.state = state
-            message = PermitReply(
-                PERMIT_SCHEMA_VERSION,
-                self._order.own.name,
-                request.number,
-                state,
-                wait_s,
-            )
-            self._send(request.address, message)
-
-        def decide(decision):
-            served.ends_s = self._clock.seconds() + RETURN_TIMEOUT_S
-            is_granted = decision.is_granted
-            state = PermitState.GRANTED if is_granted else PermitState.DENIED
-            reply(state, decision.wait_s)
-
-        if not share_ratio:
-            reply(PermitState.NOT_ACCOUNTANT, 0.0)
-            return
-        claim = PermitClaim(request.rank, request.has_begun, now_s + request.patience_s)
-        served.pending = self._ledger.claim(
-            notice.incarnation, share_ratio, claim, decide
-        )
-        self._served[request.address, request.number] = served
-        if served.state is PermitState.WAITING:
-            reply(PermitState.WAITING, 0.0)
-
-    def _on_withdrawal(self, withdrawal):
-        if not _is_known(withdrawal):
-            return
-        key = withdrawal.address, withdrawal.number
-        served = self._served.pop(key, None)
-        if served is not None:
-            served.pending.cancel()
-
-
-def _is_known(message):
-    if message.schema_version == PERMIT_SCHEMA_VERSION:
-        return True
-    version = message.schema_version
-    logger.warning("ignored permit message of schema version {}", version)
-    return False
--- a/src/sesamearch/membership/quarantine_gossip.py
+++ b/src/sesamearch/membership/quarantine_gossip.py
@@ -5,6 +5,7 @@
     QUARANTINE_SCHEMA_VERSION,
     LossReport,
     QuarantineUpdate,
+    is_known_version,
 )
 
 __all__ = ["QuarantineGossip"]
@@ -112,7 +113,7 @@
             self._send(news)
 
     def _apply_report(self, report):
-        if not _is_known(report):
+        if not is_known_version(report, QUARANTINE_SCHEMA_VERSION):
             return
         for engine in report.alive:
             self._quarantine.add_alive(engine)
@@ -124,15 +125,7 @@
             self._quarantine.add_written(report.written)
 
     def _apply_update(self, update):
-        if not _is_known(update):
+        if not is_known_version(update, QUARANTINE_SCHEMA_VERSION):
             return
         for quarantine in update.quarantines:
             self._quarantine.update(quarantine)
-
-
-def _is_known(message):
-    if message.schema_version == QUARANTINE_SCHEMA_VERSION:
-        return True
-    version = message.schema_version
-    logger.warning("ignored quarantine message of schema version {}", version)
-    return False
--- a/tests/forwarding/test_permits.py
+++ b/tests/forwarding/test_permit_account.py
@@ -5,13 +5,13 @@
 
 from twisted.internet.task import Clock
 
-from sesamearch.forwarding.permits import (
+from sesamearch.forwarding.permit_account import (
     MIN_RATE_PER_S,
     PERMITS_PER_OLDEST,
     PermitAccount,
-    PermitClaim,
     PermitRate,
 )
+from sesamearch.forwarding.permits import PermitClaim
 
 
 class TestPermitAccount(unittest.TestCase):
--- a/tests/membership/test_permit_relay.py
+++ b/tests/membership/test_permit_relay.py
@@ -265,6 +265,17 @@
         fleet.run(0.05)
         self.assertEqual(self.grants, 3)
 
+    # Guards against a claim to a second accountant that has no limit to name.
+    def test_limit_that_ends_while_an_accountant_is_silent_grants(self):
+        fleet = self.make()
+        other = fleet.others[0]
+        fleet.peers[fleet.accountants[0]].is_cut = True
+        self.claim(other, patience_s=5.0)
+        fleet.run(0.05)
+        fleet.trackers[other]._statements.clear()
+        fleet.run(0.2)
+        self.assertEqual(self.grants, 1)
+
     def test_trial_is_due_at_the_accountant_alone_and_after_silence(self):
         fleet = self.make(limit_per_s=1.0, gather_s=4.0)
         first = fleet.accountants[0]
