--- a/tests/platform/test_fatal_prompt.py
+++ b/tests/platform/test_fatal_prompt.py
@@ -98,6 +98,38 @@
         self.assertEqual(lost.events, 0)
 
 
+class TestStormWithoutHeads(unittest.TestCase):
+    """Engines that end before they have written a byte, beside other losses."""
+
+    def play(self, seed, parts, losses=0):
+        storm = PromptStorm(9, 20, seed, fatal_parts=parts)
+        for engine in storm.engines:
+            engine.ends_after_head = False
+        storm.lose_at_random(24, losses / 24)
+        storm.send_mixed(24)
+        storm.run(15)
+        return storm
+
+    def assert_few_arrivals(self, storm):
+        late = [storm.late_arrivals_of(part) for part in storm.fatal_parts]
+        self.assertLessEqual(max(late), MAX_LATE_ARRIVALS)
+
+    # Guards against a part of all prompts that is refused, because engines end under
+    # another part of most of them before anything was written.
+    def test_first_part_of_all_prompts_is_served(self):
+        storm = self.play(13, (FATAL_PART,))
+        sound = storm.sound(storm.ended_s[COUNTED_ENDS - 1] + 2 * CONTACT_S)
+        whole = sum(each.is_whole for each in sound)
+        self.assertGreaterEqual(whole, 0.9 * len(sound))
+
+    # Guards against ends without a cause that hide a fatal part.
+    def test_fatal_part_is_found_beside_losses_without_a_cause(self):
+        self.assert_few_arrivals(self.play(8, (FATAL_PART,), losses=8))
+
+    def test_two_fatal_parts_are_found_beside_losses_without_a_cause(self):
+        self.assert_few_arrivals(self.play(15, (FATAL_PART, "beef"), losses=7))
+
+
 class QuarantineTestCase(unittest.TestCase):
     routers, engines = 4, 12
 
