Name the router that grants permits a limiter, and what it grants from a bucket

'Accountant', 'account' and 'ledger' were figures of speech; rate limiter and token bucket are the field's words.

--- a/src/sesamearch/base/request_record.py
+++ b/src/sesamearch/base/request_record.py
@@ -81,7 +81,7 @@
         Request ID and name of the endpoint.
     state : str
         ``granted``, ``denied`` (no permit comes up in the time that the request has) or
-        ``unanswered`` (no router that accounts for the endpoint answered).
+        ``unanswered`` (no router that limits the endpoint answered).
     waited_ms : int
         Time for which the request waited.
     limit_per_s : float or None
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -25,8 +25,8 @@
         "outage": ["OutageDetector"],
         "pace": ["GenerationPace"],
         "pauses": ["PauseTracker"],
-        "permit_account": ["PermitAccount", "PermitRate"],
-        "permit_ledger": ["PermitLedger"],
+        "permit_bucket": ["PermitBucket", "PermitRate"],
+        "permit_buckets": ["PermitBuckets"],
         "permits": [
             "GRANTED",
             "NO_CLAIM",
--- a/src/sesamearch/forwarding/permit_account.py
+++ b/src/sesamearch/forwarding/permit_bucket.py
@@ -1,10 +1,10 @@
-"""Account of the permits of one endpoint."""
+"""Token bucket of the permits of one endpoint."""
 
 import msgspec
 
 from sesamearch.forwarding.permits import GRANTED, PendingPermit, PermitDecision
 
-__all__ = ["PermitAccount", "PermitRate"]
+__all__ = ["PermitBucket", "PermitRate"]
 
 # An endpoint that takes nothing is sent a request now and then, because only its
 # answers tell that it takes more.
@@ -21,12 +21,12 @@
 
 
 class _Waiting(PendingPermit):
-    """A claim at an account, which waits until it is decided."""
+    """A claim at a bucket, which waits until it is decided."""
 
-    __slots__ = ("_account", "claim", "is_granted", "number", "on_decision")
+    __slots__ = ("_bucket", "claim", "is_granted", "number", "on_decision")
 
-    def __init__(self, account, number, claim, on_decision):
-        self._account = account
+    def __init__(self, bucket, number, claim, on_decision):
+        self._bucket = bucket
         self.number = number
         self.claim = claim
         self.on_decision = on_decision
@@ -34,22 +34,22 @@
 
     @property
     def place(self):
-        """Tuple : sorts the claims of an account by who goes first."""
+        """Tuple : sorts the claims of a bucket by who goes first."""
         return not self.claim.has_begun, self.claim.rank, self.number
 
     def cancel(self):
-        self._account.withdraw(self)
+        self._bucket.withdraw(self)
 
 
 class PermitRate(msgspec.Struct, frozen=True):
-    """How many permits an account may grant.
+    """How many permits a bucket may grant.
 
     Parameters
     ----------
     limit_per_s : float
         Limit that the endpoint names.
     share_ratio : float
-        Part of the limit that this account may grant.
+        Part of the limit that this bucket may grant.
     """
 
     limit_per_s: float
@@ -66,10 +66,10 @@
         return MIN_BURST_PERMITS + BURST_S * self.limit_per_s * self.share_ratio
 
 
-class PermitAccount:
+class PermitBucket:
     """Grants the permits of one endpoint to the claims of all routers.
 
-    Permits come up at the rate of the limit. The account begins without any, since
+    Permits come up at the rate of the limit. The bucket begins without any, since
     another router may have granted some just before. In any time of `t` seconds it
     grants at most ``rate * t + burst``.
 
--- a/src/sesamearch/forwarding/permit_ledger.py
+++ b/src/sesamearch/forwarding/permit_buckets.py
@@ -1,13 +1,13 @@
-"""The accounts of permits that this router holds for all routers."""
+"""The buckets of permits that this router holds for all routers."""
 
-from sesamearch.forwarding.permit_account import PermitAccount, PermitRate
+from sesamearch.forwarding.permit_bucket import PermitBucket, PermitRate
 from sesamearch.forwarding.permits import GRANTED, NO_CLAIM
 
-__all__ = ["PermitLedger"]
+__all__ = ["PermitBuckets"]
 
 
-class PermitLedger:
-    """Holds one :class:`PermitAccount` for each limited process that it is asked for.
+class PermitBuckets:
+    """Holds one :class:`PermitBucket` for each limited process that it is asked for.
 
     Parameters
     ----------
@@ -15,13 +15,13 @@
     limits : LimitTracker
     """
 
-    __slots__ = ("_accounts", "_clock", "_limits", "_shares")
+    __slots__ = ("_buckets", "_clock", "_limits", "_shares")
 
     def __init__(self, clock, limits):
         self._clock = clock
         self._limits = limits
         # By incarnation of the endpoint.
-        self._accounts = {}
+        self._buckets = {}
         self._shares = {}
 
     def claim(self, incarnation, share_ratio, claim, on_decision):
@@ -45,33 +45,33 @@
             return NO_CLAIM
         self._shares[incarnation] = share_ratio
         rate = PermitRate(limit_per_s, share_ratio)
-        account = self._accounts.get(incarnation)
-        if account is None:
-            account = self._accounts[incarnation] = PermitAccount(self._clock, rate)
-        account.set_rate(rate)
-        return account.claim(claim, on_decision)
+        bucket = self._buckets.get(incarnation)
+        if bucket is None:
+            bucket = self._buckets[incarnation] = PermitBucket(self._clock, rate)
+        bucket.set_rate(rate)
+        return bucket.claim(claim, on_decision)
 
     def open(self, incarnation, share_ratio):
         """Begin to gather the permits of a process before the first claim."""
         limit_per_s = self._limits.limit_of(incarnation)
-        if limit_per_s is not None and incarnation not in self._accounts:
+        if limit_per_s is not None and incarnation not in self._buckets:
             self._shares[incarnation] = share_ratio
             rate = PermitRate(limit_per_s, share_ratio)
-            self._accounts[incarnation] = PermitAccount(self._clock, rate)
+            self._buckets[incarnation] = PermitBucket(self._clock, rate)
 
     def granted_s(self, incarnation):
         """Return when a permit was last granted, or None if none is known of."""
-        account = self._accounts.get(incarnation)
-        return account.granted_s if account is not None else None
+        bucket = self._buckets.get(incarnation)
+        return bucket.granted_s if bucket is not None else None
 
     def refresh(self):
         """Follow limits that have changed or ended; called at intervals."""
-        for incarnation, account in list(self._accounts.items()):
+        for incarnation, bucket in list(self._buckets.items()):
             limit_per_s = self._limits.limit_of(incarnation)
             if limit_per_s is None:
-                del self._accounts[incarnation]
+                del self._buckets[incarnation]
                 del self._shares[incarnation]
-                account.close()
+                bucket.close()
             else:
                 share_ratio = self._shares[incarnation]
-                account.set_rate(PermitRate(limit_per_s, share_ratio))
+                bucket.set_rate(PermitRate(limit_per_s, share_ratio))
--- a/src/sesamearch/forwarding/permits.py
+++ b/src/sesamearch/forwarding/permits.py
@@ -43,7 +43,7 @@
     wait_s : float
         Time until another claim could be granted, as far as known.
     is_answered : bool
-        Whether an accountant decided it; False if none answered.
+        Whether a limiter decided it; False if none answered.
     """
 
     is_granted: bool
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -5,7 +5,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
-        "accountant": ["ACCOUNTANTS", "AccountantOrder"],
+        "limiter": ["LIMITERS_PER_ENDPOINT", "LimiterOrder"],
         "broadcast_batcher": ["BATCH_INTERVAL_S", "BroadcastBatcher"],
         "broadcasts": ["Broadcasts"],
         "claim_relay": ["ClaimRelay", "choose_writer"],
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -399,7 +399,7 @@
 
 
 class PermitRequest(msgspec.Struct, tag=True, frozen=True, array_like=True):
-    """A claim to a permit, sent to the accountant of an endpoint.
+    """A claim to a permit, sent to the limiter of an endpoint.
 
     Parameters
     ----------
@@ -431,12 +431,12 @@
 
 
 class PermitState(enum.Enum):
-    """What an accountant says of a claim."""
+    """What a limiter says of a claim."""
 
     GRANTED = "granted"
     WAITING = "waiting"
     DENIED = "denied"
-    NOT_ACCOUNTANT = "not_accountant"
+    NOT_LIMITER = "not_limiter"
 
 
 class PermitReply(msgspec.Struct, tag=True, frozen=True, array_like=True):
@@ -447,7 +447,7 @@
     schema_version : int
         Version of the message layout; messages of other versions are ignored.
     name : str
-        Name of the accountant.
+        Name of the limiter.
     number : int
         Number of the claim.
     state : PermitState
--- a/src/sesamearch/membership/accountant.py
+++ b/src/sesamearch/membership/limiter.py
@@ -1,16 +1,16 @@
-"""Choice of the routers that account for the permits of an endpoint.
+"""Choice of the limiters of an endpoint: the routers that grant its permits.
 
-Each router derives the order of accountants from what it knows of the others. The
+Each router derives the order of limiters from what it knows of the others. The
 first one grants permits up to the limit. The second one stands in while the first does
 not answer, with a small part of the limit, since the first may still be at work.
 """
 
 import hashlib
 
-__all__ = ["ACCOUNTANTS", "AccountantOrder"]
+__all__ = ["LIMITERS_PER_ENDPOINT", "LimiterOrder"]
 
-# The first accountant of an endpoint, and the one that stands in.
-ACCOUNTANTS = 2
+# The first limiter of an endpoint, and the one that stands in.
+LIMITERS_PER_ENDPOINT = 2
 # Parts of the limit that they may grant.
 SHARE_RATIOS = (1.0, 0.25)
 # A router that has just started does not know the others yet. It grants this part
@@ -22,11 +22,11 @@
 MAX_KEPT_ORDERS = 4096
 
 
-class AccountantOrder:
-    """Orders the routers that account for an endpoint.
+class LimiterOrder:
+    """Orders the routers that limit an endpoint.
 
     Those in its data centre go first: they reach it if any router does, so a network
-    partition between data centres leaves one accountant where the endpoint is.
+    partition between data centres leaves one limiter where the endpoint is.
 
     Parameters
     ----------
@@ -61,8 +61,8 @@
         """RouterInfo or None : this router, once it has joined the others."""
         return self._member_list.own if self._member_list is not None else None
 
-    def accountants(self, name, data_centre):
-        """Return the accountants of an endpoint, the first one first.
+    def limiters(self, name, data_centre):
+        """Return the limiters of an endpoint, the first one first.
 
         Parameters
         ----------
@@ -95,7 +95,7 @@
 
     def _derive(self, name, data_centre):
         local = self._present.get(data_centre, [])
-        if len(local) >= ACCOUNTANTS:
+        if len(local) >= LIMITERS_PER_ENDPOINT:
             return _rank(name, local)
         remote = [
             router
@@ -103,7 +103,7 @@
             if other != data_centre
             for router in routers
         ]
-        return (_rank(name, local) + _rank(name, remote))[:ACCOUNTANTS]
+        return (_rank(name, local) + _rank(name, remote))[:LIMITERS_PER_ENDPOINT]
 
     def share_ratio(self, name, data_centre):
         """Return which part of an endpoint's limit this router may grant.
@@ -111,7 +111,7 @@
         Returns
         -------
         float
-            Zero if this router does not account for the endpoint.
+            Zero if this router does not limit the endpoint.
         """
         if self._member_list is None:
             return NEW_SHARE_RATIO
@@ -123,15 +123,15 @@
                 return 1.0 / known
             is_new = now_s - self._joined_s < SETTLE_S
             return NEW_SHARE_RATIO if is_new else 1.0
-        order = self.accountants(name, data_centre)
+        order = self.limiters(name, data_centre)
         return SHARE_RATIOS[order.index(self.own)] if self.own in order else 0.0
 
 
 def _rank(name, routers):
-    """Return the accountants among some routers, by rendezvous hashing."""
+    """Return the limiters among some routers, by rendezvous hashing."""
 
     def weight(router):
         text = f"{name}/{router.name}".encode()
         return hashlib.blake2b(text, digest_size=8).digest()
 
-    return sorted(routers, key=weight, reverse=True)[:ACCOUNTANTS]
+    return sorted(routers, key=weight, reverse=True)[:LIMITERS_PER_ENDPOINT]
--- a/src/sesamearch/membership/permit_relay.py
+++ b/src/sesamearch/membership/permit_relay.py
@@ -1,13 +1,13 @@
-"""Permits of limited endpoints, claimed from their accountants.
+"""Permits of limited endpoints, claimed from their limiters.
 
-An endpoint's limit is for all routers together, so one of them, its accountant, grants
+An endpoint's limit is for all routers together, so one of them, its limiter, grants
 the permits to send to it. The others ask it for each request.
 """
 
 import itertools
 
 from sesamearch.base.log import logger
-from sesamearch.forwarding.permit_ledger import PermitLedger
+from sesamearch.forwarding.permit_buckets import PermitBuckets
 from sesamearch.forwarding.permits import (
     GRANTED,
     NO_CLAIM,
@@ -15,7 +15,6 @@
     PermitDecision,
     PermitSource,
 )
-from sesamearch.membership.accountant import AccountantOrder
 from sesamearch.membership.fleet_message import (
     PERMIT_SCHEMA_VERSION,
     PermitReply,
@@ -25,28 +24,29 @@
     is_known_version,
 )
 from sesamearch.membership.limit_gossip import make_notice
+from sesamearch.membership.limiter import LimiterOrder
 from sesamearch.membership.permit_server import PermitServer
 
 __all__ = ["PermitRelay"]
 
-# An accountant that has not answered by then is taken for silent.
+# A limiter that has not answered by then is taken for silent.
 ANSWER_TIMEOUT_S = 0.15
 # A message is sent again after this time while the connection is being established.
 CONNECT_RETRY_S = 0.01
 MAX_SENDS = 12
-# A silent accountant is asked again after this time.
+# A silent limiter is asked again after this time.
 SILENCE_S = 2.0
-# Without an accountant, permits are claimed again after this time.
+# Without a limiter, permits are claimed again after this time.
 UNANSWERED_WAIT_S = 0.5
 # A limited endpoint to which no request was sent for so long is asked for its limit.
 TRIAL_INTERVAL_S = 5.0
 
 
 class _AskedClaim(PendingPermit):
-    """A claim of this router that its accountants decide."""
+    """A claim of this router that its limiters decide."""
 
     __slots__ = (
-        "accountants",
+        "limiters",
         "asked",
         "claim",
         "endpoint",
@@ -63,10 +63,10 @@
         self.claim = claim
         self.on_decision = on_decision
         self.on_cancel = on_cancel
-        # Accountants that are still to be asked, and the one that was asked last.
-        self.accountants = []
+        # Limiters that are still to be asked, and the one that was asked last.
+        self.limiters = []
         self.asked = None
-        # The claim at this router's own ledger, if it is the accountant.
+        # The claim at this router's own buckets, if it is the limiter.
         self.own_claim = NO_CLAIM
         self.timer = None
 
@@ -76,7 +76,7 @@
 
 
 class PermitRelay(PermitSource):
-    """Claims permits from the accountants of endpoints, and is one for others.
+    """Claims permits from the limiters of endpoints, and is one for others.
 
     Parameters
     ----------
@@ -93,7 +93,7 @@
         "_counters",
         "_find_endpoint",
         "_free_s",
-        "_ledger",
+        "_buckets",
         "_limits",
         "_numbers",
         "_opened",
@@ -108,18 +108,18 @@
         self._find_endpoint = find_endpoint
         self._clock = clock
         self._counters = counters
-        self._ledger = PermitLedger(clock, limits)
-        self._order = AccountantOrder(clock)
+        self._buckets = PermitBuckets(clock, limits)
+        self._order = LimiterOrder(clock)
         self._peers = None
         self._numbers = itertools.count(1)
         self._server = PermitServer(
-            self._ledger, limits, self._order, self._send, clock
+            self._buckets, limits, self._order, self._send, clock
         )
         # Claims by number.
         self._asked = {}
         self._silent_until_s = {}
         limits.on_change = self._note_change
-        # Processes whose limits this router has considered as their accountant.
+        # Processes whose limits this router has considered as their limiter.
         self._opened = set()
         # When endpoints may have a permit, as last heard, by name.
         self._free_s = {}
@@ -148,29 +148,29 @@
             self._claim_own(asked)
         else:
             self._asked[number] = asked
-            asked.accountants = self._live_accountants(endpoint)
+            asked.limiters = self._live_limiters(endpoint)
             self._ask_next(asked)
         return asked
 
-    def _live_accountants(self, endpoint):
+    def _live_limiters(self, endpoint):
         now_s = self._clock.seconds()
-        accountants = self._order.accountants(endpoint.name, endpoint.data_centre)
+        limiters = self._order.limiters(endpoint.name, endpoint.data_centre)
         return [
             each
-            for each in accountants
+            for each in limiters
             if self._silent_until_s.get(each.name, now_s) <= now_s
         ]
 
     def _ask_next(self, asked):
-        """Ask the next accountant."""
+        """Ask the next limiter."""
         if not self._limits.is_limited(asked.endpoint):
-            # The limit has ended while an accountant did not answer.
+            # The limit has ended while a limiter did not answer.
             self._decide(asked, GRANTED)
             return
-        if not asked.accountants:
+        if not asked.limiters:
             self._decide_unanswered(asked)
             return
-        asked.asked = asked.accountants.pop(0)
+        asked.asked = asked.limiters.pop(0)
         if asked.asked == self._order.own:
             self._claim_own(asked)
             return
@@ -191,7 +191,7 @@
             self._decide_unanswered(asked)
             return
         key = self._limits.key_of(endpoint)
-        asked.own_claim = self._ledger.claim(
+        asked.own_claim = self._buckets.claim(
             key, share_ratio, asked.claim, lambda each: self._decide(asked, each)
         )
 
@@ -222,7 +222,7 @@
         name = asked.asked.name
         until_s = self._clock.seconds() + SILENCE_S
         if self._silent_until_s.get(name, 0.0) < self._clock.seconds():
-            logger.info("accountant is silent name={} until_s={:.1f}", name, until_s)
+            logger.info("limiter is silent name={} until_s={:.1f}", name, until_s)
         self._silent_until_s[name] = until_s
         self._ask_next(asked)
 
@@ -241,7 +241,7 @@
             asked.timer = self._clock.callLater(
                 patience_s + ANSWER_TIMEOUT_S, self._handle_silence, asked
             )
-        elif reply.state is PermitState.NOT_ACCOUNTANT:
+        elif reply.state is PermitState.NOT_LIMITER:
             self._stop_timer(asked)
             self._ask_next(asked)
         else:
@@ -296,34 +296,34 @@
         if not self._is_first(endpoint):
             return False
         heard_s = self._limits.find(endpoint).heard_s
-        granted_s = self._ledger.granted_s(self._limits.key_of(endpoint)) or heard_s
+        granted_s = self._buckets.granted_s(self._limits.key_of(endpoint)) or heard_s
         last_s = max(granted_s, heard_s)
         return self._clock.seconds() - last_s >= TRIAL_INTERVAL_S
 
     def _note_change(self, incarnation):
         """Follow a changed limit at once."""
         self._free_s.pop(incarnation.name, None)
-        self._ledger.refresh()
+        self._buckets.refresh()
 
     def refresh(self):
         """Follow changed limits and drop what is over; called at intervals."""
-        self._ledger.refresh()
+        self._buckets.refresh()
         self._server.refresh()
-        self._open_accounts()
+        self._open_buckets()
         now_s = self._clock.seconds()
         self._free_s = {n: s for n, s in self._free_s.items() if s > now_s}
         silent = self._silent_until_s.items()
         self._silent_until_s = {n: s for n, s in silent if s > now_s}
 
-    def _open_accounts(self):
-        """Open accounts for new limits, if this router is their first accountant."""
+    def _open_buckets(self):
+        """Open buckets for new limits, if this router is their first limiter."""
         limited = self._limits.limited
         for incarnation in limited - self._opened:
             endpoint = self._find_endpoint(incarnation.name)
             if endpoint is not None and self._is_first(endpoint):
-                self._ledger.open(incarnation, 1.0)
+                self._buckets.open(incarnation, 1.0)
         self._opened = limited
 
     def _is_first(self, endpoint):
-        order = self._order.accountants(endpoint.name, endpoint.data_centre)
+        order = self._order.limiters(endpoint.name, endpoint.data_centre)
         return bool(order) and order[0] == self._order.own
--- a/src/sesamearch/membership/permit_server.py
+++ b/src/sesamearch/membership/permit_server.py
@@ -1,4 +1,4 @@
-"""The permits that this router, as an accountant, grants to the claims of others."""
+"""The permits that this router, as a limiter, grants to the claims of others."""
 
 from sesamearch.forwarding.permits import NO_CLAIM, PermitClaim
 from sesamearch.membership.fleet_message import (
@@ -36,22 +36,22 @@
 
 
 class PermitServer:
-    """Decides the claims of other routers, as far as this one is an accountant.
+    """Decides the claims of other routers, as far as this one is a limiter.
 
     Parameters
     ----------
-    ledger : PermitLedger
+    buckets : PermitBuckets
     limits : LimitTracker
-    order : AccountantOrder
+    order : LimiterOrder
     send : callable
         Sends a message to the router at an address.
     clock : twisted.internet.interfaces.IReactorTime
     """
 
-    __slots__ = ("_clock", "_ledger", "_limits", "_order", "_send", "_served")
+    __slots__ = ("_clock", "_buckets", "_limits", "_order", "_send", "_served")
 
-    def __init__(self, ledger, limits, order, send, clock):
-        self._ledger = ledger
+    def __init__(self, buckets, limits, order, send, clock):
+        self._buckets = buckets
         self._limits = limits
         self._order = order
         self._send = send
@@ -69,11 +69,11 @@
         self._limits.update(incarnation, read_notice(notice, now_s))
         share_ratio = self._order.share_ratio(incarnation.name, request.data_centre)
         if not share_ratio:
-            self._reply(request, PermitState.NOT_ACCOUNTANT, 0.0)
+            self._reply(request, PermitState.NOT_LIMITER, 0.0)
             return
         served = _ServedClaim(request, self._reply)
         claim = PermitClaim(request.rank, request.has_begun, now_s + request.patience_s)
-        served.pending = self._ledger.claim(
+        served.pending = self._buckets.claim(
             incarnation, share_ratio, claim, served.decide
         )
         self._served[request.address, request.number] = served
--- a/tests/forwarding/test_permit_account.py
+++ b/tests/forwarding/test_permit_bucket.py
@@ -5,23 +5,23 @@
 
 from twisted.internet.task import Clock
 
-from sesamearch.forwarding.permit_account import (
+from sesamearch.forwarding.permit_bucket import (
     MIN_RATE_PER_S,
     PERMITS_PER_OLDEST,
-    PermitAccount,
+    PermitBucket,
     PermitRate,
 )
 from sesamearch.forwarding.permits import PermitClaim
 
 
-class TestPermitAccount(unittest.TestCase):
+class TestPermitBucket(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
         self.decided = []
 
     def make(self, limit_per_s, share_ratio=1.0, gather_s=0.0):
         rate = PermitRate(limit_per_s, share_ratio)
-        self.account = PermitAccount(self.clock, rate)
+        self.bucket = PermitBucket(self.clock, rate)
         self.clock.advance(gather_s)
 
     def claim(self, name="", patience_s=0.0, rank=5, has_begun=False):
@@ -31,7 +31,7 @@
             at_s = round(self.clock.seconds(), 3)
             self.decided.append((name, decision.is_granted, at_s))
 
-        return self.account.claim(claim, decide)
+        return self.bucket.claim(claim, decide)
 
     def granted(self):
         return [name for name, is_granted, _ in self.decided if is_granted]
@@ -39,14 +39,14 @@
     def denied(self):
         return [name for name, is_granted, _ in self.decided if not is_granted]
 
-    def test_new_account_has_no_permit(self):
+    def test_new_bucket_has_no_permit(self):
         self.make(2.0)
         self.claim("now")
         self.claim("later", patience_s=0.6)
         self.clock.pump([0.1] * 10)
         self.assertEqual(self.decided, [("now", False, 0.0), ("later", True, 0.5)])
 
-    # Guards against an account whose grants add up to more than the limit allows,
+    # Guards against a bucket whose grants add up to more than the limit allows,
     # however the claims come.
     def test_grants_in_any_window_are_bounded(self):
         for limit_per_s in (0.0, 0.3, 1.3, 20.0, 125.0):
@@ -134,13 +134,13 @@
         self.make(10.0)
         for number in range(5):
             self.claim(str(number), patience_s=2)
-        self.account.set_rate(PermitRate(0.5))
+        self.bucket.set_rate(PermitRate(0.5))
         self.assertEqual(self.denied(), ["1", "2", "3", "4"])
 
     def test_higher_limit_grants_sooner(self):
         self.make(0.5)
         self.claim("first", patience_s=5)
-        self.account.set_rate(PermitRate(10.0))
+        self.bucket.set_rate(PermitRate(10.0))
         self.clock.advance(0.11)
         self.assertEqual(self.granted(), ["first"])
 
@@ -161,5 +161,5 @@
         self.make(0.5)
         for number in range(3):
             self.claim(str(number), patience_s=9)
-        self.account.close()
+        self.bucket.close()
         self.assertEqual(self.granted(), ["0", "1", "2"])
--- a/tests/membership/test_accountant.py
+++ b/tests/membership/test_limiter.py
@@ -1,10 +1,10 @@
-"""Which routers account for the permits of an endpoint, and for how much."""
+"""Which routers limit the permits of an endpoint, and for how much."""
 
 import unittest
 
 from twisted.internet.task import Clock
 
-from sesamearch.membership.accountant import AccountantOrder
+from sesamearch.membership.limiter import LimiterOrder
 from sesamearch.membership.member_list import MemberList, RouterInfo
 
 
@@ -13,7 +13,7 @@
     return RouterInfo(name, f"10.0.0.{number}:1", data_centre, 1000, 1)
 
 
-class TestAccountantOrder(unittest.TestCase):
+class TestLimiterOrder(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
         self.clock.advance(100)
@@ -22,7 +22,7 @@
         members = MemberList(own)
         for each in others:
             members.record_message(each, self.clock.seconds())
-        order = AccountantOrder(self.clock)
+        order = LimiterOrder(self.clock)
         order.join(members)
         return order, members
 
@@ -39,12 +39,12 @@
     def test_all_routers_choose_the_same_ones_in_the_endpoints_data_centre(self):
         orders = self.orders(self.fleet())
         for endpoint in ("e1", "e2", "e3"):
-            chosen = [order.accountants(endpoint, "west") for order in orders]
+            chosen = [order.limiters(endpoint, "west") for order in orders]
             self.assertEqual(len({each[0].name for each in chosen}), 1)
             self.assertEqual(len(chosen[0]), 2)
             self.assertEqual({each.data_centre for each in chosen[0]}, {"west"})
 
-    # Guards against accountants whose parts add up to more than the rule allows.
+    # Guards against limiters whose parts add up to more than the rule allows.
     def test_parts_of_the_limit_add_up_to_little_more_than_the_limit(self):
         for count in (1, 2, 3, 9, 40):
             orders = self.orders(self.fleet(count))
@@ -58,25 +58,25 @@
 
     def test_endpoints_are_spread(self):
         order = self.orders(self.fleet(30))[0]
-        first = {order.accountants(f"e{n}", "east")[0].name for n in range(200)}
+        first = {order.limiters(f"e{n}", "east")[0].name for n in range(200)}
         self.assertEqual(len(first), 10)
 
     def test_another_data_centre_stands_in_for_one_without_routers(self):
         order, _ = self.make(router(1), [router(2, "west")])
-        self.assertEqual(len(order.accountants("e1", "north")), 2)
+        self.assertEqual(len(order.limiters("e1", "north")), 2)
         order, _ = self.make(router(1), [router(2, "west"), router(3, "west")])
-        first = order.accountants("e1", "east")[0]
+        first = order.limiters("e1", "east")[0]
         self.assertEqual(first.name, "router-1")
 
     def test_router_that_is_gone_is_replaced(self):
         routers = self.fleet()
         order, members = self.make(routers[0], routers[1:])
-        gone, second = order.accountants("e1", "west")
+        gone, second = order.limiters("e1", "west")
         self.clock.advance(5)
         for each in routers[1:]:
             if each != gone:
                 members.record_message(each, self.clock.seconds())
-        self.assertEqual(order.accountants("e1", "west")[0], second)
+        self.assertEqual(order.limiters("e1", "west")[0], second)
 
     def test_router_that_has_lost_all_others_grants_its_part_only(self):
         routers = self.fleet()
@@ -91,6 +91,6 @@
         self.assertEqual(order.share_ratio("e1", "west"), 1.0)
 
     def test_router_that_has_not_joined_grants_little(self):
-        order = AccountantOrder(self.clock)
+        order = LimiterOrder(self.clock)
         self.assertEqual(order.share_ratio("e1", "west"), 0.1)
-        self.assertEqual(order.accountants("e1", "west"), [])
+        self.assertEqual(order.limiters("e1", "west"), [])
--- a/tests/membership/test_permit_relay.py
+++ b/tests/membership/test_permit_relay.py
@@ -100,15 +100,15 @@
                     relay.refresh()
 
     @property
-    def accountants(self):
-        """List of int : numbers of the endpoint's accountants."""
-        order = self.relays[0]._order.accountants("e1", "east")
+    def limiters(self):
+        """List of int : numbers of the endpoint's limiters."""
+        order = self.relays[0]._order.limiters("e1", "east")
         return [self.infos.index(each) for each in order]
 
     @property
     def others(self):
-        """List of int : numbers of the routers that are no accountants."""
-        return [n for n in range(len(self.infos)) if n not in self.accountants]
+        """List of int : numbers of the routers that are no limiters."""
+        return [n for n in range(len(self.infos)) if n not in self.limiters]
 
 
 class TestPermitRelay(unittest.TestCase):
@@ -143,7 +143,7 @@
         self.assertEqual(self.grants, 2)
         self.assertEqual(len(self.decided), 5)
 
-    def test_claim_waits_at_the_accountant(self):
+    def test_claim_waits_at_the_limiter(self):
         fleet = self.make()
         for _ in range(4):
             self.claim(fleet.others[0], patience_s=2.0, has_begun=True)
@@ -152,7 +152,7 @@
 
     def test_message_is_sent_again_until_the_connection_is_there(self):
         fleet = self.make()
-        first, other = fleet.accountants[0], fleet.others[0]
+        first, other = fleet.limiters[0], fleet.others[0]
         fleet.peers[other].unconnected_sends = 3
         fleet.peers[first].unconnected_sends = 3
         self.claim(other)
@@ -160,11 +160,11 @@
         self.assertEqual(self.grants, 1)
         self.assertLess(self.decided[0][2], ANSWER_TIMEOUT_S)
 
-    # Guards against requests that wait for an accountant that has ended, and against a
-    # second accountant that grants the whole limit while the first one still does.
-    def test_second_accountant_stands_in_with_a_part(self):
+    # Guards against requests that wait for a limiter that has ended, and against a
+    # second limiter that grants the whole limit while the first one still does.
+    def test_second_limiter_stands_in_with_a_part(self):
         fleet = self.make(limit_per_s=20.0)
-        first, _ = fleet.accountants
+        first, _ = fleet.limiters
         fleet.peers[first].is_cut = True
         for _ in range(100):
             self.claim(fleet.others[0])
@@ -174,9 +174,9 @@
         self.assertGreater(self.grants, 4 * 20)
         self.assertGreater(self.counters(fleet.others[0]).permits_granted, 10)
 
-    def test_second_accountant_takes_over_once_the_first_is_gone(self):
+    def test_second_limiter_takes_over_once_the_first_is_gone(self):
         fleet = self.make(limit_per_s=20.0)
-        first, _ = fleet.accountants
+        first, _ = fleet.limiters
         fleet.peers[first].is_cut = True
         fleet.live.discard(first)
         fleet.run(5.0)
@@ -185,19 +185,19 @@
             fleet.run(0.04)
         self.assertGreater(self.grants, 70)
 
-    def test_claim_without_any_accountant_is_denied_soon(self):
+    def test_claim_without_any_limiter_is_denied_soon(self):
         fleet = self.make()
-        for number in fleet.accountants:
+        for number in fleet.limiters:
             fleet.peers[number].is_cut = True
         self.claim(fleet.others[0], patience_s=5.0)
         fleet.run(1.0)
         self.assertEqual(self.decided, [(False, False, 2 * ANSWER_TIMEOUT_S)])
 
-    # Guards against permits that a frozen accountant grants to requests that have long
+    # Guards against permits that a frozen limiter grants to requests that have long
     # gone elsewhere.
     def test_late_grant_is_given_back(self):
         fleet = self.make(limit_per_s=1.0)
-        first, second = fleet.accountants
+        first, second = fleet.limiters
         other = fleet.others[0]
         fleet.peers[first].is_frozen = fleet.peers[second].is_frozen = True
         self.claim(other)
@@ -232,7 +232,7 @@
     # Guards against a message for each request that is denied anyway.
     def test_denial_is_remembered_until_a_permit_is_due(self):
         fleet = self.make(limit_per_s=1.0)
-        first, other = fleet.accountants[0], fleet.others[0]
+        first, other = fleet.limiters[0], fleet.others[0]
         requests = []
         handler = fleet.peers[first].handlers[PermitRequest]
         fleet.peers[first].handlers[PermitRequest] = lambda request: (
@@ -265,20 +265,20 @@
         fleet.run(0.05)
         self.assertEqual(self.grants, 3)
 
-    # Guards against a claim to a second accountant that has no limit to name.
-    def test_limit_that_ends_while_an_accountant_is_silent_grants(self):
+    # Guards against a claim to a second limiter that has no limit to name.
+    def test_limit_that_ends_while_an_limiter_is_silent_grants(self):
         fleet = self.make()
         other = fleet.others[0]
-        fleet.peers[fleet.accountants[0]].is_cut = True
+        fleet.peers[fleet.limiters[0]].is_cut = True
         self.claim(other, patience_s=5.0)
         fleet.run(0.05)
         fleet.trackers[other]._statements.clear()
         fleet.run(0.2)
         self.assertEqual(self.grants, 1)
 
-    def test_trial_is_due_at_the_accountant_alone_and_after_silence(self):
+    def test_trial_is_due_at_the_limiter_alone_and_after_silence(self):
         fleet = self.make(limit_per_s=1.0, gather_s=4.0)
-        first = fleet.accountants[0]
+        first = fleet.limiters[0]
         self.assertFalse(fleet.relays[first].is_trial_due(ENDPOINT))
         fleet.run(2.0)
         due = [relay.is_trial_due(ENDPOINT) for relay in fleet.relays]
--- a/tests/platform/test_limited.py
+++ b/tests/platform/test_limited.py
@@ -139,7 +139,7 @@
 
 
 class TestFaults(_LimitTest):
-    """Accountants that are killed, cut off or restarted together."""
+    """Limiters that are killed, cut off or restarted together."""
 
     def kill(self, number, restart_s=1.0):
         storm = self.storm
@@ -163,9 +163,9 @@
             at_s, number = rng.uniform(5.0, 22.0), rng.randrange(9)
             self.storm.network.callLater(at_s, fault, number)
 
-    # Guards against two accountants that each grant the whole limit, and against
-    # requests that nobody grants a permit after an accountant has ended.
-    def test_limits_hold_while_accountants_are_killed(self):
+    # Guards against two limiters that each grant the whole limit, and against
+    # requests that nobody grants a permit after a limiter has ended.
+    def test_limits_hold_while_limiters_are_killed(self):
         storm = self.make(2, 4, 8, seed=2)
         self.schedule(self.kill, 8, seed=2)
         storm.send_for(24.0, rate=20.0)
