Forget a limit that has ended while its endpoint goes on to answer

Each whole answer without a limit renewed the note that there is none, so it was kept, and repeated to all routers by the relays, for as long as the endpoint served. test_ended_limit_is_forgotten_while_answers_go_on failed before.

--- a/src/sesamearch/forwarding/limits.py
+++ b/src/sesamearch/forwarding/limits.py
@@ -124,7 +124,8 @@
     def _note_own(self, incarnation, statement):
         known = self._statements.get(incarnation)
         if known is not None and known.limit_per_s == statement.limit_per_s:
-            if statement.heard_s > known.heard_s:
+            # What has ended is not renewed, so that it is forgotten.
+            if known.limit_per_s is not None and statement.heard_s > known.heard_s:
                 self._statements[incarnation] = statement
             return
         if self._apply(incarnation, statement, "answer") and self.on_answer is not None:
--- a/tests/forwarding/test_limits.py
+++ b/tests/forwarding/test_limits.py
@@ -144,6 +144,15 @@
                 tracker.update(incarnation, statement)
             self.assertEqual(tracker.limit_per_s(ENDPOINT), 2.0)
 
+    # Guards against ended limits that are kept, and repeated to all, for good.
+    def test_ended_limit_is_forgotten_while_answers_go_on(self):
+        self.answer(1.3)
+        for _ in range(32):
+            self.clock.advance(1)
+            self.answer()
+        self.tracker.drop_expired({"e1": ENDPOINT})
+        self.assertFalse(self.tracker.has_any)
+
     def test_statements_about_gone_processes_are_dropped(self):
         self.answer(1.3)
         self.clock.advance(61)
