--- a/tests/membership/test_permit_relay.py
+++ b/tests/membership/test_permit_relay.py
@@ -245,11 +245,13 @@
         self.assertEqual(self.grants, 5)
         self.assertLess(len(requests), 20)
 
+    # Guards against a denial that is remembered for the time at the old rate.
     def test_raised_limit_is_used_at_once(self):
-        fleet = self.make(limit_per_s=0.3)
+        fleet = self.make(limit_per_s=0.3, gather_s=4.0)
         for _ in range(3):
             self.claim(fleet.others[0])
             fleet.run(0.05)
+        self.assertEqual(self.grants, 1)
         fleet.set_limit(20.0)
         fleet.run(0.5)
         self.claim(fleet.others[0])
