Name the whole request in the log of a lost try

Changed test: the parts of a lost try are compared as before, and its last name must be that of the request.

--- a/src/sesamearch/base/request_record.py
+++ b/src/sesamearch/base/request_record.py
@@ -118,7 +118,8 @@
     events : int
         Number of events that arrived of this try.
     parts : list of str
-        The parts of the prompt that other requests may share; empty for a call.
+        Names of the parts of the prompt that other requests may share, and of the
+        whole request: a request that comes again, under any id, has the same name.
     """
 
     request: str
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -371,6 +371,8 @@
             decode_configuration,
             self._sockets_type,
         )
+        self._peers.on_keys_changed = self._use_keys
+        self._use_keys(self._peers.keys)
         self._peers.follows_store = self._follows_store
         self._gossip.join(self._peers)
         self._leaving_gossip.join(self._peers)
@@ -389,6 +391,10 @@
         keeper.start()
         logger.info(Dependency("peers", "regained", self._settings.peer.listen))
 
+    def _use_keys(self, keys):
+        """Have all routers that share these keys give a request the same name."""
+        self._quarantine.fingerprints.set_secret(keys.secret_key)
+
     def handle_signals(self, load_settings):
         """Shut down on SIGTERM and SIGINT, and reload the settings on SIGHUP.
 
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -122,6 +122,7 @@
         self.permit = RequestPermit(tools, request.request_id)
         # Status that was sent to the caller; zero as long as it has heard nothing.
         self._sent_status = 0
+        self._parts = None
         self._on_end = on_end
         deadlines = deadlines_of(request, route)
         self.answer_by_s = deadlines.answer_by_s
@@ -158,6 +159,13 @@
     def try_lost(self, attempt, loss):
         """Handle the loss of an answer."""
 
+    @property
+    def parts(self):
+        """List of str : what other requests may share; see ``PromptQuarantine``."""
+        if self._parts is None:
+            self._parts = self.tools.quarantine.parts_of(self.request)
+        return self._parts
+
     # Tries.
 
     @property
@@ -277,7 +285,7 @@
                 after_ms,
                 answering_ms,
                 attempt.event_count,
-                self.request.shared_parts,
+                self.parts,
             )
         )
 
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -72,6 +72,8 @@
     member_list : MemberList
     follows_store : callable
         Returns whether this router watches the store and reaches it.
+    on_keys_changed : callable
+        Called with the new keys.
     seeds : list of str
         Addresses that also get heartbeats while this router has fewer than two others
         to send them to.
@@ -95,6 +97,7 @@
         self._decode_table = decode_table
         self.seeds = settings.peer.seeds
         self.follows_store = lambda: False
+        self.on_keys_changed = lambda keys: None
         self._may_stand_by = settings.bounds.drain_s >= STANDBY_MIN_DRAIN_S
         own = RouterInfo(
             settings.name,
@@ -151,6 +154,7 @@
             self._reactor, self.member_list.own.address, keys, self._on_message
         )
         self._sockets.start()
+        self.on_keys_changed(keys)
 
     @property
     def has_live_members(self):
--- a/src/sesamearch/quarantine/__init__.py
+++ b/src/sesamearch/quarantine/__init__.py
@@ -3,6 +3,7 @@
 from sesamearch.quarantine.controller import PromptQuarantine, retry_after_s
 from sesamearch.quarantine.entry import Quarantine
 from sesamearch.quarantine.evidence import EngineLoss, LossEvidence, Suspect
+from sesamearch.quarantine.fingerprint import RequestFingerprints
 from sesamearch.quarantine.register import QuarantineRegister
 
 __all__ = [
@@ -11,6 +12,7 @@
     "PromptQuarantine",
     "Quarantine",
     "QuarantineRegister",
+    "RequestFingerprints",
     "Suspect",
     "retry_after_s",
 ]
--- a/src/sesamearch/quarantine/controller.py
+++ b/src/sesamearch/quarantine/controller.py
@@ -10,6 +10,7 @@
     EngineLoss,
     LossEvidence,
 )
+from sesamearch.quarantine.fingerprint import RequestFingerprints
 
 __all__ = ["PromptQuarantine", "retry_after_s"]
 
@@ -64,6 +65,7 @@
 
     Attributes
     ----------
+    fingerprints : RequestFingerprints
     on_loss, on_written, on_alive : callable
         Called with an :class:`EngineLoss`, with a list of parts that losses had counted
         against, or with the incarnation of an engine that has not ended, if this router
@@ -93,6 +95,7 @@
         "_undecided",
         "_unstored",
         "_untold",
+        "fingerprints",
         "on_alive",
         "on_begin",
         "on_decision",
@@ -107,6 +110,7 @@
         self._counters = counters
         self._random = rng
         self._evidence = LossEvidence(clock)
+        self.fingerprints = RequestFingerprints()
         self._entries = {}
         self._changed_s = {}
         # Keys of the active entries.
@@ -146,6 +150,18 @@
 
     # Requests.
 
+    def parts_of(self, request):
+        """List what other requests may share with one: prompt parts, and all of it.
+
+        Returns
+        -------
+        list of str
+            Names of the parts of its prompt that other requests may share, and of the
+            whole request.
+        """
+        name = self.fingerprints.name(request)
+        return [*request.shared_parts, name] if name else request.shared_parts
+
     def find(self, parts, request_id):
         """Find the quarantine by which a request is refused.
 
--- a/tests/platform/test_fatal_prompt.py
+++ b/tests/platform/test_fatal_prompt.py
@@ -93,7 +93,9 @@
             storm.run(1)
         messages = [record.msg for record in handler.records]
         lost = next(each for each in messages if isinstance(each, TryLost))
-        self.assertEqual(lost.parts, ["5c1e", FATAL_PART])
+        *shared, request = lost.parts
+        self.assertEqual(shared, ["5c1e", FATAL_PART])
+        self.assertTrue(request.startswith("request-"))
         self.assertIsNotNone(lost.answering_ms)
         self.assertEqual(lost.events, 0)
 
--- /dev/null
+++ b/tests/quarantine/test_fingerprint.py
@@ -0,0 +1,57 @@
+"""Names of whole requests."""
+
+import unittest
+
+import msgspec
+
+from sesamearch.forwarding.request import CallerRequest
+from sesamearch.quarantine.fingerprint import RequestFingerprints
+
+REQUEST = CallerRequest(
+    "r1", b"POST", b"/look/1?a=1", [(b"X-A", b"1")], b"body", "h", "/look/1", "k", 0, 9
+)
+
+
+def fingerprints(secret="fleet"):
+    made = RequestFingerprints()
+    made.set_secret(secret)
+    return made
+
+
+def name_of(secret="fleet", **changes):
+    return fingerprints(secret).name(msgspec.structs.replace(REQUEST, **changes))
+
+
+class TestRequestFingerprints(unittest.TestCase):
+    def test_same_request_with_another_id_and_headers_has_the_same_name(self):
+        again = name_of(request_id="r2", headers=[(b"X-B", b"2")], received_s=5.0)
+        self.assertEqual(again, name_of())
+
+    def test_any_other_content_is_another_request(self):
+        changes = (
+            {"method": b"PUT"},
+            {"target": b"/look/2?a=1"},
+            {"target": b"/look/1?a=2"},
+            {"body": b"bodY"},
+            {"body": b""},
+            {"key": "other"},
+            {"host": "other"},
+        )
+        names = {name_of(), *(name_of(**each) for each in changes)}
+        self.assertEqual(len(names), 1 + len(changes))
+
+    # Guards against two requests of one name, as bytes move from one field to the next.
+    def test_fields_are_told_apart(self):
+        self.assertNotEqual(name_of(key="ab", body=b"c"), name_of(key="a", body=b"bc"))
+
+    # Guards against content of callers that can be guessed from logs or the store.
+    def test_name_depends_on_the_secret_and_shows_nothing_of_the_request(self):
+        self.assertNotEqual(name_of(secret="other"), name_of())
+        self.assertRegex(name_of(), r"^request-[0-9a-f]{16}$")
+
+    def test_without_a_secret_there_is_no_name(self):
+        self.assertEqual(RequestFingerprints().name(REQUEST), "")
+
+    def test_names_are_not_those_of_parts(self):
+        self.assertTrue(RequestFingerprints.is_request(name_of()))
+        self.assertFalse(RequestFingerprints.is_request("5c1e07a2"))
