Show that one request ends endpoint after endpoint

On the virtual clock, a tenth of the requests is one request (same path, caller and body, an id of its own each time, any router); the endpoint that runs it ends after 50 ms and is back after 4 s under another name. Nothing remembers a plain request, and of a generation only the parts that others share.

--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -16,6 +16,8 @@
 PREFILL_TOKENS_PER_S = 8000.0
 EVENT_INTERVAL_S = 0.03
 DEFAULT_EVENTS = 20
+# A request that ends its worker does so this long after the worker began to run it.
+FATAL_DELAY_S = 0.05
 OK = 200
 
 
@@ -60,6 +62,7 @@
     at_s: float
     path: str
     parts: list[str] = []
+    body: bytes = b""
 
 
 def _parts(head):
@@ -105,6 +108,10 @@
     fault : str
         ``mute`` (no response), ``reset`` (reset instead of a response) or
         ``truncate`` (reset in the middle of the response); empty for none.
+    fatal_bodies : frozenset of bytes
+        Bodies of requests under which the worker ends soon after it began to run them.
+    on_end : callable
+        Called with the worker when a request ends it; crashes it.
     """
 
     def __init__(self, clock, name, slots=6, work_s=0.02):
@@ -121,11 +128,14 @@
         self.is_leaving = False
         self.retry_after = ""
         self.limit = ""
+        self.fatal_bodies = frozenset()
+        self.on_end = PlatformServiceStandin.crash
+        self.processors = []
 
     def __call__(self, head, body, reply):
         """Record the arrival of a request, and handle it."""
         path = head.target.decode()
-        arrival = WorkerArrival(self.clock.seconds(), path, _parts(head))
+        arrival = WorkerArrival(self.clock.seconds(), path, _parts(head), body)
         self.arrivals.append(arrival)
         self.handle(head, body, reply)
 
@@ -179,7 +189,11 @@
         processor = self.make_processor(
             run, head, reply, [*headers, (b"X-Response-Signature", signature)]
         )
+        self.processors = [each for each in self.processors if not each.is_over]
+        self.processors.append(processor)
         reply.listener = processor
+        if body in self.fatal_bodies:
+            self.clock.callLater(FATAL_DELAY_S, self.on_end, self)
         processor.start()
 
     def make_processor(self, run, head, reply, headers):
@@ -192,6 +206,12 @@
             run.ended = outcome
             self.running -= 1
 
+    def crash(self):
+        """End all requests in progress and reset their connections."""
+        processors, self.processors = self.processors, []
+        for processor in processors:
+            processor.crash()
+
     @property
     def served(self):
         """List of str : ids of the requests that were started."""
@@ -207,12 +227,25 @@
         self._reply = reply
         self._headers = headers
 
+    @property
+    def is_over(self):
+        """Bool : whether the request ended."""
+        return bool(self._run.ended)
+
     def start(self):
         """Start to process the request."""
         self._worker.clock.callLater(self._worker.work_s, self._finish)
 
+    def crash(self):
+        """Stop and reset the connection."""
+        if not self._run.ended:
+            self._worker.ended(self._run, "crashed")
+            self._reply.abort()
+
     def _finish(self):
         worker = self._worker
+        if self._run.ended or self._run.body in worker.fatal_bodies:
+            return
         worker.ended(self._run, "whole")
         headers = [*self._headers, *worker.notices(worker.status)]
         body = f"answer of {worker.name} to {self._run.request_id}".encode()
@@ -262,8 +295,6 @@
         Parts of prompts under which the engine ends as it begins to write.
     ends_after_head : bool
         Whether it has sent the head of the answer by then.
-    on_end : callable
-        Called with the engine when a prompt ends it; crashes it.
     """
 
     def __init__(self, clock, name, slots=12, events=DEFAULT_EVENTS):
@@ -278,7 +309,6 @@
         self.fatal_parts = frozenset()
         self.ends_after_head = True
         self.on_end = PlatformEngineStandin.crash
-        self._processors = []
 
     def handle(self, head, body, reply):
         """Handle a request."""
@@ -305,7 +335,7 @@
 
     def _copy(self, content, reply):
         """Copy the KV cache of a request to another engine."""
-        matching = [p for p in self._processors if p.request_id == content["id"]]
+        matching = [p for p in self.processors if p.request_id == content["id"]]
         target = self.neighbours.get(content["target"])
         if not matching or matching[-1].is_over:
             reply.answer(404, self.notices(404), b"{}")
@@ -326,15 +356,11 @@
             tokens = 0
         run.prompt_tokens = tokens
         is_fatal = not self.fatal_parts.isdisjoint(_parts(head))
-        processor = _GenerationProcessor(self, run, reply, headers, is_fatal)
-        self._processors.append(processor)
-        return processor
+        return _GenerationProcessor(self, run, reply, headers, is_fatal)
 
     def crash(self):
         """Reset all connections and discard all copies."""
-        for processor in list(self._processors):
-            processor.crash()
-        self._processors = []
+        super().crash()
         self.copies = {}
 
 
--- a/tests/platform/prompt_storm.py
+++ b/tests/platform/prompt_storm.py
@@ -1,17 +1,13 @@
 """Load in which a part of some prompts ends each engine that begins to write on it."""
 
-import random
+from tests.platform.endpoint_storm import CONTACT_S, EndpointStorm
+from tests.platform.world import draft_bytes
 
-from sesamearch.configuration.platform_settings import PlatformBounds
-from tests.platform.world import World, draft_bytes
+__all__ = ["CONTACT_S", "COUNTED_ENDS", "FATAL_PART", "PromptStorm"]
 
 FATAL_PART = "dead"
-RESTART_S = 4.0
-# The store drops the entry of an engine that ended after this time.
-ENTRY_LIFETIME_S = 2.0
 # An engine counts as ended by a prompt; the bounds of the rules begin at the fifth.
 COUNTED_ENDS = 5
-CONTACT_S = 3.0
 PROMPT_TOKENS = 4000
 
 
@@ -33,7 +29,7 @@
         return self.client.status == 200
 
 
-class PromptStorm(World):
+class PromptStorm(EndpointStorm):
     """A deployment whose engines end under a part of a prompt and return.
 
     Parameters
@@ -43,56 +39,27 @@
     fatal_parts : tuple of str
     """
 
-    bounds = PlatformBounds()
-
     def __init__(self, routers, engines, seed=1, fatal_parts=(FATAL_PART,)):
-        self._starts = {}
-        super().__init__(routers, 0, engines)
-        self.random = random.Random(seed)
         self.fatal_parts = fatal_parts
+        super().__init__(routers, 0, engines, seed)
         self.sent = []
-        self.ended_s = []
-        self.lost_s = {}
-        self.engines_ever = list(self.engines)
-        for engine in self.engines:
-            self._arm(engine)
 
-    def _arm(self, engine):
-        engine.events = 40
-        engine.fatal_parts = frozenset(self.fatal_parts)
-        engine.on_end = self.end_engine
+    def arm(self, worker):
+        worker.fatal_parts = frozenset(self.fatal_parts)
+        worker.on_end = self.end_engine
+
+    @property
+    def engines_ever(self):
+        return self.workers_ever
 
     def end_engine(self, engine):
         """End an engine that a prompt ends; it is back later under another name."""
         self.ended_s.append(self.network.seconds())
-        self.lose_engine(engine)
+        self.lose(engine)
 
     def lose_engine(self, engine):
         """End an engine for no cause; it is back later under another name."""
-        self.lost_s[engine.name] = self.network.seconds()
-        self.crash(engine)
-        self.network.reset(engine.address)
-        self.engines.remove(engine)
-        self.network.callLater(
-            ENTRY_LIFETIME_S, self.store.remove, f"servers/{engine.name}"
-        )
-        self.network.callLater(RESTART_S, self._start_again, engine)
-
-    def _start_again(self, engine):
-        number = int(engine.address.split(":")[0].rpartition(".")[2]) - 1
-        starts = self._starts[number] = self._starts.get(number, 0) + 1
-        later = type(engine)(self.network, f"engine-{number}-{starts}")
-        later.address = engine.address
-        later.neighbours = self.engines_by_address
-        self.engines_by_address[later.address] = later
-        later.factory = self._serve(later.address, later)
-        later.ends_after_head = engine.ends_after_head
-        later.prefill_tokens_per_s = engine.prefill_tokens_per_s
-        later.slots = engine.slots
-        self._arm(later)
-        self.update_entry(later, "models", number)
-        self.engines.append(later)
-        self.engines_ever.append(later)
+        self.lose(engine)
 
     def send(self, parts, router=None):
         """Send a request with the given shared parts and a last part of its own."""
@@ -127,16 +94,6 @@
         for engine in self.engines:
             engine.fatal_parts = frozenset()
 
-    def lose_at_random(self, seconds, per_s):
-        """Schedule ends of random engines for no cause."""
-        for _ in range(round(seconds * per_s)):
-            at_s = self.random.uniform(0.0, seconds)
-            self.network.callLater(at_s, self._lose_any)
-
-    def _lose_any(self):
-        if len(self.engines) > 1:
-            self.lose_engine(self.random.choice(self.engines))
-
     # What the engines and callers saw.
 
     def fatal_arrivals(self, part=FATAL_PART):
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -247,12 +247,16 @@
         self.store = PlatformStoreStandin(self.network)
         self._serve(STORE, self.store)
         self.store.put("op/config", make_configuration())
+        self.add_store_content()
         self.desks = [self.add_desk(number) for number in range(desks)]
         self.engines = [self.add_engine(number) for number in range(engines)]
         self.routers = [self.add_router(number) for number in range(routers)]
         # Routers start to follow the store, or rely on their relays, within a second.
         self.run(1.2)
 
+    def add_store_content(self):
+        """Write what the store holds beside the configuration before a start."""
+
     def run(self, seconds):
         self.network.run(seconds)
 
