Send no request again on a connection that has refused it

Cause here: an answer is matched to its request by the id alone. If a request is refused, waits, and is sent again to the same endpoint on the same kept connection, the repeated refusal has its id and is taken for the answer to the second send. Ruled out by tests with raw bytes, split at every byte: a repeated refusal for another id is skipped, one on an idle connection closes it.

Now a connection remembers the ids that it answered with a failure, and does not carry them again; after 32 of them it is not reused. Two tests failed before (the second send went out on the same connection; a connection was kept after 33 failures). The product's own interface opens a connection for each call. A caller that repeats the id of a request that was answered 2xx is not covered: ids of attempts are unique.

--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -212,7 +212,9 @@
     if options.copy is not None:
         source = f"{options.copy.source_address}/{options.copy.handle}"
         headers.append((b"Kv-From", source.encode()))
-    return OutgoingRequest(request.method, request.target, headers, request.body)
+    return OutgoingRequest(
+        request.method, request.target, headers, request.body, request.request_id
+    )
 
 
 def decode_answer(head):
--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -29,6 +29,8 @@
 # Some peers respond before they have read a long body and go on reading it
 # afterwards, so a connection that sent a longer body is not reused.
 MAX_REUSE_BODY_BYTES = 32 << 10
+# A connection that has answered more requests with a failure is not reused.
+MAX_FAILED_REQUESTS = 32
 
 
 class Loss(enum.Enum):
@@ -54,12 +56,15 @@
         Headers without those that frame the body; the connection adds
         ``Content-Length``.
     body : bytes
+    request_id : str
+        Names the request in its response; empty for none.
     """
 
     method: bytes
     target: bytes
     headers: list[tuple[bytes, bytes]]
     body: bytes = b""
+    request_id: str = ""
 
 
 class ResponseReceiver(abc.ABC):
@@ -158,6 +163,8 @@
         self._is_matching = False
         self._unmatched_bytes = 0
         self._head = None
+        # Ids of the requests that this connection has answered with a failure.
+        self._failed_ids = set()
         self.idle_until_s = 0.0
         self.is_closed = False
         self.is_paused = False
@@ -166,6 +173,14 @@
         """Set the socket options."""
         enable_keepalive(self.transport)
 
+    def may_carry(self, request):
+        """Return whether the response to a request would be told from earlier ones.
+
+        An endpoint may write an earlier failure once more, and a request that is sent
+        again has the same id as it.
+        """
+        return not request.request_id or request.request_id not in self._failed_ids
+
     def send(self, request, pending_request):
         """Send a request whose response goes to ``pending_request.receiver``."""
         self._request = request
@@ -290,7 +305,11 @@
         )
         has_more = bool(self._codec.trailing_data[0])
         is_short = len(self._request.body) <= MAX_REUSE_BODY_BYTES
-        if is_done and not has_more and is_short and not self.is_closed:
+        if not self._head.is_success:
+            self._failed_ids.add(self._request.request_id)
+        has_room = len(self._failed_ids) <= MAX_FAILED_REQUESTS
+        is_usable = is_done and not has_more and has_room and not self.is_closed
+        if is_usable and is_short:
             self._pool.release(self, self._head)
         else:
             self.abort()
--- a/src/sesamearch/wire/head.py
+++ b/src/sesamearch/wire/head.py
@@ -62,6 +62,11 @@
     reason: bytes
     headers: list[tuple[bytes, bytes]]
 
+    @property
+    def is_success(self):
+        """Bool : whether the status is a 2xx."""
+        return 200 <= self.status < 300
+
 
 class HeadError(Exception):
     """A request that cannot be accepted, with the HTTP status to send."""
--- a/src/sesamearch/wire/pool.py
+++ b/src/sesamearch/wire/pool.py
@@ -114,7 +114,7 @@
         PendingRequest
         """
         pending_request = PendingRequest(receiver)
-        connection = None if force_new_connection else self._pop_idle()
+        connection = None if force_new_connection else self._pop_idle(request)
         if connection is not None:
             connection.send(request, pending_request)
             return pending_request
@@ -131,13 +131,13 @@
             pending_request.bind(connector=connector)
         return pending_request
 
-    def _pop_idle(self):
-        now_s = self._reactor.seconds()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.idle_until_s > now_s:
+    def _pop_idle(self, request):
+        """Return the connection that was used last and may carry a request, or None."""
+        self.sweep()
+        for connection in reversed(self._idle):
+            if connection.may_carry(request):
+                self._idle.remove(connection)
                 return connection
-            connection.abort()
         return None
 
     def release(self, connection, head):
--- a/tests/wire/test_endpoint.py
+++ b/tests/wire/test_endpoint.py
@@ -6,6 +6,7 @@
 
 from sesamearch.standin.network import MemoryNetwork
 from sesamearch.wire.endpoint import (
+    MAX_FAILED_REQUESTS,
     Loss,
     OutgoingRequest,
     ResponseReceiver,
@@ -15,6 +16,11 @@
 ADDRESS = "10.0.0.2:80"
 
 
+def refusal(number):
+    head = b"HTTP/1.1 503 Busy\r\nX-Id: %d\r\nX-Not-Executed: 1\r\n" % number
+    return head + b"Content-Length: 4\r\n\r\nbusy"
+
+
 def response(number, body=b"body", extra_headers=b""):
     head = b"HTTP/1.1 200 OK\r\nX-Id: %d\r\nContent-Length: %d\r\n" % (
         number,
@@ -57,7 +63,7 @@
         self.outcome = loss
 
 
-class TestResponses(unittest.TestCase):
+class ResponseTestCase(unittest.TestCase):
     def setUp(self):
         self.network = MemoryNetwork()
         self.factory = Factory.forProtocol(RawServer)
@@ -67,7 +73,7 @@
 
     def send_request(self, number, body=b"", method=b"GET"):
         receiver = Receiver(number)
-        request = OutgoingRequest(method, b"/", [(b"Host", b"h")], body)
+        request = OutgoingRequest(method, b"/", [(b"Host", b"h")], body, f"{number}")
         self.pending_request = self.pool.send(request, receiver)
         self.network.run(0.02)
         return receiver
@@ -80,6 +86,8 @@
     def connection_count(self):
         return len(self.factory.protocols)
 
+
+class TestResponses(ResponseTestCase):
     def test_connection_is_reused_after_a_complete_response(self):
         first = self.send_request(1)
         self.send_bytes(response(1))
@@ -263,3 +271,94 @@
         self.network.run(0.02)
         self.assertEqual(len(self.factory.closed), 1)
         self.assertIsNone(receiver.outcome)
+
+
+class TestRepeatedRefusals(ResponseTestCase):
+    """A server that writes an earlier refusal once more on a kept connection."""
+
+    def refuse(self, number):
+        self.send_request(number)
+        self.send_bytes(refusal(number))
+
+    # Guards against a refusal that is taken for the answer to the same request, which
+    # is sent again on the same connection and is running (another operator's report).
+    def test_request_is_not_sent_again_on_a_connection_that_refused_it(self):
+        self.refuse(1)
+        again = self.send_request(1)
+        self.assertEqual(self.connection_count, 2)
+        self.send_bytes(refusal(1), connection=0)
+        self.assertIsNone(again.outcome)
+        self.send_bytes(response(1))
+        self.assertEqual((again.status, again.body), (200, b"body"))
+
+    def test_other_requests_use_the_connection_that_refused_one(self):
+        self.refuse(1)
+        self.send_request(2)
+        self.assertEqual(self.connection_count, 1)
+
+    # Guards against refusals that are forgotten while the connection is kept.
+    def test_connection_with_many_refusals_is_not_kept(self):
+        for number in range(MAX_FAILED_REQUESTS + 1):
+            self.refuse(number)
+        self.assertEqual(self.connection_count, 1)
+        self.refuse(99)
+        self.assertEqual(self.connection_count, 2)
+
+    def test_repeated_refusal_for_another_request_is_skipped_at_every_split(self):
+        whole = refusal(1)
+        for split in range(len(whole) + 1):
+            with self.subTest(split=split):
+                self.setUp()
+                self.refuse(1)
+                second = self.send_request(2)
+                self.send_bytes(whole[:split])
+                self.send_bytes(whole[split:] + response(2, b"own"))
+                self.assertEqual((second.status, second.body), (200, b"own"))
+
+    def test_repeated_refusal_on_an_idle_connection_closes_it_at_every_split(self):
+        whole = refusal(1)
+        for split in range(1, len(whole) + 1):
+            with self.subTest(split=split):
+                self.setUp()
+                self.refuse(1)
+                self.send_bytes(whole[:split])
+                second = self.send_request(2)
+                self.send_bytes(response(2, b"own"))
+                self.assertEqual((second.status, second.body), (200, b"own"))
+                self.assertEqual(self.connection_count, 2)
+
+
+class TestHeadsThatBreakOff(ResponseTestCase):
+    # Guards against a head that the close seems to complete, so that an empty or short
+    # body looks whole (another operator's report).
+    def test_head_cut_at_every_byte_is_a_loss(self):
+        frames = (
+            b"Content-Length: 120\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+            b"Connection: close\r\n",
+        )
+        for frame in frames:
+            head = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + frame + b"\r\n"
+            for end in range(len(head)):
+                for is_reset in (False, True):
+                    with self.subTest(frame=frame, end=end, is_reset=is_reset):
+                        self.assert_lost(head[:end], is_reset)
+
+    # Guards against the same for a bare line feed, and for lines that are folded.
+    def test_odd_line_ends_before_the_close_are_a_loss(self):
+        start = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 12"
+        for rest in (b"\n", b"\r", b"\r\n", b"\r\n ", b"\r\n\r", b"\r\n folded\r\n"):
+            with self.subTest(rest=rest):
+                self.assert_lost(start + rest, is_reset=False)
+
+    def assert_lost(self, data, is_reset):
+        self.setUp()
+        receiver = self.send_request(1)
+        self.send_bytes(data)
+        transport = self.factory.protocols[0].transport
+        if is_reset:
+            transport.abortConnection()
+        else:
+            transport.loseConnection()
+        self.network.run(0.02)
+        self.assertEqual(receiver.outcome, Loss.CLOSED_UNANSWERED)
