Refuse a request under which endpoints end

Cause: nothing about a plain request outlived it, and of a generation only the parts that other prompts share; each router sent each repeat to as many endpoints as allowed.

Now a whole request is one more part in the same evidence, register, report and refusal: a keyed hash of method, host, target, caller and body. Three ends under it are enough, one by one even if they come together, unless the service loses endpoints without it (half a point each, ten seconds back, five ends at most) or another request was lost at the same ends (one more). A whole answer clears it, at all routers, and a request that endpoints have run lately needs more. Calls report losses and answers as generations do, are refused before a send, a retry or a hedge, and get 503 not run, or 502 if an endpoint had them.

Limit that it loosens: none for sound requests; a request under which three endpoints ended is refused where the deadline alone bounded it. A stream whose engine wrote and fell silent is not counted against its request (test of attempts without a product).

--- a/src/sesamearch/base/errors.py
+++ b/src/sesamearch/base/errors.py
@@ -39,7 +39,7 @@
     OVERLOADED = "overloaded"
     DEADLINE_PASSED = "deadline-passed"
     TIMED_OUT = "timed-out"
-    PROMPT_QUARANTINED = "prompt-quarantined"
+    REQUEST_QUARANTINED = "request-quarantined"
     DRAINING = "draining"
     CALLER_LEFT = "caller-left"
     HAND_OVER = "hand-over"
@@ -102,8 +102,8 @@
     ErrorKind.OVERLOADED: Answer(429, "Too busy", Ran.NOT_RUN, 5, 1),
     ErrorKind.DEADLINE_PASSED: Answer(504, "Deadline passed", Ran.NOT_RUN, 5, 1),
     ErrorKind.TIMED_OUT: Answer(504, "Timed out", Ran.UNKNOWN, 6),
-    ErrorKind.PROMPT_QUARANTINED: Answer(
-        503, "Prompt ends engines", Ran.NOT_RUN, 5, 60
+    ErrorKind.REQUEST_QUARANTINED: Answer(
+        503, "Request ends endpoints", Ran.NOT_RUN, 5, 60
     ),
     ErrorKind.DRAINING: Answer(503, "Shutting down", Ran.NOT_RUN, 5, 0),
     ErrorKind.CALLER_LEFT: Answer(499, "Caller left", Ran.UNKNOWN, 5),
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -46,6 +46,9 @@
         self._send()
 
     def _send(self):
+        if self.quarantine.find() is not None:
+            self._give_up(ErrorKind.REQUEST_QUARANTINED, self.quarantine.describe())
+            return
         endpoint = self._choose()
         if endpoint is not None and self.permit.covers(endpoint):
             self._send_to(endpoint)
@@ -94,7 +97,9 @@
         )
 
     def _send_hedge(self):
-        has_pending_try = not self.is_over and len(self.tries) == 1
+        if self.is_over or self.quarantine.find() is not None:
+            return
+        has_pending_try = len(self.tries) == 1
         if has_pending_try and self._streamed_try is None and self._may_send():
             endpoint = self._choose()
             # A limited endpoint has no room for a request that another one has.
@@ -166,6 +171,7 @@
         if attempt.has_not_run:
             self._handle_not_run(attempt)
             return
+        self.quarantine.note_run()
         answer = attempt.answer
         is_failure = answer.status >= 500
         self.tools.health.note_answer(attempt.endpoint.name, is_failure)
@@ -204,7 +210,13 @@
             self._runs -= 1
             self._failed_connections += 1
             self._send_after_failed_connection()
-        elif self._is_idempotent:
+        else:
+            self._handle_lost_run(attempt, loss)
+
+    def _handle_lost_run(self, attempt, loss):
+        """Retry an idempotent call that an endpoint may have run, or answer."""
+        self.quarantine.note_lost(attempt, loss)
+        if self._is_idempotent:
             self._send_again(ErrorKind.ENDPOINT_LOST, "answer lost")
         else:
             self.refuse(ErrorKind.ENDPOINT_LOST, "answer lost")
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -17,6 +17,7 @@
 from sesamearch.forwarding.deadline import MIN_TRY_S, deadlines_of
 from sesamearch.forwarding.permits import PermitClaim
 from sesamearch.forwarding.request_permit import RequestPermit
+from sesamearch.forwarding.request_quarantine import RequestQuarantine
 from sesamearch.wire.endpoint import Loss
 from sesamearch.wire.reply import ReplyListener
 
@@ -120,9 +121,9 @@
         self.is_over = False
         self.excluded = set()
         self.permit = RequestPermit(tools, request.request_id)
+        self.quarantine = RequestQuarantine(tools, request)
         # Status that was sent to the caller; zero as long as it has heard nothing.
         self._sent_status = 0
-        self._parts = None
         self._on_end = on_end
         deadlines = deadlines_of(request, route)
         self.answer_by_s = deadlines.answer_by_s
@@ -159,13 +160,6 @@
     def try_lost(self, attempt, loss):
         """Handle the loss of an answer."""
 
-    @property
-    def parts(self):
-        """List of str : what other requests may share; see ``PromptQuarantine``."""
-        if self._parts is None:
-            self._parts = self.tools.quarantine.parts_of(self.request)
-        return self._parts
-
     # Tries.
 
     @property
@@ -238,6 +232,7 @@
         if not self.permit.covers(options.endpoint):
             self.tools.counters.sends_without_permit += 1
         self.permit.use(options.endpoint)
+        self.quarantine.note_sent()
         self.try_count += 1
         is_resumed = options.after_event is not None
         observer = self.tools.gate.sent(options.endpoint, self.route.name, is_resumed)
@@ -285,7 +280,7 @@
                 after_ms,
                 answering_ms,
                 attempt.event_count,
-                self.parts,
+                self.quarantine.parts,
             )
         )
 
@@ -324,6 +319,7 @@
         if self._timer.active():
             self._timer.cancel()
         self.permit.withdraw()
+        self.quarantine.note_over()
         self.cancel_tries()
         self._on_end(self)
 
@@ -377,24 +373,25 @@
                 self.revision,
                 left_ms=self._left_ms(),
                 try_state=self._try_state(),
-                parts=self._quarantined_parts(),
+                parts=self.quarantine.refusing_parts,
                 limited=sorted(self.permit.refused_by)[:MAX_LOGGED_ENDPOINTS],
             )
         )
         self.reply.answer(status, headers, problem.to_json())
         self.close()
 
-    def _quarantined_parts(self):
-        """Return the parts of the prompt for which it is refused, if any."""
-        return []
-
     def _shortest_wait_s(self):
         """Return how long a retry cannot help, however long the caller's deadline is.
 
-        No endpoint of the service wants requests until then. Zero if one does.
+        No endpoint of the service wants requests until then, or this request. Zero if
+        one does.
         """
         serving = self.tools.endpoint_index.serving(self.service.name)
-        return max(self.tools.pauses.wait_s(serving), self._permit_wait_s(serving))
+        return max(
+            self.tools.pauses.wait_s(serving),
+            self._permit_wait_s(serving),
+            self.quarantine.wait_s,
+        )
 
     def _permit_wait_s(self, endpoints):
         """Return how long none of some endpoints can have a permit.
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -16,8 +16,6 @@
     StallDetector,
 )
 from sesamearch.forwarding.suspicion import Obstacle, TrySuspicion
-from sesamearch.quarantine.controller import retry_after_s
-from sesamearch.wire.endpoint import Loss
 
 __all__ = ["GenerationRuns"]
 
@@ -30,7 +28,6 @@
 MIN_WRITTEN_S = 1.0
 # An engine that is lost so soon after the head of its answer had just begun to write.
 MAX_BEGUN_S = 0.4
-_ENGINE_LOSSES = (Loss.CLOSED_UNANSWERED, Loss.CLOSED_MIDWAY)
 
 
 class GenerationRuns(Exchange):
@@ -52,7 +49,6 @@
         self._suspicion = TrySuspicion(self.tools, self.request.request_id)
         self._has_head = False
         self._is_broken = False
-        self._is_written = False
         self._has_copy = False
         self._has_given_up_try = False
         self._held_try = None
@@ -93,7 +89,7 @@
         self._retry_timer = None
         if self.is_over or self.tries:
             return
-        if self._find_quarantine() is not None:
+        if self.quarantine.find() is not None:
             self._give_up_quarantined()
             return
         endpoint, copy = self._search.find(self._has_copy, self._is_resuming)
@@ -139,7 +135,6 @@
         self._has_copy = False
         self.excluded.add(endpoint.name)
         self._allowance.note_sent()
-        self.tools.quarantine.note_sent(self.request.request_id)
         backup_address = ""
         if self.route.is_resumable:
             backup_address = self._copies.begin(endpoint)
@@ -232,56 +227,33 @@
 
     # Prompts under which engines end.
 
-    def _find_quarantine(self):
-        """Return the quarantine by which this request is refused, or None."""
-        request = self.request
-        return self.tools.quarantine.find(request.shared_parts, request.request_id)
-
     def refuse_if_quarantined(self):
         """Refuse a generation before its first event if its prompt ends engines."""
-        if self.is_over or self._has_head or self._find_quarantine() is None:
+        if self.is_over or self._has_head or self.quarantine.find() is None:
             return
         self._give_up_quarantined()
 
     def _give_up_quarantined(self):
-        """End the answer, because engines end under a part of its prompt."""
-        self.tools.counters.quarantine_refusals += 1
-        parts = " ".join(self._quarantined_parts())
-        detail = f"engines end under these parts of the prompt: {parts}"
-        self.give_up(ErrorKind.PROMPT_QUARANTINED, detail)
-
-    def _quarantined_parts(self):
-        quarantine = self._find_quarantine()
-        return quarantine.parts if quarantine is not None else []
-
-    def _shortest_wait_s(self):
-        wait_s = super()._shortest_wait_s()
-        quarantine = self._find_quarantine()
-        return wait_s if quarantine is None else max(wait_s, retry_after_s(quarantine))
+        """End the answer, because engines end under this prompt."""
+        self.give_up(ErrorKind.REQUEST_QUARANTINED, self.quarantine.describe())
 
     def _note_engine_lost(self, attempt, loss):
         """Record what the loss of an engine says about the prompt."""
-        if self._is_written or loss not in _ENGINE_LOSSES or not attempt.is_sent:
-            return
         answering_s = float("inf")
         if attempt.answered_s is not None:
             answering_s = self.now_s - attempt.answered_s
         was_writing = answering_s <= MAX_BEGUN_S
-        if not self._has_head:
+        is_counted = self.quarantine.note_lost(attempt, loss, was_writing)
+        if is_counted and not self._has_head:
             self._allowance.note_engine_lost(was_writing)
-        quarantine = self.tools.quarantine
-        quarantine.note_lost(attempt.endpoint, self.request, was_writing)
 
     def _note_progress(self, attempt):
         """Record events of a try; an engine that goes on writes on the prompt."""
         if attempt.first_event_s is None:
             attempt.first_event_s = self.now_s
-        if not self._is_written and self.now_s - attempt.first_event_s >= MIN_WRITTEN_S:
-            self._note_written()
-
-    def _note_written(self):
-        self._is_written = True
-        self.tools.quarantine.note_written(self.request.shared_parts)
+        has_run_on = self.now_s - attempt.first_event_s >= MIN_WRITTEN_S
+        if has_run_on and not self.quarantine.has_run:
+            self.quarantine.note_run()
 
     # Stalls.
 
@@ -351,6 +323,8 @@
         self.tries.remove(attempt)
         self._held_try = attempt
         self._held_had_event = self._timing.has_event_of(attempt)
+        if self._held_had_event:
+            self.quarantine.note_outlived()
         self._hold_timer = self.tools.clock.callLater(HOLD_S, self._release_held_try)
 
     def _release_held_try(self):
@@ -408,7 +382,7 @@
             return Obstacle.NO_EVENT_NUMBERS
         if not self._allowance.has_runs_left:
             return Obstacle.NO_ATTEMPTS
-        if self._find_quarantine() is not None:
+        if self.quarantine.find() is not None:
             return Obstacle.QUARANTINED
         if endpoint is None:
             return Obstacle.NO_ENGINE
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -22,7 +22,7 @@
 
     def start(self):
         """Send the first try, unless the prompt cannot be read before the deadline."""
-        if self._find_quarantine() is not None:
+        if self.quarantine.find() is not None:
             self._give_up_quarantined()
             return
         self._is_prompt_cached = bool(self.tools.prompts.find(self.request.last_part))
@@ -152,7 +152,7 @@
         if attempt.number == 1 and self._timing.mean_gap_s:
             self.tools.health.note_gap(attempt.endpoint.name, self._timing.mean_gap_s)
         if attempt.event_count:
-            self._note_written()
+            self.quarantine.note_run()
         if not self._has_head:
             self._start_answer(attempt)
         self.log_end(
@@ -243,7 +243,6 @@
         self._lifecycle.ended()
         self._release_held_try()
         self._copies.close()
-        self.tools.quarantine.note_over(self.request.request_id)
         self.tools.prompts.end(self.request.last_part)
         if self._retry_timer is not None and self._retry_timer.active():
             self._retry_timer.cancel()
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -72,6 +72,8 @@
     member_list : MemberList
     follows_store : callable
         Returns whether this router watches the store and reaches it.
+    on_started : callable
+        Called with the address of a router that has just started.
     on_keys_changed : callable
         Called with the new keys.
     seeds : list of str
@@ -98,6 +100,7 @@
         self.seeds = settings.peer.seeds
         self.follows_store = lambda: False
         self.on_keys_changed = lambda keys: None
+        self.on_started = lambda address: None
         self._may_stand_by = settings.bounds.drain_s >= STANDBY_MIN_DRAIN_S
         own = RouterInfo(
             settings.name,
@@ -316,6 +319,7 @@
                 sender.address,
                 self._make_heartbeat(self._sample_routers(ROUTERS_IN_FIRST_REPLY)),
             )
+            self.on_started(sender.address)
         self._catch_up(heartbeat, now_s)
 
     def _is_direct_peer(self, router, now_s):
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -11,7 +11,7 @@
 from sesamearch.forwarding.load import EndpointLoad
 from sesamearch.membership.member_list import AgedRouterInfo, RouterInfo
 from sesamearch.quarantine.entry import Quarantine
-from sesamearch.quarantine.evidence import EngineLoss
+from sesamearch.quarantine.loss import EndpointLoss
 from sesamearch.routing.canary_evidence import RouteEvidence
 from sesamearch.store.store import StoreRevision
 
@@ -270,7 +270,7 @@
     ----------
     schema_version : int
         Version of the message layout; messages of other versions are ignored.
-    losses : list of EngineLoss
+    losses : list of EndpointLoss
         Requests that were lost with their engine.
     written : list of str
         Parts of prompts on which an engine has written since others ended under them.
@@ -281,7 +281,7 @@
     """
 
     schema_version: int
-    losses: list[EngineLoss]
+    losses: list[EndpointLoss]
     written: list[str]
     alive: list[Incarnation]
     known: list[str] = []
@@ -491,4 +491,5 @@
     | PermitRequest
     | PermitReply
     | PermitWithdrawal
+    | QuarantineUpdate
 )
--- a/src/sesamearch/membership/quarantine_gossip.py
+++ b/src/sesamearch/membership/quarantine_gossip.py
@@ -60,6 +60,8 @@
         self._peers = peers
         peers.handle(LossReport, self._apply_report)
         peers.handle(QuarantineUpdate, self._apply_update)
+        peers.handle_message(QuarantineUpdate, self._apply_update)
+        peers.on_started = self._tell
 
     def _add_loss(self, loss):
         if len(self._losses) < MAX_LOSSES:
@@ -102,6 +104,13 @@
             update = QuarantineUpdate(QUARANTINE_SCHEMA_VERSION, quarantines)
             self._peers.send_to_all(update)
 
+    def _tell(self, address):
+        """Tell a router that has just started, before it sends many requests."""
+        news = self._quarantine.news
+        if news:
+            update = QuarantineUpdate(QUARANTINE_SCHEMA_VERSION, news)
+            self._peers.send_to(address, update)
+
     def refresh(self):
         """Repeat the quarantines if this router relays; called at intervals."""
         now_s = self._clock.seconds()
--- a/src/sesamearch/quarantine/__init__.py
+++ b/src/sesamearch/quarantine/__init__.py
@@ -2,12 +2,13 @@
 
 from sesamearch.quarantine.controller import PromptQuarantine, retry_after_s
 from sesamearch.quarantine.entry import Quarantine
-from sesamearch.quarantine.evidence import EngineLoss, LossEvidence, Suspect
+from sesamearch.quarantine.evidence import LossEvidence, Suspect
 from sesamearch.quarantine.fingerprint import RequestFingerprints
+from sesamearch.quarantine.loss import EndpointLoss
 from sesamearch.quarantine.register import QuarantineRegister
 
 __all__ = [
-    "EngineLoss",
+    "EndpointLoss",
     "LossEvidence",
     "PromptQuarantine",
     "Quarantine",
--- a/src/sesamearch/quarantine/controller.py
+++ b/src/sesamearch/quarantine/controller.py
@@ -5,12 +5,9 @@
 from sesamearch.base.log import logger
 from sesamearch.base.record import PromptQuarantineChanged
 from sesamearch.quarantine.entry import Quarantine
-from sesamearch.quarantine.evidence import (
-    SUSPECT_SCORE,
-    EngineLoss,
-    LossEvidence,
-)
+from sesamearch.quarantine.evidence import SUSPECT_SCORE, LossEvidence
 from sesamearch.quarantine.fingerprint import RequestFingerprints
+from sesamearch.quarantine.loss import EndpointLoss
 
 __all__ = ["PromptQuarantine", "retry_after_s"]
 
@@ -67,9 +64,9 @@
     ----------
     fingerprints : RequestFingerprints
     on_loss, on_written, on_alive : callable
-        Called with an :class:`EngineLoss`, with a list of parts that losses had counted
-        against, or with the incarnation of an engine that has not ended, if this router
-        saw it itself.
+        Called with an :class:`EndpointLoss`, with a list of parts that losses had
+        counted against, or with the incarnation of an endpoint that has not ended, if
+        this router saw it itself.
     on_history : callable
         Called with a list of parts that were written before others reported losses.
     on_decision : callable
@@ -201,12 +198,23 @@
             if trial.request_id == request_id:
                 trial.request_id = None
 
-    def note_lost(self, endpoint, request, was_writing):
-        """Count a request that was lost with its engine before it got under way."""
-        parts = request.shared_parts
+    def note_lost(self, endpoint, request_id, parts, was_writing):
+        """Count a request that was lost with its endpoint before it got under way.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        request_id : str
+        parts : list of str
+            See :meth:`parts_of`.
+        was_writing : bool
+            Whether the endpoint had just begun to write the answer.
+        """
         if not parts:
             return
-        loss = EngineLoss(endpoint.incarnation, request.request_id, parts, was_writing)
+        loss = EndpointLoss(
+            endpoint.incarnation, request_id, parts, was_writing, endpoint.service
+        )
         self.on_loss(loss)
         self._untold.update(filter(self._has_news_of, parts))
         self._tell_history()
@@ -232,7 +240,7 @@
     # Reports of other routers.
 
     def add_loss(self, loss):
-        """Count an :class:`EngineLoss` that another router saw."""
+        """Count an :class:`EndpointLoss` that another router saw."""
         self._evidence.add(loss)
         self._undecided.update(loss.parts)
         if self._decision is None:
@@ -309,7 +317,7 @@
         wider = [key for key in self._keys if suspect.parts < key]
         if wider and suspect.score < SUSPECT_SCORE + NARROWING_SCORE:
             return
-        for key in wider:
+        for key in (*wider, *suspect.cases):
             self._change(key, is_active=False)
         self._change(suspect.parts, is_active=True, suspect=suspect)
 
--- a/src/sesamearch/quarantine/evidence.py
+++ b/src/sesamearch/quarantine/evidence.py
@@ -1,153 +1,62 @@
-"""Evidence that parts of prompts end engines, from the losses that all routers saw."""
+"""Evidence that requests end endpoints, from the losses that all routers saw."""
 
 from collections import Counter
 
 import msgspec
 
-from sesamearch.configuration.blackboard import Incarnation
+from sesamearch.quarantine.fingerprint import RequestFingerprints
+from sesamearch.quarantine.history import RunHistory
+from sesamearch.quarantine.loss import EndpointEnd
+from sesamearch.quarantine.loss_count import MAX_SCORE_PER_REQUEST, LossCount
 
-__all__ = ["EngineLoss", "LossEvidence", "Suspect"]
+__all__ = ["LossEvidence", "Suspect"]
 
-# A loss right after the head of the answer is a full sign that the request ended the
-# engine. One without the head is less: the engine may have ended under another request.
-WRITING_WEIGHT = 1.0
-UNANSWERED_WEIGHT = 0.6
-# A part on which engines wrote before the losses is a less likely cause, unless
-# something has changed.
-KNOWN_PART_RATIO = 0.6
-HISTORY_LIFETIME_S = 120.0
-MAX_HISTORY = 4096
+MAX_KNOWN_PARTS = 4096
+MAX_KNOWN_REQUESTS = 8192
 SUSPECT_SCORE = 3.0
-# One request counts for less than a suspect, however many engines were lost under it:
-# the requests of a lost engine often go on together, and are lost together again.
-MAX_SCORE_PER_REQUEST = 2.0
-# Each end that no part explains shows that engines end for other causes too, so that
+# Each end that no part explains shows that endpoints end for other causes too, so that
 # more evidence is needed.
 SCORE_PER_OTHER_END = 0.5
+# Ends so long before the first one under a whole request count as well: its own ends
+# may follow each other at once.
+OTHER_ENDS_BEFORE_S = 10.0
+# Other whole requests were lost at the same ends; the next end is likely to tell.
+SCORE_OF_COMPANIONS = 1.0
 # Other parts that are considered as causes of other ends.
 MAX_RIVALS = 8
+# Further ends by which a part is a more likely cause than a narrower one, whose
+# requests all have it.
+MIN_FURTHER_ENDS = 2
+MIN_FURTHER_RATIO = 0.25
+# Quarantined requests that show that a part which they share is why they end endpoints.
+MIN_CASES = 2
 # The most that is needed; also if no generation at all was written meanwhile, so that
 # engines may end under all prompts.
 MAX_SUSPECT_SCORE = 5.0
-# Engines that end together have a common cause, such as their data centre.
-SIMULTANEOUS_S = 0.25
 EVIDENCE_LIFETIME_S = 600.0
 MAX_ENDS = 128
-MAX_LOSSES_PER_END = 64
-# Data that was under way when an engine ended may still arrive for this long.
+# Data that was under way when an endpoint ended may still arrive for this long.
 ALIVE_MARGIN_S = 0.3
 
 
-class EngineLoss(msgspec.Struct, frozen=True, array_like=True):
-    """A request that was lost with the engine that it was sent to.
-
-    Parameters
-    ----------
-    engine : Incarnation
-    request_id : str
-    parts : list of str
-        Parts of its prompt that other requests may share.
-    was_writing : bool
-        Whether the engine had just begun to write the answer.
-    """
-
-    engine: Incarnation
-    request_id: str
-    parts: list[str]
-    was_writing: bool
-
-    @property
-    def weight(self):
-        """Float : how much it says about the parts of its prompt."""
-        return WRITING_WEIGHT if self.was_writing else UNANSWERED_WEIGHT
-
-
 class Suspect(msgspec.Struct, frozen=True):
-    """Parts that are likely to end engines, and the evidence.
+    """Parts that are likely to end endpoints, and the evidence.
 
     Parameters
     ----------
     parts : frozenset of str
     score : float
     ends, requests : int
-        Numbers of engines and requests that count.
+        Numbers of endpoints and requests that count.
+    cases : frozenset of frozenset of str
+        Quarantines of whole requests that ended endpoints because of these parts.
     """
 
     parts: frozenset[str]
     score: float
     ends: int
     requests: int
-
-
-class _EngineEnd:
-    """The losses of one engine, by the parts of their prompts."""
-
-    __slots__ = ("_by_part", "_requests", "at_s")
-
-    def __init__(self, at_s):
-        self.at_s = at_s
-        self._requests = set()
-        self._by_part = {}
-
-    def add(self, loss):
-        """Add an :class:`EngineLoss`; a request counts once."""
-        is_known = loss.request_id in self._requests
-        if is_known or len(self._requests) >= MAX_LOSSES_PER_END:
-            return
-        self._requests.add(loss.request_id)
-        for part in loss.parts:
-            self._by_part.setdefault(part, []).append(loss)
-
-    @property
-    def parts(self):
-        return self._by_part.keys()
-
-    def losses_with(self, part):
-        return self._by_part.get(part, ())
-
-    def is_explained(self, part, quarantined):
-        """Return whether the end has a known cause other than `part`."""
-        return any(
-            key.issubset(loss.parts)
-            for key in quarantined
-            if part not in key
-            for loss in self.losses_with(next(iter(key)))
-        )
-
-
-class _Count:
-    """What the ends that count say about one part."""
-
-    __slots__ = ("_group_s", "_ratio", "ends", "groups", "part", "scores")
-
-    def __init__(self, part, ratio):
-        self.part = part
-        self._ratio = ratio
-        self._group_s = float("-inf")
-        self.ends = []
-        self.groups = 0
-        self.scores = Counter()
-
-    def add(self, end, losses):
-        """Count an end; of engines that ended together only the first one scores."""
-        self.ends.append(end)
-        if end.at_s >= self._group_s + SIMULTANEOUS_S:
-            self._group_s = end.at_s
-            loss = min(losses, key=lambda loss: self.scores[loss.request_id])
-            self.scores[loss.request_id] += loss.weight
-            self.groups += 1
-
-    @property
-    def score(self):
-        scores = (min(s, MAX_SCORE_PER_REQUEST) for s in self.scores.values())
-        return self._ratio * sum(scores)
-
-    def is_exceeded_by(self, other):
-        """Return whether another part explains all of these ends, and further ones."""
-        if len(other.ends) <= len(self.ends):
-            return False
-        explained = set(map(id, other.ends))
-        return all(id(end) in explained for end in self.ends)
+    cases: frozenset[frozenset[str]] = frozenset()
 
 
 def _strength(score):
@@ -160,58 +69,65 @@
 
 
 class LossEvidence:
-    """Finds the parts of prompts under which engines end.
+    """Finds the parts of requests under which endpoints end.
 
-    An end counts against the parts of all requests that were lost with the engine
-    before their answers got under way. It no longer counts against a part on which an
-    engine has written since, nor if a quarantined part explains it.
+    An end counts against the parts of all requests that were lost with the endpoint
+    before their answers got under way. It no longer counts against a part with which an
+    endpoint has run a request since, nor if a quarantined part explains it.
 
     Parameters
     ----------
     clock : twisted.internet.interfaces.IReactorTime
     """
 
-    __slots__ = ("_clock", "_ends", "_history_s", "_last_written_s", "_written_s")
+    __slots__ = (
+        "_clock",
+        "_ends",
+        "_known_parts",
+        "_known_requests",
+        "_last_written_s",
+        "_written_s",
+    )
 
     def __init__(self, clock):
         self._clock = clock
-        # By the incarnation of the engine, oldest first.
+        # By the incarnation of the endpoint, oldest first.
         self._ends = {}
         # By part, for the parts of requests that were lost.
         self._written_s = {}
-        # By part, the least recently written one first.
-        self._history_s = {}
+        self._known_parts = RunHistory(clock, MAX_KNOWN_PARTS)
+        self._known_requests = RunHistory(clock, MAX_KNOWN_REQUESTS)
         self._last_written_s = float("-inf")
 
     @property
     def has_ends(self):
-        """Bool : whether any engine is known to have ended."""
+        """Bool : whether any endpoint is known to have ended."""
         return bool(self._ends)
 
     def add(self, loss):
-        """Add an :class:`EngineLoss`."""
+        """Add an :class:`EndpointLoss`."""
         now_s = self._clock.seconds()
         self._drop_old(now_s)
-        end = self._ends.get(loss.engine)
+        end = self._ends.get(loss.endpoint)
         if end is None:
-            end = self._ends[loss.engine] = _EngineEnd(now_s)
+            end = self._ends[loss.endpoint] = EndpointEnd(now_s, loss.service)
         end.add(loss)
 
     def _drop_old(self, now_s):
         old = [
-            engine
-            for engine, end in self._ends.items()
+            endpoint
+            for endpoint, end in self._ends.items()
             if end.at_s < now_s - EVIDENCE_LIFETIME_S
         ]
         surplus = len(self._ends) - len(old) - MAX_ENDS + 1
-        kept = [engine for engine in self._ends if engine not in old]
-        for engine in old + kept[: max(surplus, 0)]:
-            del self._ends[engine]
+        kept = [endpoint for endpoint in self._ends if endpoint not in old]
+        for endpoint in old + kept[: max(surplus, 0)]:
+            del self._ends[endpoint]
         if not self._ends:
             self._written_s.clear()
 
     def note_written(self, parts):
-        """Record that an engine has written on some parts.
+        """Record that an endpoint has run a request with some parts.
 
         Returns
         -------
@@ -219,7 +135,8 @@
             Those of the parts that losses had counted against.
         """
         now_s = self._clock.seconds()
-        self._last_written_s = now_s
+        if any(not RequestFingerprints.is_request(part) for part in parts):
+            self._last_written_s = now_s
         self.note_history(parts)
         counted = [part for part in parts if self._counts_against(part)]
         for part in counted:
@@ -227,18 +144,17 @@
         return counted
 
     def note_history(self, parts):
-        """Record that engines have written on some parts, perhaps before the losses."""
-        now_s = self._clock.seconds()
+        """Record that endpoints have run some parts, perhaps before the losses."""
         for part in parts:
-            self._history_s.pop(part, None)
-            self._history_s[part] = now_s
-        while len(self._history_s) > MAX_HISTORY:
-            del self._history_s[next(iter(self._history_s))]
+            self._history_of(part).note(part)
 
     def has_history(self, part):
-        """Return whether engines are known to have written on a part."""
-        written_s = self._history_s.get(part, float("-inf"))
-        return written_s > self._clock.seconds() - HISTORY_LIFETIME_S
+        """Return whether endpoints are known to have run a request with a part."""
+        return self._history_of(part).has(part)
+
+    def _history_of(self, part):
+        is_request = RequestFingerprints.is_request(part)
+        return self._known_requests if is_request else self._known_parts
 
     def _counts_against(self, part):
         written_s = self._written_s.get(part, float("-inf"))
@@ -247,19 +163,25 @@
             for end in self._ends.values()
         )
 
-    def disproves_end(self, engine, sent_s):
-        """Return whether data for a try that was sent at `sent_s` disproves an end."""
-        end = self._ends.get(engine)
+    def disproves_end(self, endpoint, sent_s):
+        """Return whether data for a try that was sent at `sent_s` disproves an end.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+        sent_s : float
+        """
+        end = self._ends.get(endpoint)
         if end is None or sent_s >= end.at_s:
             return False
         return self._clock.seconds() > end.at_s + ALIVE_MARGIN_S
 
-    def discard(self, engine):
-        """Discard the losses of an engine that has not ended."""
-        self._ends.pop(engine, None)
+    def discard(self, endpoint):
+        """Discard the losses of an endpoint that has not ended."""
+        self._ends.pop(endpoint, None)
 
     def find_suspect(self, parts, quarantined):
-        """Find the parts that are most likely to end engines.
+        """Find the parts that are most likely to end endpoints.
 
         Parameters
         ----------
@@ -271,66 +193,132 @@
         -------
         Suspect or None
         """
-        counts = {part: self._count(part, quarantined) for part in parts}
+        counts = [self._count(part, quarantined) for part in parts]
         found = [
-            part
-            for part, count in counts.items()
+            count
+            for count in counts
             if self._is_suspect(count, quarantined)
             and not self._is_dominated(count, quarantined)
+            and not self._is_covered(count, quarantined)
         ]
         if not found:
             return None
-        part = max(found, key=lambda each: counts[each].score)
-        count = counts[part]
+        is_request = RequestFingerprints.is_request
+        count = max(found, key=lambda each: (is_request(each.part), each.score))
+        suspected = frozenset([count.part])
+        if not is_request(count.part):
+            suspected = self._parts_that_occur_with(count.part, count.ends)
         return Suspect(
-            self._parts_that_occur_with(part, count.ends),
-            count.score,
-            count.groups,
-            len(count.scores),
+            suspected, count.score, count.groups, len(count.scores), count.cases
         )
 
     def _is_dominated(self, count, quarantined):
         """Return whether a part without history explains these ends and more."""
-        first, *later = [end.parts for end in count.ends]
-        others = set(first).intersection(*later) - {count.part}
+        others = _common_parts(count.ends) - {count.part}
         return any(
-            count.is_exceeded_by(self._count(part, quarantined))
-            for part in others
-            if not self.has_history(part)
+            self._is_likelier(self._count(other, quarantined), count, quarantined)
+            for other in others
+            if not self.has_history(other)
+        )
+
+    def _is_likelier(self, other, count, quarantined):
+        """Return whether a part that explains the ends of `count` explains enough more.
+
+        A part that all of these requests have needs further ends of its own.
+        """
+        further = other.exceeds(count)
+        if not count.is_within(other.part):
+            return further > 0
+        return further >= MIN_FURTHER_ENDS and not self._is_covered(other, quarantined)
+
+    def _is_covered(self, count, quarantined):
+        """Return whether narrower parts explain so much that too little remains.
+
+        All requests with a narrower part have this one too, so that each end under the
+        narrower one speaks against both.
+        """
+        if RequestFingerprints.is_request(count.part):
+            return False
+        rivals = self._rivals(count.part, count.ends, quarantined)
+        explained = {
+            id(end)
+            for rival in rivals
+            if self._is_narrower(rival, count)
+            for end in rival.ends
+        }
+        rest = sum(id(end) not in explained for end in count.ends)
+        enough = max(MIN_FURTHER_ENDS, MIN_FURTHER_RATIO * len(count.ends))
+        return bool(explained) and rest < enough
+
+    def _is_narrower(self, rival, count):
+        return (
+            not RequestFingerprints.is_request(rival.part)
+            and _strength(rival.score) > 0.0
+            and len(rival.ends) < len(count.ends)
+            and rival.is_within(count.part)
         )
 
     def _count(self, part, quarantined):
+        """Count the ends against a part that no quarantine explains.
+
+        The ends of a whole request that is quarantined count again once there are
+        those of a second one, or further ends: then the part is why it ended endpoints.
+        """
         written_s = self._written_s.get(part, float("-inf"))
-        count = _Count(part, KNOWN_PART_RATIO if self.has_history(part) else 1.0)
+        own, inherited, cases = [], [], set()
         for end in self._ends.values():
-            losses = end.losses_with(part) if end.at_s > written_s else []
-            if losses and not end.is_explained(part, quarantined):
-                count.add(end, losses)
-        return count
+            if end.at_s <= written_s or not end.losses_with(part):
+                continue
+            causes = end.causes(part, quarantined)
+            if not causes:
+                own.append(end)
+            elif found := [key for key in causes if _is_case_of(part, key, end)]:
+                inherited.append(end)
+                cases.update(found)
+        if len(own) < MIN_FURTHER_ENDS and len(cases) < MIN_CASES:
+            return LossCount(part, self.has_history(part), own)
+        ends = sorted(own + inherited, key=lambda end: end.at_s)
+        return LossCount(part, self.has_history(part), ends, cases)
 
     def _is_suspect(self, count, quarantined):
         if count.score < SUSPECT_SCORE:
             return False
-        first_s = count.ends[0].at_s
-        if self._last_written_s < first_s:
+        needed_score = SUSPECT_SCORE
+        if RequestFingerprints.is_request(count.part):
+            if self._has_companions(count, quarantined):
+                needed_score += SCORE_OF_COMPANIONS
+        elif self._last_written_s < count.ends[0].at_s:
             return count.score >= MAX_SUSPECT_SCORE
         others = self._unexplained(count, quarantined)
-        needed_score = SUSPECT_SCORE + SCORE_PER_OTHER_END * others
+        needed_score += SCORE_PER_OTHER_END * others
         return count.score >= min(needed_score, MAX_SUSPECT_SCORE)
 
+    def _has_companions(self, count, quarantined):
+        """Return whether the same ends speak against another whole request."""
+        return any(
+            self._count(other, quarantined).covers(count)
+            for other in _common_parts(count.ends) - {count.part}
+            if RequestFingerprints.is_request(other) and not self.has_history(other)
+        )
+
     def _unexplained(self, count, quarantined):
-        """Return the number of ends since the first one of a part without a cause.
+        """Return the number of ends around those of a part that have no cause.
 
-        An end that another part may have caused counts for as much less as the evidence
-        for that part is strong, so that two parts do not hide each other.
+        Only ends of the same service count. An end that another part may have caused
+        counts for as much less as the evidence for that part is strong, so that two
+        parts do not hide each other.
         """
         own = set(map(id, count.ends))
+        since_s = count.ends[0].at_s
+        if RequestFingerprints.is_request(count.part):
+            since_s -= OTHER_ENDS_BEFORE_S
         others = [
             end
             for end in self._ends.values()
-            if end.at_s >= count.ends[0].at_s
+            if end.at_s >= since_s
+            and end.service == count.service
             and id(end) not in own
-            and not end.is_explained(None, quarantined)
+            and not end.causes(None, quarantined)
         ]
         explained = Counter()
         for rival in self._rivals(count.part, others, quarantined):
@@ -342,7 +330,7 @@
     def _rivals(self, part, others, quarantined):
         """Return the counts of the parts that most likely caused other ends.
 
-        No engine has written on them, and more than one has ended under them.
+        No endpoint has run them, and more than one has ended under them.
         """
         frequent = Counter(each for end in others for each in end.parts)
         rivals = [
@@ -377,3 +365,15 @@
             for each in common
             if each == part or self._written_s.get(each, float("-inf")) < since_s
         )
+
+
+def _common_parts(ends):
+    """Return the parts that were lost with each of some endpoints."""
+    first, *later = [end.parts for end in ends]
+    return set(first).intersection(*later)
+
+
+def _is_case_of(part, key, end):
+    """Return whether a quarantine of a whole request is a case of a wider part."""
+    name = next(iter(key))
+    return RequestFingerprints.is_request(name) and end.occur_together(name, part)
--- a/tests/quarantine/test_fingerprint.py
+++ b/tests/quarantine/test_fingerprint.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sesamearch.forwarding.request import CallerRequest
+from sesamearch.forwarding.request import CallerRequest, PromptPart
 from sesamearch.quarantine.fingerprint import RequestFingerprints
 
 REQUEST = CallerRequest(
@@ -40,6 +40,11 @@
         names = {name_of(), *(name_of(**each) for each in changes)}
         self.assertEqual(len(names), 1 + len(changes))
 
+    # Guards against a prompt that is not recognised, as its stated parts vary.
+    def test_stated_parts_of_the_prompt_make_no_other_request(self):
+        parts = [PromptPart("5c1e", 1), PromptPart("a1", 1)]
+        self.assertEqual(name_of(prompt_parts=parts), name_of())
+
     # Guards against two requests of one name, as bytes move from one field to the next.
     def test_fields_are_told_apart(self):
         self.assertNotEqual(name_of(key="ab", body=b"c"), name_of(key="a", body=b"bc"))
