Take no other answer for the rest of a stream

Shown with raw bytes, in two pieces split at every third byte: a 5xx, a refusal or a redirect was never forwarded here, however framed. But a 2xx counted as the rest of the stream whatever it held: text with blank lines and a JSON error were forwarded, and an empty or other body ended the stream as complete.

Now the answer that is to go on must state the media type of the one that was begun, be signed if that was, and number its events if the stream does; text after the last event other than comments is no end. Otherwise it is a lost run, as an error is. Answers that state no type are still taken, as unframed ones may. The product's own interface ends a stream with a final event and parses each one; an error there is never text.

--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -6,6 +6,7 @@
 
 from sesamearch.configuration.blackboard import Endpoint, Incarnation
 from sesamearch.forwarding.permits import NoPermits
+from sesamearch.wire.head import first_value
 
 __all__ = [
     "CallerRequest",
@@ -197,6 +198,23 @@
         """Bool : whether the status is a 2xx."""
         return 200 <= self.status < 300
 
+    @property
+    def media_type(self):
+        """Bytes : type of the body without parameters; empty if it is not stated."""
+        stated = first_value(self.headers, b"content-type") or b""
+        return stated.partition(b";")[0].strip().lower()
+
+    def may_continue(self, begun):
+        """Return whether the body may go on with that of an answer that was begun.
+
+        Parameters
+        ----------
+        begun : EndpointAnswer
+        """
+        types = {self.media_type, begun.media_type} - {b""}
+        is_same_kind = len(types) < 2 and self.is_signed >= begun.is_signed
+        return self.is_success and is_same_kind
+
 
 class ForwardListener(abc.ABC):
     """Receives the answer of one endpoint to one request."""
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -19,6 +19,8 @@
         super().__init__(*arguments)
         self._first_ms = 0
         self._is_prompt_cached = False
+        # The answer whose head was sent to the caller.
+        self._begun_answer = None
 
     def start(self):
         """Send the first try, unless the prompt cannot be read before the deadline."""
@@ -42,7 +44,7 @@
         is_held = attempt is self._held_try
         if not is_held and not self._is_current(attempt):
             return
-        if attempt.has_not_run or not attempt.answer.is_success:
+        if not self._has_events(attempt):
             if not attempt.buffer(data):
                 self.reject_body(attempt, Loss.TOO_LARGE)
             return
@@ -51,6 +53,9 @@
         except EventError:
             self.reject_body(attempt, Loss.MALFORMED)
             return
+        if self._has_head and any(map(self._is_foreign, received)):
+            self.reject_body(attempt, Loss.MALFORMED)
+            return
         events = [event for event in received if self._accept_event(event)]
         if events and is_held:
             self._take_back()
@@ -61,6 +66,17 @@
         """Prepare to read the events of a new run."""
         attempt.events = EventSplitter()
 
+    def _has_events(self, attempt):
+        """Return whether the body of an answer is a part of the stream."""
+        answer = attempt.answer
+        if attempt.has_not_run or not answer.is_success:
+            return False
+        return self._begun_answer is None or answer.may_continue(self._begun_answer)
+
+    def _is_foreign(self, event):
+        """Return whether an event lacks a number in a stream that has them."""
+        return event.number is None and self._last_event is not None
+
     def _accept_event(self, event):
         """Return whether an event is new to the caller, and record it as forwarded."""
         if event.number is None:
@@ -92,6 +108,7 @@
     def _start_answer(self, attempt):
         answer = attempt.answer
         self._has_head = True
+        self._begun_answer = answer
         if attempt.number == 1 and not self._is_prompt_cached:
             took_s = self.now_s - attempt.sent_s
             self.tools.pace.note_first_event(self.request.prompt_tokens, took_s)
@@ -109,10 +126,9 @@
         if not self._is_current(attempt):
             return
         self._trust(attempt)
-        answer = attempt.answer
         if attempt.has_not_run:
             self._handle_not_run(attempt)
-        elif answer.is_success:
+        elif self._has_events(attempt):
             self._finish(attempt)
         else:
             self._handle_failure(attempt)
@@ -139,8 +155,8 @@
         self.close()
 
     def _finish(self, attempt):
-        if attempt.events.has_partial_event:
-            # The HTTP answer is complete but ends within an event.
+        if self._ends_midway(attempt):
+            # The HTTP answer is complete but ends within an event, or is none of ours.
             self.note_loss(attempt, Loss.CLOSED_MIDWAY)
             self.drop(attempt, "unfinished_event", attempt.answer.status)
             self._note_engine_lost(attempt, Loss.CLOSED_MIDWAY)
@@ -166,6 +182,11 @@
         self.reply.finish()
         self.close()
 
+    def _ends_midway(self, attempt):
+        events = attempt.events
+        is_resumed = self._has_head and attempt.answer is not self._begun_answer
+        return events.has_partial_event or (is_resumed and events.has_other_text)
+
     def try_lost(self, attempt, loss):
         """Retry or resume at another engine if that is safe."""
         if attempt is self._held_try:
--- a/src/sesamearch/wire/events.py
+++ b/src/sesamearch/wire/events.py
@@ -54,6 +54,12 @@
         """Bool : whether an incomplete event is buffered."""
         return bool(self._buffer[self._block_start :].strip())
 
+    @property
+    def has_other_text(self):
+        """Bool : whether anything but comments follows the last event."""
+        lines = bytes(self._buffer).splitlines()
+        return any(line.strip() and not line.startswith(b":") for line in lines)
+
     def feed(self, data):
         """Add bytes; return the list of :class:`StreamEvent` that they complete.
 
--- /dev/null
+++ b/tests/platform/test_errors_in_streams.py
@@ -0,0 +1,103 @@
+"""Errors of an engine that is to go on with a stream that another one has begun."""
+
+import unittest
+
+from twisted.internet.protocol import Factory, Protocol
+
+from sesamearch.standin.platform_worker import DEFAULT_EVENTS
+from tests.platform.world import World, draft_bytes
+
+TEXT = b"this engine failed"
+IDENTITY = b"X-Attempt-Id: %s\r\nX-Response-Signature: raw\r\n"
+LENGTH = b"Content-Length: %d\r\n" % len(TEXT)
+CHUNKS = b"%x\r\n%s\r\n0\r\n\r\n" % (len(TEXT), TEXT)
+JSON = b"Content-Type: application/json\r\n"
+EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
+
+
+def answer(status, headers, body):
+    return b"HTTP/1.1 %s\r\n" % status + IDENTITY + headers + b"\r\n" + body
+
+
+FAILED = answer(b"500 Failed", LENGTH, TEXT)
+ANSWERS = {
+    "failure with a length": FAILED,
+    "failure in chunks": answer(
+        b"500 Failed", b"Transfer-Encoding: chunked\r\n", CHUNKS
+    ),
+    "failure until the close": answer(b"500 Failed", b"", TEXT),
+    "failure as an event": answer(
+        b"500 Failed", EVENT_STREAM, b"data: " + TEXT + b"\n\n"
+    ),
+    "refusal": answer(b"503 Busy", LENGTH, TEXT),
+    "redirect": answer(b"302 Found", LENGTH, TEXT),
+    "success that is no stream": answer(b"200 OK", JSON + LENGTH, TEXT),
+    "success that is no stream but has blank lines": answer(
+        b"200 OK", JSON, b"error: " + TEXT + b"\n\n{}\n\n"
+    ),
+    "empty success that is no stream": answer(
+        b"200 OK", JSON + b"Content-Length: 0\r\n", b""
+    ),
+    "head in the body": answer(b"200 OK", JSON, FAILED),
+    "head in the body of an event stream": answer(
+        b"200 OK", EVENT_STREAM, FAILED + b"\n\n"
+    ),
+    "success without a type": answer(b"200 OK", b"", b"data: " + TEXT + b"\n\n"),
+}
+
+
+class RawEngine(Protocol):
+    """Answers each generation with the same bytes, in two pieces."""
+
+    def dataReceived(self, data):
+        if b"X-Attempt-Id: " not in data:
+            self.transport.write(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
+            return
+        self.factory.requests += 1
+        request_id = data.split(b"X-Attempt-Id: ")[1].split(b"\r\n")[0]
+        whole = self.factory.answer.replace(b"%s", request_id)
+        self.transport.write(whole[: self.factory.split])
+        network = self.factory.network
+        network.callLater(0.01, self.transport.write, whole[self.factory.split :])
+        network.callLater(0.05, self.transport.loseConnection)
+
+
+class TestErrorsInStreams(unittest.TestCase):
+    def start(self, data, split=40):
+        """Begin a stream at one engine, and let another one that fails take over."""
+        world = World(desks=0, engines=2)
+        client = world.connect().send(draft_bytes())
+        world.run(0.4)
+        first = next(each for each in world.engines if each.runs)
+        other = next(each for each in world.engines if each is not first)
+        factory = Factory.forProtocol(RawEngine)
+        factory.network, factory.requests = world.network, 0
+        factory.answer, factory.split = data, split
+        world.network.close(other.address)
+        world.network.listen(other.address, factory)
+        world.crash(first)
+        world.run(20)
+        self.assertGreater(factory.requests, 0)
+        return client
+
+    def assert_clean(self, client):
+        """Check that the stream holds its own events alone, and looks broken off."""
+        self.assertNotIn(TEXT, client.received)
+        self.assertEqual(client.statuses, [200])
+        events = client.event_ids
+        self.assertEqual(events, list(range(len(events))))
+        self.assertLess(len(events), DEFAULT_EVENTS)
+        self.assertFalse(client.is_complete)
+        self.assertTrue(client.is_closed)
+
+    # Guards against the text of an error, or its head, in the middle of a stream, and
+    # against a stream that ends as if it were complete (another operator's report).
+    def test_error_of_the_next_engine_is_no_part_of_the_stream(self):
+        for name, data in ANSWERS.items():
+            with self.subTest(name):
+                self.assert_clean(self.start(data))
+
+    def test_error_that_is_split_at_any_byte_is_no_part_of_the_stream(self):
+        for split in range(1, len(FAILED), 3):
+            with self.subTest(split=split):
+                self.assert_clean(self.start(FAILED, split))
