Recognise a request by its organisation, not by its key

What an endpoint gets names the organisation; the key is not passed on. While a key is replaced, callers of one organisation send the same request with both, and its ends were counted apart.

--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -121,7 +121,7 @@
         self.is_over = False
         self.excluded = set()
         self.permit = RequestPermit(tools, request.request_id)
-        self.quarantine = RequestQuarantine(tools, request)
+        self.quarantine = RequestQuarantine(tools, request, organisation)
         # Status that was sent to the caller; zero as long as it has heard nothing.
         self._sent_status = 0
         self._on_end = on_end
--- a/src/sesamearch/forwarding/request_quarantine.py
+++ b/src/sesamearch/forwarding/request_quarantine.py
@@ -16,13 +16,16 @@
     ----------
     tools : ForwardTools
     request : CallerRequest
+    organisation : Organisation or None
+        That of the caller.
     """
 
-    __slots__ = ("_has_run", "_parts", "_request", "_tools")
+    __slots__ = ("_has_run", "_organisation", "_parts", "_request", "_tools")
 
-    def __init__(self, tools, request):
+    def __init__(self, tools, request, organisation):
         self._tools = tools
         self._request = request
+        self._organisation = organisation.name if organisation else ""
         self._parts = None
         self._has_run = False
 
@@ -30,7 +33,9 @@
     def parts(self):
         """List of str : what other requests may share; see ``PromptQuarantine``."""
         if self._parts is None:
-            self._parts = self._tools.quarantine.parts_of(self._request)
+            self._parts = self._tools.quarantine.parts_of(
+                self._request, self._organisation
+            )
         return self._parts
 
     # Refusal.
--- a/src/sesamearch/quarantine/controller.py
+++ b/src/sesamearch/quarantine/controller.py
@@ -147,16 +147,22 @@
 
     # Requests.
 
-    def parts_of(self, request):
+    def parts_of(self, request, organisation):
         """List what other requests may share with one: prompt parts, and all of it.
 
+        Parameters
+        ----------
+        request : CallerRequest
+        organisation : str
+            Name of the caller's organisation; empty on a public route.
+
         Returns
         -------
         list of str
             Names of the parts of its prompt that other requests may share, and of the
             whole request.
         """
-        name = self.fingerprints.name(request)
+        name = self.fingerprints.name(request, organisation)
         return [*request.shared_parts, name] if name else request.shared_parts
 
     def find(self, parts, request_id):
--- a/src/sesamearch/quarantine/fingerprint.py
+++ b/src/sesamearch/quarantine/fingerprint.py
@@ -13,9 +13,9 @@
 class RequestFingerprints:
     """Names requests by a keyed hash of what makes them the same request.
 
-    Two requests are the same if their method, host, target, caller and body are. Their
-    ids and other headers may differ. Nobody without the secret can learn from a name
-    what a request contains.
+    Two requests are the same if their method, host, target, organisation and body are.
+    Their ids, keys and other headers may differ. Nobody without the secret can learn
+    from a name what a request contains.
     """
 
     __slots__ = ("_key",)
@@ -32,13 +32,24 @@
         """
         self._key = hashlib.blake2b(secret.encode(), person=_PERSON).digest()
 
-    def name(self, request):
-        """Return the name of a :class:`CallerRequest`; empty without a secret."""
+    def name(self, request, organisation=""):
+        """Return the name of a request; empty without a secret.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        organisation : str
+            Name of the caller's organisation; empty on a public route.
+
+        Returns
+        -------
+        str
+        """
         if self._key is None:
             return ""
         digest = hashlib.blake2b(key=self._key, digest_size=_DIGEST_BYTES)
-        host, caller = request.host.encode(), request.key.encode()
-        for field in (request.method, host, request.target, caller, request.body):
+        caller = (request.host.encode(), organisation.encode())
+        for field in (request.method, request.target, *caller, request.body):
             digest.update(len(field).to_bytes(_LENGTH_BYTES, "big"))
             digest.update(field)
         return _PREFIX + digest.hexdigest()
