--- a/soak/caller.py
+++ b/soak/caller.py
@@ -6,7 +6,7 @@
 from tests.platform.world import draft_bytes, request_bytes
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from soak.plan import FATAL_PART
+from soak.plan import FATAL_BODY, FATAL_PART
 
 __all__ = ["Attempt", "Connection", "RequestKind", "open_connection"]
 
@@ -46,7 +46,7 @@
     sent_s : float
         Time when the request was created, on the reactor's clock as all times here.
     is_fatal : bool
-        Whether engines end under its prompt.
+        Whether endpoints end under it or its prompt.
 
     Attributes
     ----------
@@ -96,10 +96,15 @@
         """Return the request as bytes."""
         fields = {"Authorization": f"Token {self.key}"}
         fields["X_Deadline_Ms"] = str(int(self.kind.timeout_s * 1000))
-        if self.is_fatal:
-            fields["X_Prompt_Prefix"] = f"5c1e:200,{FATAL_PART}:100,{self.request_id}:9"
         if self.kind is RequestKind.DRAFT:
-            return draft_bytes(self.request_id, 400, **fields)
+            if self.is_fatal:
+                parts = f"5c1e:200,{FATAL_PART}:100,{self.request_id}:9"
+                fields["X_Prompt_Prefix"] = parts
+            body = self.request_id.encode()
+            return draft_bytes(self.request_id, 400, body, **fields)
+        if self.is_fatal:
+            path = self.kind.path
+            return request_bytes(path, self.request_id, "POST", FATAL_BODY, **fields)
         method = "POST" if self.kind is RequestKind.POST else "GET"
         return request_bytes(self.kind.path, self.request_id, method, **fields)
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -27,6 +27,12 @@
 FATAL_PROMPTS_BESIDE_WORK_EVERY = 24
 FATAL_PROMPTS_FROM_S = 1.0
 FATAL_PART = "dead"
+# Seeds in which one request comes again and again that ends each service process that
+# runs it, chosen in the same way.
+FATAL_REQUESTS_EVERY = 4
+FATAL_REQUESTS_BESIDE_WORK_EVERY = 24
+FATAL_REQUESTS_FROM_S = 1.5
+FATAL_BODY = b"fatal"
 # Seeds whose endpoints name limits, chosen in the same way. Together they take less
 # than callers ask for.
 LIMITS_EVERY = 4
@@ -178,6 +184,9 @@
         Time from which some prompts end each engine that begins to write on them; None
         for never.
     limits : PlannedLimits or None
+    fatal_requests_from_s : float or None
+        Time from which one request ends each service process that runs it; None for
+        never.
     """
 
     seed: int
@@ -186,6 +195,7 @@
     faults: list[ScheduledFault]
     fatal_from_s: float | None = None
     limits: PlannedLimits | None = None
+    fatal_requests_from_s: float | None = None
 
     @property
     def is_planned_work(self):
@@ -231,7 +241,10 @@
     limits = None
     if _has_limits(seed):
         limits = PlannedLimits(LIMITS_FROM_S, SERVICE_LIMIT_PER_S, ENGINE_LIMIT_PER_S)
-    return FaultPlan(seed, size, faults_s, faults, fatal_from_s, limits)
+    requests_from_s = FATAL_REQUESTS_FROM_S if _has_fatal_requests(seed) else None
+    return FaultPlan(
+        seed, size, faults_s, faults, fatal_from_s, limits, requests_from_s
+    )
 
 
 def _has_limits(seed):
@@ -240,6 +253,12 @@
     return seed % LIMITS_BESIDE_WORK_EVERY == 18
 
 
+def _has_fatal_requests(seed):
+    if seed % PLANNED_WORK_EVERY:
+        return seed % FATAL_REQUESTS_EVERY == 3
+    return seed % FATAL_REQUESTS_BESIDE_WORK_EVERY == 6
+
+
 def _has_fatal_prompts(seed):
     if seed % PLANNED_WORK_EVERY:
         return seed % FATAL_PROMPTS_EVERY == 1
--- a/soak/promise.py
+++ b/soak/promise.py
@@ -54,9 +54,11 @@
         Allowed delay of the final response beyond a route's timeout.
     stop_s : float
         From a caller's disconnect until no endpoint works on its request.
-    counted_ends, contact_s, late_arrivals : int, float, int
-        Of the requests under whose prompts engines end, how many may reach engines
-        later than `contact_s` after the engine that ended as number `counted_ends`.
+    counted_ends : dict from RequestKind to int
+        Ends of endpoints under fatal requests of a kind after which few may follow.
+    contact_s, late_arrivals : float, int
+        How many of these requests may reach endpoints later than `contact_s` after
+        that end.
     limit_window_s, limit_ratio, limit_slack : float, float, int
         From `contact_s` after an endpoint named its limit, a window holds no more than
         `limit_ratio` times what the limit allows, and `limit_slack`.
@@ -67,7 +69,9 @@
     settle_s: float = 3.0
     late_s: float = 0.5
     stop_s: float = 0.5
-    counted_ends: int = 5
+    counted_ends: dict = msgspec.field(
+        default_factory=lambda: {RequestKind.DRAFT: 5, RequestKind.LOOK: 3}
+    )
     contact_s: float = 3.0
     late_arrivals: int = 3
     limit_window_s: float = 4.0
@@ -233,36 +237,39 @@
             self._check_runs(attempt, runs)
             self._check_key(attempt, runs)
             self._check_time(attempt, runs)
-        self._check_fatal_prompts()
+        for kind, counted_ends in self._bounds.counted_ends.items():
+            self._check_few_ends(kind, counted_ends)
         for named in self._history.limits:
             self._check_limit(named)
         for request_id in self._history.runs:
             known = request_id in self._history.attempts
             self._check("asked", known, request_id, "no caller sent this request")
 
-    def _check_fatal_prompts(self):
-        """Check that prompts under which engines end reach few of them."""
+    def _check_few_ends(self, kind, counted_ends):
+        """Check that requests of a kind under which endpoints end reach few of them."""
         bounds = self._bounds
         runs = [
             (attempt, run)
             for attempt in self._history.attempts.values()
-            if attempt.is_fatal
+            if attempt.is_fatal and attempt.kind is kind
             for run in self._history.runs.get(attempt.request_id, [])
         ]
         ends_s = {}
         for _, run in runs:
             if run.ended is not None and run.ended.how == "crashed":
                 ends_s.setdefault(run.began.endpoint, run.ended.at_s)
-        if len(ends_s) < bounds.counted_ends:
+        if len(ends_s) < counted_ends:
             return
-        since_s = sorted(ends_s.values())[bounds.counted_ends - 1] + bounds.contact_s
+        since_s = sorted(ends_s.values())[counted_ends - 1] + bounds.contact_s
         late = [
             run.began.endpoint
             for attempt, run in runs
             if run.began.at_s > since_s
             and self._is_undisturbed(attempt, run.began.at_s)
         ]
-        detail = f"{len(ends_s)} engines ended, later arrivals at {late}"
+        detail = (
+            f"{kind.value}: {len(ends_s)} endpoints ended, later arrivals at {late}"
+        )
         self._check("few ends", len(late) <= bounds.late_arrivals, "", detail)
 
     def _check_limit(self, named):
--- a/soak/run.py
+++ b/soak/run.py
@@ -112,6 +112,14 @@
                 "has_fatal_prompts",
                 True,
             )
+        if self._plan.fatal_requests_from_s is not None:
+            reactor.callLater(
+                self._plan.fatal_requests_from_s,
+                setattr,
+                self._traffic,
+                "has_fatal_requests",
+                True,
+            )
         limits = self._plan.limits
         if limits is not None:
             reactor.callLater(limits.from_s, self.deployment.name_limits, limits)
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -33,7 +33,7 @@
     RunEnded,
     encode,
 )
-from soak.plan import EVENTS_PER_GENERATION, FATAL_PART  # noqa: E402
+from soak.plan import EVENTS_PER_GENERATION, FATAL_BODY, FATAL_PART  # noqa: E402
 
 LEASE_TTL_S = 2.5
 HEARTBEAT_INTERVAL_S = 0.8
@@ -101,6 +101,11 @@
             send_note(RunEnded(self.name, run.number, how, self.clock.seconds()))
         super().ended(run, how)
 
+    def end(self):
+        """End the process, as a fatal prompt or request does."""
+        self.crash()
+        os._exit(1)
+
 
 class _DeskService(_RunReporter, PlatformServiceStandin):
     service = "desk"
@@ -109,11 +114,6 @@
 class _Engine(_RunReporter, PlatformEngineStandin):
     service = "models"
 
-    def end(self):
-        """End the process, as a prompt does that contains the fatal part."""
-        self.crash()
-        os._exit(1)
-
 
 class _Registration:
     """Registers an endpoint in the store under a lease, which heartbeats renew."""
@@ -216,7 +216,8 @@
     else:
         endpoint = _Engine(reactor, name, SLOTS, EVENTS_PER_GENERATION)
         endpoint.fatal_parts = frozenset([FATAL_PART])
-        endpoint.on_end = _Engine.end
+    endpoint.fatal_bodies = frozenset([FATAL_BODY])
+    endpoint.on_end = _RunReporter.end
     registration = _Registration(endpoint, public_address, zone, store_address)
 
     def apply_command(command):
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -49,6 +49,8 @@
         self.in_flight = 0
         # Whether some prompts are such that engines end under them.
         self.has_fatal_prompts = False
+        # Whether some requests are one that ends each service process that runs it.
+        self.has_fatal_requests = False
 
     def start(self):
         """Start sending requests of each kind."""
@@ -114,8 +116,7 @@
         self._count += 1
         number = router.number
         name = f"{kind.value}-{self._count}"
-        is_fatal = kind is RequestKind.DRAFT and self.has_fatal_prompts
-        is_fatal = is_fatal and self._rng.random() < FATAL_RATIO
+        is_fatal = self._may_be_fatal(kind) and self._rng.random() < FATAL_RATIO
         now_s = self._reactor.seconds()
         attempt = Attempt(name, kind, number, key, now_s, is_fatal)
         self._deployment.history.attempts[name] = attempt
@@ -132,6 +133,11 @@
         connection.send_when_connected(attempt, self._request_ended, leave_after_s)
         return attempt
 
+    def _may_be_fatal(self, kind):
+        if kind is RequestKind.DRAFT:
+            return self.has_fatal_prompts
+        return kind is RequestKind.LOOK and self.has_fatal_requests
+
     def _request_ended(self, attempt):
         self.in_flight -= 1
 
--- a/tests/soak/test_promise.py
+++ b/tests/soak/test_promise.py
@@ -175,10 +175,10 @@
 
 
 class TestFatalPrompts(PromiseTestCase):
-    def add_fatal_runs(self, arrivals_s):
-        """Add requests that each end an engine shortly after they arrive."""
+    def add_fatal_runs(self, arrivals_s, kind=RequestKind.DRAFT):
+        """Add requests that each end an endpoint shortly after they arrive."""
         for number, at_s in enumerate(arrivals_s):
-            attempt = self.add_attempt(f"f{number}", RequestKind.DRAFT, sent_s=at_s)
+            attempt = self.add_attempt(f"f{number}", kind, sent_s=at_s)
             attempt.is_fatal = True
             attempt.status = 502
             attempt.is_whole = True
@@ -194,6 +194,12 @@
         self.add_fatal_runs([100, 101, 102, 103, 104, 110, 111, 112, 113])
         self.assertEqual(self.broken_promises(), ["few ends"])
 
+    def test_arrivals_of_a_request_after_the_third_end(self):
+        self.add_fatal_runs([100, 101, 102, 110, 111, 112], RequestKind.LOOK)
+        self.assertEqual(self.broken_promises(), [])
+        self.add_fatal_runs([100, 101, 102, 110, 111, 112, 113], RequestKind.LOOK)
+        self.assertEqual(self.broken_promises(), ["few ends"])
+
     def test_arrivals_from_a_disturbed_router_do_not_count(self):
         self.add_fatal_runs([100, 101, 102, 103, 104, 110, 111, 112, 113])
         self.history.disturbances.append(Disturbance(112.5, 112.6, router=0))
