Test the evidence against whole requests by itself

Ends one by one, together and under one id; others lost at the same ends, other ends of the service, of another one; whole answers, history; a part beside one request, and a part that takes over from the requests that share it.

--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -191,3 +191,95 @@
         for number in range(2 * MAX_ENDS):
             self.end_engine((f"q{number}", ["dead"], False))
         self.assertEqual(len(self.evidence._ends), MAX_ENDS)
+
+
+class TestFatalRequest(EvidenceTestCase):
+    """Ends under one whole request, beside others that were lost with it."""
+
+    FATAL, OTHER = "request-fa", "request-0b"
+
+    def end_by(self, *requests, gap_s=GAP_S):
+        """End an engine under plain requests, given by their names."""
+        lost = [(f"{name}.{self.engines}", [name], False) for name in requests]
+        return self.end_engine(*lost, gap_s=gap_s)
+
+    def test_three_ends_are_enough(self):
+        self.end_by(self.FATAL)
+        self.end_by(self.FATAL)
+        self.assertIsNone(self.suspect(self.FATAL))
+        self.end_by(self.FATAL)
+        self.assertEqual(self.suspect(self.FATAL), {self.FATAL})
+
+    # Guards against ends that count as one, as all endpoints of a service end at once.
+    def test_ends_that_come_together_count_one_by_one(self):
+        for _ in range(3):
+            self.end_by(self.FATAL, gap_s=0.0)
+        self.assertEqual(self.suspect(self.FATAL), {self.FATAL})
+
+    def test_one_id_is_enough_if_nothing_else_ends(self):
+        for _ in range(3):
+            self.end_engine(("q1", [self.FATAL], False))
+        self.assertEqual(self.suspect(self.FATAL), {self.FATAL})
+
+    # Guards against a request that is refused for what was retried together with it.
+    def test_requests_lost_at_the_same_ends_are_told_apart_by_the_next_one(self):
+        for _ in range(3):
+            self.end_by(self.FATAL, self.OTHER)
+        self.assertIsNone(self.suspect(self.FATAL))
+        self.assertIsNone(self.suspect(self.OTHER))
+        self.end_by(self.FATAL)
+        self.assertEqual(self.suspect(self.FATAL), {self.FATAL})
+        self.assertIsNone(self.suspect(self.OTHER))
+
+    def test_other_ends_ask_for_more_also_before_the_first_one(self):
+        for number in range(4):
+            self.end_by(f"request-{number}")
+        for _ in range(4):
+            self.end_by(self.FATAL)
+        self.assertIsNone(self.suspect(self.FATAL))
+        self.end_by(self.FATAL)
+        self.assertEqual(self.suspect(self.FATAL), {self.FATAL})
+
+    def test_ends_of_another_service_ask_for_no_more(self):
+        for number in range(4):
+            loss = EndpointLoss(
+                Incarnation(f"x{number}", 1), "q", ["request-1"], False, "other"
+            )
+            self.evidence.add(loss)
+        for _ in range(3):
+            self.end_by(self.FATAL)
+        self.assertEqual(self.suspect(self.FATAL), {self.FATAL})
+
+    def test_whole_answer_clears_a_request(self):
+        self.end_by(self.FATAL)
+        self.end_by(self.FATAL)
+        self.assertEqual(self.evidence.note_written([self.FATAL]), [self.FATAL])
+        self.end_by(self.FATAL)
+        self.assertIsNone(self.suspect(self.FATAL))
+
+    # Guards against a sound request of many callers, which is under way at every end.
+    def test_request_with_a_history_is_not_suspect_for_a_lost_data_centre(self):
+        self.evidence.note_written([self.FATAL])
+        for _ in range(5):
+            self.end_by(self.FATAL, gap_s=0.0)
+        self.assertIsNone(self.suspect(self.FATAL))
+
+    # Guards against a shared part that is blamed for one of the prompts that have it.
+    def test_part_that_other_prompts_share_is_not_blamed_for_one_request(self):
+        self.end_engine(("q9", ["first", self.OTHER], True))
+        for number in range(4):
+            self.end_engine((f"q{number}", ["first", self.FATAL], True))
+        self.assertEqual(self.suspect("first", self.FATAL), {self.FATAL})
+
+    # Guards against prompts that are refused one by one, though they share the cause.
+    def test_part_takes_over_from_quarantined_requests_that_share_it(self):
+        names = ["request-1", "request-2"]
+        for name in names:
+            for _ in range(3):
+                self.end_engine((name, ["dead", name], True))
+        self.evidence.note_written(["first"])
+        quarantined = [frozenset([name]) for name in names]
+        self.end_engine(("q3", ["dead", "request-3"], True))
+        suspect = self.evidence.find_suspect(["dead", "request-3"], quarantined)
+        self.assertEqual(suspect.parts, {"dead"})
+        self.assertEqual(suspect.cases, set(quarantined))
