Name the parts of the quarantine for endpoints and requests, not for engines and prompts

PromptQuarantine is QuarantineController, its log record QuarantineChanged (the tag in the log stays); docstrings say endpoint where plain services are meant too. No behaviour.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -32,7 +32,7 @@
     "Lifecycle",
     "MemberChanged",
     "PermitDecided",
-    "PromptQuarantineChanged",
+    "QuarantineChanged",
     "Record",
     "RequestEnded",
     "RequestRefused",
@@ -288,13 +288,13 @@
     state: str
 
 
-class PromptQuarantineChanged(Record, frozen=True, tag="prompt_quarantine"):
-    """Prompts with some parts are refused from now on, or no longer.
+class QuarantineChanged(Record, frozen=True, tag="prompt_quarantine"):
+    """Requests with some parts are refused from now on, or no longer.
 
     Parameters
     ----------
     parts : list of str
-        Names of the parts; a prompt that contains all of them is refused.
+        Names of the parts; a request that has all of them is refused.
     state : str
         ``active`` or ``lifted``.
     source : str
@@ -304,7 +304,7 @@
     score : float or None
         Weight of the losses that this router decided on.
     ends, requests : int or None
-        Numbers of engines and requests among them.
+        Numbers of endpoints and requests among them.
     """
 
     parts: list[str]
@@ -353,7 +353,7 @@
     DataCentreReachability,
     Dependency,
     RolloutChanged,
-    PromptQuarantineChanged,
+    QuarantineChanged,
     StoreRestored,
     Lifecycle,
 )
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -58,7 +58,7 @@
 from sesamearch.platform.quarantine import PlatformQuarantineRegister
 from sesamearch.platform.rollout import PlatformRolloutRegister
 from sesamearch.platform.store import PlatformStore
-from sesamearch.quarantine.controller import PromptQuarantine
+from sesamearch.quarantine.controller import QuarantineController
 from sesamearch.rollout.controller import UPDATE_INTERVAL_S as ROLLOUT_INTERVAL_S
 from sesamearch.rollout.controller import RolloutController
 from sesamearch.routing.canary import CanarySettings
@@ -177,7 +177,7 @@
         self._outages = OutageDetector(
             self._probe, reactor, self._endpoints_to_probe, rng
         )
-        self._quarantine = PromptQuarantine(
+        self._quarantine = QuarantineController(
             reactor, PlatformQuarantineRegister(self._store), self.counters, rng
         )
         tools = ForwardTools(
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -57,7 +57,7 @@
     pauses : PauseTracker
     limits : LimitTracker
     permits : PermitSource
-    quarantine : PromptQuarantine
+    quarantine : QuarantineController
     clock : twisted.internet.interfaces.IReactorTime
     rng : random.Random
     counters : ForwardCounters
--- a/src/sesamearch/forwarding/request_quarantine.py
+++ b/src/sesamearch/forwarding/request_quarantine.py
@@ -31,7 +31,7 @@
 
     @property
     def parts(self):
-        """List of str : what other requests may share; see ``PromptQuarantine``."""
+        """List of str : what other requests may share; see ``QuarantineController``."""
         if self._parts is None:
             self._parts = self._tools.quarantine.parts_of(
                 self._request, self._organisation
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -264,20 +264,20 @@
 
 
 class LossReport(msgspec.Struct, tag=True, frozen=True, array_like=True):
-    """What the sender saw of engines that ended, and of the prompts they ran.
+    """What the sender saw of endpoints that ended, and of the requests they ran.
 
     Parameters
     ----------
     schema_version : int
         Version of the message layout; messages of other versions are ignored.
     losses : list of EndpointLoss
-        Requests that were lost with their engine.
+        Requests that were lost with their endpoint.
     written : list of str
-        Parts of prompts on which an engine has written since others ended under them.
+        Parts of requests that an endpoint has run since others ended under them.
     alive : list of Incarnation
-        Engines that have not ended, although a request at them was lost.
+        Endpoints that have not ended, although a request at them was lost.
     known : list of str
-        Parts of prompts on which engines wrote before the losses.
+        Parts of requests that endpoints ran before the losses.
     """
 
     schema_version: int
--- a/src/sesamearch/membership/quarantine_gossip.py
+++ b/src/sesamearch/membership/quarantine_gossip.py
@@ -1,4 +1,4 @@
-"""Exchange of engine losses and of quarantined prompts among the routers."""
+"""Exchange of losses and of quarantined requests among the routers."""
 
 from sesamearch.base.log import logger
 from sesamearch.membership.fleet_message import (
@@ -12,7 +12,7 @@
 
 # What is seen within this time is sent in one report.
 SEND_DELAY_S = 0.02
-# A report names at most so many losses; an outage of many engines needs no more.
+# A report names at most so many losses; an outage of many endpoints needs no more.
 MAX_LOSSES = 64
 # Relays repeat the quarantines for routers that have started or missed an update.
 REPEAT_INTERVAL_S = 1.0
@@ -23,7 +23,7 @@
 
     Parameters
     ----------
-    quarantine : PromptQuarantine
+    quarantine : QuarantineController
     clock : twisted.internet.interfaces.IReactorTime
     """
 
@@ -74,8 +74,8 @@
         self._written.update(parts)
         self._schedule()
 
-    def _add_alive(self, engine):
-        self._alive.append(engine)
+    def _add_alive(self, incarnation):
+        self._alive.append(incarnation)
         self._schedule()
 
     def _add_history(self, parts):
@@ -124,8 +124,8 @@
     def _apply_report(self, report):
         if not is_known_version(report, QUARANTINE_SCHEMA_VERSION):
             return
-        for engine in report.alive:
-            self._quarantine.add_alive(engine)
+        for incarnation in report.alive:
+            self._quarantine.add_alive(incarnation)
         if report.known:
             self._quarantine.add_history(report.known)
         for loss in report.losses:
--- a/src/sesamearch/platform/followers.py
+++ b/src/sesamearch/platform/followers.py
@@ -121,7 +121,7 @@
     Parameters
     ----------
     store : Store
-    quarantine : PromptQuarantine
+    quarantine : QuarantineController
     clock : twisted.internet.interfaces.IReactorTime
     """
 
--- a/src/sesamearch/quarantine/__init__.py
+++ b/src/sesamearch/quarantine/__init__.py
@@ -1,6 +1,6 @@
-"""Quarantine of the parts of prompts under which engines end."""
+"""Quarantine of requests, and of parts of prompts, under which endpoints end."""
 
-from sesamearch.quarantine.controller import PromptQuarantine, retry_after_s
+from sesamearch.quarantine.controller import QuarantineController, retry_after_s
 from sesamearch.quarantine.entry import Quarantine
 from sesamearch.quarantine.evidence import LossEvidence, Suspect
 from sesamearch.quarantine.fingerprint import RequestFingerprints
@@ -10,7 +10,7 @@
 __all__ = [
     "EndpointLoss",
     "LossEvidence",
-    "PromptQuarantine",
+    "QuarantineController",
     "Quarantine",
     "QuarantineRegister",
     "RequestFingerprints",
--- a/src/sesamearch/quarantine/controller.py
+++ b/src/sesamearch/quarantine/controller.py
@@ -1,15 +1,15 @@
-"""Quarantine of the parts of prompts under which engines end."""
+"""Decisions about requests and parts of prompts under which endpoints end."""
 
 import msgspec
 
 from sesamearch.base.log import logger
-from sesamearch.base.record import PromptQuarantineChanged
+from sesamearch.base.record import QuarantineChanged
 from sesamearch.quarantine.entry import Quarantine
 from sesamearch.quarantine.evidence import SUSPECT_SCORE, LossEvidence
 from sesamearch.quarantine.fingerprint import RequestFingerprints
 from sesamearch.quarantine.loss import EndpointLoss
 
-__all__ = ["PromptQuarantine", "retry_after_s"]
+__all__ = ["QuarantineController", "retry_after_s"]
 
 # One request is let through after each of these times, to learn whether it is over.
 # After the last one, only an operator ends the quarantine. Callers that are refused are
@@ -17,7 +17,7 @@
 TRIAL_DELAYS_S = (60.0, 600.0, 3600.0)
 TRIAL_RETRY_DELAY_S = 5.0
 # Score beyond that of a suspect from which fewer parts replace a quarantine of more.
-# Most often an engine has written on the others by then.
+# Most often an endpoint has run the others by then.
 NARROWING_SCORE = 2.0
 # A router that learns of a loss from another one leaves the decision to that one for a
 # random time up to this.
@@ -26,7 +26,7 @@
 MAX_ENTRIES = 1024
 # Lifted quarantines are repeated to the other routers for so long.
 NEWS_LIFETIME_S = 30.0
-# A router that has seen engines write on a part for which another one reports losses
+# A router that has seen endpoints run a part for which another one reports losses
 # says so after a random time up to this, unless a third one does before.
 MAX_HISTORY_DELAY_S = 0.15
 HISTORY_REPEAT_S = 30.0
@@ -46,11 +46,11 @@
         self.request_id = None
 
 
-class PromptQuarantine:
-    """Decides which prompts are refused, because engines end under them.
+class QuarantineController:
+    """Decides which requests are refused, because endpoints end under them.
 
     A quarantine begins when the losses of all routers make some parts suspect. It ends
-    when an engine has written on these parts, which only a request can show that was
+    when an endpoint has run these parts, which only a request can show that was
     under way or is let through as a trial, or when an operator lifts it.
 
     Parameters
@@ -193,7 +193,7 @@
         return trial.request_id == request_id
 
     def note_sent(self, request_id):
-        """Record a send: a trial is sent to one engine only."""
+        """Record a send: a trial is sent to one endpoint only."""
         for key, trial in list(self._trials.items()):
             if trial.request_id == request_id:
                 del self._trials[key]
@@ -228,20 +228,20 @@
         self._decide(parts)
 
     def note_written(self, parts):
-        """Record that an engine has written on a prompt for some time."""
+        """Record that an endpoint has run a request, or writes on it for some time."""
         counted = self._evidence.note_written(parts)
         if counted:
             self.on_written(counted)
         self._narrow(parts)
 
     def note_alive(self, endpoint, sent_s):
-        """Record that an engine still answers a try that was sent at `sent_s`."""
+        """Record that an endpoint still answers a try that was sent at `sent_s`."""
         if not self._evidence.has_ends:
             return
-        engine = endpoint.incarnation
-        if self._evidence.disproves_end(engine, sent_s):
-            self._evidence.discard(engine)
-            self.on_alive(engine)
+        incarnation = endpoint.incarnation
+        if self._evidence.disproves_end(incarnation, sent_s):
+            self._evidence.discard(incarnation)
+            self.on_alive(incarnation)
 
     # Reports of other routers.
 
@@ -282,7 +282,7 @@
         self._untold.difference_update(parts)
 
     def add_written(self, parts):
-        """Record parts on which an engine has written for another router."""
+        """Record parts that an endpoint has run for another router."""
         self._evidence.note_written(parts)
 
     def add_history(self, parts):
@@ -290,9 +290,9 @@
         self._evidence.note_history(parts)
         self._note_told(parts)
 
-    def add_alive(self, engine):
-        """Record that an engine has not ended, as another router saw."""
-        self._evidence.discard(engine)
+    def add_alive(self, incarnation):
+        """Record that an endpoint has not ended, as another router saw."""
+        self._evidence.discard(incarnation)
 
     def update(self, quarantine):
         """Apply a :class:`Quarantine` from another router or from the store."""
@@ -328,7 +328,7 @@
         self._change(suspect.parts, is_active=True, suspect=suspect)
 
     def _narrow(self, parts):
-        """Take parts on which an engine has written out of the quarantines."""
+        """Take parts that an endpoint has run out of the quarantines."""
         written = frozenset(parts)
         for key in [each for each in self._keys if not written.isdisjoint(each)]:
             self._change(key, is_active=False)
@@ -368,7 +368,7 @@
 
     def _log(self, entry, source, suspect):
         state = "active" if entry.is_active else "lifted"
-        record = PromptQuarantineChanged(
+        record = QuarantineChanged(
             entry.parts,
             state,
             source,
--- a/src/sesamearch/quarantine/entry.py
+++ b/src/sesamearch/quarantine/entry.py
@@ -12,7 +12,7 @@
     ----------
     parts : list of str
         Names of the parts, sorted. Nearly always one; more while it is not known which
-        of several parts that occurred together ends engines.
+        of several parts that occurred together ends endpoints.
     change : int
         Number of the change, from one; of two entries for the same parts the one with
         the higher number applies.
--- a/src/sesamearch/quarantine/evidence.py
+++ b/src/sesamearch/quarantine/evidence.py
@@ -344,7 +344,7 @@
     def _parts_that_occur_with(self, part, ends):
         """Return all parts that may be the cause of the ends instead of `part`.
 
-        They occur beside it in a lost request of each engine, and nothing has been
+        They occur beside it in a lost request of each endpoint, and nothing has been
         written on them since the first end.
         """
         common = None
--- a/tests/platform/test_fatal_prompt.py
+++ b/tests/platform/test_fatal_prompt.py
@@ -4,7 +4,7 @@
 
 import logbook
 
-from sesamearch.base.record import PromptQuarantineChanged, TryLost
+from sesamearch.base.record import QuarantineChanged, TryLost
 from sesamearch.quarantine.entry import Quarantine
 from tests.platform.prompt_storm import (
     CONTACT_S,
@@ -211,7 +211,7 @@
         with handler.applicationbound():
             self.quarantine()
         messages = [record.msg for record in handler.records]
-        found = [m for m in messages if isinstance(m, PromptQuarantineChanged)]
+        found = [m for m in messages if isinstance(m, QuarantineChanged)]
         found = [each for each in found if each.parts == [FATAL_PART]]
         own = [each for each in found if each.source == "own"]
         self.assertGreaterEqual(own[0].requests, 2)
--- a/tests/quarantine/test_controller.py
+++ b/tests/quarantine/test_controller.py
@@ -13,7 +13,7 @@
 from sesamearch.quarantine.controller import (
     NEWS_LIFETIME_S,
     TRIAL_DELAYS_S,
-    PromptQuarantine,
+    QuarantineController,
     retry_after_s,
 )
 from sesamearch.quarantine.entry import Quarantine
@@ -58,7 +58,7 @@
         self.quarantine.on_decision = self.decided.append
 
     def make(self):
-        return PromptQuarantine(
+        return QuarantineController(
             self.clock, self.register, ForwardCounters(), random.Random(1)
         )
 
