Take no endpoint for ended that answers requests sent soon afterwards

Found in the read of the evidence: a request that three sick endpoints reset was refused for a minute, though the endpoints answered others all the while. An end was disproved only by data for a try that was sent before it, and a plain service answers too fast for that. Now an answer to a try that was sent within a second after the end disproves it too: a process that has ended is not back so soon. An answer by another process at the address does not count.

Changed test: a try sent half a second after the end now disproves it; beside it a new one, that a try sent a second or more after it does not.

--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -120,7 +120,8 @@
         """Handle a part of the body."""
         self._exchange.tools.restarts.note_alive(self.endpoint.name)
         self._exchange.tools.outages.note_alive(self.endpoint)
-        self._exchange.tools.quarantine.note_alive(self.endpoint, self.sent_s)
+        if not self.answer.is_other_instance:
+            self._exchange.tools.quarantine.note_alive(self.endpoint, self.sent_s)
         self._exchange.try_received(self, data)
 
     def answer_ended(self):
--- a/src/sesamearch/quarantine/evidence.py
+++ b/src/sesamearch/quarantine/evidence.py
@@ -37,6 +37,8 @@
 MAX_ENDS = 128
 # Data that was under way when an endpoint ended may still arrive for this long.
 ALIVE_MARGIN_S = 0.3
+# A process that has ended is not back so soon, so that no request is answered then.
+MIN_RESTART_S = 1.0
 
 
 class Suspect(msgspec.Struct, frozen=True):
@@ -164,7 +166,7 @@
         )
 
     def disproves_end(self, endpoint, sent_s):
-        """Return whether data for a try that was sent at `sent_s` disproves an end.
+        """Return whether an answer to a try that was sent at `sent_s` disproves an end.
 
         Parameters
         ----------
@@ -172,7 +174,7 @@
         sent_s : float
         """
         end = self._ends.get(endpoint)
-        if end is None or sent_s >= end.at_s:
+        if end is None or sent_s >= end.at_s + MIN_RESTART_S:
             return False
         return self._clock.seconds() > end.at_s + ALIVE_MARGIN_S
 
--- a/tests/platform/test_fatal_request.py
+++ b/tests/platform/test_fatal_request.py
@@ -152,3 +152,23 @@
         self.assert_served(storm.sound_after())
         refused = [e for r in storm.routers for e in r._quarantine.entries]
         self.assertEqual(len({each.key for each in refused}), 1)
+
+
+class TestSickEndpoints(FatalRequestTestCase):
+    # Guards against a sound request that is refused, as sick endpoints reset it, though
+    # they answer others meanwhile and have not ended.
+    def test_request_that_sick_endpoints_reset_is_served_once_they_are_well(self):
+        storm = RequestStorm(RequestKind.SAFE, routers=3, endpoints=3, fatal=0)
+        storm.send_mixed(1)
+        for _ in range(6):
+            for desk in storm.desks:
+                desk.fault = "reset"
+            storm.send(b"again")
+            storm.run(0.15)
+            for desk in storm.desks:
+                desk.fault = ""
+            storm.send_mixed(1)
+        self.assertEqual(len(storm.ended_s), 0)
+        again = storm.send(b"again")
+        storm.run(1)
+        self.assertTrue(again.is_whole)
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -177,6 +177,14 @@
         self.assertFalse(self.evidence.disproves_end(engine, sent_s))
         self.clock.advance(0.5)
         self.assertTrue(self.evidence.disproves_end(engine, sent_s))
+        self.assertTrue(self.evidence.disproves_end(engine, sent_s + 1.4))
+
+    # Guards against a process that starts again under its name and clears its end.
+    def test_engine_that_may_have_started_again_may_have_ended(self):
+        engine = self.end_engine(("q1", ["dead"], True))
+        ended_s = self.clock.seconds()
+        self.clock.advance(2.0)
+        self.assertFalse(self.evidence.disproves_end(engine, ended_s + 1.0))
         self.assertFalse(self.evidence.disproves_end(engine, self.clock.seconds()))
 
     def test_old_evidence_is_dropped(self):
