Forward events without a number that their own engine sends

Only the first event of an answer that is to go on must have a number now. Also named: note_refused counts a refusal.

--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -47,7 +47,7 @@
 
     def _send(self):
         if self.quarantine.find() is not None:
-            self._give_up(ErrorKind.REQUEST_QUARANTINED, self.quarantine.describe())
+            self._give_up(ErrorKind.REQUEST_QUARANTINED, self.quarantine.note_refused())
             return
         endpoint = self._choose()
         if endpoint is not None and self.permit.covers(endpoint):
--- a/src/sesamearch/forwarding/request_quarantine.py
+++ b/src/sesamearch/forwarding/request_quarantine.py
@@ -56,7 +56,7 @@
         found = self.find()
         return retry_after_s(found) if found is not None else 0.0
 
-    def describe(self):
+    def note_refused(self):
         """Count a refusal, and return its explanation to the caller."""
         self._tools.counters.quarantine_refusals += 1
         parts = self.refusing_parts
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -235,7 +235,7 @@
 
     def _give_up_quarantined(self):
         """End the answer, because engines end under this prompt."""
-        self.give_up(ErrorKind.REQUEST_QUARANTINED, self.quarantine.describe())
+        self.give_up(ErrorKind.REQUEST_QUARANTINED, self.quarantine.note_refused())
 
     def _note_engine_lost(self, attempt, loss):
         """Record what the loss of an engine says about the prompt."""
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -53,7 +53,7 @@
         except EventError:
             self.reject_body(attempt, Loss.MALFORMED)
             return
-        if self._has_head and any(map(self._is_foreign, received)):
+        if received and self._begins_elsewhere(attempt, received[0]):
             self.reject_body(attempt, Loss.MALFORMED)
             return
         events = [event for event in received if self._accept_event(event)]
@@ -73,9 +73,17 @@
             return False
         return self._begun_answer is None or answer.may_continue(self._begun_answer)
 
-    def _is_foreign(self, event):
-        """Return whether an event lacks a number in a stream that has them."""
-        return event.number is None and self._last_event is not None
+    def _is_resumed(self, attempt):
+        """Return whether an answer is to go on with that of another engine."""
+        return self._has_head and attempt.answer is not self._begun_answer
+
+    def _begins_elsewhere(self, attempt, event):
+        """Return whether an answer that is to go on begins with an event of no number.
+
+        Without a number, it is not known to follow the last event.
+        """
+        is_first = self._is_resumed(attempt) and not attempt.event_count
+        return is_first and event.number is None and self._last_event is not None
 
     def _accept_event(self, event):
         """Return whether an event is new to the caller, and record it as forwarded."""
@@ -184,8 +192,8 @@
 
     def _ends_midway(self, attempt):
         events = attempt.events
-        is_resumed = self._has_head and attempt.answer is not self._begun_answer
-        return events.has_partial_event or (is_resumed and events.has_other_text)
+        has_other_text = self._is_resumed(attempt) and events.has_other_text
+        return events.has_partial_event or has_other_text
 
     def try_lost(self, attempt, loss):
         """Retry or resume at another engine if that is safe."""
--- a/tests/platform/test_errors_in_streams.py
+++ b/tests/platform/test_errors_in_streams.py
@@ -80,6 +80,24 @@
         self.assertGreater(factory.requests, 0)
         return client
 
+    # Guards against a stream that is taken for broken, as its last event has no number.
+    def test_own_event_without_a_number_is_forwarded(self):
+        world = World(desks=0, engines=1)
+        factory = Factory.forProtocol(RawEngine)
+        factory.network, factory.requests = world.network, 0
+        last = b"data: done\n\n"
+        body = b"id: 0\ndata: piece 0\n\n" + last
+        factory.answer, factory.split = (
+            answer(b"200 OK", EVENT_STREAM, body),
+            -len(last),
+        )
+        world.network.close(world.engines[0].address)
+        world.network.listen(world.engines[0].address, factory)
+        client = world.send_request(draft_bytes(), wait_s=2)
+        self.assertIn(b"data: done", client.received)
+        self.assertTrue(client.is_complete)
+        self.assertEqual(factory.requests, 1)
+
     def assert_clean(self, client):
         """Check that the stream holds its own events alone, and looks broken off."""
         self.assertNotIn(TEXT, client.received)
