--- a/src/sesamearch/command/quarantine.py
+++ b/src/sesamearch/command/quarantine.py
@@ -1,4 +1,4 @@
-"""The ``quarantine`` command: show and lift quarantines of prompts."""
+"""The ``quarantine`` command: show and lift quarantines."""
 
 import msgspec
 
@@ -18,8 +18,8 @@
         commands,
         "quarantine",
         _run_quarantine,
-        "Show the parts of prompts that all routers refuse because engines end under "
-        "them, or lift such a quarantine.",
+        "Show the requests and parts of prompts that all routers refuse because "
+        "endpoints end under them, or lift such a quarantine.",
         "sesamearch quarantine --store 10.200.1.7:8742 --lift 91bd3f06",
     )
     parser.add_argument(
--- a/tests/platform/test_errors_in_streams.py
+++ b/tests/platform/test_errors_in_streams.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Factory
 
 from sesamearch.standin.platform_worker import DEFAULT_EVENTS
+from tests.platform.raw_worker import RawWorker
 from tests.platform.world import World, draft_bytes
 
 TEXT = b"this engine failed"
@@ -46,20 +47,15 @@
 }
 
 
-class RawEngine(Protocol):
+class SplitAnswerEngine(RawWorker):
     """Answers each generation with the same bytes, in two pieces."""
 
-    def dataReceived(self, data):
-        if b"X-Attempt-Id: " not in data:
-            self.transport.write(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
-            return
-        self.factory.requests += 1
-        request_id = data.split(b"X-Attempt-Id: ")[1].split(b"\r\n")[0]
-        whole = self.factory.answer.replace(b"%s", request_id)
-        self.transport.write(whole[: self.factory.split])
-        network = self.factory.network
-        network.callLater(0.01, self.transport.write, whole[self.factory.split :])
-        network.callLater(0.05, self.transport.loseConnection)
+    def answer(self, request_id):
+        factory, transport = self.factory, self.transport
+        whole = factory.answer.replace(b"%s", request_id)
+        transport.write(whole[: factory.split])
+        factory.network.callLater(0.01, transport.write, whole[factory.split :])
+        factory.network.callLater(0.05, transport.loseConnection)
 
 
 class TestErrorsInStreams(unittest.TestCase):
@@ -70,7 +66,7 @@
         world.run(0.4)
         first = next(each for each in world.engines if each.runs)
         other = next(each for each in world.engines if each is not first)
-        factory = Factory.forProtocol(RawEngine)
+        factory = Factory.forProtocol(SplitAnswerEngine)
         factory.network, factory.requests = world.network, 0
         factory.answer, factory.split = data, split
         world.network.close(other.address)
@@ -83,7 +79,7 @@
     # Guards against a stream that is taken for broken, as its last event has no number.
     def test_own_event_without_a_number_is_forwarded(self):
         world = World(desks=0, engines=1)
-        factory = Factory.forProtocol(RawEngine)
+        factory = Factory.forProtocol(SplitAnswerEngine)
         factory.network, factory.requests = world.network, 0
         last = b"data: done\n\n"
         body = b"id: 0\ndata: piece 0\n\n" + last
--- a/tests/platform/test_fatal_request.py
+++ b/tests/platform/test_fatal_request.py
@@ -67,9 +67,11 @@
         self.storm = RequestStorm(RequestKind.SAFE, self.routers)
         self.storm.send_mixed(1, fatal_ratio=0.0)
         self.body = self.storm.fatal_bodies[0]
-        while not all(r._quarantine.active_count for r in self.storm.routers):
+        for _ in range(8):
             self.storm.send(self.body)
             self.storm.run(0.5)
+        counts = [router._quarantine.active_count for router in self.storm.routers]
+        self.assertEqual(counts, [1] * self.routers)
 
     def send(self, wait_s=0.5, **options):
         sent = self.storm.send(self.body, **options)
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Factory
 
 from sesamearch.standin.platform_worker import DEFAULT_EVENTS
+from tests.platform.raw_worker import RawWorker
 from tests.platform.world import World, draft_bytes, request_bytes
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: raw\r\n\r\n"
@@ -12,16 +13,10 @@
 BODY = b"the whole answer"
 
 
-class RawWorker(Protocol):
+class UnframedWorker(RawWorker):
     """Sends an answer without framing, and ends it with its connection."""
 
-    def dataReceived(self, data):
-        if b"X-Attempt-Id: " not in data:
-            # A probe, or a request for a copy.
-            self.transport.write(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
-            return
-        self.factory.requests += 1
-        request_id = data.split(b"X-Attempt-Id: ")[1].split(b"\r\n")[0]
+    def answer(self, request_id):
         self.transport.write(HEAD % request_id + self.factory.body)
         self.factory.network.callLater(0.05, self._end)
 
@@ -35,7 +30,7 @@
 class UnframedTestCase(unittest.TestCase):
     def replace(self, worker, body, is_reset=False):
         """Replace a worker by one that sends `body` and ends the connection."""
-        factory = Factory.forProtocol(RawWorker)
+        factory = Factory.forProtocol(UnframedWorker)
         factory.network, factory.requests = self.world.network, 0
         factory.body, factory.is_reset = body, is_reset
         self.world.network.close(worker.address)
