--- a/src/sesamearch/standin/__init__.py
+++ b/src/sesamearch/standin/__init__.py
@@ -11,7 +11,12 @@
             "expected_token",
             "prompt_digest",
         ],
-        "network": ["MemoryNetwork", "MemoryTransport"],
+        "network": [
+            "HostNetwork",
+            "MemoryNetwork",
+            "MemoryTransport",
+            "PathFault",
+        ],
         "platform_store": ["PlatformStoreStandin"],
         "platform_worker": [
             "PlatformEngineStandin",
--- a/src/sesamearch/standin/network.py
+++ b/src/sesamearch/standin/network.py
@@ -1,5 +1,7 @@
 """In-memory network on a virtual clock, with refused, reset and held connections."""
 
+import enum
+
 from twisted.internet.error import (
     ConnectionDone,
     ConnectionLost,
@@ -9,13 +11,26 @@
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
-__all__ = ["MemoryNetwork", "MemoryTransport"]
+__all__ = ["HostNetwork", "MemoryNetwork", "MemoryTransport", "PathFault"]
 
 LATENCY_S = 0.0005
 # TCP keep-alive: two probes, one second apart, after one second without traffic.
 KEEPALIVE_TIMEOUT_S = 3.0
 
 
+class PathFault(enum.Enum):
+    """How the path from one host to one address is broken.
+
+    ``SILENT``: all bytes vanish and connection attempts hang. ``RESET``: connections
+    are reset and new ones refused. ``NEW_REFUSED``: open connections live on, new ones
+    are refused.
+    """
+
+    SILENT = "silent"
+    RESET = "reset"
+    NEW_REFUSED = "new_refused"
+
+
 class _Handle:
     """Stands in for a socket; its options have no effect."""
 
@@ -31,10 +46,12 @@
     network : MemoryNetwork
     address : str
         Address of the listener.
+    source : str
+        Host that opened the connection; empty if it is not known.
 
     Attributes
     ----------
-    address : str
+    address, source : str
     protocol : twisted.internet.protocol.Protocol
     peer : MemoryTransport
         The other end.
@@ -46,9 +63,10 @@
         Number of bytes that the protocol wrote to this end.
     """
 
-    def __init__(self, network, address):
+    def __init__(self, network, address, source=""):
         self._network = network
         self.address = address
+        self.source = source
         self._is_paused = False
         self._buffered = []
         self.protocol = None
@@ -189,6 +207,34 @@
         self.blackholed = set()
         self.connections = []
         self._held_until_s = {}
+        self._faults = {}
+
+    def seen_from(self, host):
+        """Return the network as the processes of a host use it."""
+        return HostNetwork(self, host)
+
+    def break_path(self, source, address, fault):
+        """Break the path from a host to an address, ``ip:port``, until it is mended.
+
+        Parameters
+        ----------
+        source, address : str
+        fault : PathFault
+        """
+        self._faults[source, address] = fault
+        if fault is PathFault.NEW_REFUSED:
+            return
+        for client in self.connections:
+            if (client.source, client.address) == (source, address) and client.is_open:
+                if fault is PathFault.SILENT:
+                    client.go_silent()
+                else:
+                    client.closed(ConnectionLost())
+                    client.peer.closed(ConnectionLost())
+
+    def mend_path(self, source, address):
+        """Let new connections from a host to an address through again."""
+        self._faults.pop((source, address), None)
 
     def listen(self, address, factory):
         """Accept connections at an address, ``ip:port``."""
@@ -218,26 +264,30 @@
         held_until_s = self._held_until_s.get(address, 0.0)
         return max(self.latency_s, held_until_s - self.seconds())
 
-    def connectTCP(self, host, port, factory, timeout=30):
+    def connectTCP(self, host, port, factory, timeout=30, source=""):
         """Open a connection, as ``IReactorTCP.connectTCP`` does."""
         address = f"{host}:{port}"
         connector = _Connector(self, factory)
         self.callLater(timeout, connector.fail, TimeoutError())
-        if address not in self.blackholed:
+        is_silent = self._faults.get((source, address)) is PathFault.SILENT
+        if address not in self.blackholed and not is_silent:
             delay_s = self.latency_s + self.delay_s(address)
-            self.callLater(delay_s, self._connect, address, connector)
+            self.callLater(delay_s, self._connect, address, connector, source)
         return connector
 
-    def _connect(self, address, connector):
+    def _connect(self, address, connector, source):
         if connector.is_over:
             return
+        if (source, address) in self._faults:
+            connector.fail(ConnectionRefusedError())
+            return
         listener = self._factories.get(address)
         if listener is None:
             connector.fail(ConnectionRefusedError())
             return
         connector.is_over = True
-        client = MemoryTransport(self, address)
-        server = MemoryTransport(self, address)
+        client = MemoryTransport(self, address, source)
+        server = MemoryTransport(self, address, source)
         client.peer, server.peer = server, client
         server.protocol = listener.buildProtocol(None)
         client.protocol = connector._factory.buildProtocol(None)
@@ -253,3 +303,25 @@
         """Advance the clock in small steps."""
         for _ in range(round(seconds / step_s)):
             self.advance(step_s)
+
+
+class HostNetwork:
+    """The network as one host uses it: a reactor whose connections name that host.
+
+    Parameters
+    ----------
+    network : MemoryNetwork
+    host : str
+        IP address.
+    """
+
+    def __init__(self, network, host):
+        self._network = network
+        self._host = host
+
+    def __getattr__(self, name):
+        return getattr(self._network, name)
+
+    def connectTCP(self, host, port, factory, timeout=30):
+        """Open a connection, as ``IReactorTCP.connectTCP`` does."""
+        return self._network.connectTCP(host, port, factory, timeout, self._host)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -318,7 +318,7 @@
         )
         sockets_type = type("Sockets", (MemorySockets,), {"world": self})
         router = PlatformRouter(
-            self.network,
+            self.network.seen_from(_host(number)),
             settings,
             listen=_listen,
             sockets_type=sockets_type,
@@ -367,6 +367,22 @@
         worker.frozen_until_s = max(worker.frozen_until_s, until_s)
         self.network.hold(worker.address, seconds)
 
+    def cut_store(self, number, fault):
+        """Break the path of a router to the store; its peers and callers reach it."""
+        self.network.break_path(_host(number), STORE, fault)
+
+    def mend_store(self, number):
+        self.network.mend_path(_host(number), STORE)
+
+    def cut_endpoints(self, number, fault, workers=None):
+        """Break the path of a router to all workers, or to some of them."""
+        for worker in self.desks + self.engines if workers is None else workers:
+            self.network.break_path(_host(number), worker.address, fault)
+
+    def mend_endpoints(self, number):
+        for worker in self.desks + self.engines:
+            self.network.mend_path(_host(number), worker.address)
+
     def make_unresponsive(self, worker):
         """Make an engine unresponsive: existing and new connections hang."""
         worker.is_unresponsive = True
@@ -387,5 +403,9 @@
     return _ListeningPort(reactor, address)
 
 
+def _host(number):
+    return f"10.0.0.{number + 1}"
+
+
 def _zone(number):
     return "east" if number % 2 == 0 else "west"
