State in heartbeats and logs how old a router's knowledge of the store is

Now each router keeps that time, from its own reads and watches or from the heartbeats of its peers once it has the same configuration and list (membership/store_knowledge.py); heartbeats, a gauge and a log line at each change state it. Nothing decides by it yet.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -40,6 +40,7 @@
     "RequestUnreadable",
     "RetryDenied",
     "RolloutChanged",
+    "StoreKnowledgeChanged",
     "StoreRestored",
     "TryLost",
     "TrySent",
@@ -274,6 +275,29 @@
     revision_before: int
 
 
+class StoreKnowledgeChanged(Record, frozen=True, tag="store_knowledge_changed"):
+    """What this router knows of the store became too old, or is fresh again.
+
+    Parameters
+    ----------
+    state : str
+        ``stale`` or ``fresh``.
+    age_ms : int or None
+        How old the knowledge is; None if there is none.
+    followers : int
+        Routers heard of that follow the store.
+    is_relay, is_watching : bool
+        Whether this router relays for its data centre, and whether it watches the
+        store itself.
+    """
+
+    state: str
+    age_ms: int | None
+    followers: int
+    is_relay: bool
+    is_watching: bool
+
+
 class DataCentreReachability(Record, frozen=True, tag="data_centre_reachability"):
     """A data centre's endpoints stopped to answer this router, or answer again.
 
@@ -354,6 +378,7 @@
     Dependency,
     RolloutChanged,
     QuarantineChanged,
+    StoreKnowledgeChanged,
     StoreRestored,
     Lifecycle,
 )
--- a/src/sesamearch/configuration/follower.py
+++ b/src/sesamearch/configuration/follower.py
@@ -70,6 +70,11 @@
         Era of the store that the revisions belong to.
     is_current : bool
         Whether the prefix has been read and is being watched.
+    read_s : float
+        Time at which the last read was requested that succeeded, on `clock`; negative
+        infinity before the first one.
+    on_watch : callable
+        Called without arguments when a watch begins.
     revisions : dict from bytes to int
         Store revision of the last write of each existing key.
     """
@@ -97,6 +102,8 @@
         self._is_stopped = False
         self._is_paused = False
         self.is_current = False
+        self.read_s = float("-inf")
+        self.on_watch = lambda: None
 
     @property
     def is_watching(self):
@@ -106,7 +113,8 @@
     def start(self):
         """Read the prefix and start to watch it."""
         self._timer = None
-        self._store.range(self._prefix).addCallback(self._handle_range)
+        asked_s = self._clock.seconds()
+        self._store.range(self._prefix).addCallback(self._handle_range, asked_s)
 
     def pause(self):
         """Stop following until :meth:`resume`; the last known items stay in use."""
@@ -133,7 +141,7 @@
             self._timer.cancel()
         self._watch = self._timer = None
 
-    def _handle_range(self, result):
+    def _handle_range(self, result, asked_s):
         if self._is_stopped or self._is_paused or self._watch is not None:
             return
         if result.is_err():
@@ -142,6 +150,7 @@
         reply = result.unwrap()
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._set_current(True)
+        self.read_s = asked_s
         self._items = {item.key: item.value for item in reply.items}
         self.revisions = {item.key: item.mod_revision for item in reply.items}
         self.revision = reply.revision
@@ -159,6 +168,7 @@
             self.ended()
             return
         self._watch = self._store.watch(self._prefix, self.revision, self)
+        self.on_watch()
 
     def changed(self, puts, revision):
         """Apply changes from the watch."""
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -264,6 +264,7 @@
             "endpoints": lambda: len(board.endpoints.value),
             "members": lambda: len(board.members.value),
             "is_relay": lambda: int(self._peers is not None and self._peers.is_relay),
+            "store_knowledge_age_ms": self._store_age_ms,
             "limited_endpoints": lambda: self._limits.active_count,
             "quarantined_prompts": lambda: self._quarantine.active_count,
             "in_flight": lambda: self.dispatcher.in_flight,
@@ -272,6 +273,11 @@
             "log_lines_dropped": lambda: self._lines.dropped if self._lines else 0,
         }
 
+    def _store_age_ms(self):
+        if self._peers is None:
+            return (self._reactor.seconds() - self._store_as_of_s()) * 1000
+        return self._peers.knowledge.age_s * 1000
+
     def _make_membership(self):
         self._listing = EndpointListing(
             self.board,
@@ -374,6 +380,7 @@
         self._peers.on_keys_changed = self._use_keys
         self._use_keys(self._peers.keys)
         self._peers.follows_store = self._follows_store
+        self._peers.knowledge.own_as_of_s = self._store_as_of_s
         self._gossip.join(self._peers)
         self._leaving_gossip.join(self._peers)
         self._limit_gossip.join(self._peers)
@@ -469,6 +476,8 @@
         while it is a relay itself or its data centre has no live relay.
         """
         must_watch_store = self._peers is None or self._peers.must_watch_store
+        if self._peers is not None:
+            self._peers.knowledge.check(self._peers.is_relay, must_watch_store)
         has_settled = self._reactor.seconds() >= self._settled_s
         if must_watch_store and has_settled and self._quarantine_follower is None:
             # The other routers learn of the quarantines from the relays.
@@ -490,6 +499,15 @@
         is_watching = all(follower.is_watching for follower in self._followers)
         return self._store.is_reachable and is_watching
 
+    def _store_as_of_s(self):
+        """Return as of when this router knows the store by its own calls."""
+        as_of_s = min(follower.read_s for follower in self._followers)
+        if self._follows_store():
+            # A change waits this long between two calls of a watch.
+            watched_s = self._store.confirmed_s - self._store.batch_delay_s
+            as_of_s = max(as_of_s, watched_s)
+        return as_of_s
+
     def _update_rollouts(self):
         if self._rollout_controller.rollouts and self._outcome_follower is None:
             # The follower starts only with the first rollout, since the platform counts
--- a/src/sesamearch/membership/__init__.py
+++ b/src/sesamearch/membership/__init__.py
@@ -75,5 +75,7 @@
         "permit_relay": ["PermitRelay"],
         "permit_server": ["PermitServer"],
         "sockets": ["PeerSockets"],
+        "state_exchange": ["StateExchange"],
+        "store_knowledge": ["MAX_KNOWLEDGE_AGE_S", "StoreKnowledge"],
     },
 )
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -12,7 +12,7 @@
 from twisted.internet.task import LoopingCall
 
 from sesamearch.base.log import logger
-from sesamearch.base.record import ConfigurationInForce, MemberChanged
+from sesamearch.base.record import MemberChanged
 from sesamearch.configuration.blackboard import Member
 from sesamearch.membership.broadcasts import Broadcasts
 from sesamearch.membership.fleet_message import (
@@ -20,16 +20,13 @@
     Broadcast,
     BroadcastBatch,
     EndpointsDelta,
-    EndpointsRequest,
-    EndpointsSnapshot,
     FleetHeartbeat,
     FleetMessage,
-    TableRequest,
-    TableResponse,
-    revision_of,
 )
 from sesamearch.membership.member_list import MemberList, RouterCycle, RouterInfo
 from sesamearch.membership.sockets import PeerSockets
+from sesamearch.membership.state_exchange import StateExchange
+from sesamearch.membership.store_knowledge import StoreKnowledge
 
 __all__ = ["FleetLink"]
 
@@ -39,9 +36,6 @@
 # information about routers reaches the whole fleet.
 HEARTBEATS_PER_RANDOM_TARGET = 5
 ROUTERS_IN_FIRST_REPLY = 200
-# All relays get a change from the store at nearly the same time, so a router requests
-# only what it still lacks after this delay.
-CATCH_UP_DELAY_S = 0.15
 MEMBER_TIMEOUT_S = 3.0
 # A relay that stands by notices the silence of the other one, reads the store and tells
 # the routers within this time.
@@ -70,6 +64,7 @@
     ----------
     keys : PeerKeys
     member_list : MemberList
+    knowledge : StoreKnowledge
     follows_store : callable
         Returns whether this router watches the store and reaches it.
     on_started : callable
@@ -96,7 +91,6 @@
         self.keys = keys
         self._board = board
         self._listing = listing
-        self._decode_table = decode_table
         self.seeds = settings.peer.seeds
         self.follows_store = lambda: False
         self.on_keys_changed = lambda keys: None
@@ -119,18 +113,17 @@
             self.member_list, self._random, own.data_centre
         )
         self._heartbeat_count = 0
-        self._catch_up_since_s = None
+        self._state_exchange = StateExchange(
+            reactor, own.address, board, listing, decode_table, self._send
+        )
+        self.knowledge = StoreKnowledge(reactor, self._state_exchange.lacks_state)
         self._heartbeat_loop = LoopingCall(self._send_heartbeat)
         self._heartbeat_loop.clock = reactor
         self._message_handlers = {
             FleetHeartbeat: self._on_heartbeat,
             BroadcastBatch: self._broadcasts.receive_batch,
-            TableRequest: self._on_table_request,
-            TableResponse: self._on_table_response,
-            EndpointsRequest: self._on_endpoints_request,
-            EndpointsSnapshot: self._on_endpoints_snapshot,
-            EndpointsDelta: self._on_endpoints_delta,
             Broadcast: self._broadcasts.receive,
+            **self._state_exchange.message_handlers,
         }
 
     def start(self):
@@ -243,6 +236,7 @@
             routers,
             self.follows_store(),
             revision.era,
+            self.knowledge.stated_age_s,
         )
 
     def _sample_routers(self, count):
@@ -283,6 +277,7 @@
         for name in self.member_list.remove_expired(now_s):
             logger.info(MemberChanged(name, "forgotten"))
             self._broadcasts.forget(name)
+            self.knowledge.forget(name)
         self._close_unused()
         members = self._board.members.value
         live = {
@@ -320,7 +315,8 @@
                 self._make_heartbeat(self._sample_routers(ROUTERS_IN_FIRST_REPLY)),
             )
             self.on_started(sender.address)
-        self._catch_up(heartbeat, now_s)
+        self.knowledge.note_heartbeat(heartbeat)
+        self._state_exchange.catch_up(heartbeat)
 
     def _is_direct_peer(self, router, now_s):
         """Return whether a router sends all of its heartbeats to this one."""
@@ -347,67 +343,7 @@
         members = self._board.members.value
         self._board.members.write({**members, sender.name: member})
 
-    # Catching up.
-
-    def _catch_up(self, heartbeat, now_s):
-        """Schedule requests to the sender for newer state that this router lacks."""
-        lacks_table = (
-            heartbeat.table_revision > self._board.configuration.value.revision
-        )
-        if not (lacks_table or self._lacks_list(heartbeat)):
-            return
-        if self._catch_up_since_s is None:
-            self._catch_up_since_s = now_s
-            self._reactor.callLater(CATCH_UP_DELAY_S, self._request_missing, heartbeat)
-
-    def _lacks_list(self, heartbeat):
-        """Return whether the sender has a newer list, or the same one in a new era."""
-        own, digest = self._listing.state()
-        other = revision_of(heartbeat.list_era, heartbeat.list_revision, own)
-        is_other = heartbeat.list_digest != digest or other.era > own.era
-        return other > own and is_other
-
-    def _request_missing(self, heartbeat):
-        """Request what this router still lacks of the state in a heartbeat."""
-        self._catch_up_since_s = None
-        own = self.member_list.own.address
-        table_revision = self._board.configuration.value.revision
-        if heartbeat.table_revision > table_revision:
-            self._send(heartbeat.sender.address, TableRequest(own, table_revision))
-        if self._lacks_list(heartbeat):
-            revision, _ = self._listing.state()
-            request = EndpointsRequest(own, revision.number, revision.era)
-            self._send(heartbeat.sender.address, request)
-
-    def _on_table_request(self, message):
-        table = self._board.configuration.value
-        if table.revision > message.revision:
-            self._send(message.address, TableResponse(table.to_json()))
-
-    def _on_table_response(self, message):
-        decoded = self._decode_table(message.value)
-        if decoded.is_err():
-            logger.warning(
-                "ignored invalid configuration from a peer: {}", decoded.unwrap_err()
-            )
-            return
-        table = decoded.unwrap()
-        if self._board.accept_configuration(table):
-            logger.info(ConfigurationInForce(table.revision, "peer"))
-
-    def _on_endpoints_request(self, message):
-        revision, _ = self._listing.state()
-        if revision > revision_of(message.era, message.revision, revision):
-            snapshot = EndpointsSnapshot(
-                revision.number, self._listing.listed(), revision.era
-            )
-            self._send(message.address, snapshot)
-
-    def _on_endpoints_snapshot(self, message):
-        endpoints = {endpoint.name: endpoint for endpoint in message.endpoints}
-        own, _ = self._listing.state()
-        revision = revision_of(message.era, message.revision, own)
-        self._listing.apply_snapshot(endpoints, revision)
+    # Messages.
 
     def _send_endpoints_delta(self, base_digest, revision, changed, removed):
         """Send endpoint changes to the data centre's routers if this one relays."""
@@ -418,13 +354,6 @@
             own = self.member_list.own.data_centre
             self._send_to_each(self.member_list.in_data_centre(own), delta)
 
-    def _on_endpoints_delta(self, message):
-        own, _ = self._listing.state()
-        revision = revision_of(message.era, message.revision, own)
-        self._listing.apply_changes(
-            message.base_digest, revision, message.changed, message.removed
-        )
-
     def _on_message(self, data):
         try:
             message = _decode(data)
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -103,6 +103,9 @@
         Whether the sender watches the store and reaches it.
     list_era : int
         Era of the store that `list_revision` belongs to.
+    store_age_s : float
+        How old the sender's knowledge of the store is; negative if it knows nothing of
+        it or does not state it.
     """
 
     schema_version: int
@@ -114,6 +117,7 @@
     routers: list[AgedRouterInfo]
     follows_store: bool = False
     list_era: int = UNSTATED_ERA
+    store_age_s: float = -1.0
 
 
 class TableRequest(msgspec.Struct, tag="TableWanted", frozen=True, array_like=True):
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -129,6 +129,9 @@
     regained_s : float
         Time of the store's last recovery from an outage, on `clock`; negative
         infinity if there was none.
+    confirmed_s : float
+        Time at which the last call was sent that the store served, on `clock`; negative
+        infinity before the first one.
     calls : int
         Number of calls made; the platform meters each call.
     era : int
@@ -143,6 +146,7 @@
         self.batch_delay_s = batch_delay_s
         self.is_reachable = True
         self.regained_s = float("-inf")
+        self.confirmed_s = float("-inf")
         self.calls = 0
         self.era = 0
         self.on_restored = lambda: None
@@ -173,9 +177,9 @@
         request = OutgoingRequest(method, path, headers, body)
         call.pending_request = self._pool.send(request, call)
         timer = self.clock.callLater(timeout_s, call.fail, "response timed out")
-        return done.addCallback(self._finish_call, timer)
+        return done.addCallback(self._finish_call, timer, self.clock.seconds())
 
-    def _finish_call(self, result, timer):
+    def _finish_call(self, result, timer, sent_s):
         if timer.active():
             timer.cancel()
         if result.is_err() and result.unwrap_err().detail == _CANCELLED:
@@ -183,6 +187,8 @@
         is_served = result.is_ok() and result.unwrap().status not in REFUSALS
         if is_served != self.is_reachable:
             self._set_reachable(is_served, result)
+        if is_served:
+            self.confirmed_s = max(self.confirmed_s, sent_s)
         if result.is_ok():
             self._note_era(result.unwrap().era)
         return result
