Watch the store where no relay that reaches it tells of it in time

Callers: requests handled by a configuration older than one acknowledged config-apply-ms before. Cause: a router that is no relay relied on a relay that is live; whether that one reaches the store nobody asked. Relays that lose the store alone kept every newer version from all others: liveness of a process taken for freshness of what it gives.

Now a router relies on its peers while they tell it, by their heartbeats, that its knowledge is younger than 1.45 s. Then two routers of the data centre, by the order in which they would relay, watch the store and tell the others as a relay does; the others follow 0.25 s later if those don't reach it either. They stop once a router before them follows it. So all else that relays read (endpoints, orders, states, quarantines) has the same bound.

Loosened: more routers may watch the store, and only while no relay of their data centre follows it.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -381,6 +381,8 @@
         self._use_keys(self._peers.keys)
         self._peers.follows_store = self._follows_store
         self._peers.knowledge.own_as_of_s = self._store_as_of_s
+        for follower in self._followers:
+            follower.on_watch = self._announce_if_following
         self._gossip.join(self._peers)
         self._leaving_gossip.join(self._peers)
         self._limit_gossip.join(self._peers)
@@ -469,11 +471,15 @@
         self._quarantine_gossip.refresh()
         self._update_followers()
 
+    def _announce_if_following(self):
+        if self._follows_store():
+            self._peers.announce_state()
+
     def _update_followers(self):
-        """Watch the store, or rely on the relays of the data centre.
+        """Watch the store, or rely on the other routers of the data centre.
 
         A router watches the store until it has joined the other routers, and after that
-        while it is a relay itself or its data centre has no live relay.
+        while ``FleetLink.must_watch_store``.
         """
         must_watch_store = self._peers is None or self._peers.must_watch_store
         if self._peers is not None:
@@ -494,6 +500,14 @@
                 follower.resume()
             else:
                 follower.pause()
+        if not must_watch_store:
+            self._schedule_watch()
+
+    def _schedule_watch(self):
+        """Update the followers just when the knowledge of the store becomes too old."""
+        delay_s = self._peers.knowledge_expires_s - self._reactor.seconds()
+        if 0 < delay_s < UPDATE_INTERVAL_S:
+            self._reactor.callLater(delay_s, self._update_followers)
 
     def _follows_store(self):
         is_watching = all(follower.is_watching for follower in self._followers)
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -1,8 +1,8 @@
 """The link among the routers of a fleet: heartbeats, relays and broadcasts.
 
 Two routers of each data centre relay. The other routers exchange messages with their
-relays only, so that their message rate does not grow with the fleet. A router that
-hears from no relay watches the store itself.
+relays only, so that their message rate does not grow with the fleet. A router whose
+knowledge of the store is too old watches the store itself and passes on what it learns.
 """
 
 import random
@@ -26,7 +26,11 @@
 from sesamearch.membership.member_list import MemberList, RouterCycle, RouterInfo
 from sesamearch.membership.sockets import PeerSockets
 from sesamearch.membership.state_exchange import StateExchange
-from sesamearch.membership.store_knowledge import StoreKnowledge
+from sesamearch.membership.store_knowledge import (
+    MAX_KNOWLEDGE_AGE_S,
+    StoreKnowledge,
+    max_age_s,
+)
 
 __all__ = ["FleetLink"]
 
@@ -129,7 +133,7 @@
     def start(self):
         """Listen and start to send heartbeats."""
         self._sockets.start()
-        self._board.configuration.listen(lambda _: self._send_heartbeat_if_relay())
+        self._board.configuration.listen(lambda _: self.announce_state())
         self._board.drain.listen(lambda _: self._send_heartbeat())
         self._listing.on_change = self._send_endpoints_delta
         self._heartbeat_loop.start(HEARTBEAT_INTERVAL_S)
@@ -192,16 +196,40 @@
         """Bool : whether this router must watch the store itself.
 
         The first relay of a data centre does. The other one does too, unless it may
-        stand by and the first one is live and follows the store.
+        stand by and the first one follows the store. Any other router does if it hears
+        from no relay, or if what it knows of the store is too old, until a router that
+        is before it in line follows the store.
         """
         now_s = self._reactor.seconds()
         own = self.member_list.own
         relays = self.member_list.relays(own.data_centre, now_s)
-        if own not in relays:
-            return not self.member_list.has_live_relay(now_s)
-        if own is relays[0] or not self._may_stand_by:
+        if own in relays:
+            return not self._may_stand_by or self._must_relay_watch(relays[0], now_s)
+        if not self.member_list.has_live_relay(now_s):
+            return True
+        if any(map(self.member_list.is_before_own, self.knowledge.followers)):
+            return False
+        return self.follows_store() or self.knowledge_expires_s <= now_s
+
+    def _must_relay_watch(self, first, now_s):
+        """Return whether a relay watches the store, of which the other may stand by."""
+        if first is self.member_list.own or not self._is_following(first, now_s):
             return True
-        return not self._is_following(relays[0], now_s)
+        return self.knowledge.age_s > MAX_KNOWLEDGE_AGE_S
+
+    @property
+    def knowledge_expires_s(self):
+        """Float : until when this router relies on its peers if it learns no more."""
+        place = self.member_list.place_after_relays(self._reactor.seconds())
+        return self.knowledge.as_of_s + max_age_s(place)
+
+    @property
+    def _passes_on_store(self):
+        """Bool : whether this router passes on what it learns from the store.
+
+        Relays do, and the routers that watch the store in their place.
+        """
+        return self.is_relay or self.follows_store()
 
     def _is_following(self, router, now_s):
         member = self._board.members.value.get(router.name)
@@ -248,7 +276,7 @@
         self._drop_silent_members()
         now_s = self._reactor.seconds()
         remote = self.member_list.remote_relays(now_s) if self.is_relay else []
-        near = [r for r in self.member_list.direct_peers(now_s) if r not in remote]
+        near = [r for r in self._heartbeat_targets(now_s) if r not in remote]
         self._heartbeat_count += 1
         if self._heartbeat_count % HEARTBEATS_PER_RANDOM_TARGET == 0:
             near += [each.router for each in self._sample_routers(1)]
@@ -263,13 +291,19 @@
         if len(near) + len(remote) < 2:
             self._send_to_seeds(heartbeat)
 
+    def _heartbeat_targets(self, now_s):
+        if not self.is_relay and self.follows_store():
+            return self.member_list.in_data_centre(self.member_list.own.data_centre)
+        return self.member_list.direct_peers(now_s)
+
     def _send_to_seeds(self, heartbeat):
         for address in self.seeds:
             if address != self.member_list.own.address:
                 self._send(address, heartbeat)
 
-    def _send_heartbeat_if_relay(self):
-        if self.is_relay:
+    def announce_state(self):
+        """Send a heartbeat at once if this router passes on what the store holds."""
+        if self._passes_on_store:
             self._send_heartbeat()
 
     def _drop_silent_members(self):
@@ -346,8 +380,8 @@
     # Messages.
 
     def _send_endpoints_delta(self, base_digest, revision, changed, removed):
-        """Send endpoint changes to the data centre's routers if this one relays."""
-        if self.is_relay:
+        """Send endpoint changes to the routers of the data centre."""
+        if self._passes_on_store:
             delta = EndpointsDelta(
                 base_digest, revision.number, changed, removed, revision.era
             )
--- a/src/sesamearch/membership/member_list.py
+++ b/src/sesamearch/membership/member_list.py
@@ -272,6 +272,20 @@
         """Return whether this router relays for its data centre."""
         return self.own in self.relays(self.own.data_centre, now_s)
 
+    def is_before_own(self, name):
+        """Return whether a router of this data centre relays rather than this one."""
+        entry = self._entries.get(name)
+        if entry is None or entry.router.data_centre != self.own.data_centre:
+            return False
+        return _rank(entry.router) < _rank(self.own)
+
+    def place_after_relays(self, now_s):
+        """Return how many routers are before this one in line to replace the relays."""
+        relays = self.relays(self.own.data_centre, now_s)
+        ranked = self._ranked[self.own.data_centre]
+        before = ranked[: ranked.index(self.own)]
+        return sum(router not in relays for router in before)
+
     def has_live_relay(self, now_s):
         """Return whether another relay of this data centre is live."""
         return any(
--- a/src/sesamearch/membership/store_knowledge.py
+++ b/src/sesamearch/membership/store_knowledge.py
@@ -6,15 +6,36 @@
 from sesamearch.base.record import StoreKnowledgeChanged
 from sesamearch.membership.member_list import RELAY_TIMEOUT_S
 
-__all__ = ["MAX_KNOWLEDGE_AGE_S", "UNSTATED_AGE_S", "StoreKnowledge"]
+__all__ = [
+    "MAX_KNOWLEDGE_AGE_S",
+    "SUBSTITUTES",
+    "UNSTATED_AGE_S",
+    "StoreKnowledge",
+    "max_age_s",
+]
 
 # Knowledge that comes from a relay which reaches the store is never this old: the store
 # confirms a watch each 0.7 s, and the relay passes that on each 0.4 s.
 MAX_KNOWLEDGE_AGE_S = 1.45
+# So many routers of a data centre watch the store as soon as their knowledge is older.
+# The others do this much later, if the first ones have not told them more by then.
+SUBSTITUTES = 2
+SUBSTITUTION_S = 0.25
 # Age in heartbeats of routers that know nothing of the store, or do not state it.
 UNSTATED_AGE_S = -1.0
 
 
+def max_age_s(place):
+    """Return how old a router's knowledge may be before it watches the store itself.
+
+    Parameters
+    ----------
+    place : int
+        Number of routers that are before it in line to replace the relays.
+    """
+    return MAX_KNOWLEDGE_AGE_S + (SUBSTITUTION_S if place >= SUBSTITUTES else 0.0)
+
+
 class _Pending(msgspec.Struct):
     """A newer state that a peer has and this router is still to receive."""
 
@@ -100,10 +121,11 @@
         elif self._pending is None or as_of_s > self._pending.as_of_s:
             self._pending = _Pending(as_of_s, heartbeat)
 
-    def is_follower(self, name):
-        """Return whether a router has just said that it follows the store."""
-        heard_s = self._followers_s.get(name, float("-inf"))
-        return self._clock.seconds() - heard_s <= RELAY_TIMEOUT_S
+    @property
+    def followers(self):
+        """List of str : names of the routers that just said they follow the store."""
+        oldest_s = self._clock.seconds() - RELAY_TIMEOUT_S
+        return [name for name, at_s in self._followers_s.items() if at_s >= oldest_s]
 
     def forget(self, name):
         """Discard what is kept of a router that is gone."""
@@ -125,8 +147,8 @@
             return
         self._is_stale = is_stale
         age_ms = None if age_s == float("inf") else round(age_s * 1000)
-        followers = sum(map(self.is_follower, list(self._followers_s)))
         state = "stale" if is_stale else "fresh"
+        followers = len(self.followers)
         logger.info(
             StoreKnowledgeChanged(state, age_ms, followers, is_relay, is_watching)
         )
