Answer the calls that outlast the grace of a planned stop before its end

Reported by other operators: requests that came late in the grace of a planned stop were cut with no answer at its end, among them ones that may not be repeated. Here: what could outlast the grace is refused from 2.6 s on, so none that came late was cut (tests of bodies that end late, of pipelined requests and of a second signal held before). But a call that came before, on a route with a timeout beyond the grace, was open when the process was killed: no answer, and the process did not exit by itself.

--- a/src/sesamearch/daemon/platform_ports.py
+++ b/src/sesamearch/daemon/platform_ports.py
@@ -16,6 +16,8 @@
 # done in steps between which the reactor serves them.
 METRICS_DELAY_S = 2.0
 METRICS_STEP_DELAY_S = 0.02
+# Calls that run at the end of the shutdown have so much longer than generations.
+LAST_CALLS_S = 0.15
 METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 OK = 200
 UNAVAILABLE = 503
@@ -134,8 +136,12 @@
         return sum(not each.is_idle for each in self._callers.connections)
 
     def hand_over(self):
-        """End the generations, so that their callers resume them at another router."""
+        """End the generations, so that their callers resume them at another router.
+
+        Calls have some more time; then they get an answer before the process ends.
+        """
         self._dispatcher.hand_over()
+        self._reactor.callLater(LAST_CALLS_S, self._dispatcher.end_calls)
 
     def close_idle(self):
         """Close the callers' connections on which no request is in flight."""
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -225,6 +225,11 @@
         for stream in list(self._streams):
             stream.hand_over()
 
+    def end_calls(self):
+        """Answer what is still in flight, since the process is about to end."""
+        for exchange in list(self._exchanges):
+            exchange.end_for_shutdown()
+
     def _refuse_quarantined(self):
         """Refuse the generations in flight that a new quarantine concerns."""
         for stream in list(self._streams):
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -453,6 +453,12 @@
         kind = ErrorKind.TIMED_OUT if self._may_have_run else ErrorKind.NO_ENDPOINT
         self.expire(kind)
 
+    def end_for_shutdown(self):
+        """Answer with the best result so far, because this process is about to end."""
+        if not self.is_over:
+            is_unsent = not self._may_have_run
+            self.expire(ErrorKind.DRAINING if is_unsent else ErrorKind.TIMED_OUT)
+
     @property
     def _may_have_run(self):
         """Bool : whether an endpoint may have got the request and not refused it."""
--- a/tests/platform/test_stop_under_load.py
+++ b/tests/platform/test_stop_under_load.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from tests.platform.world import World, draft_bytes, request_bytes
+from tests.platform.world import (
+    ROUTES,
+    World,
+    draft_bytes,
+    make_configuration,
+    request_bytes,
+)
 
 GRACE_S = 8.0
 CALL_INTERVAL_S = 0.05
@@ -62,6 +68,68 @@
         runs = sum(len(desk.runs) for desk in self.world.desks)
         self.assertEqual(runs, sum(client.status == 504 for client in clients))
 
+    # Guards against: calls that outlast the grace end with the process, unanswered.
+    def test_call_that_outlasts_the_grace_is_answered_before_its_end(self):
+        routes = [{**route, "timeout-ms": 20_000} for route in ROUTES]
+        self.world.store.put("op/config", make_configuration(8, routes))
+        self.world.run(0.5)
+        clients = []
+        for path, method in (("/post/1", "POST"), ("/look/1", "GET")):
+            for is_kept in (False, True):
+                client = self.world.connect()
+                if is_kept:
+                    client.send(request_bytes(path, f"{path}-kept", method))
+                    self.world.run(0.2)
+                clients.append(client)
+        for desk in self.world.desks:
+            desk.work_s = 100.0
+        for number, client in enumerate(clients):
+            path, method = (("/post/1", "POST"), ("/look/1", "GET"))[number // 2]
+            data = request_bytes(path, f"r{number}", method, X_Deadline_Ms="30000")
+            client.send(data)
+        self.world.run(0.1)
+        started_s = self.world.network.seconds()
+        self.router.shut_down()
+        self.world.run(GRACE_S)
+        self.assertEqual([client.statuses[-1] for client in clients], [504] * 4)
+        self.assertEqual(len(self.stopped_s), 1)
+        self.assertLess(self.stopped_s[0] - started_s, GRACE_S)
+
+    # Guards against: a request whose body ends late in the grace is passed on and cut.
+    def test_request_whose_body_ends_late_in_the_grace_is_refused_unsent(self):
+        for desk in self.world.desks:
+            desk.work_s = 3.0
+        data = request_bytes(
+            "/post/1", method="POST", body=b"x" * 1000, X_Deadline_Ms="30000"
+        )
+        self.start_long_generation()
+        client = self.world.connect().send(data[:-500])
+        self.router.shut_down()
+        self.world.run(7.0)
+        client.send(data[-500:])
+        self.world.run(0.2)
+        self.assertEqual(client.status, 503)
+        self.assertFalse(any(desk.runs for desk in self.world.desks))
+
+    # Guards against: pipelined requests are lost with the end of the grace.
+    def test_pipelined_requests_late_in_the_grace_are_each_answered(self):
+        self.start_long_generation()
+        self.router.shut_down()
+        self.world.run(6.9)
+        client = self.world.connect()
+        client.send(*[request_bytes("/look/1", f"p{n}") for n in range(6)])
+        self.world.run(1.0)
+        self.assertEqual(len(client.statuses), 6)
+        self.assertLessEqual(set(client.statuses), {200, 503})
+
+    def test_second_signal_cuts_nothing(self):
+        client = self.start_long_generation()
+        self.router.shut_down()
+        self.world.run(1)
+        self.router.shut_down()
+        self.world.run(3)
+        self.assertFalse(client.is_closed)
+
     def test_generation_is_cut_at_the_end_and_never_looks_complete(self):
         client = self.start_long_generation()
         self.router.shut_down()
