Have the kernel give up connections between routers that fall silent

Now idle ones end after 3 s by keep-alive probes, those with data on the way after 3 s by TCP_USER_TIMEOUT, which also bounds the probes; ZeroMQ connects again. ZeroMQ sets that timeout only if told to.

--- a/src/sesamearch/membership/sockets.py
+++ b/src/sesamearch/membership/sockets.py
@@ -11,6 +11,11 @@
 __all__ = ["PeerSockets"]
 
 SEND_QUEUE_MESSAGES = 100
+# A connection whose peer acknowledges nothing for this long is made anew. It holds for
+# idle ones, by keep-alive probes, and for those with data on the way.
+SILENCE_TIMEOUT_MS = 3000
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 _ZAP_DOMAIN = "sesamearch"
 
 
@@ -123,6 +128,11 @@
         socket = self._context.socket(kind)
         socket.linger = 0
         socket.sndhwm = socket.rcvhwm = SEND_QUEUE_MESSAGES
+        socket.tcp_keepalive = 1
+        socket.tcp_keepalive_idle = KEEPALIVE_INTERVAL_S
+        socket.tcp_keepalive_intvl = KEEPALIVE_INTERVAL_S
+        socket.tcp_keepalive_cnt = KEEPALIVE_PROBES
+        socket.tcp_maxrt = SILENCE_TIMEOUT_MS
         socket.curve_publickey = self._keys.public_key.encode()
         socket.curve_secretkey = self._keys.secret_key.encode()
         return socket
