--- a/src/sesamearch/base/errors.py
+++ b/src/sesamearch/base/errors.py
@@ -59,6 +59,7 @@
     CONFIGURATION_CONFLICT = "configuration-conflict"
     CONFIGURATION_MISSING = "configuration-missing"
     UNREACHABLE = "unreachable"
+    PROXY_REFUSED = "proxy-refused"
     INCOMPLETE_ANSWER = "incomplete-answer"
     INTERNAL = "internal"
 
@@ -128,6 +129,9 @@
         503, "No configuration in force yet", Ran.NOT_RUN, 5, 1
     ),
     ErrorKind.UNREACHABLE: Answer(503, "Unreachable", Ran.UNKNOWN, 5, 1),
+    ErrorKind.PROXY_REFUSED: Answer(
+        403, "Not accepted from another router", Ran.NOT_RUN, 3
+    ),
     ErrorKind.INCOMPLETE_ANSWER: Answer(502, "Incomplete answer", Ran.UNKNOWN, 6, 1),
     ErrorKind.INTERNAL: Answer(500, "Internal error", Ran.UNKNOWN, 1, 1),
 }
--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -6,8 +6,10 @@
 from sesamearch.base.request_record import (
     GenerationResumed,
     PermitDecided,
+    ProxyRefused,
     Record,
     RequestEnded,
+    RequestProxied,
     RequestRefused,
     RequestUnread,
     RequestUnreadable,
@@ -32,14 +34,17 @@
     "Lifecycle",
     "MemberChanged",
     "PermitDecided",
+    "ProxyRefused",
     "QuarantineChanged",
     "Record",
     "RequestEnded",
+    "RequestProxied",
     "RequestRefused",
     "RequestUnread",
     "RequestUnreadable",
     "RetryDenied",
     "RolloutChanged",
+    "ServicePathChanged",
     "StoreKnowledgeChanged",
     "StoreRestored",
     "TryLost",
@@ -298,6 +303,23 @@
     is_watching: bool
 
 
+class ServicePathChanged(Record, frozen=True, tag="service_path_changed"):
+    """The path to all endpoints of a service was lost, or there is one again.
+
+    Parameters
+    ----------
+    service : str
+    state : str
+        ``cut`` or ``open``.
+    failed : int
+        Endpoints that failed since the last answer on a new connection.
+    """
+
+    service: str
+    state: str
+    failed: int
+
+
 class DataCentreReachability(Record, frozen=True, tag="data_centre_reachability"):
     """A data centre's endpoints stopped to answer this router, or answer again.
 
@@ -362,8 +384,10 @@
     RetryDenied,
     GenerationResumed,
     PermitDecided,
+    ProxyRefused,
     RequestRefused,
     RequestEnded,
+    RequestProxied,
     RequestUnread,
     RequestUnreadable,
     ConfigurationInForce,
@@ -375,6 +399,7 @@
     EndpointReturned,
     MemberChanged,
     DataCentreReachability,
+    ServicePathChanged,
     Dependency,
     RolloutChanged,
     QuarantineChanged,
--- a/src/sesamearch/base/request_record.py
+++ b/src/sesamearch/base/request_record.py
@@ -6,7 +6,9 @@
     "GenerationResumed",
     "Record",
     "PermitDecided",
+    "ProxyRefused",
     "RequestEnded",
+    "RequestProxied",
     "RequestRefused",
     "RequestUnread",
     "RequestUnreadable",
@@ -72,6 +74,41 @@
         return True
 
 
+class RequestProxied(Record, frozen=True, tag="request_proxied"):
+    """A request was sent by way of another router, as no endpoint can be reached.
+
+    Parameters
+    ----------
+    request, router : str
+        Request ID, and name of the other router.
+    number : int
+        Number of the try, starting at 1.
+    after_event : int or None
+        Last event that the caller received, if a generation resumes.
+    """
+
+    request: str
+    router: str
+    number: int
+    after_event: int | None = None
+
+
+class ProxyRefused(Record, frozen=True, tag="proxy_refused"):
+    """A request of another router, or one that pretends to be, was not taken.
+
+    Parameters
+    ----------
+    router : str
+        Name of the other router; empty if it is not known to be genuine.
+    status : int
+    detail : str
+    """
+
+    router: str
+    status: int
+    detail: str
+
+
 class PermitDecided(Record, frozen=True, tag="permit_decided"):
     """A request waited for a permit of an endpoint that limits its requests.
 
--- a/src/sesamearch/configuration/platform_settings.py
+++ b/src/sesamearch/configuration/platform_settings.py
@@ -6,6 +6,8 @@
 
 __all__ = ["PlatformBounds", "PlatformRouterSettings"]
 
+PROXY_PORT_OFFSET = 2
+
 
 class PlatformBounds(msgspec.Struct, frozen=True):
     """Limits that the platform sets for routers.
@@ -62,6 +64,9 @@
     link_mbps : int
         Bandwidth of the VM's network link; the routers with the highest bandwidth
         relay messages for the others.
+    proxy_listen : str or None
+        Address for requests of other routers, empty for none. None for the second port
+        after that of the link to the other routers.
     """
 
     name: str
@@ -73,3 +78,12 @@
     peer: PeerSettings
     bounds: PlatformBounds = PlatformBounds()
     link_mbps: int = 1000
+    proxy_listen: str | None = None
+
+    @property
+    def proxy_address(self):
+        """Str : ``ip:port`` for requests of other routers; empty for none."""
+        if self.proxy_listen is not None:
+            return self.proxy_listen
+        host, _, port = self.peer.listen.rpartition(":")
+        return f"{host}:{int(port) + PROXY_PORT_OFFSET}"
--- a/src/sesamearch/daemon/platform_ports.py
+++ b/src/sesamearch/daemon/platform_ports.py
@@ -35,6 +35,8 @@
     board : Blackboard
     dispatcher : Dispatcher
     metrics : PlatformMetrics
+    proxy_port : ProxyPort
+        Port for requests of other routers.
     listen : callable
         Listens on an address; see :func:`listen_tcp`.
     """
@@ -44,7 +46,10 @@
     # request once it is answered.
     unsettled = 0
 
-    def __init__(self, reactor, settings, board, dispatcher, metrics, listen):
+    def __init__(
+        self, reactor, settings, board, dispatcher, metrics, proxy_port, listen
+    ):
+        self._proxy_port = proxy_port
         self._reactor = reactor
         self._settings = settings
         self._board = board
@@ -84,6 +89,7 @@
         self._board.drain.listen(self._handle_drain_phase)
         self._reactor.callLater(MAX_START_WAIT_S, self._open)
         self._reactor.callLater(METRICS_DELAY_S, self._load_metrics)
+        self._proxy_port.start()
         readiness = self._make_factory(self._answer_readiness)
         self._listen(self._reactor, self._settings.readiness_listen, readiness)
 
@@ -133,7 +139,8 @@
     @property
     def in_flight(self):
         """Int : number of connections with a request being received or answered."""
-        return sum(not each.is_idle for each in self._callers.connections)
+        callers = sum(not each.is_idle for each in self._callers.connections)
+        return callers + self._proxy_port.in_flight
 
     def hand_over(self):
         """End the generations, so that their callers resume them at another router.
@@ -146,9 +153,11 @@
     def close_idle(self):
         """Close the callers' connections on which no request is in flight."""
         self._callers.close_idle()
+        self._proxy_port.close_idle()
 
     def close(self):
         """Stop accepting requests, since the exit of the process would cut them off."""
+        self._proxy_port.close()
         if self._port is not None:
             self._port.stopListening()
         self.close_idle()
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -3,6 +3,7 @@
 import gc
 import random
 import signal
+import time
 
 import msgspec
 from result import Err, Ok
@@ -34,6 +35,7 @@
 from sesamearch.forwarding.load import LoadTracker
 from sesamearch.forwarding.outage import OutageDetector
 from sesamearch.forwarding.pace import GenerationPace
+from sesamearch.forwarding.paths import PathTracker
 from sesamearch.forwarding.pauses import PauseTracker
 from sesamearch.forwarding.prompts import PromptLocations
 from sesamearch.forwarding.restarts import RestartDetector
@@ -56,9 +58,14 @@
     QuarantineFollower,
     ServerFollower,
 )
+from sesamearch.platform.proxy import ProxyPort, RouterProxy
 from sesamearch.platform.quarantine import PlatformQuarantineRegister
 from sesamearch.platform.rollout import PlatformRolloutRegister
 from sesamearch.platform.store import PlatformStore
+from sesamearch.proxy.admission import ProxyAdmission
+from sesamearch.proxy.envelope import EnvelopeSealer
+from sesamearch.proxy.path_gossip import PathGossip
+from sesamearch.proxy.peers import PeerChooser
 from sesamearch.quarantine.controller import QuarantineController
 from sesamearch.rollout.controller import UPDATE_INTERVAL_S as ROLLOUT_INTERVAL_S
 from sesamearch.rollout.controller import RolloutController
@@ -125,7 +132,20 @@
         self._make_forwarding()
         self._make_membership()
         self._ports = PlatformPorts(
-            reactor, settings, self.board, self.dispatcher, self._metrics, listen
+            reactor,
+            settings,
+            self.board,
+            self.dispatcher,
+            self._metrics,
+            ProxyPort(
+                reactor,
+                settings.proxy_address,
+                self.board,
+                self.dispatcher,
+                self._sealer,
+                listen,
+            ),
+            listen,
         )
         self._drain = self._make_drain()
         self._loops = self._make_loops()
@@ -137,6 +157,7 @@
         self._loads = LoadTracker(reactor)
         self._prompts = PromptLocations(reactor)
         endpoint_index = EndpointIndex(self.board, self._health)
+        self._endpoint_index = endpoint_index
         self._leaving = LeavingTracker(self.counters)
         self._client = PlatformEndpointClient(reactor)
         self._client.on_answer = self._note_answer
@@ -181,6 +202,7 @@
         self._quarantine = QuarantineController(
             reactor, PlatformQuarantineRegister(self._store), self.counters, rng
         )
+        self._make_proxy(rng)
         tools = ForwardTools(
             self._client,
             Chooser(
@@ -204,6 +226,9 @@
             self._rollout_controller,
             self._restart_detector,
             self._outages,
+            self._paths,
+            self._proxy,
+            self._proxy_admission,
             self._pauses,
             self._limits,
             self._permits,
@@ -215,17 +240,67 @@
         )
         self.dispatcher = Dispatcher(self.board, tools)
 
+    def _make_proxy(self, rng):
+        """Make what serves requests by way of other routers, and theirs here."""
+        reactor, settings = self._reactor, self._settings
+        self._paths = PathTracker(
+            self._probe_path,
+            reactor,
+            self._endpoint_index.serving,
+            rng,
+        )
+        self._path_gossip = PathGossip(settings.name, self._paths, reactor)
+        chooser = PeerChooser(reactor, self._member_list, self._path_gossip.is_cut, rng)
+        self._paths.on_change = self._handle_path_change
+        self._paths.is_reached_elsewhere = lambda service: bool(
+            chooser.candidates(service)
+        )
+        self._sealer = EnvelopeSealer(settings.name)
+        self._proxy = RouterProxy(
+            reactor, settings.name, time.time_ns(), chooser, self._sealer
+        )
+        self._proxy_admission = ProxyAdmission(
+            reactor, lambda: self.dispatcher.in_flight, UPDATE_INTERVAL_S
+        )
+
+    def _member_list(self):
+        return self._peers.member_list if self._peers is not None else None
+
+    def _handle_path_change(self, service):
+        """Tell the others, and use the endpoints of a service again that is reached."""
+        self._path_gossip.send()
+        if self._paths.is_cut(service):
+            self.dispatcher.note_path_lost(service)
+            return
+        for endpoint in self._endpoint_index.serving(service):
+            self._health.note_alive(endpoint.name)
+            self._outages.note_alive(endpoint)
+
+    def _is_witness(self, name):
+        """Return whether failures of an endpoint are not those of the path to it."""
+        endpoint = self._endpoint_index.find(name)
+        return endpoint is None or self._paths.is_open(endpoint.service)
+
     def _health_path_of(self, service):
         spec = self.board.configuration.value.services.get(service)
         return spec.health_path if spec else ""
 
+    def _probe_path_of(self, service):
+        """Return the path of a probe; for an engine empty, which asks for a report."""
+        spec = self.board.configuration.value.services.get(service)
+        is_plain = spec is not None and spec.engine is None
+        return spec.health_path if is_plain else ""
+
     def _probe(self, endpoint, timeout_s):
         """Probe an endpoint without sending a plain service a request to run."""
-        spec = self.board.configuration.value.services.get(endpoint.service)
-        is_plain = spec is not None and spec.engine is None
-        health_path = spec.health_path if is_plain else ""
+        health_path = self._probe_path_of(endpoint.service)
         return self._client.probe(endpoint, timeout_s, health_path)
 
+    def _probe_path(self, endpoint, timeout_s):
+        """Probe the path to an endpoint in the same way."""
+        health_path = self._probe_path_of(endpoint.service)
+        return self._client.probe_path(endpoint, timeout_s, health_path)
+
     def _handle_restart(self, endpoint, name):
         """Use a restarted endpoint under its new name, and notify the other routers."""
         restarted = msgspec.structs.replace(
@@ -268,6 +343,7 @@
             "store_knowledge_age_ms": self._store_age_ms,
             "limited_endpoints": lambda: self._limits.active_count,
             "quarantined_prompts": lambda: self._quarantine.active_count,
+            "services_cut": lambda: len(self._paths.cut_services),
             "in_flight": lambda: self.dispatcher.in_flight,
             "store_calls": lambda: self._store.calls,
             "endpoint_connections": lambda: self._client.opened,
@@ -295,6 +371,7 @@
             self._prompts,
             self._budgets,
             self._reactor,
+            self._is_witness,
         )
         self._leaving_gossip = LeavingGossip(self._leaving)
         self._limit_gossip = LimitGossip(self._limits, self._reactor)
@@ -393,6 +470,7 @@
         self._limit_gossip.join(self._peers)
         self._permits.join(self._peers)
         self._quarantine_gossip.join(self._peers)
+        self._path_gossip.join(self._peers)
         self._rollout_controller.join(self._peers)
         self._peers.handle(
             EndpointRestarted,
@@ -408,6 +486,7 @@
     def _use_keys(self, keys):
         """Have all routers that share these keys give a request the same name."""
         self._quarantine.fingerprints.set_secret(keys.secret_key)
+        self._sealer.set_secret(keys.secret_key)
 
     def handle_signals(self, load_settings):
         """Shut down on SIGTERM and SIGINT, and reload the settings on SIGHUP.
@@ -464,6 +543,9 @@
     def _update(self):
         self._loads.drop_silent_peers()
         self._outages.check()
+        self._paths.check()
+        self._proxy_admission.measure()
+        self._proxy.sweep()
         self._prompts.drop_expired()
         self._pauses.drop_expired()
         self._limits.drop_expired(self.board.endpoints.value)
@@ -473,6 +555,7 @@
         self._gossip.refresh()
         self._quarantine.refresh()
         self._limit_gossip.refresh()
+        self._path_gossip.refresh()
         self._quarantine_gossip.refresh()
         self._update_followers()
 
--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -1,11 +1,15 @@
 """One try of a request: its endpoint, its answer so far and its end."""
 
+from sesamearch.forwarding.gate import NO_OBSERVER
 from sesamearch.forwarding.request import ForwardListener
+from sesamearch.wire.endpoint import Loss
 
-__all__ = ["Try"]
+__all__ = ["PeerTry", "Try"]
 
 # Largest body that is buffered for one answer.
 MAX_BUFFERED_BODY_BYTES = 64 << 10
+# An endpoint that fails sooner refused the connection, so its VM can be reached.
+MIN_SILENCE_S = 0.25
 
 
 class Try(ForwardListener):
@@ -29,8 +33,12 @@
         Number of events that arrived.
     answered_s, first_event_s : float or None
         Times at which the head of the answer and its first event arrived.
+    is_by_peer : bool
+        Whether the request was sent to another router in place of an endpoint.
     """
 
+    is_by_peer = False
+
     __slots__ = (
         "_body",
         "_exchange",
@@ -108,22 +116,33 @@
         """Handle the head of the answer."""
         self.answer = answer
         self.answered_s = self._exchange.now_s
-        self._exchange.tools.outages.note_alive(self.endpoint)
+        self._report_head(answer)
+        self._exchange.try_began(self)
+
+    def _report_head(self, answer):
+        tools = self._exchange.tools
+        tools.outages.note_alive(self.endpoint)
+        tools.paths.note_heard(self.endpoint)
+        if self.pending_request is not None and self.pending_request.is_first:
+            tools.paths.note_connected(self.endpoint)
         if answer.is_other_instance:
-            restarts = self._exchange.tools.restarts
-            restarts.note_new_name(self.endpoint, answer.instance)
+            tools.restarts.note_new_name(self.endpoint, answer.instance)
         else:
-            self._exchange.tools.restarts.note_alive(self.endpoint.name)
-        self._exchange.try_began(self)
+            tools.restarts.note_alive(self.endpoint.name)
 
     def answer_received(self, data):
         """Handle a part of the body."""
-        self._exchange.tools.restarts.note_alive(self.endpoint.name)
-        self._exchange.tools.outages.note_alive(self.endpoint)
-        if not self.answer.is_other_instance:
-            self._exchange.tools.quarantine.note_alive(self.endpoint, self.sent_s)
+        self._report_part()
         self._exchange.try_received(self, data)
 
+    def _report_part(self):
+        tools = self._exchange.tools
+        tools.restarts.note_alive(self.endpoint.name)
+        tools.outages.note_alive(self.endpoint)
+        tools.paths.note_heard(self.endpoint)
+        if not self.answer.is_other_instance:
+            tools.quarantine.note_alive(self.endpoint, self.sent_s)
+
     def answer_ended(self):
         """Handle the end of a complete answer."""
         self.work.end()
@@ -134,12 +153,107 @@
         """Handle the loss of the answer."""
         self.work.end()
         self.observer.ended()
-        self._exchange.tools.restarts.note_lost(self.endpoint)
+        if not self.is_by_peer:
+            self._exchange.tools.restarts.note_lost(self.endpoint)
         self._exchange.try_lost(self, loss)
 
+    def probe(self, timeout_s):
+        """Return a Deferred of whether the endpoint answers a probe."""
+        return self._exchange.tools.client.probe(self.endpoint, timeout_s)
+
+    # What it tells of its endpoint.
+
+    def report_answer(self, is_failure):
+        """Report a whole answer, or that of a generation that failed."""
+        self._exchange.tools.health.note_answer(self.endpoint.name, is_failure)
+
+    def report_loss(self, loss):
+        """Report a lost answer.
+
+        A failed connection is not reported to the observer: no version got the request.
+        """
+        tools, endpoint = self._exchange.tools, self.endpoint
+        tools.paths.note_failed(endpoint)
+        if loss is Loss.NOT_CONNECTED:
+            tools.health.note_unreachable(endpoint.name)
+            if self._exchange.now_s - self.sent_s >= MIN_SILENCE_S:
+                tools.outages.note_unreachable(endpoint)
+        else:
+            tools.health.note_failure(endpoint.name)
+            tools.paths.settle(endpoint.service, self.observer.lost)
+
+    def report_silence(self):
+        """Report that no answer came in the time that the try was given."""
+        tools = self._exchange.tools
+        tools.health.note_failure(self.endpoint.name)
+        is_long = self._exchange.now_s - self.sent_s >= MIN_SILENCE_S
+        if self.answer is None and is_long:
+            tools.outages.note_unreachable(self.endpoint)
+            tools.paths.note_failed(self.endpoint)
+        if self.is_sent:
+            self.observer.unanswered()
+
+    def note_silent(self):
+        """Note that nothing has come yet, which may be for want of a path."""
+        if self.answer is None and not self.is_by_peer:
+            self._exchange.tools.paths.note_silent(self.endpoint)
+
+    def report_unreachable(self):
+        """Report that the endpoint of a generation fell silent."""
+        tools, endpoint = self._exchange.tools, self.endpoint
+        tools.restarts.note_lost(endpoint)
+        tools.health.note_unreachable(endpoint.name)
+        tools.outages.note_unreachable(endpoint)
+        tools.paths.note_failed(endpoint)
+
     def cancel(self):
         """Close the connection to the endpoint, so that it stops working."""
         self.work.end()
         self.observer.ended()
         if self.pending_request is not None:
             self.pending_request.cancel()
+
+
+class PeerTry(Try):
+    """One try by way of another router, which tells of the endpoints itself.
+
+    Parameters
+    ----------
+    exchange : Exchange
+    options : ForwardOptions
+        The endpoint is a :class:`ProxyPeer`.
+    number : int
+    work : object with ``is_read``, ``prompt_was_read()`` and ``end()``
+    sent_s : float
+    """
+
+    __slots__ = ()
+
+    is_by_peer = True
+
+    def __init__(self, exchange, options, number, work, sent_s):
+        super().__init__(exchange, options, number, work, NO_OBSERVER, sent_s)
+
+    def _report_head(self, answer):
+        """Report nothing."""
+
+    def _report_part(self):
+        """Report nothing."""
+
+    def probe(self, timeout_s):
+        """Return a Deferred of whether the router answers a probe."""
+        return self._exchange.tools.proxy.probe(self.endpoint, timeout_s)
+
+    def report_answer(self, is_failure):
+        """Report nothing."""
+
+    def report_loss(self, loss):
+        """Leave out the router for a while."""
+        self._exchange.tools.proxy.note_failed(self.endpoint)
+
+    def report_silence(self):
+        """Report nothing: the endpoint may be the slow one."""
+
+    def report_unreachable(self):
+        """Leave out the router for a while."""
+        self._exchange.tools.proxy.note_failed(self.endpoint)
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -49,6 +49,13 @@
         if self.quarantine.find() is not None:
             self._give_up(ErrorKind.REQUEST_QUARANTINED, self.quarantine.note_refused())
             return
+        peer = self.choose_peer()
+        if peer is not None:
+            self._send_by(peer)
+            return
+        if self.is_in_vain:
+            self._give_up(self._cause, "no endpoint can be reached")
+            return
         endpoint = self._choose()
         if endpoint is not None and self.permit.covers(endpoint):
             self._send_to(endpoint)
@@ -74,10 +81,14 @@
         )
         self._runs += 1
         self.send(options, self.tools.loads.begin(endpoint.name))
-        if self._is_idempotent and self._hedge_timer is None and not self.is_over:
+        if self._hedge_timer is None and not self.is_over:
             delay_s = self.route.latency_goal_s * HEDGE_DELAY_RATIO
             self._hedge_timer = self.tools.clock.callLater(delay_s, self._send_hedge)
 
+    def _send_by(self, peer):
+        self._runs += 1
+        self.send_by(peer, self.answer_by_s)
+
     def _choose(self):
         held = self.permit.held_endpoint()
         if held is not None:
@@ -91,7 +102,7 @@
 
     def _may_send(self):
         return (
-            self._runs < self.route.max_attempts
+            self._runs < self.max_runs
             and self.try_count - self._failed_connections < MAX_SENDS
             and self.remaining_s() > 0
         )
@@ -99,25 +110,47 @@
     def _send_hedge(self):
         if self.is_over or self.quarantine.find() is not None:
             return
+        if self.tries:
+            self.tries[0].note_silent()
+        if not self._is_idempotent:
+            return
         has_pending_try = len(self.tries) == 1
         if has_pending_try and self._streamed_try is None and self._may_send():
+            peer = self.choose_peer()
+            if peer is not None:
+                if self.spend_retry():
+                    self._send_by(peer)
+                return
             endpoint = self._choose()
             # A limited endpoint has no room for a request that another one has.
             is_free = endpoint is not None and self.permit.covers(endpoint)
             if is_free and self.spend_retry():
                 self._send_to(endpoint)
 
+    def note_path_lost(self, service):
+        """Send an idempotent call that nothing is heard of by way of another router."""
+        super().note_path_lost(service)
+        is_unheard = all(attempt.answer is None for attempt in self.tries)
+        if self.is_over or not (self._is_idempotent and self.tries and is_unheard):
+            return
+        peer = self.choose_peer()
+        if peer is not None and self._may_send() and self.spend_retry():
+            self._send_by(peer)
+
     def _send_again(self, kind, detail):
         """Retry after a try without a usable answer, or give up."""
         if self.tries:
             return
         self._cause = kind
-        has_endpoint = self._may_send() and self._choose() is not None
+        has_endpoint = self._may_send() and self._can_choose()
         if has_endpoint and self.spend_retry():
             self._send()
         else:
             self._give_up(kind, detail)
 
+    def _can_choose(self):
+        return self.choose_peer() is not None or self._choose() is not None
+
     def _send_after_failed_connection(self):
         """Retry without the budget, which counts what arrives at endpoints."""
         if self.tries:
@@ -137,7 +170,7 @@
         if self._runs:
             # An endpoint may have run the call, so the error must not say "not run".
             kind = ErrorKind.ENDPOINT_LOST
-        self.refuse(kind, detail, RETRY_AFTER_S)
+        self.refuse(kind, detail, max(RETRY_AFTER_S, self.advised_s))
 
     def try_began(self, attempt):
         """Ignore the head of an answer until its body arrives."""
@@ -174,7 +207,7 @@
         self.quarantine.note_run()
         answer = attempt.answer
         is_failure = answer.status >= 500
-        self.tools.health.note_answer(attempt.endpoint.name, is_failure)
+        attempt.report_answer(is_failure)
         attempt.observer.answered(is_failure)
         if is_failure and self._is_idempotent:
             self._failure = attempt
@@ -191,13 +224,15 @@
         self.drop(attempt, "not_run", attempt.answer.status)
         if attempt.answer.is_other_instance:
             self.tools.health.note_replaced(attempt.endpoint.name)
-        self._send_again(ErrorKind.OVERLOADED, "endpoints are busy")
+        refusal = attempt.answer.refusal
+        kind = refusal.kind if refusal else ErrorKind.OVERLOADED
+        self._send_again(kind, "endpoints are busy")
 
     def try_lost(self, attempt, loss):
         """Retry at another endpoint if that is safe."""
         if self.is_over:
             return
-        self.note_loss(attempt, loss)
+        attempt.report_loss(loss)
         self.drop(attempt, loss.value, attempt.answer.status if attempt.answer else 0)
         if self._streamed_try is attempt:
             self.log_end("cut", attempt, attempt.answer.status)
--- a/src/sesamearch/forwarding/copies.py
+++ b/src/sesamearch/forwarding/copies.py
@@ -114,6 +114,20 @@
         if backup is not None:
             self._request_copy(endpoint, backup)
 
+    @property
+    def copy(self):
+        """MemoryCopy or None : the copy, whether this router reaches its backup or not.
+
+        For a router by way of which the generation goes on.
+        """
+        return self._copy
+
+    def adopt(self, copy):
+        """Use a copy that another router had made of the generation's memory."""
+        backup = self._tools.endpoint_index.at_address(copy.target_address)
+        if backup is not None:
+            self._set_copy(backup, copy, is_requested=False)
+
     def close(self):
         """Drop the copy at the end of the generation."""
         if self._copy is not None and self._is_requested:
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -58,6 +58,8 @@
         unanswered ones are among the denied ones.
     sends_without_permit : int
         Requests sent to a limited endpoint without a permit; none are expected.
+    proxied, proxied_for_peers : int
+        Requests sent by way of another router, and those taken from another router.
     quarantines, quarantine_refusals : int
         Quarantines of parts of prompts that began, and requests refused by them.
     """
@@ -74,6 +76,8 @@
         "permits_granted",
         "permits_unanswered",
         "probes",
+        "proxied",
+        "proxied_for_peers",
         "quarantine_refusals",
         "quarantines",
         "refusals",
@@ -139,9 +143,21 @@
         """Count a request that could not be parsed."""
         self._tools.counters.unreadable += 1
 
-    def handle(self, request, reply):
-        """Forward a :class:`CallerRequest` and answer through `reply`."""
-        self._tools.counters.requests += 1
+    def handle(self, request, reply, terms=None):
+        """Forward a :class:`CallerRequest` and answer through `reply`.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        reply : Reply
+        terms : ProxyTerms or None
+            Terms of the router that the request comes from, None if it comes from its
+            caller. The other router counts it.
+        """
+        if terms is None:
+            self._tools.counters.requests += 1
+        else:
+            self._tools.counters.proxied_for_peers += 1
         table = self._board.configuration.value
         route = table.match(request.host, request.path)
         organisation = table.organisation_of(request.key) if request.key else None
@@ -162,12 +178,14 @@
             table,
             reply,
             self._ended,
+            terms,
         )
         self._exchanges.add(exchange)
         if exchange_type is StreamExchange:
             self._streams.add(exchange)
             self._schedule_check()
-        self._tools.budgets.count_request(exchange.service.name)
+        if terms is None:
+            self._tools.budgets.count_request(exchange.service.name)
         phase = self._board.drain.value
         if phase.refusing and exchange.end_by_s > phase.hand_over_s:
             # The shutdown could cut off this request, because it arrives so late in
@@ -177,6 +195,9 @@
             # their running generations.
             exchange.refuse(ErrorKind.DRAINING, "this router is shutting down", 0)
             return
+        if terms is not None and not self._tools.proxy_admission.admits(exchange.rank):
+            exchange.refuse(ErrorKind.OVERLOADED, "this router has no room")
+            return
         if exchange.is_late:
             exchange.refuse(ErrorKind.NO_ENDPOINT, "deadline has passed")
             return
@@ -203,7 +224,7 @@
         headers = list(PROBLEM_HEADERS)
         if problem.retry_delay_s is not None:
             headers.append((b"Retry-After", b"%.3f" % problem.retry_delay_s))
-        reply.answer(problem.answer.status, headers, problem.to_json())
+        reply.refuse(problem, headers)
 
     def _describe_unmatched(self, record, request, table):
         """Add what tells a wrong address of a caller from a stale configuration."""
@@ -230,6 +251,11 @@
         for exchange in list(self._exchanges):
             exchange.end_for_shutdown()
 
+    def note_path_lost(self, service):
+        """Have requests go on by way of other routers that wait for a connection."""
+        for exchange in list(self._exchanges):
+            exchange.note_path_lost(service)
+
     def _refuse_quarantined(self):
         """Refuse the generations in flight that a new quarantine concerns."""
         for stream in list(self._streams):
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -8,14 +8,17 @@
 from sesamearch.base.log import logger
 from sesamearch.base.record import (
     RequestEnded,
+    RequestProxied,
     RequestRefused,
     RetryDenied,
     TryLost,
     TrySent,
 )
-from sesamearch.forwarding.attempt import Try
+from sesamearch.forwarding.attempt import PeerTry, Try
 from sesamearch.forwarding.deadline import MIN_TRY_S, deadlines_of
+from sesamearch.forwarding.peer_proxy import ProxyTerms
 from sesamearch.forwarding.permits import PermitClaim
+from sesamearch.forwarding.request import ForwardOptions
 from sesamearch.forwarding.request_permit import RequestPermit
 from sesamearch.forwarding.request_quarantine import RequestQuarantine
 from sesamearch.wire.endpoint import Loss
@@ -24,8 +27,6 @@
 __all__ = ["Exchange", "ForwardTools", "retry_after_s"]
 
 PROBLEM_HEADERS = [(b"Content-Type", b"application/problem+json")]
-# An endpoint that fails sooner refused the connection, so its VM can be reached.
-MIN_SILENCE_S = 0.25
 # Upper bound of Retry-After, as a share of the time until the caller's deadline.
 RETRY_AFTER_RATIO = 0.3
 MIN_RETRY_AFTER_S = 0.05
@@ -34,6 +35,8 @@
 # A request waits for a permit for this share of its time, so that enough is left for
 # the endpoint.
 PERMIT_WAIT_RATIO = 0.5
+# Routers by way of which one request is sent at most.
+MAX_PEERS = 3
 # A refused caller is told to wait for up to so many times the time until a permit.
 MAX_PERMIT_WAIT_RATIO = 2.0
 
@@ -54,6 +57,10 @@
     gate : VersionGate
     restarts : RestartDetector
     outages : OutageDetector
+    paths : PathTracker
+    proxy : PeerProxy
+    proxy_admission : ProxyAdmission
+        Admits requests that come from other routers.
     pauses : PauseTracker
     limits : LimitTracker
     permits : PermitSource
@@ -75,6 +82,9 @@
     gate: object
     restarts: object
     outages: object
+    paths: object
+    proxy: object
+    proxy_admission: object
     pauses: object
     limits: object
     permits: object
@@ -104,10 +114,22 @@
     reply : Reply
     on_end : callable
         Called with the exchange at its end.
+    terms : ProxyTerms or None
+        Terms of the router that sent the request, None if its caller did. A request of
+        a router is not sent by way of another one.
     """
 
     def __init__(
-        self, tools, request, route, service, organisation, table, reply, on_end
+        self,
+        tools,
+        request,
+        route,
+        service,
+        organisation,
+        table,
+        reply,
+        on_end,
+        terms=None,
     ):
         self.tools = tools
         self.request = request
@@ -120,6 +142,12 @@
         self.try_count = 0
         self.is_over = False
         self.excluded = set()
+        self.max_runs = route.max_attempts
+        if terms is not None:
+            self.max_runs = min(self.max_runs, terms.max_runs)
+        self.terms = terms
+        self._peers_tried = set()
+        self._advised_s = 0.0
         self.permit = RequestPermit(tools, request.request_id)
         self.quarantine = RequestQuarantine(tools, request, organisation)
         # Status that was sent to the caller; zero as long as it has heard nothing.
@@ -260,10 +288,73 @@
         )
         return attempt
 
+    def choose_peer(self):
+        """Return a router by way of which to send the request, or None.
+
+        None too as long as this router may reach endpoints of the service itself.
+        """
+        service = self.service.name
+        if self.terms is not None or not self.tools.paths.is_cut(service):
+            return None
+        if len(self._peers_tried) >= MAX_PEERS:
+            return None
+        return self.tools.proxy.choose(service, self._peers_tried)
+
+    @property
+    def is_in_vain(self):
+        """Bool : whether no endpoint can be reached, nor a router that reaches one."""
+        return self.tools.paths.is_in_vain(self.service.name)
+
+    def send_by(self, peer, deadline_s, after_event=None, copy=None):
+        """Send the request by way of another router and return the :class:`Try`.
+
+        Parameters
+        ----------
+        peer : ProxyPeer
+        deadline_s : float
+        after_event : int or None
+        copy : MemoryCopy or None
+            As in :class:`ForwardOptions`.
+        """
+        self._peers_tried.add(peer.name)
+        self.try_count += 1
+        options = ForwardOptions(peer, deadline_s, after_event=after_event)
+        work = self.tools.proxy.begin(peer)
+        attempt = PeerTry(self, options, self.try_count, work, self.now_s)
+        self.tries.append(attempt)
+        self.tools.counters.proxied += 1
+        logger.info(
+            RequestProxied(
+                self.request.request_id, peer.name, self.try_count, after_event
+            )
+        )
+        # One run is kept back for the time when this router is lost.
+        max_runs = max(1, self.max_runs - self.runs - 1)
+        terms = ProxyTerms(self.revision, max_runs, copy)
+        attempt.pending_request = self.tools.proxy.forward(
+            self.request, options, terms, attempt
+        )
+        return attempt
+
+    def note_path_lost(self, service):
+        """Give up tries that wait for a connection which can't be made."""
+        if self.service.name != service:
+            return
+        for attempt in list(self.tries):
+            if not attempt.is_by_peer and attempt.state == "connecting":
+                self.reject_body(attempt, Loss.NOT_CONNECTED)
+
+    @property
+    def advised_s(self):
+        """Float : time after which a refusing router advises a retry, zero for none."""
+        return self._advised_s
+
     def drop(self, attempt, cause, status=0):
         """Record that a try ended without a usable answer."""
         if attempt in self.tries:
             self.tries.remove(attempt)
+        if attempt.answer is not None and attempt.answer.refusal is not None:
+            self._advised_s = attempt.answer.refusal.retry_delay_s or 0.0
         self.tools.counters.tries_lost += 1
         self.tools.meter.try_ended(self.service.name, cause)
         after_ms = round((self.now_s - attempt.sent_s) * 1000)
@@ -284,20 +375,6 @@
             )
         )
 
-    def note_loss(self, attempt, loss):
-        """Report a lost answer to the health tracker and the observer of the try.
-
-        A failed connection is not reported to the observer: no version got the request.
-        """
-        name = attempt.endpoint.name
-        if loss is Loss.NOT_CONNECTED:
-            self.tools.health.note_unreachable(name)
-            if self.now_s - attempt.sent_s >= MIN_SILENCE_S:
-                self.tools.outages.note_unreachable(attempt.endpoint)
-        else:
-            self.tools.health.note_failure(name)
-            attempt.observer.lost()
-
     def reject_body(self, attempt, loss):
         """Cancel a try whose body cannot be used, and handle it as a lost one."""
         attempt.cancel()
@@ -377,7 +454,7 @@
                 limited=sorted(self.permit.refused_by)[:MAX_LOGGED_ENDPOINTS],
             )
         )
-        self.reply.answer(status, headers, problem.to_json())
+        self.reply.refuse(problem, headers)
         self.close()
 
     def _shortest_wait_s(self):
@@ -440,11 +517,7 @@
         may count as slow.
         """
         for attempt in attempts:
-            self.tools.health.note_failure(attempt.endpoint.name)
-            if attempt.answer is None and self.now_s - attempt.sent_s >= MIN_SILENCE_S:
-                self.tools.outages.note_unreachable(attempt.endpoint)
-            if attempt.is_sent:
-                attempt.observer.unanswered()
+            attempt.report_silence()
 
     def _timed_out(self):
         if self.is_over:
--- a/src/sesamearch/forwarding/gate.py
+++ b/src/sesamearch/forwarding/gate.py
@@ -2,7 +2,7 @@
 
 import abc
 
-__all__ = ["OpenGate", "TryObserver", "VersionGate"]
+__all__ = ["NO_OBSERVER", "OpenGate", "TryObserver", "VersionGate"]
 
 
 class TryObserver(abc.ABC):
@@ -48,6 +48,9 @@
         """Ignore the end."""
 
 
+NO_OBSERVER = _NoObserver()
+
+
 class VersionGate(abc.ABC):
     """Limits the requests to a new version and receives the outcomes of both."""
 
@@ -88,8 +91,6 @@
 class OpenGate(VersionGate):
     """Admits every request, for use without rollouts."""
 
-    _observer = _NoObserver()
-
     def admits(self, endpoint, request_id):
         """Return True."""
         return True
@@ -100,4 +101,4 @@
 
     def sent(self, endpoint, route, is_resumed):
         """Return an observer that records nothing."""
-        return self._observer
+        return NO_OBSERVER
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sesamearch.base.errors import Problem
 from sesamearch.configuration.blackboard import Endpoint, Incarnation
 from sesamearch.forwarding.permits import NoPermits
 from sesamearch.wire.head import first_value
@@ -165,6 +166,9 @@
         None if it names no limit.
     unusable_limit : str
         The limit that it named, if that is malformed; empty for none.
+    refusal : Problem or None
+        Why another router refused the request that was to send it on; None for an
+        endpoint's answer.
     """
 
     status: int
@@ -180,6 +184,7 @@
     unusable_pause: str = ""
     limit_per_s: float | None = None
     unusable_limit: str = ""
+    refusal: Problem | None = None
 
     def incarnation_at(self, endpoint):
         """Return which process answered a request to an endpoint.
@@ -272,7 +277,7 @@
 
         Returns
         -------
-        object with ``cancel()``, ``is_sent`` and ``producer``
+        object with ``cancel()``, ``is_first``, ``is_sent`` and ``producer``
         """
 
     @abc.abstractmethod
@@ -313,6 +318,13 @@
             Name of the process; empty without an answer.
         """
 
+    @abc.abstractmethod
+    def probe_path(self, endpoint, timeout_s, health_path=""):
+        """Probe whether there is a path to an endpoint; see :meth:`probe`.
+
+        A connection that is made is enough, since a busy endpoint answers late.
+        """
+
     @abc.abstractmethod
     def probe(self, endpoint, timeout_s, health_path=""):
         """Probe whether an endpoint is alive.
--- a/src/sesamearch/forwarding/request_quarantine.py
+++ b/src/sesamearch/forwarding/request_quarantine.py
@@ -85,9 +85,13 @@
         """
         if self._has_run or loss not in _ENDPOINT_LOSSES or not attempt.is_sent:
             return False
-        self._tools.quarantine.note_lost(
-            attempt.endpoint, self._request.request_id, self.parts, was_writing
-        )
+        if not attempt.is_by_peer:
+            self._tools.paths.settle(
+                attempt.endpoint.service,
+                lambda: self._tools.quarantine.note_lost(
+                    attempt.endpoint, self._request.request_id, self.parts, was_writing
+                ),
+            )
         return True
 
     def note_run(self):
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -55,7 +55,7 @@
         self._held_had_event = False
         self._hold_timer = None
         self._allowance = SendAllowance(
-            self.route.max_attempts, self.spend_retry, self._spend_retry_again
+            self.max_runs, self.spend_retry, self._spend_retry_again
         )
         self._cause = ErrorKind.NO_ENDPOINT
         self._retry_timer = None
@@ -63,6 +63,9 @@
             self.tools, self.service, self.request, self.excluded, self.permit
         )
         self._copies = self._search.copies
+        if self.terms is not None and self.terms.copy is not None:
+            self._copies.adopt(self.terms.copy)
+            self._has_copy = True
 
     # Steps of the answer.
 
@@ -92,6 +95,13 @@
         if self.quarantine.find() is not None:
             self._give_up_quarantined()
             return
+        peer = self.choose_peer()
+        if peer is not None:
+            self._send_by_paid(peer)
+            return
+        if self.is_in_vain:
+            self._wait("no engine can be reached")
+            return
         endpoint, copy = self._search.find(self._has_copy, self._is_resuming)
         if endpoint is None:
             self._wait_for_engine()
@@ -106,6 +116,21 @@
             self.permit.withdraw()
             self._wait("too many retries")
 
+    def _send_by_paid(self, peer):
+        if self._allowance.pay():
+            self._send_by(peer)
+        else:
+            self._wait("too many retries")
+
+    def _send_by(self, peer):
+        """Send the generation by way of another router."""
+        copy = self._copies.copy if self._has_copy else None
+        self._has_copy = False
+        self._allowance.note_sent()
+        self._stall_detector.schedule_probe(PROBE_INTERVAL_S)
+        attempt = self.send_by(peer, self.end_by_s, self._last_event, copy)
+        self.begin_reading(attempt)
+
     def _wait_for_engine(self):
         """Wait until an engine may be available again."""
         detail = "no engine is available"
@@ -243,6 +268,8 @@
         if attempt.answered_s is not None:
             answering_s = self.now_s - attempt.answered_s
         was_writing = answering_s <= MAX_BEGUN_S
+        if attempt.is_by_peer:
+            return
         is_counted = self.quarantine.note_lost(attempt, loss, was_writing)
         if is_counted and not self._has_head:
             self._allowance.note_engine_lost(was_writing)
@@ -283,6 +310,14 @@
         """Cancel a suspected try and resume at another engine, or keep it for now."""
         attempt = self.tries[0]
         has_copy = self._timing.has_event_of(attempt)
+        peer = self.choose_peer()
+        if peer is not None and self._can_run_again() and self._allowance.pay():
+            self._has_copy = has_copy
+            self._hold(attempt)
+            self._cause = ErrorKind.ENDPOINT_LOST
+            self._note_break()
+            self._send_by(peer)
+            return
         if self.permit.is_pending:
             self._suspicion.keep(Obstacle.NO_PERMIT)
             return
--- a/src/sesamearch/forwarding/stall.py
+++ b/src/sesamearch/forwarding/stall.py
@@ -145,7 +145,7 @@
     def _probe(self, attempt):
         self._is_probing = True
         self._tools.counters.probes += 1
-        answered = self._tools.client.probe(attempt.endpoint, PROBE_TIMEOUT_S)
+        answered = attempt.probe(PROBE_TIMEOUT_S)
         answered.addCallback(self._handle_probe, attempt)
 
     def _handle_probe(self, is_alive, attempt):
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -117,7 +117,8 @@
         answer = attempt.answer
         self._has_head = True
         self._begun_answer = answer
-        if attempt.number == 1 and not self._is_prompt_cached:
+        is_measured = attempt.number == 1 and not attempt.is_by_peer
+        if is_measured and not self._is_prompt_cached:
             took_s = self.now_s - attempt.sent_s
             self.tools.pace.note_first_event(self.request.prompt_tokens, took_s)
         self._first_ms = self.took_ms()
@@ -147,10 +148,12 @@
         self.drop(attempt, "not_run", attempt.answer.status)
         if attempt.answer.is_other_instance:
             self.tools.health.note_replaced(attempt.endpoint.name)
-        self._send_again(ErrorKind.OVERLOADED, "engines are busy")
+        refusal = attempt.answer.refusal
+        kind = refusal.kind if refusal else ErrorKind.OVERLOADED
+        self._send_again(kind, "engines are busy")
 
     def _handle_failure(self, attempt):
-        self.tools.health.note_answer(attempt.endpoint.name, True)
+        attempt.report_answer(is_failure=True)
         attempt.observer.answered(is_failure=True)
         self.drop(attempt, "failed", attempt.answer.status)
         can_repeat = self.route.is_resumable and self._allowance.has_runs_left
@@ -165,15 +168,16 @@
     def _finish(self, attempt):
         if self._ends_midway(attempt):
             # The HTTP answer is complete but ends within an event, or is none of ours.
-            self.note_loss(attempt, Loss.CLOSED_MIDWAY)
+            attempt.report_loss(Loss.CLOSED_MIDWAY)
             self.drop(attempt, "unfinished_event", attempt.answer.status)
             self._note_engine_lost(attempt, Loss.CLOSED_MIDWAY)
             if self.is_over:
                 return
             self._recover(ErrorKind.ENDPOINT_LOST, "answer ended within an event")
             return
-        self.tools.health.note_answer(attempt.endpoint.name, False)
-        if attempt.number == 1 and self._timing.mean_gap_s:
+        attempt.report_answer(is_failure=False)
+        is_measured = attempt.number == 1 and not attempt.is_by_peer
+        if is_measured and self._timing.mean_gap_s:
             self.tools.health.note_gap(attempt.endpoint.name, self._timing.mean_gap_s)
         if attempt.event_count:
             self.quarantine.note_run()
@@ -202,7 +206,7 @@
         if not self._is_current(attempt):
             return
         self._suspicion.note_ended()
-        self.note_loss(attempt, loss)
+        attempt.report_loss(loss)
         self._note_copy(attempt)
         self.drop(attempt, loss.value, attempt.answer.status if attempt.answer else 0)
         if loss is Loss.NOT_CONNECTED:
@@ -229,7 +233,7 @@
                 # An engine may have run the request, so the error must not say
                 # "not run".
                 kind = ErrorKind.ENDPOINT_LOST
-            self.refuse(kind, detail, RETRY_AFTER_S)
+            self.refuse(kind, detail, max(RETRY_AFTER_S, self.advised_s))
 
     def _cut(self):
         """Cut off the answer; the caller can resume after its last event."""
--- a/src/sesamearch/forwarding/suspicion.py
+++ b/src/sesamearch/forwarding/suspicion.py
@@ -124,9 +124,7 @@
         """Suspect a try whose engine stalled or did not answer a probe."""
         self._attempt = attempt
         self.cause = cause
-        self._tools.restarts.note_lost(attempt.endpoint)
-        self._tools.health.note_unreachable(attempt.endpoint.name)
-        self._tools.outages.note_unreachable(attempt.endpoint)
+        attempt.report_unreachable()
         self._machine.fell_silent()
 
     def note_answer(self):
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -108,6 +108,7 @@
             settings.data_centre,
             settings.link_mbps,
             time.time_ns(),
+            settings.proxy_address,
         )
         self.member_list = MemberList(own)
         self._receive = Guard(reactor, self._on_message)
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -19,6 +19,7 @@
     "LEAVING_SCHEMA_VERSION",
     "FLEET_SCHEMA_VERSION",
     "LIMIT_SCHEMA_VERSION",
+    "PATH_SCHEMA_VERSION",
     "PERMIT_SCHEMA_VERSION",
     "QUARANTINE_SCHEMA_VERSION",
     "UNSTATED_ERA",
@@ -35,6 +36,7 @@
     "FleetMessage",
     "LoadUpdate",
     "LossReport",
+    "PathReport",
     "PermitReply",
     "PermitRequest",
     "PermitState",
@@ -51,6 +53,7 @@
 FLEET_SCHEMA_VERSION = 1
 LEAVING_SCHEMA_VERSION = 1
 LIMIT_SCHEMA_VERSION = 1
+PATH_SCHEMA_VERSION = 1
 PERMIT_SCHEMA_VERSION = 1
 QUARANTINE_SCHEMA_VERSION = 1
 # Era in messages of an earlier build, which does not state it.
@@ -305,6 +308,24 @@
     quarantines: list[Quarantine]
 
 
+class PathReport(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Services of which the sender reaches no endpoint.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; messages of other versions are ignored.
+    name : str
+        Name of the sender.
+    services : list of str
+        Empty if it reaches all of them again.
+    """
+
+    schema_version: int
+    name: str
+    services: list[str]
+
+
 class RolloutUpdate(msgspec.Struct, tag="RolloutNews", frozen=True, array_like=True):
     """A rollout, and what a router saw of it since its last update.
 
@@ -392,6 +413,7 @@
         | RolloutUpdate
         | RolloutVerdict
         | LossReport
+        | PathReport
         | QuarantineUpdate
     )
 
--- a/src/sesamearch/membership/gossip.py
+++ b/src/sesamearch/membership/gossip.py
@@ -23,6 +23,9 @@
     prompts : PromptLocations
     budgets : RetryBudgets
     clock : twisted.internet.interfaces.IReactorTime
+    is_witness : callable
+        Called with the name of an endpoint; returns whether what this router sees of it
+        tells of the endpoint, not of the path to it.
     """
 
     __slots__ = (
@@ -30,6 +33,7 @@
         "_clock",
         "_data_centre",
         "_health",
+        "_is_witness",
         "_loads",
         "_name",
         "_peers",
@@ -39,7 +43,18 @@
         "_was_empty",
     )
 
-    def __init__(self, name, data_centre, loads, health, prompts, budgets, clock):
+    def __init__(
+        self,
+        name,
+        data_centre,
+        loads,
+        health,
+        prompts,
+        budgets,
+        clock,
+        is_witness=lambda name: True,
+    ):
+        self._is_witness = is_witness
         self._budgets = budgets
         self._data_centre = data_centre
         self._clock = clock
@@ -80,8 +95,8 @@
         if self._peers is None:
             return
         loads = self._loads.generations()
-        suspicions = self._health.suspicions()
-        outcomes = self._health.collect_unreported()
+        suspicions = self._of_witness(self._health.suspicions())
+        outcomes = self._of_witness(self._health.collect_unreported())
         is_empty = not loads and not suspicions and not outcomes
         if is_empty and self._was_empty:
             return
@@ -100,6 +115,9 @@
             )
         )
 
+    def _of_witness(self, findings):
+        return [each for each in findings if self._is_witness(each.name)]
+
     def _apply(self, message):
         self._loads.update(message.name, message.loads)
         for suspicion in message.suspicions:
--- a/src/sesamearch/membership/member_list.py
+++ b/src/sesamearch/membership/member_list.py
@@ -41,6 +41,8 @@
     incarnation : int
         Distinguishes processes of the same name; a later start has a higher number
         unless the time of day was set back meanwhile.
+    proxy_address : str
+        Where it takes requests of other routers; empty if it does not.
     """
 
     name: str
@@ -48,6 +50,7 @@
     data_centre: str
     link_mbps: int
     incarnation: int
+    proxy_address: str = ""
 
 
 class AgedRouterInfo(msgspec.Struct, frozen=True, array_like=True):
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -23,7 +23,7 @@
 )
 from sesamearch.wire.pool import ConnectionPool
 
-__all__ = ["PlatformEndpointClient"]
+__all__ = ["PlatformEndpointClient", "ProbeReceiver"]
 
 REPORT_PATH = b"/sesamearch/report"
 COPY_PATH = b"/sesamearch/kv-move"
@@ -211,25 +211,48 @@
         """Ignore the status: the engine drops the copy by itself after some time."""
 
 
-class _ProbeReceiver(_TimedReceiver):
+class ProbeReceiver(_TimedReceiver):
     """Receives the response to a probe; even a malformed one shows a live engine."""
 
     __slots__ = ()
 
     def without_answer(self):
+        """Return False."""
         return False
 
     def not_sent(self):
+        """Return None: nothing is known."""
         return None
 
     def handle_head(self, head):
+        """Resolve, whatever the status is."""
         self.resolve(True)
 
     def lost(self, loss):
+        """Resolve: bytes that are no answer also come from a live process."""
         self.resolve(loss is Loss.MALFORMED)
         super().lost(loss)
 
 
+class _PathReceiver(ProbeReceiver):
+    """Receives the response to a probe; a connection that is made is enough."""
+
+    __slots__ = ("_clock",)
+
+    def start(self, pending_request, clock, timeout_s):
+        """See ``_TimedReceiver``."""
+        self._clock = clock
+        super().start(pending_request, clock, timeout_s)
+
+    def give_up(self):
+        """Decide after what has arrived by now has been read."""
+        self._clock.callLater(0, super().give_up)
+
+    def without_answer(self):
+        """Return whether the probe was written to a connection."""
+        return self._pending_request is not None and self._pending_request.is_sent
+
+
 class _IdentityReceiver(_TimedReceiver):
     """Receives the name of the process that responds; empty if it is unknown."""
 
@@ -322,10 +345,17 @@
 
     def probe(self, endpoint, timeout_s, health_path=""):
         """Probe an endpoint by its health path or report; see ``EndpointClient``."""
+        return self._probe(endpoint, ProbeReceiver, timeout_s, health_path)
+
+    def probe_path(self, endpoint, timeout_s, health_path=""):
+        """Probe the path to an endpoint in the same way; see ``EndpointClient``."""
+        return self._probe(endpoint, _PathReceiver, timeout_s, health_path)
+
+    def _probe(self, endpoint, receiver_type, timeout_s, health_path):
         headers = [(b"Host", endpoint.address.encode())]
         path = health_path.encode() or REPORT_PATH
         outgoing = OutgoingRequest(b"GET", path, headers)
-        return self._ask(endpoint, outgoing, _ProbeReceiver, timeout_s)
+        return self._ask(endpoint, outgoing, receiver_type, timeout_s)
 
     def _note_of(self, endpoint):
         """Return a callable that reports an answer to a request that is sent now."""
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -16,6 +16,7 @@
     "MAX_PAUSE_S",
     "decode_answer",
     "decode_request",
+    "encode_for_router",
     "encode_request",
     "find_request_id",
     "instance_of",
@@ -217,6 +218,30 @@
     )
 
 
+def encode_for_router(request, options, now_s):
+    """Encode a request to another router, as its caller sent it.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    options : ForwardOptions
+    now_s : float
+        Current time on the clock of ``options.deadline_s``.
+
+    Returns
+    -------
+    OutgoingRequest
+    """
+    remaining_ms = max(1, int((options.deadline_s - now_s) * MS_PER_S))
+    headers = list(request.headers)
+    headers.append((b"X-Deadline-Ms", b"%d" % remaining_ms))
+    if request.key:
+        headers.append((b"Authorization", b"Token " + request.key.encode("latin-1")))
+    if options.after_event is not None:
+        headers.append((b"Last-Event-Id", b"%d" % options.after_event))
+    return OutgoingRequest(request.method, request.target, headers, request.body)
+
+
 def decode_answer(head):
     """Decode the head of an endpoint's response.
 
--- a/src/sesamearch/platform/settings.py
+++ b/src/sesamearch/platform/settings.py
@@ -75,6 +75,17 @@
             self._fault(key, "port,port", value)
         return value
 
+    def last_port(self, key):
+        """Return the last port of a range, empty if the range has one port only."""
+        first, _, last = self.text(key).partition(",")
+        if last and not last.isdigit():
+            self._fault(key, "port,port", self.text(key))
+        return last if last != first else ""
+
+
+def _address_of(host, port):
+    return f"{host}:{port}" if port else ""
+
 
 def read_platform_settings(text, file):
     """Read the content of a settings file.
@@ -106,6 +117,7 @@
         listen=entries.address("listen.frontend"),
         readiness_listen=entries.address("listen.readiness"),
         metrics_listen=f"{address}:{entries.first_port('internal-ports')}",
+        proxy_listen=_address_of(address, entries.last_port("internal-ports")),
         store_address=entries.address("platform.address"),
         peer=peer,
         bounds=_read_bounds(entries),
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -33,6 +33,9 @@
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.7
 PING_INTERVAL_S = 0.7
+# The first watch may begin some time after the read that it goes on from, so the store
+# is asked at once whether it is still there.
+FIRST_PING_DELAY_S = 0.05
 PING_TIMEOUT_S = 0.7
 # A stale read costs a tenth of a consistent one.
 STALE_OPTION = b"&stale-ok=1"
@@ -319,7 +322,7 @@
         watch = PlatformWatch(self, prefix, revision, receiver)
         self._watches.add(watch)
         if self._next_ping is None:
-            self._next_ping = self.clock.callLater(PING_INTERVAL_S, self._ping)
+            self._next_ping = self.clock.callLater(FIRST_PING_DELAY_S, self._ping)
         return watch
 
     def remove_watch(self, watch):
--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -96,12 +96,19 @@
 
 
 class PendingRequest:
-    """Handle of a request that was sent or is waiting for its connection."""
+    """Handle of a request that was sent or is waiting for its connection.
 
-    __slots__ = ("_connection", "_connector", "is_over", "receiver")
+    Attributes
+    ----------
+    is_first : bool
+        Whether its connection was opened for it.
+    """
+
+    __slots__ = ("_connection", "_connector", "is_first", "is_over", "receiver")
 
     def __init__(self, receiver):
         self.receiver = receiver
+        self.is_first = False
         self.is_over = False
         self._connection = None
         self._connector = None
--- a/src/sesamearch/wire/pool.py
+++ b/src/sesamearch/wire/pool.py
@@ -119,6 +119,7 @@
             connection.send(request, pending_request)
             return pending_request
         self.opened += 1
+        pending_request.is_first = True
         factory = _ConnectionFactory(self, request, pending_request)
         timeout_s = max(MIN_CONNECT_TIMEOUT_S, remaining_s * CONNECT_TIME_RATIO)
         connector = self._reactor.connectTCP(
--- a/src/sesamearch/wire/reply.py
+++ b/src/sesamearch/wire/reply.py
@@ -45,6 +45,10 @@
             self._connection.send_data(body)
         self.finish()
 
+    def refuse(self, problem, headers):
+        """Send a :class:`Problem` of this router as the complete response."""
+        self.answer(problem.answer.status, headers, problem.to_json())
+
     def start(self, status, headers, reason=b""):
         """Send the head of a response with a body of unknown length."""
         if self.is_open:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -78,11 +78,14 @@
     readiness: str
     control: str
     metrics: str
+    proxy: str
 
 
 def platform_settings(number, addresses, seeds, store):
     """Return the text of the platform's settings file for a router on loopback."""
-    port = addresses.metrics.rpartition(":")[2]
+    metrics, proxy = (
+        address.rpartition(":")[2] for address in (addresses.metrics, addresses.proxy)
+    )
     settings = {
         "node-name": f"edge-{number}",
         "zone": "east" if number % 2 == 0 else "west",
@@ -90,7 +93,7 @@
         "listen.frontend": addresses.listen,
         "listen.readiness": addresses.readiness,
         "listen.control-plane": addresses.control,
-        "internal-ports": f"{port},{port}",
+        "internal-ports": f"{metrics},{proxy}",
         "seeds": ",".join(seeds),
         "limits.link-mbps": "1000.0",
         "platform.address": store,
--- a/tests/forwarding/test_stall.py
+++ b/tests/forwarding/test_stall.py
@@ -35,7 +35,6 @@
         tools = SimpleNamespace(
             clock=self.clock,
             counters=SimpleNamespace(probes=0),
-            client=SimpleNamespace(probe=self.probe),
             pauses=SimpleNamespace(is_paused=lambda endpoint: self.is_paused),
         )
         self.detector = StallDetector(
@@ -47,7 +46,11 @@
             self.trusted.append,
         )
         self.attempt = SimpleNamespace(
-            sent_s=10.0, answer=None, endpoint="e1", is_paused=False
+            sent_s=10.0,
+            answer=None,
+            endpoint="e1",
+            is_paused=False,
+            probe=lambda timeout_s: self.probe("e1", timeout_s),
         )
         self.detector.schedule_probe(PROBE_INTERVAL_S)
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -84,7 +84,7 @@
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        addresses = free_addresses(1 + WORKERS + 4 * ROUTERS)
+        addresses = free_addresses(1 + WORKERS + 5 * ROUTERS)
         store, workers = addresses[0], addresses[1 : 1 + WORKERS]
         router_addresses = addresses[1 + WORKERS :]
         self.standins = subprocess.Popen(
@@ -95,7 +95,7 @@
         self.addCleanup(self.kill, self.standins)
         self.standins.stdout.readline()
         groups = [
-            RouterAddresses(*router_addresses[4 * n : 4 * n + 4])
+            RouterAddresses(*router_addresses[5 * n : 5 * n + 5])
             for n in range(ROUTERS)
         ]
         seeds = [group.control for group in groups]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,6 +16,7 @@
     "operation",
     "membership",
     "rollout",
+    "proxy",
     "platform",
     "callers",
     "daemon",
