Write odd entries among those of endpoints in the soak

Every fourth seed, not drawn, so that no recorded plan changes (test). Routers cut off from endpoints are not in the soak: its endpoints have one address for all routers.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -12,6 +12,7 @@
 from sesamearch.store.store import Put
 from soak.link import Link, LinkState
 from soak.note import Acknowledged, Command, LimitedArrival, LimitNamed, RunBegan
+from soak.plan import ODD_ENTRIES
 from soak.process import RouterProcess, StandinProcess
 from soak.promise import Disturbance, KeyValidity, ObservedRun
 
@@ -23,7 +24,7 @@
 # than a run, so that the last runs can finish.
 DRAIN_S = 4.0
 STOP_GRACE_S = 8.0
-ADDRESSES_PER_ROUTER = 6
+ADDRESSES_PER_ROUTER = 7
 ADDRESSES_PER_ENDPOINT = 2
 SEED_ROUTERS = 3
 
@@ -341,6 +342,12 @@
             previous.removed_s = validity.acknowledged_s
         return True
 
+    def write_odd_entries(self):
+        """Write entries among those of the endpoints that describe none."""
+        for number, value in enumerate(ODD_ENTRIES):
+            put = Put(b"servers/odd-%d" % number, value)
+            self._operator.txn([], [put])
+
     def add_disturbance(self, for_s=0.0, **where):
         """Record a disturbance that begins now and lasts `for_s` seconds."""
         now_s = self.reactor.seconds()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,5 +1,6 @@
 """Fault plans, generated from a seed."""
 
+import json
 import random
 from enum import StrEnum
 
@@ -8,6 +9,7 @@
 __all__ = [
     "EVENTS_PER_GENERATION",
     "FATAL_PART",
+    "ODD_ENTRIES",
     "DeploymentSize",
     "FaultKind",
     "FaultPlan",
@@ -40,6 +42,24 @@
 LIMITS_FROM_S = 1.0
 SERVICE_LIMIT_PER_S = 5.0
 ENGINE_LIMIT_PER_S = 0.6
+# Seeds in which another writer leaves odd entries among those of the endpoints.
+ODD_ENTRIES_EVERY = 4
+ODD_ENTRIES_FROM_S = 1.0
+ODD_ENTRY = {
+    "service": "desk",
+    "address": "127.0.0.1:9",
+    "zone": "east",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "sequence": 1,
+}
+ODD_ENTRIES = (
+    b'{"extra": %s%s}' % (b"[" * 100_000, b"]" * 100_000),
+    msgspec.json.encode({**ODD_ENTRY, "address": "127.0.0.1:83430"}),
+    json.dumps({**ODD_ENTRY, "born": 10**40}).encode(),
+    b"\xff\xfe",
+)
 
 
 class FaultKind(StrEnum):
@@ -187,6 +207,9 @@
     fatal_requests_from_s : float or None
         Time from which one request ends each service process that runs it; None for
         never.
+    odd_entries_from_s : float or None
+        Time at which ``ODD_ENTRIES`` are written among the entries of endpoints; None
+        for never.
     """
 
     seed: int
@@ -196,6 +219,7 @@
     fatal_from_s: float | None = None
     limits: PlannedLimits | None = None
     fatal_requests_from_s: float | None = None
+    odd_entries_from_s: float | None = None
 
     @property
     def is_planned_work(self):
@@ -242,11 +266,23 @@
     if _has_limits(seed):
         limits = PlannedLimits(LIMITS_FROM_S, SERVICE_LIMIT_PER_S, ENGINE_LIMIT_PER_S)
     requests_from_s = FATAL_REQUESTS_FROM_S if _has_fatal_requests(seed) else None
+    odd_entries_from_s = ODD_ENTRIES_FROM_S if _has_odd_entries(seed) else None
     return FaultPlan(
-        seed, size, faults_s, faults, fatal_from_s, limits, requests_from_s
+        seed,
+        size,
+        faults_s,
+        faults,
+        fatal_from_s,
+        limits,
+        requests_from_s,
+        odd_entries_from_s,
     )
 
 
+def _has_odd_entries(seed):
+    return seed % ODD_ENTRIES_EVERY == 0
+
+
 def _has_limits(seed):
     if seed % PLANNED_WORK_EVERY:
         return seed % LIMITS_EVERY == 2
--- a/soak/run.py
+++ b/soak/run.py
@@ -120,6 +120,10 @@
                 "has_fatal_requests",
                 True,
             )
+        if self._plan.odd_entries_from_s is not None:
+            reactor.callLater(
+                self._plan.odd_entries_from_s, self.deployment.write_odd_entries
+            )
         limits = self._plan.limits
         if limits is not None:
             reactor.callLater(limits.from_s, self.deployment.name_limits, limits)
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -35,6 +35,12 @@
         expected = [n for n in range(3, 61, 4) if n % 3]
         self.assertEqual(fatal, sorted([*expected, 6, 30, 54]))
 
+    def test_odd_entries_change_no_plan(self):
+        plans = [generate_plan(n, DeploymentSize(), SECONDS) for n in range(1, 13)]
+        odd = [plan.seed for plan in plans if plan.odd_entries_from_s is not None]
+        self.assertEqual(odd, [4, 8, 12])
+        self.assertEqual(plans[4].faults[0].kind, FaultKind.ENDPOINT_LINK_DELAY)
+
     def test_limits_change_no_plan(self):
         plans = [generate_plan(n, DeploymentSize(), SECONDS) for n in range(1, 61)]
         limited = [plan.seed for plan in plans if plan.limits is not None]
