--- a/tests/platform/path_storm.py
+++ b/tests/platform/path_storm.py
@@ -18,6 +18,11 @@
         self.sent = len(clients)
         self.served = sum(each.status == 200 and each.is_whole() for each in clients)
 
+    def add(self, other):
+        """Add the requests of another share."""
+        self.sent += other.sent
+        self.served += other.served
+
     @property
     def ratio(self):
         """Float : share of the requests that were served."""
