--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -3,7 +3,6 @@
 import gc
 import random
 import signal
-import time
 
 import msgspec
 from result import Err, Ok
@@ -21,6 +20,7 @@
 from sesamearch.daemon.drain import Drain
 from sesamearch.daemon.platform_metrics import PlatformMetrics
 from sesamearch.daemon.platform_ports import PlatformPorts
+from sesamearch.daemon.proxying import UPDATE_INTERVAL_S, Proxying
 from sesamearch.forwarding.budget import FleetView, RetryBudgets
 from sesamearch.forwarding.choice import Chooser
 from sesamearch.forwarding.dispatcher import (
@@ -28,17 +28,16 @@
     ForwardCounters,
 )
 from sesamearch.forwarding.endpoint_index import EndpointIndex
-from sesamearch.forwarding.exchange import ForwardTools
 from sesamearch.forwarding.health import HealthTracker
 from sesamearch.forwarding.leaving import LeavingTracker
 from sesamearch.forwarding.limits import LimitTracker
 from sesamearch.forwarding.load import LoadTracker
 from sesamearch.forwarding.outage import OutageDetector
 from sesamearch.forwarding.pace import GenerationPace
-from sesamearch.forwarding.paths import PathTracker
 from sesamearch.forwarding.pauses import PauseTracker
 from sesamearch.forwarding.prompts import PromptLocations
 from sesamearch.forwarding.restarts import RestartDetector
+from sesamearch.forwarding.tools import ForwardTools
 from sesamearch.membership.fleet import FleetLink
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
 from sesamearch.membership.fleet_message import EndpointRestarted
@@ -58,14 +57,9 @@
     QuarantineFollower,
     ServerFollower,
 )
-from sesamearch.platform.proxy import ProxyPort, RouterProxy
 from sesamearch.platform.quarantine import PlatformQuarantineRegister
 from sesamearch.platform.rollout import PlatformRolloutRegister
 from sesamearch.platform.store import PlatformStore
-from sesamearch.proxy.admission import ProxyAdmission
-from sesamearch.proxy.envelope import EnvelopeSealer
-from sesamearch.proxy.path_gossip import PathGossip
-from sesamearch.proxy.peers import PeerChooser
 from sesamearch.quarantine.controller import QuarantineController
 from sesamearch.rollout.controller import UPDATE_INTERVAL_S as ROLLOUT_INTERVAL_S
 from sesamearch.rollout.controller import RolloutController
@@ -78,7 +72,6 @@
 # Changes in the store are gathered for this share of the time in which a leaving
 # endpoint must be known to all.
 BATCH_DELAY_RATIO = 0.1
-UPDATE_INTERVAL_S = 0.25
 # By this time after its start, a router knows whether it relays.
 SETTLE_S = 1.5
 # The load balancer probes readiness once per second, and stops sending requests after
@@ -137,14 +130,7 @@
             self.board,
             self.dispatcher,
             self._metrics,
-            ProxyPort(
-                reactor,
-                settings.proxy_address,
-                self.board,
-                self.dispatcher,
-                self._sealer,
-                listen,
-            ),
+            self._proxying.make_port(self.board, self.dispatcher, listen),
             listen,
         )
         self._drain = self._make_drain()
@@ -202,7 +188,7 @@
         self._quarantine = QuarantineController(
             reactor, PlatformQuarantineRegister(self._store), self.counters, rng
         )
-        self._make_proxy(rng)
+        self._make_proxying(rng)
         tools = ForwardTools(
             self._client,
             Chooser(
@@ -227,8 +213,8 @@
             self._restart_detector,
             self._outages,
             self._paths,
-            self._proxy,
-            self._proxy_admission,
+            self._proxying.proxy,
+            self._proxying.admission,
             self._pauses,
             self._limits,
             self._permits,
@@ -240,35 +226,23 @@
         )
         self.dispatcher = Dispatcher(self.board, tools)
 
-    def _make_proxy(self, rng):
+    def _make_proxying(self, rng):
         """Make what serves requests by way of other routers, and theirs here."""
-        reactor, settings = self._reactor, self._settings
-        self._paths = PathTracker(
+        self._proxying = Proxying(
+            self._reactor,
+            self._settings,
             self._probe_path,
-            reactor,
             self._endpoint_index.serving,
+            lambda: self._peers.member_list if self._peers is not None else None,
+            lambda: self.dispatcher.in_flight,
             rng,
         )
-        self._path_gossip = PathGossip(settings.name, self._paths, reactor)
-        chooser = PeerChooser(reactor, self._member_list, self._path_gossip.is_cut, rng)
+        self._paths = self._proxying.paths
         self._paths.on_change = self._handle_path_change
-        self._paths.is_reached_elsewhere = lambda service: bool(
-            chooser.candidates(service)
-        )
-        self._sealer = EnvelopeSealer(settings.name)
-        self._proxy = RouterProxy(
-            reactor, settings.name, time.time_ns(), chooser, self._sealer
-        )
-        self._proxy_admission = ProxyAdmission(
-            reactor, lambda: self.dispatcher.in_flight, UPDATE_INTERVAL_S
-        )
-
-    def _member_list(self):
-        return self._peers.member_list if self._peers is not None else None
 
     def _handle_path_change(self, service):
         """Tell the others, and use the endpoints of a service again that is reached."""
-        self._path_gossip.send()
+        self._proxying.gossip.send()
         if self._paths.is_cut(service):
             self.dispatcher.note_path_lost(service)
             return
@@ -470,7 +444,7 @@
         self._limit_gossip.join(self._peers)
         self._permits.join(self._peers)
         self._quarantine_gossip.join(self._peers)
-        self._path_gossip.join(self._peers)
+        self._proxying.gossip.join(self._peers)
         self._rollout_controller.join(self._peers)
         self._peers.handle(
             EndpointRestarted,
@@ -486,7 +460,7 @@
     def _use_keys(self, keys):
         """Have all routers that share these keys give a request the same name."""
         self._quarantine.fingerprints.set_secret(keys.secret_key)
-        self._sealer.set_secret(keys.secret_key)
+        self._proxying.sealer.set_secret(keys.secret_key)
 
     def handle_signals(self, load_settings):
         """Shut down on SIGTERM and SIGINT, and reload the settings on SIGHUP.
@@ -543,9 +517,7 @@
     def _update(self):
         self._loads.drop_silent_peers()
         self._outages.check()
-        self._paths.check()
-        self._proxy_admission.measure()
-        self._proxy.sweep()
+        self._proxying.update()
         self._prompts.drop_expired()
         self._pauses.drop_expired()
         self._limits.drop_expired(self.board.endpoints.value)
@@ -555,7 +527,6 @@
         self._gossip.refresh()
         self._quarantine.refresh()
         self._limit_gossip.refresh()
-        self._path_gossip.refresh()
         self._quarantine_gossip.refresh()
         self._update_followers()
 
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -2,8 +2,6 @@
 
 import abc
 
-import msgspec
-
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.log import logger
 from sesamearch.base.record import (
@@ -24,7 +22,7 @@
 from sesamearch.wire.endpoint import Loss
 from sesamearch.wire.reply import ReplyListener
 
-__all__ = ["Exchange", "ForwardTools", "retry_after_s"]
+__all__ = ["Exchange", "retry_after_s"]
 
 PROBLEM_HEADERS = [(b"Content-Type", b"application/problem+json")]
 # Upper bound of Retry-After, as a share of the time until the caller's deadline.
@@ -41,60 +39,6 @@
 MAX_PERMIT_WAIT_RATIO = 2.0
 
 
-class ForwardTools(msgspec.Struct):
-    """Components that all exchanges share.
-
-    Parameters
-    ----------
-    client : EndpointClient
-    chooser : Chooser
-    endpoint_index : EndpointIndex
-    loads : LoadTracker
-    health : HealthTracker
-    prompts : PromptLocations
-    pace : GenerationPace
-    budgets : RetryBudgets
-    gate : VersionGate
-    restarts : RestartDetector
-    outages : OutageDetector
-    paths : PathTracker
-    proxy : PeerProxy
-    proxy_admission : ProxyAdmission
-        Admits requests that come from other routers.
-    pauses : PauseTracker
-    limits : LimitTracker
-    permits : PermitSource
-    quarantine : QuarantineController
-    clock : twisted.internet.interfaces.IReactorTime
-    rng : random.Random
-    counters : ForwardCounters
-    meter : Meter
-    """
-
-    client: object
-    chooser: object
-    endpoint_index: object
-    loads: object
-    health: object
-    prompts: object
-    pace: object
-    budgets: object
-    gate: object
-    restarts: object
-    outages: object
-    paths: object
-    proxy: object
-    proxy_admission: object
-    pauses: object
-    limits: object
-    permits: object
-    quarantine: object
-    clock: object
-    rng: object
-    counters: object
-    meter: object
-
-
 def retry_after_s(advice_s, remaining_s):
     """Return the ``Retry-After`` for a caller with `remaining_s` until its deadline."""
     return max(MIN_RETRY_AFTER_S, min(advice_s, remaining_s * RETRY_AFTER_RATIO))
--- /dev/null
+++ b/src/sesamearch/forwarding/tools.py
@@ -0,0 +1,59 @@
+"""The components that all exchanges of a router share."""
+
+import msgspec
+
+__all__ = ["ForwardTools"]
+
+
+class ForwardTools(msgspec.Struct):
+    """Components that all exchanges share.
+
+    Parameters
+    ----------
+    client : EndpointClient
+    chooser : Chooser
+    endpoint_index : EndpointIndex
+    loads : LoadTracker
+    health : HealthTracker
+    prompts : PromptLocations
+    pace : GenerationPace
+    budgets : RetryBudgets
+    gate : VersionGate
+    restarts : RestartDetector
+    outages : OutageDetector
+    paths : PathTracker
+    proxy : PeerProxy
+    proxy_admission : ProxyAdmission
+        Admits requests that come from other routers.
+    pauses : PauseTracker
+    limits : LimitTracker
+    permits : PermitSource
+    quarantine : QuarantineController
+    clock : twisted.internet.interfaces.IReactorTime
+    rng : random.Random
+    counters : ForwardCounters
+    meter : Meter
+    """
+
+    client: object
+    chooser: object
+    endpoint_index: object
+    loads: object
+    health: object
+    prompts: object
+    pace: object
+    budgets: object
+    gate: object
+    restarts: object
+    outages: object
+    paths: object
+    proxy: object
+    proxy_admission: object
+    pauses: object
+    limits: object
+    permits: object
+    quarantine: object
+    clock: object
+    rng: object
+    counters: object
+    meter: object
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -1,7 +1,5 @@
 """Messages on the peer links of a large fleet, and the version of their layout."""
 
-import enum
-
 import msgspec
 
 from sesamearch.base.log import logger
@@ -9,6 +7,12 @@
 from sesamearch.forwarding.budget import RetryUse
 from sesamearch.forwarding.health import Outcomes, Suspicion
 from sesamearch.forwarding.load import EndpointLoad
+from sesamearch.membership.limit_message import (
+    LimitReport,
+    PermitReply,
+    PermitRequest,
+    PermitWithdrawal,
+)
 from sesamearch.membership.member_list import AgedRouterInfo, RouterInfo
 from sesamearch.quarantine.entry import Quarantine
 from sesamearch.quarantine.loss import EndpointLoss
@@ -18,16 +22,12 @@
 __all__ = [
     "LEAVING_SCHEMA_VERSION",
     "FLEET_SCHEMA_VERSION",
-    "LIMIT_SCHEMA_VERSION",
     "PATH_SCHEMA_VERSION",
-    "PERMIT_SCHEMA_VERSION",
     "QUARANTINE_SCHEMA_VERSION",
     "UNSTATED_ERA",
     "Broadcast",
     "BroadcastBatch",
     "LeavingNotice",
-    "LimitNotice",
-    "LimitReport",
     "EndpointRestarted",
     "EndpointsDelta",
     "EndpointsRequest",
@@ -37,10 +37,6 @@
     "LoadUpdate",
     "LossReport",
     "PathReport",
-    "PermitReply",
-    "PermitRequest",
-    "PermitState",
-    "PermitWithdrawal",
     "QuarantineUpdate",
     "RolloutUpdate",
     "RolloutVerdict",
@@ -52,9 +48,7 @@
 
 FLEET_SCHEMA_VERSION = 1
 LEAVING_SCHEMA_VERSION = 1
-LIMIT_SCHEMA_VERSION = 1
 PATH_SCHEMA_VERSION = 1
-PERMIT_SCHEMA_VERSION = 1
 QUARANTINE_SCHEMA_VERSION = 1
 # Era in messages of an earlier build, which does not state it.
 UNSTATED_ERA = -1
@@ -238,38 +232,6 @@
     incarnation: Incarnation
 
 
-class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
-    """What a process said of its limit in an answer to some router.
-
-    Parameters
-    ----------
-    incarnation : Incarnation
-    limit_per_s : float or None
-        Requests a second from all routers together; None for no limit.
-    asked_age_s, heard_age_s : float
-        Time since the request of the answer was sent, and since the answer arrived.
-    """
-
-    incarnation: Incarnation
-    limit_per_s: float | None
-    asked_age_s: float
-    heard_age_s: float
-
-
-class LimitReport(msgspec.Struct, tag=True, frozen=True, array_like=True):
-    """Limits of endpoints that the sender knows, those that have ended included.
-
-    Parameters
-    ----------
-    schema_version : int
-        Version of the message layout; messages of other versions are ignored.
-    notices : list of LimitNotice
-    """
-
-    schema_version: int
-    notices: list[LimitNotice]
-
-
 class LossReport(msgspec.Struct, tag=True, frozen=True, array_like=True):
     """What the sender saw of endpoints that ended, and of the requests they ran.
 
@@ -424,87 +386,6 @@
     broadcasts: list[Broadcast]
 
 
-class PermitRequest(msgspec.Struct, tag=True, frozen=True, array_like=True):
-    """A claim to a permit, sent to the limiter of an endpoint.
-
-    Parameters
-    ----------
-    schema_version : int
-        Version of the message layout; messages of other versions are ignored.
-    address : str
-        Address of the sender, for the reply.
-    number : int
-        Identifies the claim within its sender.
-    data_centre : str
-        Data centre of the endpoint.
-    notice : LimitNotice
-        The process, and what the sender knows of its limit.
-    rank : int
-    has_begun : bool
-        As in :class:`PermitClaim`.
-    patience_s : float
-        Time for which the claim may wait.
-    """
-
-    schema_version: int
-    address: str
-    number: int
-    data_centre: str
-    notice: LimitNotice
-    rank: int
-    has_begun: bool
-    patience_s: float
-
-
-class PermitState(enum.Enum):
-    """What a limiter says of a claim."""
-
-    GRANTED = "granted"
-    WAITING = "waiting"
-    DENIED = "denied"
-    NOT_LIMITER = "not_limiter"
-
-
-class PermitReply(msgspec.Struct, tag=True, frozen=True, array_like=True):
-    """What became of a claim.
-
-    Parameters
-    ----------
-    schema_version : int
-        Version of the message layout; messages of other versions are ignored.
-    name : str
-        Name of the limiter.
-    number : int
-        Number of the claim.
-    state : PermitState
-    wait_s : float
-        Time until another claim could be granted.
-    """
-
-    schema_version: int
-    name: str
-    number: int
-    state: PermitState
-    wait_s: float
-
-
-class PermitWithdrawal(msgspec.Struct, tag=True, frozen=True, array_like=True):
-    """A claim that is no longer needed, or a permit that was not used.
-
-    Parameters
-    ----------
-    schema_version : int
-        Version of the message layout; messages of other versions are ignored.
-    address : str
-        Address of the sender of the claim.
-    number : int
-    """
-
-    schema_version: int
-    address: str
-    number: int
-
-
 FleetMessage = (
     FleetHeartbeat
     | BroadcastBatch
--- a/src/sesamearch/membership/limit_gossip.py
+++ b/src/sesamearch/membership/limit_gossip.py
@@ -1,11 +1,11 @@
 """Exchange of the limits that endpoints name among the routers."""
 
 from sesamearch.forwarding.limits import LimitStatement
-from sesamearch.membership.fleet_message import (
+from sesamearch.membership.fleet_message import is_known_version
+from sesamearch.membership.limit_message import (
     LIMIT_SCHEMA_VERSION,
     LimitNotice,
     LimitReport,
-    is_known_version,
 )
 from sesamearch.membership.member_list import RELAYS_PER_DATA_CENTRE
 
--- a/src/sesamearch/membership/permit_relay.py
+++ b/src/sesamearch/membership/permit_relay.py
@@ -15,15 +15,15 @@
     PermitDecision,
     PermitSource,
 )
-from sesamearch.membership.fleet_message import (
+from sesamearch.membership.fleet_message import is_known_version
+from sesamearch.membership.limit_gossip import make_notice
+from sesamearch.membership.limit_message import (
     PERMIT_SCHEMA_VERSION,
     PermitReply,
     PermitRequest,
     PermitState,
     PermitWithdrawal,
-    is_known_version,
 )
-from sesamearch.membership.limit_gossip import make_notice
 from sesamearch.membership.limiter import LimiterOrder
 from sesamearch.membership.permit_server import PermitServer
 
--- a/src/sesamearch/membership/permit_server.py
+++ b/src/sesamearch/membership/permit_server.py
@@ -1,13 +1,13 @@
 """The permits that this router, as a limiter, grants to the claims of others."""
 
 from sesamearch.forwarding.permits import NO_CLAIM, PermitClaim
-from sesamearch.membership.fleet_message import (
+from sesamearch.membership.fleet_message import is_known_version
+from sesamearch.membership.limit_gossip import read_notice
+from sesamearch.membership.limit_message import (
     PERMIT_SCHEMA_VERSION,
     PermitReply,
     PermitState,
-    is_known_version,
 )
-from sesamearch.membership.limit_gossip import read_notice
 
 __all__ = ["PermitServer"]
 
--- a/tests/membership/test_permit_relay.py
+++ b/tests/membership/test_permit_relay.py
@@ -8,7 +8,7 @@
 from sesamearch.forwarding.dispatcher import ForwardCounters
 from sesamearch.forwarding.limits import LimitStatement, LimitTracker
 from sesamearch.forwarding.permits import PermitClaim
-from sesamearch.membership.fleet_message import PermitReply, PermitRequest
+from sesamearch.membership.limit_message import PermitReply, PermitRequest
 from sesamearch.membership.member_list import MemberList, RouterInfo
 from sesamearch.membership.permit_relay import ANSWER_TIMEOUT_S, PermitRelay
 
