Count the places of brittle endpoints for all routers together

Now the limiter of an endpoint, which grants the permits of its rate, also grants its places: a permit holds one until its request has ended (PermitUsed). A request asks up to three endpoints for a free place before it waits at a fourth. Limit and brittleness are one statement (LimitTerms), one order, one gossip, one bucket.

Loosened: nothing for endpoints with a limit.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -127,6 +127,8 @@
         (another process of the name is listed).
     age_ms : int
         Time since the answer that says so.
+    brittle_per_s : int or None
+        Refusals a second that the endpoint bears; None if it bears any number.
     """
 
     endpoint: str
@@ -134,6 +136,7 @@
     limit_per_s: float | None
     source: str
     age_ms: int = 0
+    brittle_per_s: int | None = None
 
 
 class EndpointPaused(Record, frozen=True, tag="endpoint_paused"):
--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -1,6 +1,7 @@
 """One try of a request: its endpoint, its answer so far and its end."""
 
 from sesamearch.forwarding.gate import NO_OBSERVER
+from sesamearch.forwarding.permits import NO_CLAIM
 from sesamearch.forwarding.request import ForwardListener
 from sesamearch.wire.endpoint import Loss
 
@@ -33,6 +34,8 @@
         Number of events that arrived.
     answered_s, first_event_s : float or None
         Times at which the head of the answer and its first event arrived.
+    permit : PendingPermit
+        Permit for which the request was sent.
     is_by_peer : bool
         Whether the request was sent to another router in place of an endpoint.
     """
@@ -52,6 +55,7 @@
         "observer",
         "options",
         "pending_request",
+        "permit",
         "sent_s",
         "work",
     )
@@ -64,6 +68,7 @@
         self.observer = observer
         self.sent_s = sent_s
         self.pending_request = None
+        self.permit = NO_CLAIM
         self.answer = None
         self.answered_s = None
         self.first_event_s = None
@@ -145,18 +150,26 @@
 
     def answer_ended(self):
         """Handle the end of a complete answer."""
-        self.work.end()
+        self._end_work()
         self._exchange.try_ended(self)
         self.observer.ended()
 
     def answer_lost(self, loss):
         """Handle the loss of the answer."""
-        self.work.end()
+        self._end_work()
         self.observer.ended()
         if not self.is_by_peer:
             self._exchange.tools.restarts.note_lost(self.endpoint)
         self._exchange.try_lost(self, loss)
 
+    def _end_work(self):
+        """Record that the endpoint does not work on the request any more."""
+        self.work.end()
+        permit, self.permit = self.permit, NO_CLAIM
+        answer = self.answer
+        was_turned_away = answer is not None and answer.has_not_run
+        permit.note_ended(was_turned_away)
+
     def probe(self, timeout_s):
         """Return a Deferred of whether the endpoint answers a probe."""
         return self._exchange.tools.client.probe(self.endpoint, timeout_s)
@@ -208,7 +221,7 @@
 
     def cancel(self):
         """Close the connection to the endpoint, so that it stops working."""
-        self.work.end()
+        self._end_work()
         self.observer.ended()
         if self.pending_request is not None:
             self.pending_request.cancel()
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -195,20 +195,35 @@
         is_left = self.tools.chooser.has_unlimited(
             self.service.name, self.request.request_id, self.excluded
         )
+        is_left = is_left or self._has_other_places(endpoint)
         by_s = self.now_s + (0.0 if is_left else wait_s)
         claim = PermitClaim(self.rank, has_begun, by_s)
         self.permit.claim(endpoint, claim, lambda: self.is_over or proceed())
 
+    def _has_other_places(self, endpoint):
+        """Return whether to ask other endpoints before waiting for a place at this one.
+
+        Who waits at the first one has no use of a place that is free elsewhere.
+        """
+        statement = self.tools.limits.find(endpoint)
+        is_brittle = statement is not None and statement.brittle_per_s is not None
+        if not is_brittle or self.permit.is_last_claim:
+            return False
+        serving = self.tools.endpoint_index.serving(self.service.name)
+        asked = {endpoint.name, *self.permit.denied, *self.excluded}
+        return any(each.name not in asked for each in serving)
+
     def send(self, options, work):
         """Send the request to one endpoint and return the :class:`Try`."""
         if not self.permit.covers(options.endpoint):
             self.tools.counters.sends_without_permit += 1
-        self.permit.use(options.endpoint)
+        permit = self.permit.use(options.endpoint)
         self.quarantine.note_sent()
         self.try_count += 1
         is_resumed = options.after_event is not None
         observer = self.tools.gate.sent(options.endpoint, self.route.name, is_resumed)
         attempt = Try(self, options, self.try_count, work, observer, self.now_s)
+        attempt.permit = permit
         self.tries.append(attempt)
         load = self.tools.loads.total(options.endpoint.name)
         logger.info(
--- a/src/sesamearch/forwarding/limits.py
+++ b/src/sesamearch/forwarding/limits.py
@@ -6,7 +6,7 @@
 from sesamearch.base.record import EndpointLimited
 from sesamearch.configuration.blackboard import Incarnation
 
-__all__ = ["LimitStatement", "LimitTracker"]
+__all__ = ["LimitStatement", "LimitTerms", "LimitTracker"]
 
 # Statements that are kept; bounds the memory.
 MAX_KEPT_STATEMENTS = 4096
@@ -19,6 +19,36 @@
 WARNING_INTERVAL_S = 60.0
 
 
+class LimitTerms(msgspec.Struct, frozen=True):
+    """What a process asks of all routers together.
+
+    Parameters
+    ----------
+    limit_per_s : float or None
+        Requests a second; None for no limit.
+    brittle_per_s : int or None
+        Refusals a second that it bears, so that no more requests may be under way than
+        it lets in; None if it bears any number.
+    """
+
+    limit_per_s: float | None = None
+    brittle_per_s: int | None = None
+
+    @property
+    def is_any(self):
+        """Bool : whether it asks for anything."""
+        return self.limit_per_s is not None or self.brittle_per_s is not None
+
+    @property
+    def strictness(self):
+        """Tuple of float : lower for what leaves less to the routers."""
+        return _or_infinity(self.limit_per_s), _or_infinity(self.brittle_per_s)
+
+
+def _or_infinity(number):
+    return float("inf") if number is None else number
+
+
 class LimitStatement(msgspec.Struct, frozen=True):
     """What an answer says of the limit of the process that gave it.
 
@@ -30,11 +60,19 @@
         Time at which the request of the answer was sent, on this router's clock.
     heard_s : float
         Time at which the answer arrived, at this router or at another one.
+    brittle_per_s : int or None
+        Refusals a second that the process bears; None if it bears any number.
     """
 
     limit_per_s: float | None
     asked_s: float
     heard_s: float
+    brittle_per_s: int | None = None
+
+    @property
+    def terms(self):
+        """LimitTerms : what the process asks for."""
+        return LimitTerms(self.limit_per_s, self.brittle_per_s)
 
     def replaces(self, known):
         """Return whether this statement is to be followed in place of a known one.
@@ -46,12 +84,7 @@
             return True
         if known.asked_s > self.heard_s:
             return False
-        return _rate(self) < _rate(known)
-
-
-def _rate(statement):
-    limit_per_s = statement.limit_per_s
-    return float("inf") if limit_per_s is None else limit_per_s
+        return self.terms.strictness < known.terms.strictness
 
 
 class LimitTracker:
@@ -101,7 +134,8 @@
         asked_s : float
             Time at which its request was sent.
         """
-        names_limit = answer.limit_per_s is not None or answer.unusable_limit
+        terms = LimitTerms(answer.limit_per_s, answer.brittle_per_s)
+        names_limit = terms.is_any or answer.unusable_limit
         if not names_limit and not self._statements:
             return
         incarnation = answer.incarnation_at(endpoint)
@@ -109,9 +143,12 @@
             return
         if answer.unusable_limit:
             self._warn(incarnation, answer)
-        elif names_limit or self._shows_end(incarnation, answer):
+        has_ended = not names_limit and self._shows_end(incarnation, answer)
+        if terms.is_any or has_ended:
             now_s = self._clock.seconds()
-            statement = LimitStatement(answer.limit_per_s, asked_s, now_s)
+            statement = LimitStatement(
+                answer.limit_per_s, asked_s, now_s, answer.brittle_per_s
+            )
             self._note_own(incarnation, statement)
 
     def _shows_end(self, incarnation, answer):
@@ -123,9 +160,9 @@
 
     def _note_own(self, incarnation, statement):
         known = self._statements.get(incarnation)
-        if known is not None and known.limit_per_s == statement.limit_per_s:
+        if known is not None and known.terms == statement.terms:
             # What has ended is not renewed, so that it is forgotten.
-            if known.limit_per_s is not None and statement.heard_s > known.heard_s:
+            if known.terms.is_any and statement.heard_s > known.heard_s:
                 self._statements[incarnation] = statement
             return
         if self._apply(incarnation, statement, "answer") and self.on_answer is not None:
@@ -133,7 +170,7 @@
 
     def update(self, incarnation, statement):
         """Apply what another router heard."""
-        if incarnation not in self._statements and statement.limit_per_s is None:
+        if incarnation not in self._statements and not statement.terms.is_any:
             return
         self._apply(incarnation, statement, "peer")
 
@@ -147,8 +184,8 @@
             dropped = next(iter(self._statements))
             del self._statements[dropped]
             logger.warning("too many limits are known, dropped that of {}", dropped)
-        before = known.limit_per_s if known is not None else None
-        if before == statement.limit_per_s:
+        before = known.terms if known is not None else LimitTerms()
+        if before == statement.terms:
             return False
         self._counters.limit_changes += 1
         self._log(incarnation, before, statement, source)
@@ -157,12 +194,20 @@
         return True
 
     def _log(self, incarnation, before, statement, source):
-        state = "changed" if before is not None else "limited"
-        if statement.limit_per_s is None:
+        state = "changed" if before.is_any else "limited"
+        if not statement.terms.is_any:
             state = "ended"
         age_ms = round((self._clock.seconds() - statement.heard_s) * 1000)
-        name, limit_per_s = incarnation.name, statement.limit_per_s
-        logger.info(EndpointLimited(name, state, limit_per_s, source, age_ms))
+        logger.info(
+            EndpointLimited(
+                incarnation.name,
+                state,
+                statement.limit_per_s,
+                source,
+                age_ms,
+                statement.brittle_per_s,
+            )
+        )
 
     def _warn(self, incarnation, answer):
         now_s = self._clock.seconds()
@@ -191,10 +236,10 @@
             return endpoint.incarnation
         return Incarnation(endpoint.name, 0)
 
-    def limit_of(self, incarnation):
-        """Return the limit of a process, or None if it has none."""
+    def terms_of(self, incarnation):
+        """Return the :class:`LimitTerms` of a process."""
         statement = self._statements.get(incarnation)
-        return statement.limit_per_s if statement is not None else None
+        return statement.terms if statement is not None else LimitTerms()
 
     def limit_per_s(self, endpoint):
         """Return the limit of an endpoint, or None if it has none."""
@@ -202,8 +247,9 @@
         return statement.limit_per_s if statement is not None else None
 
     def is_limited(self, endpoint):
-        """Return whether an endpoint has a limit."""
-        return self.limit_per_s(endpoint) is not None
+        """Return whether an endpoint has a limit, or is brittle."""
+        statement = self.find(endpoint)
+        return statement is not None and statement.terms.is_any
 
     @property
     def has_any(self):
@@ -219,7 +265,7 @@
     def limited(self):
         """Set of Incarnation : the processes that have a limit."""
         kept = self._statements.items()
-        return {key for key, each in kept if each.limit_per_s is not None}
+        return {key for key, each in kept if each.terms.is_any}
 
     @property
     def active_count(self):
@@ -242,7 +288,7 @@
                 self._drop_replaced(incarnation, statement)
             elif listed is None and age_s > KEPT_UNLISTED_S:
                 del self._statements[incarnation]
-            elif statement.limit_per_s is None and age_s > KEPT_ENDED_S:
+            elif not statement.terms.is_any and age_s > KEPT_ENDED_S:
                 del self._statements[incarnation]
         oldest_s = now_s - WARNING_INTERVAL_S
         self._warned_s = {i: s for i, s in self._warned_s.items() if s > oldest_s}
@@ -250,6 +296,8 @@
     def _drop_replaced(self, incarnation, statement):
         """Drop what a process stated that another one of its name has replaced."""
         del self._statements[incarnation]
-        if statement.limit_per_s is not None:
-            ended = msgspec.structs.replace(statement, limit_per_s=None)
-            self._log(incarnation, statement.limit_per_s, ended, "list")
+        if statement.terms.is_any:
+            ended = msgspec.structs.replace(
+                statement, limit_per_s=None, brittle_per_s=None
+            )
+            self._log(incarnation, statement.terms, ended, "list")
--- a/src/sesamearch/forwarding/permit_bucket.py
+++ b/src/sesamearch/forwarding/permit_bucket.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sesamearch.forwarding.permits import GRANTED, PendingPermit, PermitDecision
+from sesamearch.forwarding.places import Places
 
 __all__ = ["PermitBucket", "PermitRate"]
 
@@ -16,6 +17,10 @@
 # so that the lower ranks are never left out.
 PERMITS_PER_OLDEST = 4
 MAX_WAITING_CLAIMS = 1000
+# Permits a second of an endpoint without a limit, whose places alone are counted.
+UNLIMITED_PER_S = 1e9
+# Claims wait at least so long for a place, since it is not known when one gets free.
+MIN_PLACE_WAIT_S = 0.02
 # Sums of small parts of a permit may stay so far below one.
 ROUNDING_PERMITS = 1e-6
 
@@ -40,29 +45,39 @@
     def cancel(self):
         self._bucket.withdraw(self)
 
+    def note_ended(self, was_turned_away=False):
+        self._bucket.note_ended(self, was_turned_away)
+
 
 class PermitRate(msgspec.Struct, frozen=True):
     """How many permits a bucket may grant.
 
     Parameters
     ----------
-    limit_per_s : float
-        Limit that the endpoint names.
+    limit_per_s : float or None
+        Limit that the endpoint names, None for none.
     share_ratio : float
-        Part of the limit that this bucket may grant.
+        Part of the limit and of the places that this bucket may grant.
+    has_places : bool
+        Whether no more requests may be under way than the endpoint lets in.
     """
 
-    limit_per_s: float
+    limit_per_s: float | None
     share_ratio: float = 1.0
+    has_places: bool = False
 
     @property
     def rate_per_s(self):
         """Float : permits that come up in a second."""
+        if self.limit_per_s is None:
+            return UNLIMITED_PER_S
         return max(self.limit_per_s, MIN_RATE_PER_S) * self.share_ratio
 
     @property
     def burst(self):
         """Float : permits that may have gathered."""
+        if self.limit_per_s is None:
+            return UNLIMITED_PER_S
         return MIN_BURST_PERMITS + BURST_S * self.limit_per_s * self.share_ratio
 
 
@@ -89,6 +104,7 @@
         "_grants",
         "_number",
         "_permits",
+        "_places",
         "_rate",
         "_timer",
         "_updated_s",
@@ -100,6 +116,7 @@
         self._clock = clock
         self._rate = rate
         self._permits = 0.0
+        self._places = Places(clock)
         self._updated_s = clock.seconds()
         self._waiting = []
         self._number = 0
@@ -137,12 +154,23 @@
         if waiting.is_granted:
             self._gather()
             self._permits = min(self._permits + 1.0, self._rate.burst)
+            self._places.give_back(waiting)
             waiting.is_granted = False
         elif waiting in self._waiting:
             self._waiting.remove(waiting)
         self._grant_due()
         self._schedule()
 
+    def note_ended(self, waiting, was_turned_away):
+        """Free the place of a request that has ended."""
+        waiting.is_granted = False
+        if was_turned_away:
+            self._places.note_turned_away(waiting)
+        else:
+            self._places.note_ended(waiting)
+        self._grant_due()
+        self._schedule()
+
     def close(self):
         """Grant all claims, because the endpoint has no limit any more."""
         waiting, self._waiting = self._waiting, []
@@ -154,7 +182,8 @@
     def is_idle(self):
         """Bool : whether no claim waits and all permits have gathered."""
         self._gather()
-        return not self._waiting and self._permits >= self._rate.burst
+        has_all = self._permits >= self._rate.burst and not self._places.under_way
+        return not self._waiting and has_all
 
     @property
     def wait_s(self):
@@ -165,16 +194,28 @@
     def _wait_at(self, place):
         """Return the time until the claim at a place, from zero, can be granted."""
         missing = place + 1 - self._permits
-        return max(0.0, missing / self._rate.rate_per_s)
+        wait_s = max(0.0, missing / self._rate.rate_per_s)
+        if self._rate.has_places:
+            wait_s = max(wait_s, self._places.wait_s(place))
+        return wait_s
+
+    @property
+    def _has_place(self):
+        share_ratio = self._rate.share_ratio
+        return not self._rate.has_places or self._places.has_free(share_ratio)
 
     def _grant_due(self):
         self._gather()
         while self._waiting and self._permits >= 1.0 - ROUNDING_PERMITS:
+            if not self._has_place:
+                return
             waiting = self._next()
             self._waiting.remove(waiting)
             self._permits -= 1.0
             self._grants += 1
             self.granted_s = self._clock.seconds()
+            if self._rate.has_places:
+                self._places.take(waiting)
             waiting.is_granted = True
             waiting.on_decision(PermitDecision(True, self.wait_s))
 
@@ -203,7 +244,10 @@
         """Wake up when the next claim can be granted."""
         self._stop_timer()
         if self._waiting:
-            self._timer = self._clock.callLater(self._wait_at(0), self._wake)
+            wait_s = self._wait_at(0)
+            if self._rate.has_places:
+                wait_s = max(wait_s, MIN_PLACE_WAIT_S)
+            self._timer = self._clock.callLater(wait_s, self._wake)
 
     def _stop_timer(self):
         timer, self._timer = self._timer, None
--- a/src/sesamearch/forwarding/permit_buckets.py
+++ b/src/sesamearch/forwarding/permit_buckets.py
@@ -6,6 +6,10 @@
 __all__ = ["PermitBuckets"]
 
 
+def _rate_of(terms, share_ratio):
+    return PermitRate(terms.limit_per_s, share_ratio, terms.brittle_per_s is not None)
+
+
 class PermitBuckets:
     """Holds one :class:`PermitBucket` for each limited process that it is asked for.
 
@@ -39,12 +43,12 @@
         -------
         PendingPermit
         """
-        limit_per_s = self._limits.limit_of(incarnation)
-        if limit_per_s is None:
+        terms = self._limits.terms_of(incarnation)
+        if not terms.is_any:
             on_decision(GRANTED)
             return NO_CLAIM
         self._shares[incarnation] = share_ratio
-        rate = PermitRate(limit_per_s, share_ratio)
+        rate = _rate_of(terms, share_ratio)
         bucket = self._buckets.get(incarnation)
         if bucket is None:
             bucket = self._buckets[incarnation] = PermitBucket(self._clock, rate)
@@ -53,10 +57,10 @@
 
     def open(self, incarnation, share_ratio):
         """Begin to gather the permits of a process before the first claim."""
-        limit_per_s = self._limits.limit_of(incarnation)
-        if limit_per_s is not None and incarnation not in self._buckets:
+        terms = self._limits.terms_of(incarnation)
+        if terms.is_any and incarnation not in self._buckets:
             self._shares[incarnation] = share_ratio
-            rate = PermitRate(limit_per_s, share_ratio)
+            rate = _rate_of(terms, share_ratio)
             self._buckets[incarnation] = PermitBucket(self._clock, rate)
 
     def granted_s(self, incarnation):
@@ -67,11 +71,11 @@
     def refresh(self):
         """Follow limits that have changed or ended; called at intervals."""
         for incarnation, bucket in list(self._buckets.items()):
-            limit_per_s = self._limits.limit_of(incarnation)
-            if limit_per_s is None:
+            terms = self._limits.terms_of(incarnation)
+            if not terms.is_any:
                 del self._buckets[incarnation]
                 del self._shares[incarnation]
                 bucket.close()
             else:
                 share_ratio = self._shares[incarnation]
-                bucket.set_rate(PermitRate(limit_per_s, share_ratio))
+                bucket.set_rate(_rate_of(terms, share_ratio))
--- a/src/sesamearch/forwarding/permits.py
+++ b/src/sesamearch/forwarding/permits.py
@@ -61,6 +61,16 @@
     def cancel(self):
         """Withdraw the claim, or give back the permit if it was granted."""
 
+    @abc.abstractmethod
+    def note_ended(self, was_turned_away=False):
+        """Record the end of the request that the permit was used for.
+
+        Parameters
+        ----------
+        was_turned_away : bool
+            Whether the endpoint had no room for it.
+        """
+
 
 class PermitSource(abc.ABC):
     """Gives permits of which all routers together have only as many as allowed."""
@@ -99,6 +109,9 @@
     def cancel(self):
         """Do nothing."""
 
+    def note_ended(self, was_turned_away=False):
+        """Do nothing."""
+
 
 NO_CLAIM = _Withdrawn()
 
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -166,6 +166,9 @@
         None if it names no limit.
     unusable_limit : str
         The limit that it named, if that is malformed; empty for none.
+    brittle_per_s : int or None
+        Requests a second that the answering process can turn away for want of room;
+        more end it. None if it does not say so.
     refusal : Problem or None
         Why another router refused the request that was to send it on; None for an
         endpoint's answer.
@@ -184,6 +187,7 @@
     unusable_pause: str = ""
     limit_per_s: float | None = None
     unusable_limit: str = ""
+    brittle_per_s: int | None = None
     refusal: Problem | None = None
 
     def incarnation_at(self, endpoint):
--- a/src/sesamearch/forwarding/request_permit.py
+++ b/src/sesamearch/forwarding/request_permit.py
@@ -2,7 +2,7 @@
 
 from sesamearch.base.log import logger
 from sesamearch.base.request_record import PermitDecided
-from sesamearch.forwarding.permits import NO_CLAIM
+from sesamearch.forwarding.permits import NO_CLAIM, PendingPermit
 
 __all__ = ["RequestPermit"]
 
@@ -14,7 +14,7 @@
 MIN_LOGGED_WAIT_S = 0.02
 
 
-class _Claim:
+class _Claim(PendingPermit):
     """One claim of a request, and its permit if it was granted."""
 
     __slots__ = ("claimed_s", "endpoint", "expires_s", "is_over", "pending")
@@ -26,8 +26,17 @@
         self.expires_s = None
         # Whether the claim was denied, or its permit used or given back.
         self.is_over = False
+        # Set after the claim was made, which may be granted before.
         self.pending = NO_CLAIM
 
+    def cancel(self):
+        """Give back the permit."""
+        self.pending.cancel()
+
+    def note_ended(self, was_turned_away=False):
+        """Record the end of the request."""
+        self.pending.note_ended(was_turned_away)
+
 
 class RequestPermit:
     """Claims a permit for one request, and holds it until the request is sent.
@@ -73,6 +82,11 @@
         """Bool : whether enough was claimed in vain."""
         return self._claims >= MAX_CLAIMS
 
+    @property
+    def is_last_claim(self):
+        """Bool : whether no more than one claim is left."""
+        return self._claims >= MAX_CLAIMS - 1
+
     def held_endpoint(self):
         """Return the endpoint that the request may be sent to, or None.
 
@@ -154,12 +168,20 @@
         self._claims = 0
 
     def use(self, endpoint):
-        """Use up the permit for an endpoint, if it has a limit."""
+        """Use up the permit for an endpoint, if it has a limit.
+
+        Returns
+        -------
+        PendingPermit
+            Is to be told when the request has ended there.
+        """
         claim = self._claim
-        if claim is not None and claim.endpoint.name == endpoint.name:
-            claim.is_over = True
-            self._claim = None
-            self.reset()
+        if claim is None or claim.endpoint.name != endpoint.name:
+            return NO_CLAIM
+        claim.is_over = True
+        self._claim = None
+        self.reset()
+        return claim
 
     def withdraw(self):
         """Withdraw the claim, or give back the permit that was not used."""
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -11,6 +11,7 @@
     LimitReport,
     PermitReply,
     PermitRequest,
+    PermitUsed,
     PermitWithdrawal,
 )
 from sesamearch.membership.member_list import AgedRouterInfo, RouterInfo
@@ -397,6 +398,7 @@
     | Broadcast
     | PermitRequest
     | PermitReply
+    | PermitUsed
     | PermitWithdrawal
     | QuarantineUpdate
 )
--- a/src/sesamearch/membership/limit_gossip.py
+++ b/src/sesamearch/membership/limit_gossip.py
@@ -27,13 +27,15 @@
         statement.limit_per_s,
         now_s - statement.asked_s,
         now_s - statement.heard_s,
+        statement.brittle_per_s,
     )
 
 
 def read_notice(notice, now_s):
     """Return the :class:`LimitStatement` of a notice that arrived at `now_s`."""
     asked_s = now_s - notice.asked_age_s
-    return LimitStatement(notice.limit_per_s, asked_s, now_s - notice.heard_age_s)
+    heard_s = now_s - notice.heard_age_s
+    return LimitStatement(notice.limit_per_s, asked_s, heard_s, notice.brittle_per_s)
 
 
 class LimitGossip:
--- a/src/sesamearch/membership/limit_message.py
+++ b/src/sesamearch/membership/limit_message.py
@@ -14,6 +14,7 @@
     "PermitReply",
     "PermitRequest",
     "PermitState",
+    "PermitUsed",
     "PermitWithdrawal",
 ]
 
@@ -31,12 +32,15 @@
         Requests a second from all routers together; None for no limit.
     asked_age_s, heard_age_s : float
         Time since the request of the answer was sent, and since the answer arrived.
+    brittle_per_s : int or None
+        Refusals a second that it bears; None for any number.
     """
 
     incarnation: Incarnation
     limit_per_s: float | None
     asked_age_s: float
     heard_age_s: float
+    brittle_per_s: int | None = None
 
 
 class LimitReport(msgspec.Struct, tag=True, frozen=True, array_like=True):
@@ -117,6 +121,26 @@
     wait_s: float
 
 
+class PermitUsed(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """The end of a request for which a permit was granted.
+
+    Parameters
+    ----------
+    schema_version : int
+        Version of the message layout; messages of other versions are ignored.
+    address : str
+        Address of the sender of the claim.
+    number : int
+    was_turned_away : bool
+        Whether the endpoint had no room for it.
+    """
+
+    schema_version: int
+    address: str
+    number: int
+    was_turned_away: bool
+
+
 class PermitWithdrawal(msgspec.Struct, tag=True, frozen=True, array_like=True):
     """A claim that is no longer needed, or a permit that was not used.
 
--- a/src/sesamearch/membership/permit_relay.py
+++ b/src/sesamearch/membership/permit_relay.py
@@ -22,6 +22,7 @@
     PermitReply,
     PermitRequest,
     PermitState,
+    PermitUsed,
     PermitWithdrawal,
 )
 from sesamearch.membership.limiter import LimiterOrder
@@ -53,16 +54,18 @@
         "number",
         "on_cancel",
         "on_decision",
+        "on_end",
         "own_claim",
         "timer",
     )
 
-    def __init__(self, number, endpoint, claim, on_decision, on_cancel):
+    def __init__(self, number, endpoint, claim, on_decision, on_cancel, on_end):
         self.number = number
         self.endpoint = endpoint
         self.claim = claim
         self.on_decision = on_decision
         self.on_cancel = on_cancel
+        self.on_end = on_end
         # Limiters that are still to be asked, and the one that was asked last.
         self.limiters = []
         self.asked = None
@@ -74,6 +77,10 @@
         """Withdraw the claim, or give back its permit."""
         self.on_cancel(self)
 
+    def note_ended(self, was_turned_away=False):
+        """Tell the limiter that the request has ended."""
+        self.on_end(self, was_turned_away)
+
 
 class PermitRelay(PermitSource):
     """Claims permits from the limiters of endpoints, and is one for others.
@@ -130,6 +137,7 @@
         self._order.join(peers.member_list)
         peers.handle_message(PermitRequest, self._server.handle_request)
         peers.handle_message(PermitWithdrawal, self._server.handle_withdrawal)
+        peers.handle_message(PermitUsed, self._server.handle_used)
         peers.handle_message(PermitReply, self._handle_reply)
 
     # Claims.
@@ -143,7 +151,9 @@
             on_decision(PermitDecision(False, self.wait_s(endpoint)))
             return NO_CLAIM
         number = next(self._numbers)
-        asked = _AskedClaim(number, endpoint, claim, on_decision, self._withdraw)
+        asked = _AskedClaim(
+            number, endpoint, claim, on_decision, self._withdraw, self._note_ended
+        )
         if self._order.own is None:
             self._claim_own(asked)
         else:
@@ -277,6 +287,18 @@
         if asked.asked is not None and asked.asked != self._order.own:
             self._send_withdrawal(asked.asked.name, asked.number)
 
+    def _note_ended(self, asked, was_turned_away):
+        """Free the place of a request, if its endpoint's places are counted."""
+        asked.own_claim.note_ended(was_turned_away)
+        limiter = asked.asked
+        if limiter is None or limiter == self._order.own:
+            return
+        statement = self._limits.find(asked.endpoint)
+        if statement is not None and statement.brittle_per_s is not None:
+            own = self._order.own.address
+            used = PermitUsed(PERMIT_SCHEMA_VERSION, own, asked.number, was_turned_away)
+            self._send(limiter.address, used)
+
     def _send_withdrawal(self, name, number):
         router = self._peers.member_list.find(name)
         if router is not None:
--- a/src/sesamearch/membership/permit_server.py
+++ b/src/sesamearch/membership/permit_server.py
@@ -1,6 +1,7 @@
 """The permits that this router, as a limiter, grants to the claims of others."""
 
 from sesamearch.forwarding.permits import NO_CLAIM, PermitClaim
+from sesamearch.forwarding.places import MAX_HELD_S
 from sesamearch.membership.fleet_message import is_known_version
 from sesamearch.membership.limit_gossip import read_notice
 from sesamearch.membership.limit_message import (
@@ -18,13 +19,15 @@
 class _ServedClaim:
     """A claim of another router that this one decides."""
 
-    __slots__ = ("_reply", "_request", "ends_s", "is_decided", "pending")
+    __slots__ = ("_reply", "_request", "ends_s", "has_place", "is_decided", "pending")
 
     def __init__(self, request, reply):
         self._request = request
         self._reply = reply
         self.pending = NO_CLAIM
         self.is_decided = False
+        # Whether the other router tells when its request has ended.
+        self.has_place = False
         # When it is forgotten; never before it is decided.
         self.ends_s = float("inf")
 
@@ -77,6 +80,7 @@
             incarnation, share_ratio, claim, served.decide
         )
         self._served[request.address, request.number] = served
+        served.has_place = notice.brittle_per_s is not None
         if not served.is_decided:
             self._reply(request, PermitState.WAITING, 0.0)
 
@@ -93,6 +97,14 @@
         if served is not None:
             served.pending.cancel()
 
+    def handle_used(self, used):
+        """Free the place of a request that has ended."""
+        if not is_known_version(used, PERMIT_SCHEMA_VERSION):
+            return
+        served = self._served.pop((used.address, used.number), None)
+        if served is not None:
+            served.pending.note_ended(used.was_turned_away)
+
     def refresh(self):
         """Forget the claims that were decided some time ago; called at intervals."""
         now_s = self._clock.seconds()
@@ -100,4 +112,5 @@
             if served.ends_s <= now_s:
                 del self._served[key]
             elif served.is_decided and served.ends_s == float("inf"):
-                served.ends_s = now_s + RETURN_TIMEOUT_S
+                timeout_s = MAX_HELD_S if served.has_place else RETURN_TIMEOUT_S
+                served.ends_s = now_s + timeout_s
--- a/src/sesamearch/platform/client.py
+++ b/src/sesamearch/platform/client.py
@@ -389,9 +389,15 @@
             else:
                 receiver.resolve(receiver.not_sent())
 
+        def note_ended(result, permit):
+            permit.note_ended()
+            return result
+
         if self.is_limited(endpoint):
             by_s = self._reactor.seconds() + PROBE_PERMIT_WAIT_S
-            self.permits.claim(endpoint, PermitClaim(PROBE_RANK, False, by_s), decide)
+            claim = PermitClaim(PROBE_RANK, False, by_s)
+            permit = self.permits.claim(endpoint, claim, decide)
+            answered.addCallback(note_ended, permit)
         else:
             send()
         return answered
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -43,12 +43,16 @@
 _LEAVING = b"server-leaving"
 # Requests a second that the endpoint takes from all routers together.
 _LIMIT = b"server-limit"
+# Requests a second that the endpoint can turn away without falling over.
+_BRITTLE = b"server-brittle"
 _RETRY_AFTER = b"retry-after"
 _UNAVAILABLE = 503
 # Longest pause that is granted to an endpoint.
 MAX_PAUSE_S = 600.0
 # Highest limit that is told apart from a higher one.
 MAX_LIMIT_PER_S = 1e6
+# Highest number of refusals that is told apart from a higher one.
+MAX_BRITTLE = 10**6
 MAX_LOGGED_CHARACTERS = 32
 _DECIMAL = re.compile(r"\d+(?:\.\d*)?|\.\d+", re.ASCII)
 _AUTHORIZATION_SCHEME = "token "
@@ -257,6 +261,7 @@
     is_other_instance = head.status == 421
     pause_s, unusable_pause = _pause(head)
     limit_per_s, unusable_limit = _limit(head)
+    brittle_per_s, unusable_brittle = _brittle(head)
     return EndpointAnswer(
         status=head.status,
         reason=head.reason,
@@ -270,7 +275,8 @@
         pause_s=pause_s,
         unusable_pause=unusable_pause,
         limit_per_s=limit_per_s,
-        unusable_limit=unusable_limit,
+        unusable_limit=unusable_limit or unusable_brittle,
+        brittle_per_s=brittle_per_s,
     )
 
 
@@ -302,6 +308,17 @@
     return min(float(text), MAX_LIMIT_PER_S), ""
 
 
+def _brittle(head):
+    """Return how many refusals an endpoint bears, and the text if it is unusable."""
+    if first_value(head.headers, _BRITTLE) is None:
+        return None, ""
+    text = _text(head.headers, _BRITTLE)
+    number = _integer(text)
+    if number is None or number > MAX_BRITTLE:
+        return None, text[:MAX_LOGGED_CHARACTERS] or "empty"
+    return number, ""
+
+
 def _load(text):
     numbers = [_integer(part.strip()) for part in text.split(",")]
     if len(numbers) != 3 or None in numbers:
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -105,6 +105,12 @@
         ``Retry-After`` of its 503 answers; empty for none.
     limit : str
         ``Server-Limit`` of its answers; empty for none.
+    brittle : str
+        ``Server-Brittle`` of its answers; empty for none.
+    room : int or None
+        Requests that it lets in at a time; None for as many as it has slots.
+    turned_away_s : list of float
+        Times at which it turned requests away for want of room.
     fault : str
         ``mute`` (no response), ``reset`` (reset instead of a response) or
         ``truncate`` (reset in the middle of the response); empty for none.
@@ -128,6 +134,9 @@
         self.is_leaving = False
         self.retry_after = ""
         self.limit = ""
+        self.brittle = ""
+        self.room = None
+        self.turned_away_s = []
         self.fatal_bodies = frozenset()
         self.on_end = PlatformServiceStandin.crash
         self.processors = []
@@ -151,7 +160,8 @@
         if expected_name and expected_name != self.name:
             headers.append((b"X-Instance-Id", self.name.encode()))
             reply.answer(421, [*headers, *self.notices(421)], b"")
-        elif self.running >= self.slots:
+        elif self.running >= (self.slots if self.room is None else self.room):
+            self.turned_away_s.append(self.clock.seconds())
             self.refuse(reply, headers)
         else:
             self._begin(head, body, reply, headers)
@@ -168,6 +178,8 @@
             headers.append((b"Server-Leaving", b"1"))
         if self.limit:
             headers.append((b"Server-Limit", self.limit.encode()))
+        if self.brittle:
+            headers.append((b"Server-Brittle", self.brittle.encode()))
         if self.retry_after and status == 503:
             headers.append((b"Retry-After", self.retry_after.encode()))
         return headers
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -192,6 +192,20 @@
             self.decode(200, (b"Server-Limit", b"")).unusable_limit, "empty"
         )
 
+    def test_answer_may_say_that_its_endpoint_is_brittle(self):
+        for text, number in ((b"3", 3), (b"0", 0), (b" 1000000 ", 10**6)):
+            for status in (200, 500, 503):
+                answer = self.decode(status, (b"Server-Brittle", text))
+                stated = (answer.brittle_per_s, answer.unusable_limit)
+                self.assertEqual(stated, (number, ""))
+        self.assertIsNone(self.decode(200).brittle_per_s)
+
+    def test_malformed_brittleness_is_none_and_shown(self):
+        for value in (b"-1", b"1.5", b"x", b"\xb2", b"1000001", b"9" * 5000):
+            answer = self.decode(200, (b"Server-Brittle", value))
+            self.assertIsNone(answer.brittle_per_s)
+            self.assertEqual(answer.unusable_limit, value.decode("latin-1")[:32])
+
     def test_huge_limit_is_bounded(self):
         answer = self.decode(200, (b"Server-Limit", b"9" * 400))
         self.assertEqual(answer.limit_per_s, MAX_LIMIT_PER_S)
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -7,7 +7,7 @@
 PLATFORM_PACKAGES = ("platform", "standin")
 PLATFORM_NAMES = re.compile(
     r"X-Attempt-Id|X-Target-Instance|X-Token-Usage|X-Prompt-Prefix|X-Deadline-Ms"
-    r"|Store-Era|X-Tenant|Server-Leaving|X-Not-Executed|X-Instance-Id|X-Server-Load|X-Response-Signature"
+    r"|Store-Era|X-Tenant|Server-(Leaving|Limit|Brittle)|X-Not-Executed|X-Instance-Id|X-Server-Load|X-Response-Signature"
     r"|Kv-From|X-Kv-|X-Pin-Ms|kv-(txn|range|watch|lease|keep|key|move)"
     r"|op/config|op/rollout|status/rollout|b?\"servers/|/sesamearch/report|sesamearch/readyz"
     r"|latency-goal-ms|max-attempts|api-keys|SESAMEARCH_SETTINGS|front-?end=",
