Tell losses as evidence against requests at once, and draw probes from numbers of their own

Cause: losses that were held back until the path was known came behind answers that clear a part, so a part of all prompts counted as fatal. Their order decides, so they are told at once again, as before; answers at other routers disprove what a cut router tells. Versions' losses are still held back.

Probes and the choice of routers took numbers from the generator that the choice of endpoints uses, which changed every seeded run; they have one of their own now.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -188,7 +188,7 @@
         self._quarantine = QuarantineController(
             reactor, PlatformQuarantineRegister(self._store), self.counters, rng
         )
-        self._make_proxying(rng)
+        self._make_proxying()
         tools = ForwardTools(
             self._client,
             Chooser(
@@ -226,7 +226,7 @@
         )
         self.dispatcher = Dispatcher(self.board, tools)
 
-    def _make_proxying(self, rng):
+    def _make_proxying(self):
         """Make what serves requests by way of other routers, and theirs here."""
         self._proxying = Proxying(
             self._reactor,
@@ -235,7 +235,7 @@
             self._endpoint_index.serving,
             lambda: self._peers.member_list if self._peers is not None else None,
             lambda: self.dispatcher.in_flight,
-            rng,
+            random.Random(f"{self._settings.name} paths"),
         )
         self._paths = self._proxying.paths
         self._paths.on_change = self._handle_path_change
--- a/src/sesamearch/forwarding/request_quarantine.py
+++ b/src/sesamearch/forwarding/request_quarantine.py
@@ -86,11 +86,8 @@
         if self._has_run or loss not in _ENDPOINT_LOSSES or not attempt.is_sent:
             return False
         if not attempt.is_by_peer:
-            self._tools.paths.settle(
-                attempt.endpoint.service,
-                lambda: self._tools.quarantine.note_lost(
-                    attempt.endpoint, self._request.request_id, self.parts, was_writing
-                ),
+            self._tools.quarantine.note_lost(
+                attempt.endpoint, self._request.request_id, self.parts, was_writing
             )
         return True
 
