--- a/src/sesamearch/platform/proxy.py
+++ b/src/sesamearch/platform/proxy.py
@@ -191,7 +191,7 @@
         return pool
 
     def sweep(self):
-        """Close idle connections, and forget the routers without any."""
+        """Close connections whose idle timeout has expired."""
         for pool in self._pools.values():
             pool.sweep()
 
