--- a/review/1/play.py
+++ b/review/1/play.py
@@ -8,7 +8,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from harness import configuration, main, route  # noqa: E402
+from harness import GROWN, configuration, main, route  # noqa: E402
 
 KEY = "k1"
 REUSE_AFTER_S = 2.0
@@ -34,7 +34,7 @@
     first = await case.start_worker("i-desk-1", "desk")
     second = await case.start_worker("i-desk-2", "desk")
     await case.start_worker("i-archive-1", "archive")
-    await case.start_routers(1)
+    await case.start_routers(1, bounds=GROWN)
     router = case.routers[0]
     await case.traffic(["/booking/"], KEY, 20, 2.0, "POST")
     first.work_s = second.work_s = 0.2
--- a/review/harness.py
+++ b/review/harness.py
@@ -24,6 +24,27 @@
 LAST_PORT = 32_000
 START_TIMEOUT_S = 20.0
 KEEP_ALIVE_S = 5
+# Bounds of the sites kanalis-duct and kanalis-duct-grown, as settings state them.
+SMALL = {
+    "contact-ms": 3000,
+    "ack-ms": 4000,
+    "catch-up-s": 4,
+    "drain-ms": 2000,
+    "config-apply-ms": 2000,
+    "outer-ms": 5000,
+    "recovery-s": 12,
+    "iteration-ms": 120,
+}
+GROWN = {
+    "contact-ms": 4000,
+    "ack-ms": 6000,
+    "catch-up-s": 6,
+    "drain-ms": 3000,
+    "config-apply-ms": 3000,
+    "outer-ms": 6000,
+    "recovery-s": 15,
+    "iteration-ms": 200,
+}
 IDLE_CLOSE_S = 6.0
 
 
@@ -427,7 +448,8 @@
 class Router:
     """One router process, started as the deploy file starts it."""
 
-    def __init__(self, folder, store, number, zone="east", seeds=()):
+    def __init__(self, folder, store, number, zone="east", seeds=(), bounds=None):
+        self._bounds = bounds or SMALL
         self.name = f"edge-{zone}-{number}"
         self.ports = free_ports(5)
         self._folder = folder
@@ -450,6 +472,7 @@
         front, ready, control, low, high = self.ports
         low, high = sorted((low, high))
         seeds = ",".join([self.control, *self.seeds])
+        bounds = "\n".join(f"bounds.{k}={v}" for k, v in self._bounds.items())
         return f"""node-name={self.name}
 role=router
 machine-class=edge
@@ -480,15 +503,9 @@
 fault-tolerance.regions=0
 bounds.seed-lag-s=3
 bounds.reuse-after-s=2
-bounds.contact-ms=3000
-bounds.ack-ms=4000
-bounds.catch-up-s=4
-bounds.drain-ms=2000
 bounds.grace-s=8
 bounds.loss-slack-ms=200
-bounds.config-apply-ms=2000
 bounds.rollback-slack-ms=250
-bounds.outer-ms=5000
 bounds.strict-revocation=false
 bounds.revoke-ms=5000
 bounds.retry-budget-ratio=0.8
@@ -497,9 +514,8 @@
 bounds.exposure-share=0.1
 bounds.exposure-slack=50
 bounds.rollback-ms=5000
-bounds.recovery-s=12
-bounds.iteration-ms=120
 bounds.reuse-window-s=10
+{bounds}
 platform.address={self._store.address}
 platform.form=kv
 platform.writes-per-s=400
@@ -619,11 +635,11 @@
         await worker.start()
         return worker
 
-    async def start_routers(self, count=1, zone="east"):
+    async def start_routers(self, count=1, zone="east", bounds=None):
         """Start routers and wait until all are ready."""
         for number in range(1, count + 1):
             seeds = [router.control for router in self.routers]
-            router = Router(self.folder, self.store, number, zone, seeds)
+            router = Router(self.folder, self.store, number, zone, seeds, bounds)
             router.start()
             self.routers.append(router)
         for router in self.routers:
