--- a/review/harness.py
+++ b/review/harness.py
@@ -659,7 +659,16 @@
         for router in self.routers:
             await router.wait_ready()
 
-    async def ask(self, router, path, key, deadline_ms=1000, method="GET", body=b""):
+    async def ask(
+        self,
+        router,
+        path,
+        key,
+        deadline_ms=1000,
+        method="GET",
+        body=b"",
+        further=None,
+    ):
         """Send one client attempt, record it, and return its :class:`Answer`."""
         self._attempts += 1
         attempt = f"a{self._attempts:06d}"
@@ -668,6 +677,7 @@
             "X-Attempt-Id": attempt,
             "X-Deadline-Ms": str(deadline_ms),
             "Authorization": f"Token {key}",
+            **(further or {}),
         }
         self.record.write("sent", attempt=attempt, path=path, router=router.name)
         sent_s = self.record.now_s
