Trust a new name at an address only soon after the endpoint surely ran

Cause: a process that answers at an ended endpoint's address within reuse-after-s is the same one restarted. That time ran from the last *reading* of data. An answer that waited, in the sockets of a router that stood still or on the way, made a dead endpoint look alive now.

Ruled out: a wrong entry in the list (none before endpoint_returned), a pooled connection (the 421 comes on a new one).

Change: an answer proves that its process ran after the request was sent, and nothing later. The window runs from there, per name and address; data that is read only stops the questions. Names that come too late are logged (endpoint_name_ignored).

Which limit it loosens: none. Who relied on the old one: engines with old generations only, that restart while the store is away; they are used again once they are listed.

--- a/src/sesamearch/base/__init__.py
+++ b/src/sesamearch/base/__init__.py
@@ -25,6 +25,7 @@
             "ConfigurationInForce",
             "Dependency",
             "EndpointChanged",
+            "EndpointNameIgnored",
             "EndpointReturned",
             "EndpointSuspected",
             "GenerationResumed",
--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -27,6 +27,7 @@
     "EndpointChanged",
     "EndpointLeaving",
     "EndpointLimited",
+    "EndpointNameIgnored",
     "EndpointPaused",
     "EndpointReturned",
     "EndpointSuspected",
@@ -181,7 +182,24 @@
     endpoint, name : str
         Name before and after the restart.
     silent_ms : int
-        Time between its last sign of life and this answer.
+        Time from the sending of the last request that the endpoint answered to this
+        answer.
+    """
+
+    endpoint: str
+    name: str
+    silent_ms: int
+
+
+class EndpointNameIgnored(Record, frozen=True, tag="endpoint_name_ignored"):
+    """Another process answers at an endpoint's address, perhaps of another service.
+
+    Parameters
+    ----------
+    endpoint, name : str
+        Name of the endpoint and of the process.
+    silent_ms : int
+        As in :class:`EndpointReturned`.
     """
 
     endpoint: str
@@ -400,6 +418,7 @@
     EndpointPaused,
     EndpointSuspected,
     EndpointReturned,
+    EndpointNameIgnored,
     MemberChanged,
     DataCentreReachability,
     ServicePathChanged,
--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -132,8 +132,8 @@
             tools.paths.note_connected(self.endpoint)
         if answer.is_other_instance:
             tools.restarts.note_new_name(self.endpoint, answer.instance)
-        else:
-            tools.restarts.note_alive(self.endpoint.name)
+        elif answer.instance in ("", self.endpoint.name):
+            tools.restarts.note_answer(self.endpoint, self.sent_s)
 
     def answer_received(self, data):
         """Handle a part of the body."""
@@ -142,7 +142,7 @@
 
     def _report_part(self):
         tools = self._exchange.tools
-        tools.restarts.note_alive(self.endpoint.name)
+        tools.restarts.note_data(self.endpoint)
         tools.outages.note_alive(self.endpoint)
         tools.paths.note_heard(self.endpoint)
         if not self.answer.is_other_instance:
