--- a/soak/note.py
+++ b/soak/note.py
@@ -28,7 +28,7 @@
     after_event : int or None
         Id of the last event before a resume.
     at_s : float
-        Time on the monotonic clock, which all processes of the machine share.
+        Time since the boot, the same for all processes of the machine.
     """
 
     endpoint: str
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,11 +6,11 @@
 import tempfile
 from pathlib import Path
 
-from sesamearch.base.reactor import install_monotonic_reactor
+from sesamearch.base.reactor import install_steady_reactor
 
 # Must precede all imports of ``twisted.internet.reactor``. Times from all processes
-# of a run are compared, so each uses the monotonic clock.
-reactor = install_monotonic_reactor()
+# of a run are compared, so each uses the time since the boot.
+reactor = install_steady_reactor()
 
 import msgspec  # noqa: E402
 from twisted.internet.defer import Deferred  # noqa: E402
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -3,11 +3,11 @@
 import os
 import sys
 
-from sesamearch.base.reactor import install_monotonic_reactor
+from sesamearch.base.reactor import install_steady_reactor
 
 # Must precede all imports of ``twisted.internet.reactor``. Times from all processes
-# of a run are compared, so each uses the monotonic clock.
-reactor = install_monotonic_reactor()
+# of a run are compared, so each uses the time since the boot.
+reactor = install_steady_reactor()
 
 import msgspec  # noqa: E402
 from twisted.internet.stdio import StandardIO  # noqa: E402
--- a/src/sesamearch/base/__init__.py
+++ b/src/sesamearch/base/__init__.py
@@ -19,7 +19,7 @@
             "set_up_logging",
             "set_up_records",
         ],
-        "reactor": ["install_monotonic_reactor"],
+        "reactor": ["install_steady_reactor"],
         "record": [
             "RECORDS",
             "ConfigurationInForce",
--- a/src/sesamearch/command/platform_router.py
+++ b/src/sesamearch/command/platform_router.py
@@ -35,9 +35,9 @@
     # Imported only now that the socket already accepts connections. The reactor is
     # installed first, because most Twisted modules install the default one.
     from sesamearch.base.log import set_up_records
-    from sesamearch.base.reactor import install_monotonic_reactor
+    from sesamearch.base.reactor import install_steady_reactor
 
-    reactor = install_monotonic_reactor()
+    reactor = install_steady_reactor()
     from sesamearch.daemon.platform_router import PlatformRouter
 
     lines = set_up_records(settings.name, time.time)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -6,9 +6,9 @@
 
 import sys
 
-from sesamearch.base.reactor import install_monotonic_reactor
+from sesamearch.base.reactor import install_steady_reactor
 
-reactor = install_monotonic_reactor()
+reactor = install_steady_reactor()
 
 from sesamearch.base.listener import listen_tcp  # noqa: E402
 from sesamearch.standin.platform_store import PlatformStoreStandin  # noqa: E402
