Remember which versions were taken back beyond the next order

Cause: the verdict lived in the service's one Rollout, which the next order replaces; every version but the new target then passed for the sound old one. It also ended with a router's process, and no router that joined heard of it. The same for a version whose order was replaced unjudged.

Ruled out: a lost verdict, requests under way.

Change: VersionStandings keeps what each version's last order showed, merged by the order's revision, so that all end alike. StandingKeeper tells all routers, those that start too, stores it under sesamearch/versions/, writes it again after a restore. A starting router reads it before it follows the store (at most 0.3 s). Rejected versions get nothing at all; replaced ones nothing while another lives. An order for the version ends it.

Which limit it loosens: none. Who relied on the old one: a restart used to end a rejection; now an order does. One more read of the store at a start and for an order.

--- a/src/sesamearch/base/__init__.py
+++ b/src/sesamearch/base/__init__.py
@@ -39,6 +39,7 @@
             "RolloutChanged",
             "TryLost",
             "TrySent",
+            "VersionStandingChanged",
         ],
         "schema": ["Fault", "check", "load_yaml"],
     },
--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -51,6 +51,7 @@
     "TryLost",
     "TrySent",
     "TrySuspected",
+    "VersionStandingChanged",
 ]
 
 
@@ -285,6 +286,28 @@
     old_bad: int = 0
 
 
+class VersionStandingChanged(Record, frozen=True, tag="version_standing"):
+    """An order showed something of its version, or another router says so.
+
+    Parameters
+    ----------
+    service, version : str
+    standing : str
+        ``ordered`` (again), ``replaced`` (a later order came first), ``rejected`` (it
+        gets no requests until it is ordered again) or ``completed``.
+    source : str
+        ``own``, ``peer`` or ``store``.
+    revision : int
+        Revision of the order.
+    """
+
+    service: str
+    version: str
+    standing: str
+    source: str
+    revision: int
+
+
 class StoreRestored(Record, frozen=True, tag="store_restored"):
     """The store came back from an older copy, and may lack what it had acknowledged.
 
@@ -424,6 +447,7 @@
     ServicePathChanged,
     Dependency,
     RolloutChanged,
+    VersionStandingChanged,
     QuarantineChanged,
     StoreKnowledgeChanged,
     StoreRestored,
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -6,9 +6,9 @@
 
 import msgspec
 from result import Err, Ok
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.error import CannotListenError
-from twisted.internet.task import LoopingCall
+from twisted.internet.task import LoopingCall, deferLater
 
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.guard import Guard
@@ -72,6 +72,8 @@
 # Changes in the store are gathered for this share of the time in which a leaving
 # endpoint must be known to all.
 BATCH_DELAY_RATIO = 0.1
+# A router that starts waits so long for what the store holds of rejected versions.
+MAX_READ_S = 0.3
 # By this time after its start, a router knows whether it relays.
 SETTLE_S = 1.5
 # The load balancer probes readiness once per second, and stops sending requests after
@@ -317,6 +319,7 @@
             "store_knowledge_age_ms": self._store_age_ms,
             "limited_endpoints": lambda: self._limits.active_count,
             "quarantined_prompts": lambda: self._quarantine.active_count,
+            "withheld_versions": self._count_withheld_versions,
             "services_cut": lambda: len(self._paths.cut_services),
             "in_flight": lambda: self.dispatcher.in_flight,
             "store_calls": lambda: self._store.calls,
@@ -324,6 +327,9 @@
             "log_lines_dropped": lambda: self._lines.dropped if self._lines else 0,
         }
 
+    def _count_withheld_versions(self):
+        return self._rollout_controller.standings.standings.withheld_count
+
     def _store_age_ms(self):
         if self._peers is None:
             return (self._reactor.seconds() - self._store_as_of_s()) * 1000
@@ -399,8 +405,7 @@
         result.Result[None, Problem]
             ``UNREACHABLE`` if an address cannot be listened on.
         """
-        for follower in self._followers:
-            follower.start()
+        self._start_followers()
         try:
             self._ports.start(early_socket)
         except CannotListenError as error:
@@ -416,6 +421,17 @@
         logger.info(Lifecycle("started", self._settings.listen))
         return Ok(None)
 
+    def _start_followers(self):
+        """Follow the store once it is known which versions get no requests."""
+        read = self._rollout_controller.standings.read()
+        waited = deferLater(self._reactor, MAX_READ_S)
+        first = DeferredList([read, waited], fireOnOneCallback=True)
+        first.addCallback(self._follow)
+
+    def _follow(self, _):
+        for follower in self._followers:
+            follower.start()
+
     async def _join_peers(self):
         while True:
             keys = await obtain_fleet_keys(self._store)
@@ -582,14 +598,15 @@
         return as_of_s
 
     def _update_rollouts(self):
-        if self._rollout_controller.rollouts and self._outcome_follower is None:
+        controller = self._rollout_controller
+        if controller.rollouts and self._outcome_follower is None:
             # The follower starts only with the first rollout, since the platform counts
             # each call to the store.
             self._outcome_follower = OutcomeFollower(
                 self._store, self._rollout_controller, self._reactor
             )
             self._outcome_follower.start()
-        self._rollout_controller.share_evidence()
+        controller.share_evidence()
 
     def _flush(self):
         if self._lines is not None:
--- a/src/sesamearch/forwarding/gate.py
+++ b/src/sesamearch/forwarding/gate.py
@@ -69,6 +69,10 @@
         version on trial is no fallback: its failures are retried at the old version.
         """
 
+    @abc.abstractmethod
+    def is_withheld(self, endpoint):
+        """Return whether an endpoint's version gets no requests at all."""
+
     @abc.abstractmethod
     def sent(self, endpoint, route, is_resumed):
         """Count a request that is sent to an endpoint.
@@ -99,6 +103,10 @@
         """Return True."""
         return True
 
+    def is_withheld(self, endpoint):
+        """Return False."""
+        return False
+
     def sent(self, endpoint, route, is_resumed):
         """Return an observer that records nothing."""
         return NO_OBSERVER
--- a/src/sesamearch/forwarding/request_permit.py
+++ b/src/sesamearch/forwarding/request_permit.py
@@ -98,6 +98,7 @@
         listed = self._tools.endpoint_index.find(claim.endpoint.name)
         is_usable = listed is not None and not listed.leaving
         is_usable = is_usable and not self._tools.pauses.is_paused(listed)
+        is_usable = is_usable and not self._tools.gate.is_withheld(listed)
         if not is_usable or self._tools.clock.seconds() > claim.expires_s:
             self.withdraw()
             return None
--- a/src/sesamearch/membership/fleet.py
+++ b/src/sesamearch/membership/fleet.py
@@ -73,8 +73,6 @@
     knowledge : StoreKnowledge
     follows_store : callable
         Returns whether this router watches the store and reaches it.
-    on_started : callable
-        Called with the address of a router that has just started.
     on_keys_changed : callable
         Called with the new keys.
     seeds : list of str
@@ -100,7 +98,7 @@
         self.seeds = settings.peer.seeds
         self.follows_store = lambda: False
         self.on_keys_changed = lambda keys: None
-        self.on_started = lambda address: None
+        self._started_listeners = []
         self._may_stand_by = settings.bounds.drain_s >= STANDBY_MIN_DRAIN_S
         own = RouterInfo(
             settings.name,
@@ -176,6 +174,10 @@
         """Call `handler` with each message of a type that is sent to this router."""
         self._message_handlers[message_type] = handler
 
+    def listen_started(self, listener):
+        """Call `listener` with the address of each router that has just started."""
+        self._started_listeners.append(listener)
+
     def send_to(self, address, message):
         """Send a message to one router.
 
@@ -352,7 +354,8 @@
                 sender.address,
                 self._make_heartbeat(self._sample_routers(ROUTERS_IN_FIRST_REPLY)),
             )
-            self.on_started(sender.address)
+            for listener in self._started_listeners:
+                listener(sender.address)
         self.knowledge.note_heartbeat(heartbeat)
         self._state_exchange.catch_up(heartbeat)
 
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -2,7 +2,6 @@
 
 import msgspec
 
-from sesamearch.base.log import logger
 from sesamearch.configuration.blackboard import Endpoint, Incarnation
 from sesamearch.forwarding.budget import RetryUse
 from sesamearch.forwarding.health import Outcomes, Suspicion
@@ -15,17 +14,20 @@
     PermitWithdrawal,
 )
 from sesamearch.membership.member_list import AgedRouterInfo, RouterInfo
+from sesamearch.membership.rollout_message import (
+    RolloutUpdate,
+    RolloutVerdict,
+    StandingUpdate,
+)
+from sesamearch.membership.schema import UNSTATED_ERA
 from sesamearch.quarantine.entry import Quarantine
 from sesamearch.quarantine.loss import EndpointLoss
-from sesamearch.routing.canary_evidence import RouteEvidence
-from sesamearch.store.store import StoreRevision
 
 __all__ = [
     "LEAVING_SCHEMA_VERSION",
     "FLEET_SCHEMA_VERSION",
     "PATH_SCHEMA_VERSION",
     "QUARANTINE_SCHEMA_VERSION",
-    "UNSTATED_ERA",
     "Broadcast",
     "BroadcastBatch",
     "LeavingNotice",
@@ -39,45 +41,14 @@
     "LossReport",
     "PathReport",
     "QuarantineUpdate",
-    "RolloutUpdate",
-    "RolloutVerdict",
     "TableRequest",
     "TableResponse",
-    "is_known_version",
-    "revision_of",
 ]
 
 FLEET_SCHEMA_VERSION = 1
 LEAVING_SCHEMA_VERSION = 1
 PATH_SCHEMA_VERSION = 1
 QUARANTINE_SCHEMA_VERSION = 1
-# Era in messages of an earlier build, which does not state it.
-UNSTATED_ERA = -1
-
-
-def is_known_version(message, version):
-    """Return whether a message has a layout that this build knows; log if not."""
-    if message.schema_version == version:
-        return True
-    logger.warning(
-        "ignored {} of schema version {}",
-        type(message).__name__,
-        message.schema_version,
-    )
-    return False
-
-
-def revision_of(era, number, own):
-    """Return the :class:`StoreRevision` that a message states.
-
-    Parameters
-    ----------
-    era, number : int
-        As stated in the message.
-    own : StoreRevision
-        Its era is assumed if the sender does not state one.
-    """
-    return StoreRevision(own.era if era == UNSTATED_ERA else era, number)
 
 
 class FleetHeartbeat(msgspec.Struct, tag="Beat", frozen=True, array_like=True):
@@ -289,68 +260,6 @@
     services: list[str]
 
 
-class RolloutUpdate(msgspec.Struct, tag="RolloutNews", frozen=True, array_like=True):
-    """A rollout, and what a router saw of it since its last update.
-
-    Parameters
-    ----------
-    name : str
-        Name of the sender.
-    service, target : str
-        Service of the rollout, and the version that is to take over.
-    revision : int
-        Store revision of the rollout order.
-    length_s, age_s : float
-        Time from the order to its deadline, and the time since the order at the sender.
-    requests, to_new : int
-        Requests sent to the service, and how many of them to the new version.
-    evidence : list of RouteEvidence
-    era : int
-        Era of the store that the revision belongs to.
-    is_distinct : bool
-        Whether the sender knows that the order repeats none of an earlier era.
-    all_requests, all_to_new : int
-        The same numbers of all routers, as far as the sender knows, before this update.
-    """
-
-    name: str
-    service: str
-    target: str
-    revision: int
-    length_s: float
-    age_s: float
-    requests: int
-    to_new: int
-    evidence: list[RouteEvidence]
-    era: int = UNSTATED_ERA
-    is_distinct: bool = False
-    all_requests: int = 0
-    all_to_new: int = 0
-
-
-class RolloutVerdict(msgspec.Struct, tag=True, frozen=True, array_like=True):
-    """How a rollout ended.
-
-    Parameters
-    ----------
-    service : str
-    revision : int
-        Store revision of the rollout order.
-    is_bad : bool
-        True if the new version was judged bad, False if it has taken over.
-    era : int
-        Era of the store that the revision belongs to.
-    target : str
-        Version that was to take over; empty if the sender does not state it.
-    """
-
-    service: str
-    revision: int
-    is_bad: bool
-    era: int = UNSTATED_ERA
-    target: str = ""
-
-
 class Broadcast(msgspec.Struct, tag="Spread", frozen=True, array_like=True):
     """An update for every router, forwarded by the relays.
 
@@ -378,6 +287,7 @@
         | LossReport
         | PathReport
         | QuarantineUpdate
+        | StandingUpdate
     )
 
 
@@ -401,4 +311,5 @@
     | PermitUsed
     | PermitWithdrawal
     | QuarantineUpdate
+    | StandingUpdate
 )
--- a/src/sesamearch/membership/leaving_gossip.py
+++ b/src/sesamearch/membership/leaving_gossip.py
@@ -1,10 +1,7 @@
 """Exchange of the endpoints that leave among the routers."""
 
-from sesamearch.membership.fleet_message import (
-    LEAVING_SCHEMA_VERSION,
-    LeavingNotice,
-    is_known_version,
-)
+from sesamearch.membership.fleet_message import LEAVING_SCHEMA_VERSION, LeavingNotice
+from sesamearch.membership.schema import is_known_version
 
 __all__ = ["LeavingGossip"]
 
--- a/src/sesamearch/membership/limit_gossip.py
+++ b/src/sesamearch/membership/limit_gossip.py
@@ -1,13 +1,13 @@
 """Exchange of the limits that endpoints name among the routers."""
 
 from sesamearch.forwarding.limits import LimitStatement
-from sesamearch.membership.fleet_message import is_known_version
 from sesamearch.membership.limit_message import (
     LIMIT_SCHEMA_VERSION,
     LimitNotice,
     LimitReport,
 )
 from sesamearch.membership.member_list import RELAYS_PER_DATA_CENTRE
+from sesamearch.membership.schema import is_known_version
 
 __all__ = ["LimitGossip", "make_notice", "read_notice"]
 
--- a/src/sesamearch/membership/permit_relay.py
+++ b/src/sesamearch/membership/permit_relay.py
@@ -15,7 +15,6 @@
     PermitDecision,
     PermitSource,
 )
-from sesamearch.membership.fleet_message import is_known_version
 from sesamearch.membership.limit_gossip import make_notice
 from sesamearch.membership.limit_message import (
     PERMIT_SCHEMA_VERSION,
@@ -27,6 +26,7 @@
 )
 from sesamearch.membership.limiter import LimiterOrder
 from sesamearch.membership.permit_server import PermitServer
+from sesamearch.membership.schema import is_known_version
 
 __all__ = ["PermitRelay"]
 
--- a/src/sesamearch/membership/permit_server.py
+++ b/src/sesamearch/membership/permit_server.py
@@ -2,13 +2,13 @@
 
 from sesamearch.forwarding.permits import NO_CLAIM, PermitClaim
 from sesamearch.forwarding.places import MAX_HELD_S
-from sesamearch.membership.fleet_message import is_known_version
 from sesamearch.membership.limit_gossip import read_notice
 from sesamearch.membership.limit_message import (
     PERMIT_SCHEMA_VERSION,
     PermitReply,
     PermitState,
 )
+from sesamearch.membership.schema import is_known_version
 
 __all__ = ["PermitServer"]
 
--- a/src/sesamearch/membership/quarantine_gossip.py
+++ b/src/sesamearch/membership/quarantine_gossip.py
@@ -5,8 +5,8 @@
     QUARANTINE_SCHEMA_VERSION,
     LossReport,
     QuarantineUpdate,
-    is_known_version,
 )
+from sesamearch.membership.schema import is_known_version
 
 __all__ = ["QuarantineGossip"]
 
@@ -61,7 +61,7 @@
         peers.handle(LossReport, self._apply_report)
         peers.handle(QuarantineUpdate, self._apply_update)
         peers.handle_message(QuarantineUpdate, self._apply_update)
-        peers.on_started = self._tell
+        peers.listen_started(self._tell)
 
     def _add_loss(self, loss):
         if len(self._losses) < MAX_LOSSES:
--- a/src/sesamearch/membership/state_exchange.py
+++ b/src/sesamearch/membership/state_exchange.py
@@ -8,8 +8,8 @@
     EndpointsSnapshot,
     TableRequest,
     TableResponse,
-    revision_of,
 )
+from sesamearch.membership.schema import revision_of
 
 __all__ = ["StateExchange"]
 
--- a/src/sesamearch/platform/__init__.py
+++ b/src/sesamearch/platform/__init__.py
@@ -31,6 +31,7 @@
             "load_platform_settings",
             "read_platform_settings",
         ],
+        "standings": ["STANDING_PREFIX", "read_standings", "write_standings"],
         "store": ["PlatformStore"],
         "store_message": [
             "ExpectedRevision",
--- a/src/sesamearch/platform/rollout.py
+++ b/src/sesamearch/platform/rollout.py
@@ -6,6 +6,7 @@
 
 from sesamearch.base.decode import decode_foreign
 from sesamearch.base.errors import ErrorKind
+from sesamearch.platform.standings import read_standings, write_standings
 from sesamearch.rollout.order import RolloutOrder, RolloutOutcome, RolloutState
 from sesamearch.rollout.register import RolloutRegister
 from sesamearch.store.store import Comparison, Put, RangeReply, StoreRevision
@@ -96,6 +97,14 @@
         write = self._write(order, state, lambda outcome: outcome.state is state)
         return Deferred.fromCoroutine(write)
 
+    def read_standings(self):
+        """Read the standings of all versions; see ``RolloutRegister``."""
+        return Deferred.fromCoroutine(read_standings(self._store))
+
+    def write_standings(self, service, standings):
+        """Add standings to those that are stored; see ``RolloutRegister``."""
+        return Deferred.fromCoroutine(write_standings(self._store, service, standings))
+
     async def _write(self, order, state, is_sufficient):
         """Write `state` unless the stored outcome of the order is sufficient."""
         key = STATUS_PREFIX + order.service.encode()
--- a/src/sesamearch/proxy/path_gossip.py
+++ b/src/sesamearch/proxy/path_gossip.py
@@ -2,11 +2,8 @@
 
 import msgspec
 
-from sesamearch.membership.fleet_message import (
-    PATH_SCHEMA_VERSION,
-    PathReport,
-    is_known_version,
-)
+from sesamearch.membership.fleet_message import PATH_SCHEMA_VERSION, PathReport
+from sesamearch.membership.schema import is_known_version
 
 __all__ = ["PathGossip"]
 
--- a/src/sesamearch/rollout/__init__.py
+++ b/src/sesamearch/rollout/__init__.py
@@ -30,6 +30,7 @@
         "order_history": ["OrderHistory", "OrderNews"],
         "progress": ["Rollout", "describe_change"],
         "register": ["RolloutRegister"],
+        "standing_keeper": ["StandingKeeper"],
         "version": ["VersionChooser", "choose_version_by_share", "request_hash_ratio"],
     },
 )
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -7,16 +7,14 @@
 
 from sesamearch.base.log import logger
 from sesamearch.forwarding.gate import VersionGate
-from sesamearch.membership.fleet_message import (
-    RolloutUpdate,
-    RolloutVerdict,
-    revision_of,
-)
+from sesamearch.membership.rollout_message import RolloutUpdate, RolloutVerdict
+from sesamearch.membership.schema import revision_of
 from sesamearch.rollout.losses import failed_answers
 from sesamearch.rollout.observer import ServiceObserver
 from sesamearch.rollout.order import RolloutOrder, RolloutState
 from sesamearch.rollout.order_history import OrderHistory, OrderNews
 from sesamearch.rollout.progress import Rollout, describe_change
+from sesamearch.rollout.standing_keeper import StandingKeeper
 from sesamearch.routing.canary_evidence import Verdict
 from sesamearch.store.store import StoreRevision
 
@@ -50,6 +48,13 @@
     register : RolloutRegister
     settings : CanarySettings
     clock : twisted.internet.interfaces.IReactorTime
+
+    Attributes
+    ----------
+    rollouts : dict from str to Rollout
+        The last rollout of each service.
+    standings : StandingKeeper
+        What earlier orders showed of their versions.
     """
 
     def __init__(self, name, board, register, settings, clock):
@@ -62,12 +67,14 @@
         self._observers = {}
         self._histories = {}
         self.rollouts = {}
+        self.standings = StandingKeeper(register, clock, self._completion_delay_s)
 
     def join(self, peers):
         """Start to exchange evidence and verdicts through a :class:`FleetLink`."""
         self._peers = peers
         peers.handle(RolloutUpdate, self._receive_update)
         peers.handle(RolloutVerdict, self._receive_verdict)
+        self.standings.join(peers)
 
     # Orders
 
@@ -83,7 +90,10 @@
             known = self.rollouts.get(order.service)
             known_order = known.order if known else None
             rollout = self._add_order(order, self._clock.seconds())
-            if rollout is known and rollout.order is not known_order:
+            if rollout is not known:
+                # The order before it may have ended while this router was cut off.
+                self.standings.read()
+            elif rollout.order is not known_order:
                 self._write_again(rollout)
 
     def _add_order(self, order, begun_s, is_distinct=False):
@@ -100,6 +110,9 @@
             known is not None and known.order.revision.era == order.revision.era
         )
         self.rollouts[order.service] = rollout
+        if known is not None and known.state is RolloutState.IN_PROGRESS:
+            self.standings.note_replaced(known.order)
+        self.standings.note_ordered(order, rollout.is_distinct or known is not None)
         self._observer(order.service).begin(order.target)
         self._log(rollout, "order")
         self._write(rollout, self._register.begin)
@@ -116,6 +129,7 @@
         for rollout in self.rollouts.values():
             if rollout.state is not RolloutState.IN_PROGRESS:
                 self._write_again(rollout)
+        self.standings.write_again()
 
     def _write_again(self, rollout):
         """Write a state again, and tell it to routers that know only the copy."""
@@ -158,6 +172,7 @@
 
     def _apply_state(self, rollout, state):
         if state is RolloutState.COMPLETE:
+            self.standings.note_completed(rollout.order)
             self._complete(rollout)
         elif state is RolloutState.REVERTED:
             self._revert(rollout, "written")
@@ -166,6 +181,8 @@
 
     def admits(self, endpoint, request_id):
         """Return whether a request may go to an endpoint."""
+        if self.is_withheld(endpoint):
+            return False
         rollout = self.rollouts.get(endpoint.service)
         if rollout is None:
             return True
@@ -174,11 +191,19 @@
 
     def is_fallback(self, endpoint):
         """Return whether an endpoint may serve retries, and requests not admitted."""
+        if self.is_withheld(endpoint):
+            return False
         rollout = self.rollouts.get(endpoint.service)
         if rollout is None or rollout.state is RolloutState.COMPLETE:
             return True
         return endpoint.version != rollout.order.target
 
+    def is_withheld(self, endpoint):
+        """Return whether an endpoint's version gets no requests at all."""
+        rollout = self.rollouts.get(endpoint.service)
+        target = rollout.order.target if rollout else ""
+        return self.standings.is_withheld(endpoint, target, self._live_versions)
+
     def sent(self, endpoint, route, is_resumed):
         """Count a request that is sent to an endpoint, and observe it."""
         rollout = self.rollouts.get(endpoint.service)
@@ -203,6 +228,7 @@
 
     def share_evidence(self):
         """Send new evidence to the other routers; complete rollouts that are due."""
+        self.standings.refresh()
         for rollout in self.rollouts.values():
             if rollout.state is RolloutState.IN_PROGRESS:
                 observer = self._observer(rollout.order.service)
@@ -289,6 +315,9 @@
     def _revert(self, rollout, cause):
         if rollout.state is RolloutState.REVERTED:
             return
+        if rollout.state is RolloutState.IN_PROGRESS:
+            # After the completion there may be no other version left.
+            self.standings.note_rejected(rollout.order)
         rollout.state_machine.marked_bad()
         self._observer(rollout.order.service).end()
         self._log(rollout, cause)
@@ -335,12 +364,15 @@
         return min(names.index(self._name), MAX_STAGGER_STEPS) * COMPLETION_STAGGER_S
 
     def _has_target(self, rollout):
-        return any(
-            endpoint.service == rollout.order.service
-            and endpoint.version == rollout.order.target
-            and not endpoint.leaving
+        return rollout.order.target in self._live_versions(rollout.order.service)
+
+    def _live_versions(self, service):
+        """Return the versions of a service's endpoints that are not leaving."""
+        return {
+            endpoint.version
             for endpoint in self._board.endpoints.value.values()
-        )
+            if endpoint.service == service and not endpoint.leaving
+        }
 
     def _complete(self, rollout):
         if rollout.state is RolloutState.IN_PROGRESS:
--- a/src/sesamearch/rollout/register.py
+++ b/src/sesamearch/rollout/register.py
@@ -1,4 +1,4 @@
-"""Interface to the store of rollout states."""
+"""Interface to the store of rollout states and of what they showed of versions."""
 
 import abc
 
@@ -6,7 +6,7 @@
 
 
 class RolloutRegister(abc.ABC):
-    """Stores the state of rollouts, where operators read it."""
+    """Stores the state of rollouts, where operators read it, and standings."""
 
     @abc.abstractmethod
     def begin(self, order):
@@ -37,3 +37,28 @@
         twisted.internet.defer.Deferred of result.Result[RolloutOutcome, ErrorKind]
             The state that is stored for the order afterwards.
         """
+
+    @abc.abstractmethod
+    def read_standings(self):
+        """Read the standings of the versions of all services.
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of result.Result[list, ErrorKind]
+            Each a :class:`VersionStanding`.
+        """
+
+    @abc.abstractmethod
+    def write_standings(self, service, standings):
+        """Add standings of a service's versions to those that are stored.
+
+        Parameters
+        ----------
+        service : str
+        standings : list of VersionStanding
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of result.Result[list, ErrorKind]
+            The standings of the service that are stored afterwards.
+        """
--- a/src/sesamearch/routing/__init__.py
+++ b/src/sesamearch/routing/__init__.py
@@ -34,5 +34,11 @@
             "ServiceSpec",
             "ServiceWeight",
         ],
+        "version_standing": [
+            "Standing",
+            "VersionStanding",
+            "VersionStandings",
+            "WithheldVersions",
+        ],
     },
 )
--- a/tests/membership/test_fleet_message.py
+++ b/tests/membership/test_fleet_message.py
@@ -8,9 +8,9 @@
     EndpointsDelta,
     FleetHeartbeat,
     FleetMessage,
-    revision_of,
 )
 from sesamearch.membership.member_list import RouterInfo
+from sesamearch.membership.schema import revision_of
 from sesamearch.store.store import StoreRevision
 
 OWN = StoreRevision(3, 100)
--- a/tests/platform/test_review_findings.py
+++ b/tests/platform/test_review_findings.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from sesamearch.configuration.platform_settings import PlatformBounds
-from sesamearch.membership.fleet_message import RolloutUpdate
+from sesamearch.membership.rollout_message import RolloutUpdate
 from sesamearch.rollout.order import RolloutOrder, RolloutState
 from sesamearch.routing.canary_evidence import (
     Evidence,
--- a/tests/rollout/test_controller.py
+++ b/tests/rollout/test_controller.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import Clock
 
 from sesamearch.configuration.blackboard import Blackboard
-from sesamearch.membership.fleet_message import RolloutVerdict
+from sesamearch.membership.rollout_message import RolloutVerdict
 from sesamearch.rollout.controller import RolloutController
 from sesamearch.rollout.order import RolloutOrder, RolloutOutcome, RolloutState
 from sesamearch.rollout.register import RolloutRegister
@@ -33,6 +33,12 @@
     def restore(self, order, state):
         raise NotImplementedError
 
+    def read_standings(self):
+        return succeed(Ok([]))
+
+    def write_standings(self, service, standings):
+        return succeed(Ok(standings))
+
 
 class _Peers:
     def __init__(self):
