Name the keeper of version standings for what it is

Cause: controller.standings.standings, and a constant that did not say what is read; found in the read of the diff.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -73,7 +73,7 @@
 # endpoint must be known to all.
 BATCH_DELAY_RATIO = 0.1
 # A router that starts waits so long for what the store holds of rejected versions.
-MAX_READ_S = 0.3
+MAX_STANDINGS_WAIT_S = 0.3
 # By this time after its start, a router knows whether it relays.
 SETTLE_S = 1.5
 # The load balancer probes readiness once per second, and stops sending requests after
@@ -328,7 +328,7 @@
         }
 
     def _count_withheld_versions(self):
-        return self._rollout_controller.standings.standings.withheld_count
+        return self._rollout_controller.standing_keeper.standings.withheld_count
 
     def _store_age_ms(self):
         if self._peers is None:
@@ -423,8 +423,8 @@
 
     def _start_followers(self):
         """Follow the store once it is known which versions get no requests."""
-        read = self._rollout_controller.standings.read()
-        waited = deferLater(self._reactor, MAX_READ_S)
+        read = self._rollout_controller.standing_keeper.read()
+        waited = deferLater(self._reactor, MAX_STANDINGS_WAIT_S)
         first = DeferredList([read, waited], fireOnOneCallback=True)
         first.addCallback(self._follow)
 
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -53,7 +53,7 @@
     ----------
     rollouts : dict from str to Rollout
         The last rollout of each service.
-    standings : StandingKeeper
+    standing_keeper : StandingKeeper
         What earlier orders showed of their versions.
     """
 
@@ -67,14 +67,14 @@
         self._observers = {}
         self._histories = {}
         self.rollouts = {}
-        self.standings = StandingKeeper(register, clock, self._completion_delay_s)
+        self.standing_keeper = StandingKeeper(register, clock, self._completion_delay_s)
 
     def join(self, peers):
         """Start to exchange evidence and verdicts through a :class:`FleetLink`."""
         self._peers = peers
         peers.handle(RolloutUpdate, self._receive_update)
         peers.handle(RolloutVerdict, self._receive_verdict)
-        self.standings.join(peers)
+        self.standing_keeper.join(peers)
 
     # Orders
 
@@ -92,7 +92,7 @@
             rollout = self._add_order(order, self._clock.seconds())
             if rollout is not known:
                 # The order before it may have ended while this router was cut off.
-                self.standings.read()
+                self.standing_keeper.read()
             elif rollout.order is not known_order:
                 self._write_again(rollout)
 
@@ -111,8 +111,10 @@
         )
         self.rollouts[order.service] = rollout
         if known is not None and known.state is RolloutState.IN_PROGRESS:
-            self.standings.note_replaced(known.order)
-        self.standings.note_ordered(order, rollout.is_distinct or known is not None)
+            self.standing_keeper.note_replaced(known.order)
+        self.standing_keeper.note_ordered(
+            order, rollout.is_distinct or known is not None
+        )
         self._observer(order.service).begin(order.target)
         self._log(rollout, "order")
         self._write(rollout, self._register.begin)
@@ -129,7 +131,7 @@
         for rollout in self.rollouts.values():
             if rollout.state is not RolloutState.IN_PROGRESS:
                 self._write_again(rollout)
-        self.standings.write_again()
+        self.standing_keeper.write_again()
 
     def _write_again(self, rollout):
         """Write a state again, and tell it to routers that know only the copy."""
@@ -172,7 +174,7 @@
 
     def _apply_state(self, rollout, state):
         if state is RolloutState.COMPLETE:
-            self.standings.note_completed(rollout.order)
+            self.standing_keeper.note_completed(rollout.order)
             self._complete(rollout)
         elif state is RolloutState.REVERTED:
             self._revert(rollout, "written")
@@ -202,7 +204,7 @@
         """Return whether an endpoint's version gets no requests at all."""
         rollout = self.rollouts.get(endpoint.service)
         target = rollout.order.target if rollout else ""
-        return self.standings.is_withheld(endpoint, target, self._live_versions)
+        return self.standing_keeper.is_withheld(endpoint, target, self._live_versions)
 
     def sent(self, endpoint, route, is_resumed):
         """Count a request that is sent to an endpoint, and observe it."""
@@ -228,7 +230,7 @@
 
     def share_evidence(self):
         """Send new evidence to the other routers; complete rollouts that are due."""
-        self.standings.refresh()
+        self.standing_keeper.refresh()
         for rollout in self.rollouts.values():
             if rollout.state is RolloutState.IN_PROGRESS:
                 observer = self._observer(rollout.order.service)
@@ -317,7 +319,7 @@
             return
         if rollout.state is RolloutState.IN_PROGRESS:
             # After the completion there may be no other version left.
-            self.standings.note_rejected(rollout.order)
+            self.standing_keeper.note_rejected(rollout.order)
         rollout.state_machine.marked_bad()
         self._observer(rollout.order.service).end()
         self._log(rollout, cause)
--- a/tests/rollout/test_controller.py
+++ b/tests/rollout/test_controller.py
@@ -41,12 +41,20 @@
 
 
 class _Peers:
+    is_relay = False
+
     def __init__(self):
         self.sent = []
 
     def handle(self, message_type, handler):
         pass
 
+    def handle_message(self, message_type, handler):
+        pass
+
+    def listen_started(self, listener):
+        pass
+
     def send_to_all(self, message):
         self.sent.append(message)
 
