--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -342,6 +342,16 @@
             previous.removed_s = validity.acknowledged_s
         return True
 
+    def begin_endless_answers(self):
+        """Have the first endpoint fail all requests, with bodies that have no end."""
+        endpoint = self.endpoints[0]
+        self.add_disturbance(float("inf"), endpoint=endpoint.name)
+        endpoint.process.send_command(Command(fault="endless", status=500))
+
+    def end_endless_answers(self):
+        """Have the first endpoint answer again, whatever it did before."""
+        self.endpoints[0].process.send_command(Command(fault="", status=200))
+
     def write_odd_entries(self):
         """Write entries among those of the endpoints that describe none."""
         for number, value in enumerate(ODD_ENTRIES):
--- a/soak/note.py
+++ b/soak/note.py
@@ -119,8 +119,8 @@
     ----------
     fault : str or None
         Fault in the responses of a plain endpoint: ``mute`` (no response), ``reset``
-        (reset instead of a response) or ``truncate`` (reset in the middle of it);
-        empty for none.
+        (reset instead of a response), ``truncate`` (reset in the middle of it) or
+        ``endless`` (a body without end, in pieces of a byte); empty for none.
     status : int or None
         Status code of the responses of a plain endpoint.
     state : str or None
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -42,6 +42,10 @@
 LIMITS_FROM_S = 1.0
 SERVICE_LIMIT_PER_S = 5.0
 ENGINE_LIMIT_PER_S = 0.6
+# Seeds in which the first endpoint's failures have no end, in pieces of a byte. It is a
+# plain service.
+ENDLESS_EVERY = 5
+ENDLESS_FROM_S = 1.0
 # Seeds in which another writer leaves odd entries among those of the endpoints.
 ODD_ENTRIES_EVERY = 4
 ODD_ENTRIES_FROM_S = 1.0
@@ -210,6 +214,8 @@
     odd_entries_from_s : float or None
         Time at which ``ODD_ENTRIES`` are written among the entries of endpoints; None
         for never.
+    endless_from_s : float or None
+        Time from which the first endpoint answers without end; None for never.
     """
 
     seed: int
@@ -220,6 +226,7 @@
     limits: PlannedLimits | None = None
     fatal_requests_from_s: float | None = None
     odd_entries_from_s: float | None = None
+    endless_from_s: float | None = None
 
     @property
     def is_planned_work(self):
@@ -276,9 +283,14 @@
         limits,
         requests_from_s,
         odd_entries_from_s,
+        ENDLESS_FROM_S if _has_endless_answers(seed) else None,
     )
 
 
+def _has_endless_answers(seed):
+    return seed % PLANNED_WORK_EVERY != 0 and seed % ENDLESS_EVERY == 1
+
+
 def _has_odd_entries(seed):
     return seed % ODD_ENTRIES_EVERY == 0
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -124,6 +124,10 @@
             reactor.callLater(
                 self._plan.odd_entries_from_s, self.deployment.write_odd_entries
             )
+        if self._plan.endless_from_s is not None:
+            reactor.callLater(
+                self._plan.endless_from_s, self.deployment.begin_endless_answers
+            )
         limits = self._plan.limits
         if limits is not None:
             reactor.callLater(limits.from_s, self.deployment.name_limits, limits)
@@ -134,6 +138,7 @@
         )
         await deferLater(reactor, max(self._plan.faults_s, last_fault_end_s))
         self.deployment.end_limits()
+        self.deployment.end_endless_answers()
 
     async def _recover(self):
         """Wait until each router serves again, for at most ``RECOVERY_TIMEOUT_S``."""
--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -16,6 +16,9 @@
 PREFILL_TOKENS_PER_S = 8000.0
 EVENT_INTERVAL_S = 0.03
 DEFAULT_EVENTS = 20
+# Body without end: so many pieces of a byte, once in each interval.
+ENDLESS_PIECES = 200
+ENDLESS_INTERVAL_S = 0.01
 # A request that ends its worker does so this long after the worker began to run it.
 FATAL_DELAY_S = 0.05
 OK = 200
@@ -112,8 +115,9 @@
     turned_away_s : list of float
         Times at which it turned requests away for want of room.
     fault : str
-        ``mute`` (no response), ``reset`` (reset instead of a response) or
-        ``truncate`` (reset in the middle of the response); empty for none.
+        ``mute`` (no response), ``reset`` (reset instead of a response), ``truncate``
+        (reset in the middle of the response) or ``endless`` (a body without end, in
+        pieces of a byte); empty for none.
     fatal_bodies : frozenset of bytes
         Bodies of requests under which the worker ends soon after it began to run them.
     on_end : callable
@@ -271,8 +275,18 @@
             self._reply.write(body[:5])
             self._reply.abort()
             return
+        if worker.fault == "endless":
+            self._reply.start(worker.status, headers)
+            self._write_without_end()
+            return
         self._reply.answer(worker.status, headers, body)
 
+    def _write_without_end(self):
+        for _ in range(ENDLESS_PIECES):
+            self._reply.write(b"x")
+        if self._reply.is_open:
+            self._worker.clock.callLater(ENDLESS_INTERVAL_S, self._write_without_end)
+
     def caller_left(self):
         """Stop, because the caller closed its connection."""
         self._worker.ended(self._run, "left")
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -41,6 +41,12 @@
         self.assertEqual(odd, [4, 8, 12])
         self.assertEqual(plans[4].faults[0].kind, FaultKind.ENDPOINT_LINK_DELAY)
 
+    def test_endless_answers_change_no_plan(self):
+        plans = [generate_plan(n, DeploymentSize(), SECONDS) for n in range(1, 31)]
+        endless = [plan.seed for plan in plans if plan.endless_from_s is not None]
+        self.assertEqual(endless, [1, 11, 16, 26])
+        self.assertEqual(plans[4].faults[0].kind, FaultKind.ENDPOINT_LINK_DELAY)
+
     def test_limits_change_no_plan(self):
         plans = [generate_plan(n, DeploymentSize(), SECONDS) for n in range(1, 61)]
         limited = [plan.seed for plan in plans if plan.limits is not None]
