Read the standings of versions only where there is an order

Ruled out: reading them after the first configuration is in force; the first requests of a restarted router would go to a rejected version (test_first_request_of_a_restarted_router_goes_elsewhere).

Change: without an order nothing was rejected, so a router reads them with the orders that are new to it, and its first configuration waits for that, 0.3 s at most.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -6,9 +6,9 @@
 
 import msgspec
 from result import Err, Ok
-from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import LoopingCall
 
 from sesamearch.base.errors import ErrorKind, Problem
 from sesamearch.base.guard import Guard
@@ -72,8 +72,6 @@
 # Changes in the store are gathered for this share of the time in which a leaving
 # endpoint must be known to all.
 BATCH_DELAY_RATIO = 0.1
-# A router that starts waits so long for what the store holds of rejected versions.
-MAX_STANDINGS_WAIT_S = 0.3
 # By this time after its start, a router knows whether it relays.
 SETTLE_S = 1.5
 # The load balancer probes readiness once per second, and stops sending requests after
@@ -405,7 +403,8 @@
         result.Result[None, Problem]
             ``UNREACHABLE`` if an address cannot be listened on.
         """
-        self._start_followers()
+        for follower in self._followers:
+            follower.start()
         try:
             self._ports.start(early_socket)
         except CannotListenError as error:
@@ -421,17 +420,6 @@
         logger.info(Lifecycle("started", self._settings.listen))
         return Ok(None)
 
-    def _start_followers(self):
-        """Follow the store once it is known which versions get no requests."""
-        read = self._rollout_controller.standing_keeper.read()
-        waited = deferLater(self._reactor, MAX_STANDINGS_WAIT_S)
-        first = DeferredList([read, waited], fireOnOneCallback=True)
-        first.addCallback(self._follow)
-
-    def _follow(self, _):
-        for follower in self._followers:
-            follower.start()
-
     async def _join_peers(self):
         while True:
             keys = await obtain_fleet_keys(self._store)
--- a/src/sesamearch/platform/followers.py
+++ b/src/sesamearch/platform/followers.py
@@ -1,5 +1,8 @@
 """Followers that decode the values of the platform's keys and apply them."""
 
+from twisted.internet.defer import DeferredList
+from twisted.internet.task import deferLater
+
 from sesamearch.base.log import logger
 from sesamearch.base.record import ConfigurationInForce
 from sesamearch.configuration.follower import Follower
@@ -26,6 +29,8 @@
 # A watch also ends when the store drops its history, and what changes until the next
 # read is late.
 FIRST_RETRY_DELAY_S = 0.1
+# A router that starts waits so long for what the store holds of rejected versions.
+MAX_STANDINGS_WAIT_S = 0.3
 # Most routers join a relay within this time after their start and need no watch.
 FIRST_WATCH_DELAY_S = 1.0
 
@@ -53,11 +58,26 @@
         self._board = board
         self._rollout_controller = rollout_controller
         self._last_value = None
+        self._is_waiting = False
 
     def apply_snapshot(self, items):
-        """Apply the configuration if it changed, and the rollout orders."""
-        self._apply_configuration(items)
-        self._apply_orders(items)
+        """Apply the rollout orders, and the configuration if it changed.
+
+        The first configuration, with which requests can be served, waits until it is
+        known which versions earlier orders rejected.
+        """
+        read = self._apply_orders(items)
+        if read is not None and self._last_value is None:
+            self._is_waiting = True
+            waited = deferLater(self._clock, MAX_STANDINGS_WAIT_S)
+            first = DeferredList([read, waited], fireOnOneCallback=True)
+            first.addCallback(self._end_wait)
+        elif not self._is_waiting:
+            self._apply_configuration(items)
+
+    def _end_wait(self, _):
+        self._is_waiting = False
+        self._apply_configuration(self._items)
 
     def _apply_orders(self, items):
         orders = []
@@ -69,7 +89,7 @@
                 logger.error("cannot decode rollout order: {}", decoded.unwrap_err())
             else:
                 orders.append(decoded.unwrap())
-        self._rollout_controller.apply_orders(orders)
+        return self._rollout_controller.apply_orders(orders)
 
     def _apply_configuration(self, items):
         value = items.get(CONFIGURATION_KEY)
--- a/src/sesamearch/rollout/controller.py
+++ b/src/sesamearch/rollout/controller.py
@@ -85,16 +85,23 @@
         ----------
         orders : iterable of RolloutOrder
             Operators' orders to move a service to another version, read from the store.
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred or None
+            Fires when it was tried to read what the orders before showed of their
+            versions; None if there is no new order.
         """
+        has_new = False
         for order in orders:
             known = self.rollouts.get(order.service)
             known_order = known.order if known else None
             rollout = self._add_order(order, self._clock.seconds())
-            if rollout is not known:
-                # The order before it may have ended while this router was cut off.
-                self.standing_keeper.read()
-            elif rollout.order is not known_order:
+            has_new = has_new or rollout is not known
+            if rollout is known and rollout.order is not known_order:
                 self._write_again(rollout)
+        # The order before may have ended while this router was away.
+        return self.standing_keeper.read() if has_new else None
 
     def _add_order(self, order, begun_s, is_distinct=False):
         """Return the service's rollout; begin a new one if the order is newer."""
