--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -81,8 +81,11 @@
     proxy: str
 
 
-def platform_settings(number, addresses, seeds, store):
-    """Return the text of the platform's settings file for a router on loopback."""
+def platform_settings(number, addresses, seeds, store, more=None):
+    """Return the text of the platform's settings file for a router on loopback.
+
+    Entries of `more` are added to it.
+    """
     metrics, proxy = (
         address.rpartition(":")[2] for address in (addresses.metrics, addresses.proxy)
     )
@@ -97,6 +100,7 @@
         "seeds": ",".join(seeds),
         "limits.link-mbps": "1000.0",
         "platform.address": store,
+        **(more or {}),
     }
     return "".join(f"{key}={value}\n" for key, value in settings.items())
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -1,10 +1,13 @@
 """Stand-ins of the platform on loopback: the store, two plain workers, and engines.
 
-Run as ``python -m tests.platform.standins STORE DESK DESK ENGINE ...``, where every
-argument is an address. Prints a line once it listens.
+Run as ``python -m tests.platform.standins [--configuration FILE] STORE DESK DESK ENGINE
+...``, where every argument is an address. Prints a line once it listens. The file holds
+the operators' configuration as JSON.
 """
 
-import sys
+import argparse
+import json
+from pathlib import Path
 
 from sesamearch.base.reactor import install_steady_reactor
 
@@ -27,10 +30,14 @@
     listen_tcp(reactor, address, factory)
 
 
-def main(addresses):
+def read_configuration(path):
+    return json.loads(Path(path).read_text()) if path else make_configuration()
+
+
+def main(addresses, configuration):
     store = PlatformStoreStandin(reactor)
     serve(addresses[0], store)
-    store.put("op/config", make_configuration())
+    store.put("op/config", configuration)
     neighbours = {}
     for number, address in enumerate(addresses[1:]):
         is_desk = number < DESKS
@@ -58,4 +65,8 @@
 
 
 if __name__ == "__main__":
-    main(sys.argv[1:])
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--configuration", default="")
+    parser.add_argument("addresses", nargs="+")
+    arguments = parser.parse_args()
+    main(arguments.addresses, read_configuration(arguments.configuration))
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -25,11 +25,11 @@
 class Router:
     """One router process."""
 
-    def __init__(self, number, folder, addresses, seeds, store):
+    def __init__(self, number, folder, addresses, seeds, store, more=None):
         self.listen = addresses.listen
         self.readiness = addresses.readiness
         path = folder / f"settings-{number}.conf"
-        path.write_text(platform_settings(number, addresses, seeds, store))
+        path.write_text(platform_settings(number, addresses, seeds, store, more))
         self.log = folder / f"router-{number}.log"
         self.start(path)
 
