Bound what all callers of a process hold, and read no further than answers are read

Cause: (1) bounds on bodies, heads and requests sent ahead held for one connection only; (2) the next request sent ahead was handled while answers lay unread; (3) each answered request let 64 KB more be read, however much was buffered; (4) connections had no bound. Ruled out: the engines' side; memory of the kernel's sockets is not the process's. Refusals are 503 before anything is handled, with Retry-After. The own interface (klein) is not covered.

--- a/src/sesamearch/base/listener.py
+++ b/src/sesamearch/base/listener.py
@@ -17,6 +17,11 @@
     nearly always writable.
     """
 
+    @property
+    def unsent_bytes(self):
+        """Int : size of what the socket has not accepted yet."""
+        return len(self.dataBuffer) - self.offset + self._tempDataLen
+
     def write(self, data):
         """Send as much as the socket accepts now and buffer the rest."""
         if self._can_send_now():
--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "RECORDS",
+    "CallersShed",
     "ConfigurationInForce",
     "DataCentreReachability",
     "Dependency",
@@ -406,6 +407,25 @@
     requests: int | None = None
 
 
+class CallersShed(Record, frozen=True, tag="callers_shed"):
+    """Connections of callers were closed to make room; at most one line a second.
+
+    Parameters
+    ----------
+    reason : str
+        ``memory`` or ``connections``: the bound that was reached.
+    count : int
+        Number of connections closed since the line before.
+    held_bytes, connections : int
+        What all callers' connections hold, and their number.
+    """
+
+    reason: str
+    count: int
+    held_bytes: int
+    connections: int
+
+
 class Lifecycle(Record, frozen=True, tag="lifecycle"):
     """The process started, opened its port, reloaded its settings or stopped.
 
@@ -451,5 +471,6 @@
     QuarantineChanged,
     StoreKnowledgeChanged,
     StoreRestored,
+    CallersShed,
     Lifecycle,
 )
--- a/src/sesamearch/configuration/platform_settings.py
+++ b/src/sesamearch/configuration/platform_settings.py
@@ -64,6 +64,10 @@
     link_mbps : int
         Bandwidth of the VM's network link; the routers with the highest bandwidth
         relay messages for the others.
+    memory_mb : int
+        Memory of the VM, in MiB.
+    max_fds : int
+        Descriptors that the process may open.
     proxy_listen : str or None
         Address for requests of other routers, empty for none. None for the second port
         after that of the link to the other routers.
@@ -78,6 +82,8 @@
     peer: PeerSettings
     bounds: PlatformBounds = PlatformBounds()
     link_mbps: int = 1000
+    memory_mb: int = 256
+    max_fds: int = 4096
     proxy_listen: str | None = None
 
     @property
--- a/src/sesamearch/daemon/platform_ports.py
+++ b/src/sesamearch/daemon/platform_ports.py
@@ -39,6 +39,8 @@
         Port for requests of other routers.
     listen : callable
         Listens on an address; see :func:`listen_tcp`.
+    account : CallerAccount
+        Account of what all that connect to this process hold.
     """
 
     # Number of claims and outcomes that the store has not confirmed, which Drain waits
@@ -47,8 +49,9 @@
     unsettled = 0
 
     def __init__(
-        self, reactor, settings, board, dispatcher, metrics, proxy_port, listen
+        self, reactor, settings, board, dispatcher, metrics, proxy_port, listen, account
     ):
+        self._account = account
         self._proxy_port = proxy_port
         self._reactor = reactor
         self._settings = settings
@@ -68,6 +71,7 @@
             self._limits,
             self._note_unreadable,
             self._note_unread,
+            self._account,
         )
 
     def start(self, early_socket):
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -65,6 +65,7 @@
 from sesamearch.rollout.controller import RolloutController
 from sesamearch.routing.canary import CanarySettings
 from sesamearch.routing.table import RoutingTable
+from sesamearch.wire.account import CallerAccount, CallerBounds
 
 __all__ = ["PlatformRouter"]
 
@@ -80,6 +81,7 @@
 # Generations are handed over this long before the platform kills the process, so that
 # their callers can resume at another router and the process exits by itself.
 HAND_OVER_MARGIN_S = 0.4
+MIB_BYTES = 1 << 20
 # Time for the connections to send what is still buffered.
 STOP_DELAY_S = 0.1
 
@@ -122,6 +124,10 @@
         self._outcome_follower = None
         self._quarantine_follower = None
         self._settled_s = reactor.seconds() + SETTLE_S
+        self._account = CallerAccount(
+            reactor,
+            CallerBounds.of_vm(settings.memory_mb * MIB_BYTES, settings.max_fds),
+        )
         self._make_forwarding()
         self._make_membership()
         self._ports = PlatformPorts(
@@ -130,8 +136,11 @@
             self.board,
             self.dispatcher,
             self._metrics,
-            self._proxying.make_port(self.board, self.dispatcher, listen),
+            self._proxying.make_port(
+                self.board, self.dispatcher, listen, self._account
+            ),
             listen,
+            self._account,
         )
         self._drain = self._make_drain()
         self._loops = self._make_loops()
@@ -320,6 +329,9 @@
             "withheld_versions": self._count_withheld_versions,
             "services_cut": lambda: len(self._paths.cut_services),
             "in_flight": lambda: self.dispatcher.in_flight,
+            "caller_bytes": lambda: self._account.held_bytes,
+            "caller_connections": lambda: self._account.connection_count,
+            "callers_shed": lambda: self._account.shed_count,
             "store_calls": lambda: self._store.calls,
             "endpoint_connections": lambda: self._client.opened,
             "log_lines_dropped": lambda: self._lines.dropped if self._lines else 0,
--- a/src/sesamearch/daemon/proxying.py
+++ b/src/sesamearch/daemon/proxying.py
@@ -65,7 +65,7 @@
         )
         self.admission = ProxyAdmission(reactor, in_flight, UPDATE_INTERVAL_S)
 
-    def make_port(self, board, dispatcher, listen):
+    def make_port(self, board, dispatcher, listen, account):
         """Return the :class:`ProxyPort` for requests of other routers."""
         return ProxyPort(
             self._reactor,
@@ -74,6 +74,7 @@
             dispatcher,
             self.sealer,
             listen,
+            account,
         )
 
     def update(self):
--- a/src/sesamearch/platform/proxy.py
+++ b/src/sesamearch/platform/proxy.py
@@ -209,9 +209,11 @@
     sealer : EnvelopeSealer
     listen : callable
         Listens on an address; see :func:`listen_tcp`.
+    account : CallerAccount
+        Account of what all that connect to this process hold.
     """
 
-    def __init__(self, reactor, address, board, dispatcher, sealer, listen):
+    def __init__(self, reactor, address, board, dispatcher, sealer, listen, account):
         self._reactor = reactor
         self._address = address
         self._board = board
@@ -220,7 +222,11 @@
         self._listen = listen
         self._port = None
         self._factory = CallerFactory(
-            reactor, self._handle, self._limits, self._note_unreadable
+            reactor,
+            self._handle,
+            self._limits,
+            self._note_unreadable,
+            account=account,
         )
 
     def start(self):
--- a/src/sesamearch/platform/settings.py
+++ b/src/sesamearch/platform/settings.py
@@ -17,6 +17,8 @@
 SETTINGS_VARIABLE = "SESAMEARCH_SETTINGS"
 HEARTBEAT_INTERVAL_S = 0.25
 DEFAULT_LINK_MBPS = 100
+DEFAULT_MEMORY_MB = 256
+DEFAULT_MAX_FDS = 4096
 MS_PER_S = 1000.0
 
 
@@ -122,6 +124,8 @@
         peer=peer,
         bounds=_read_bounds(entries),
         link_mbps=int(entries.number("limits.link-mbps", DEFAULT_LINK_MBPS)),
+        memory_mb=int(entries.number("limits.memory-mb", DEFAULT_MEMORY_MB)),
+        max_fds=int(entries.number("limits.max-fds", DEFAULT_MAX_FDS)),
     )
     return Err(entries.faults) if entries.faults else Ok(settings)
 
--- a/src/sesamearch/standin/network.py
+++ b/src/sesamearch/standin/network.py
@@ -61,8 +61,12 @@
         Whether a dead link is detected after :data:`KEEPALIVE_TIMEOUT_S`.
     written_bytes : int
         Number of bytes that the protocol wrote to this end.
+    unsent_bytes : int
+        Always zero, because writes never block.
     """
 
+    unsent_bytes = 0
+
     def __init__(self, network, address, source=""):
         self._network = network
         self.address = address
--- a/src/sesamearch/wire/__init__.py
+++ b/src/sesamearch/wire/__init__.py
@@ -5,6 +5,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "account": ["CallerAccount", "CallerBounds", "CallerHolding", "ShedReason"],
         "caller": ["CallerConnection", "CallerFactory", "CallerLimits"],
         "endpoint": [
             "ResponseReceiver",
@@ -25,6 +26,7 @@
             "first_value",
             "strip_hop_by_hop",
         ],
+        "outlet": ["Outlet", "OutletListener"],
         "pool": ["ConnectionPool"],
         "read_budget": ["BudgetedReader", "ReadBudget"],
         "reply": ["Reply", "ReplyListener"],
--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -7,8 +7,11 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from sesamearch.base.log import logger
+from sesamearch.wire.account import CallerAccount, CallerHolding
+from sesamearch.wire.body import BodyBuffer
 from sesamearch.wire.framing import check_framing, content_length
 from sesamearch.wire.head import HeadError, HeadReader, RequestHead
+from sesamearch.wire.outlet import Outlet, OutletListener
 from sesamearch.wire.reply import Reply
 
 __all__ = [
@@ -19,7 +22,17 @@
 
 LINGER_S = 1.0
 BODY_STALL_TIMEOUT_S = 10.0
+# A body that still arrives piece by piece after this time is refused.
+MAX_BODY_S = 60.0
+# A caller that takes no byte of its answers for so long is disconnected.
+UNREAD_TIMEOUT_S = 30.0
+# A caller that was refused for want of room may come back after this time.
+SHED_RETRY_AFTER_S = 1.0
+# The body of a request that is handled is held twice: by the request, and by the
+# connection to an endpoint.
+HANDLED_COPIES = 2
 CONTINUE = 100
+UNAVAILABLE = 503
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -41,7 +54,7 @@
     idle_timeout_s: float = 30.0
 
 
-class CallerConnection(Protocol):
+class CallerConnection(Protocol, CallerHolding, OutletListener):
     """One connection from a caller.
 
     Parameters
@@ -51,14 +64,26 @@
 
     def __init__(self, factory):
         self.factory = factory
+        self.has_asked = False
+        self.held_bytes = 0
+        self.progress_s = factory.clock.seconds()
         self._clock = factory.clock
         self._codec = None
         self._head = None
-        self._body = bytearray()
+        self._body = BodyBuffer()
         self._is_head_only = False
         self._reply = None
         self._reader = self._new_reader()
+        self._outlet = None
+        self._handled_bytes = 0
         self._pending = []
+        # Bytes of further requests: those in `_pending`, and those that the codec has.
+        self._pending_bytes = 0
+        self._trailing_bytes = 0
+        self._is_reading = True
+        self._body_by_s = 0.0
+        self._unread_bytes = 0
+        self._is_aborted = False
         # Arrival of the bytes that are read, of the oldest pending ones, and of the
         # first byte of the present request.
         self._read_s = 0.0
@@ -76,12 +101,18 @@
     def connectionMade(self):
         """Register the connection and wait for the first request."""
         self.transport.setTcpNoDelay(True)
+        if not self.factory.account.open(self):
+            self._is_closing = True
+            self._abort()
+            return
+        self._outlet = Outlet(self.transport, self)
         self.factory.connections.add(self)
         self._wait_idle()
 
     def connectionLost(self, reason):
         """Notify the handler of a pending request that the caller disconnected."""
         self.factory.connections.discard(self)
+        self.factory.account.close(self)
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -117,7 +148,10 @@
 
     def _timed_out(self):
         self._timer = None
-        if self._reply is not None or self._is_closing:
+        if self._reply is not None:
+            return
+        if self._is_closing or self._outlet.is_blocked:
+            self._check_unread()
             return
         remaining_s = self._deadline_s - self._clock.seconds()
         if self.is_idle:
@@ -131,6 +165,15 @@
         else:
             self._refuse(408, "request sent too slowly")
 
+    def _check_unread(self):
+        """Disconnect a caller that has not read anything since the last check."""
+        unread_bytes = self._outlet.unsent_bytes
+        if unread_bytes and unread_bytes == self._unread_bytes:
+            self._abort()
+        elif unread_bytes or not self._is_closing:
+            self._unread_bytes = unread_bytes
+            self._arm(UNREAD_TIMEOUT_S)
+
     @property
     def is_idle(self):
         """Bool : whether no request is being received or answered, nor an answer sent.
@@ -143,27 +186,85 @@
             or self._codec is not None
             or self._reader.has_begun
             or self._is_resuming
+            or self._outlet.is_blocked
         )
 
+    # Room for the callers of the whole process.
+
+    @property
+    def is_closing(self):
+        """Bool : whether the connection only waits until its answer has arrived."""
+        return self._is_closing
+
+    @property
+    def may_be_shed(self):
+        """Bool : whether no request is being handled."""
+        return self._reply is None and not self._is_aborted
+
+    def measure(self):
+        """Return the memory that the connection holds now, in bytes."""
+        received_bytes = self._reader.size_bytes + self._body.size_bytes
+        ahead_bytes = self._pending_bytes + self._trailing_bytes
+        unsent_bytes = self._outlet.unsent_bytes
+        return received_bytes + self._handled_bytes + ahead_bytes + unsent_bytes
+
+    def shed(self):
+        """Refuse what is being received, or close the connection."""
+        if self.is_idle:
+            self.close_if_idle()
+        elif self._is_closing or self._outlet.is_blocked or self._is_resuming:
+            self._abort()
+        else:
+            self._refuse_for_room()
+
+    def _note_held(self):
+        self.factory.account.note(self, self.measure())
+
     # Reading.
 
     def dataReceived(self, data):
         """Read bytes from the caller, or buffer them while a request is answered."""
         if self._is_closing:
             return
-        if self._reply is not None or self._is_resuming:
+        self.progress_s = self._clock.seconds()
+        if self._reply is not None or self._is_resuming or self._outlet.is_blocked:
             self._buffer_pipelined(data)
-            return
-        self._read_s = self._clock.seconds()
-        self._advance(data)
+        else:
+            self._read_s = self.progress_s
+            self._advance(data)
+        self._note_held()
 
     def _buffer_pipelined(self, data):
         if not self._pending:
             self._pending_since_s = self._clock.seconds()
         self._pending.append(data)
-        if sum(map(len, self._pending)) > self.factory.limits().header_bytes:
+        self._pending_bytes += len(data)
+        self._update_reading()
+
+    def _update_reading(self):
+        """Read on unless too much of further requests waits for the present one."""
+        ahead_bytes = self._pending_bytes + self._trailing_bytes
+        may_read = ahead_bytes <= self.factory.limits().header_bytes
+        if may_read == self._is_reading or self._is_closing:
+            return
+        self._is_reading = may_read
+        if may_read:
+            self.transport.resumeProducing()
+        else:
             self.transport.pauseProducing()
 
+    def outlet_changed(self):
+        """Go on with the next request once the caller reads its answers."""
+        self.progress_s = self._clock.seconds()
+        if self._is_closing:
+            return
+        self._note_held()
+        if self._outlet.is_blocked:
+            self._arm(UNREAD_TIMEOUT_S)
+        elif self._reply is None:
+            self._wait_idle()
+            self._schedule_pending()
+
     def _advance(self, data):
         try:
             if self._codec is None:
@@ -191,6 +292,7 @@
         self._codec.receive_data(head)
         if rest:
             self._codec.receive_data(rest)
+        self._body_by_s = self._clock.seconds() + MAX_BODY_S
         self._arm(BODY_STALL_TIMEOUT_S)
 
     def _read_events(self):
@@ -225,15 +327,25 @@
             raise HeadError(413, "body too large")
 
     def _handle_data(self, data):
-        self._body += data
-        self._check_size(len(self._body))
-        self._arm(BODY_STALL_TIMEOUT_S)
+        self._body.add(data)
+        self._check_size(self._body.size_bytes)
+        remaining_s = self._body_by_s - self._clock.seconds()
+        if remaining_s <= 0:
+            raise HeadError(408, "request sent too slowly")
+        self._arm(min(BODY_STALL_TIMEOUT_S, remaining_s))
 
     def _handle_request(self):
-        head, body = self._head, bytes(self._body)
-        self._head, self._body = None, bytearray()
+        head, self._head = self._head, None
+        body = self._body.take()
+        self.has_asked = True
+        self._handled_bytes = HANDLED_COPIES * len(body)
+        self._trailing_bytes = len(self._codec.trailing_data[0])
+        if not self.factory.account.admits(self, self.measure(), len(body)):
+            self._refuse_for_room()
+            return
         self._is_head_only = head.method == b"HEAD"
         self._reply = reply = Reply(self, self._begun_s)
+        self._update_reading()
         try:
             self.factory.handler(head, body, reply)
         except Exception:
@@ -243,14 +355,18 @@
 
     # Writing.
 
-    def _refuse(self, status, detail):
-        """Answer an unreadable request with an error status, and close."""
+    def _refuse_for_room(self):
+        retry_after = b"Retry-After: %.3f\r\n" % SHED_RETRY_AFTER_S
+        self._refuse(UNAVAILABLE, "no room for further requests", retry_after)
+
+    def _refuse(self, status, detail, header=b""):
+        """Answer a request that is not handled with an error status, and close."""
         self._is_closing = True
+        self._body.clear()
+        self._handled_bytes = 0
         self.factory.refused(status, detail)
-        lines = (
-            b"HTTP/1.1 %d \r\nConnection: close\r\nContent-Length: 0\r\n\r\n" % status
-        )
-        self.transport.write(lines)
+        framing = b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+        self.transport.write(b"HTTP/1.1 %d \r\n" % status + header + framing)
         self._close_gracefully()
 
     def _close_gracefully(self):
@@ -259,8 +375,22 @@
         An immediate close while the caller is still sending would reset the
         connection, and the caller could lose the response.
         """
+        self._outlet.close()
         self.transport.loseWriteConnection()
-        self._clock.callLater(LINGER_S, self.transport.abortConnection)
+        self._clock.callLater(LINGER_S, self._abort)
+
+    def _close_when_sent(self):
+        self._is_closing = True
+        self._outlet.close()
+        self.transport.loseConnection()
+        self._unread_bytes = self._outlet.unsent_bytes
+        if self._unread_bytes:
+            self._arm(UNREAD_TIMEOUT_S)
+
+    def _abort(self):
+        self._is_closing = True
+        self._is_aborted = True
+        self.transport.abortConnection()
 
     def send_head(self, status, reason, headers):
         """Write the head of the response."""
@@ -297,56 +427,63 @@
         if self._is_closing:
             return
         self._reply = None
-        self.transport.unregisterProducer()
+        self._outlet.set_source(None)
+        self._handled_bytes = 0
         if self._codec.our_state is not h11.DONE or (
             self._codec.their_state is not h11.DONE
         ):
-            self._is_closing = True
-            self.transport.loseConnection()
+            self._close_when_sent()
             return
         self._next_request()
+        self._note_held()
 
     def _next_request(self):
         rest, _ = self._codec.trailing_data
         self._codec = None
         if rest:
             self._pending.insert(0, bytes(rest))
+            self._pending_bytes += len(rest)
         else:
             self._read_s = self._pending_since_s
+        self._trailing_bytes = 0
         self._reader = self._new_reader()
         self._wait_idle()
-        if self._pending:
+        self._schedule_pending()
+        self._update_reading()
+
+    def _schedule_pending(self):
+        """Process the buffered bytes soon, unless the caller has to read first."""
+        if self._pending and not self._is_resuming and not self._outlet.is_blocked:
             # Bytes that arrive until then are buffered behind these.
             self._is_resuming = True
             self._clock.callLater(0, self._feed_pending)
-        self.transport.resumeProducing()
 
     def _feed_pending(self):
         self._is_resuming = False
-        data, self._pending = b"".join(self._pending), []
+        if self._is_closing or self._outlet.is_blocked:
+            return
+        data, self._pending, self._pending_bytes = b"".join(self._pending), [], 0
+        self._advance(data)
         if not self._is_closing:
-            self._advance(data)
+            self._update_reading()
 
     def abort(self):
         """Reset the connection."""
-        self._is_closing = True
         self._reply = None
-        self.transport.abortConnection()
+        self._abort()
 
     def set_producer(self, source):
         """Register the push producer that is paused while the caller reads slowly.
 
         It replaces the previous one; None only unregisters.
         """
-        self.transport.unregisterProducer()
-        if source is not None and not self._is_closing:
-            self.transport.registerProducer(source, True)
+        if not self._is_closing:
+            self._outlet.set_source(source)
 
     def close_if_idle(self):
         """Close the connection unless a request is being received or answered."""
         if self.is_idle:
-            self._is_closing = True
-            self.transport.loseConnection()
+            self._close_when_sent()
 
 
 class CallerFactory(Factory):
@@ -364,6 +501,8 @@
     unread : callable
         Called with the bytes of further requests that were lost with a connection; by
         default they are not reported.
+    account : CallerAccount or None
+        Account of what the callers of the process hold; None for one without bounds.
 
     Attributes
     ----------
@@ -375,12 +514,21 @@
 
     noisy = False
 
-    def __init__(self, clock, handler, limits, refused, unread=lambda data: None):
+    def __init__(
+        self,
+        clock,
+        handler,
+        limits,
+        refused,
+        unread=lambda data: None,
+        account=None,
+    ):
         self.clock = clock
         self.handler = handler
         self.limits = limits
         self.refused = refused
         self.unread = unread
+        self.account = account or CallerAccount(clock)
         self.connections = set()
         self.is_draining = False
 
--- a/src/sesamearch/wire/head.py
+++ b/src/sesamearch/wire/head.py
@@ -132,6 +132,11 @@
         """Bool : whether any byte of a head has arrived."""
         return bool(self._buffer)
 
+    @property
+    def size_bytes(self):
+        """Int : size of the incomplete head."""
+        return len(self._buffer)
+
     def feed(self, data):
         """Add bytes; return the head and the bytes after it once it is complete.
 
