Order requests by their organisation's priority and then by their route's

Cause: an organisation's priority replaced the route's. Ruled out: engines that ignore the header; all requests simply had the same one. Change: RoutingTable.urgency_of: position of the pair (organisation, route) among all of the service, for engines and permits. An organisation's priority still goes first.

--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -81,6 +81,7 @@
         self.service = service
         self.organisation = organisation
         self.revision = table.revision
+        self.urgency = table.urgency_of(route, organisation, service.name)
         self.reply = reply
         self.tries = []
         self.try_count = 0
@@ -197,7 +198,7 @@
         )
         is_left = is_left or self._has_other_places(endpoint)
         by_s = self.now_s + (0.0 if is_left else wait_s)
-        claim = PermitClaim(self.rank, has_begun, by_s)
+        claim = PermitClaim(self.urgency, has_begun, by_s)
         self.permit.claim(endpoint, claim, lambda: self.is_over or proceed())
 
     def _has_other_places(self, endpoint):
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -168,7 +168,7 @@
             self.end_by_s,
             self.organisation.name if self.organisation else "",
             self._last_event,
-            self.rank,
+            self.urgency,
             backup_address,
             copy,
         )
--- a/src/sesamearch/routing/table.py
+++ b/src/sesamearch/routing/table.py
@@ -141,6 +141,10 @@
     idle_timeout_s: float = 30.0
 
 
+# Lowest urgency that an engine tells apart.
+LOWEST_URGENCY = 9
+
+
 class RoutingTable:
     """One revision of the routing configuration, indexed for lookups.
 
@@ -160,6 +164,7 @@
     __slots__ = (
         "_by_host",
         "_by_key",
+        "_ranks_by_service",
         "requires_keys",
         "encoded",
         "limits",
@@ -194,6 +199,7 @@
             for organisation in self.organisations
             for key in organisation.keys
         }
+        self._ranks_by_service = {}
 
     def to_json(self):
         """Return the encoded form that is sent to other routers."""
@@ -223,6 +229,40 @@
         """Return the :class:`Organisation` that an API key belongs to, or None."""
         return self._by_key.get(key)
 
+    def urgency_of(self, route, organisation, service):
+        """Return the urgency of a request among those for its service.
+
+        The priority of an organisation goes before that of the route, which decides
+        among requests whose organisations have the same one.
+
+        Parameters
+        ----------
+        route : Route
+        organisation : Organisation or None
+        service : str
+
+        Returns
+        -------
+        int
+            Zero for the most urgent requests; at most ``LOWEST_URGENCY``.
+        """
+        ranks = self._ranks_by_service.get(service)
+        if ranks is None:
+            ranks = self._ranks_by_service[service] = self._ranks_of(service)
+        pair = _priorities(route, organisation)
+        return min(ranks.get(pair, LOWEST_URGENCY), LOWEST_URGENCY)
+
+    def _ranks_of(self, service):
+        """Return the position of each pair of priorities among a service's requests."""
+        routes = [
+            route
+            for route in self.routes
+            if any(share.service == service for share in route.services)
+        ]
+        organisations = [*self.organisations, None]
+        pairs = {_priorities(route, each) for route in routes for each in organisations}
+        return {pair: position for position, pair in enumerate(sorted(pairs))}
+
     def problem_of(self, route, organisation):
         """Return the :class:`Problem` for which to refuse a request, or None.
 
@@ -239,3 +279,10 @@
         if organisation is None and self.requires_keys and not route.is_public:
             return Problem(ErrorKind.UNKNOWN_ORGANISATION)
         return None
+
+
+def _priorities(route, organisation):
+    """Return the pair of priorities that orders the requests of a service."""
+    if organisation is None or organisation.priority is None:
+        return route.priority, route.priority
+    return organisation.priority, route.priority
