Keep the fleet's retries inside the budget although news of them is late

Cause: each router could take its whole even part besides what the others had used of the shared part, before it heard of that. Change: a router that hears the others has its even part only of what is not shared, less a tenth that covers retries sent at the same time; the sum of what all know stops at nine tenths. Conclusion: which limit it loosens: none. Who loses: some retries of a storm.

--- a/src/sesamearch/forwarding/budget.py
+++ b/src/sesamearch/forwarding/budget.py
@@ -6,9 +6,11 @@
 
 __all__ = ["FleetView", "RetryBudget", "RetryBudgets", "RetryUse"]
 
-# Share of the fleet's budget up to which a router may exceed its even part. The rest
-# covers the retries of other routers that it has not heard of yet.
+# Share of the fleet's budget that any router may use, by what it hears of the others.
 SHARED_RATIO = 0.75
+# Share of the other routers' part of the budget that nobody uses, because retries that
+# several routers send at the same time are heard of too late.
+UNHEARD_RATIO = 0.1
 # A data centre that sent no news for this long may be cut off.
 NEWS_TIMEOUT_S = 2.5
 
@@ -76,10 +78,10 @@
 class RetryBudget:
     """Limits the retries of one service in a sliding window.
 
-    A router may send its even part of the fleet's retries. While the retries that it
-    knows of, its own and those that the other routers reported, are below
-    ``SHARED_RATIO`` of what the fleet may send, it may send more than its part. It
-    sends none beyond what the fleet may send.
+    ``SHARED_RATIO`` of what the fleet may send is for any router, while the retries
+    that it knows of, its own and those that the other routers reported, are below it.
+    Of the rest each router has an even part, and of all while it hears from nobody. It
+    sends none once the retries that it knows of come close to what the fleet may send.
 
     Parameters
     ----------
@@ -136,9 +138,13 @@
         known_requests = self._requests.recent + self._other_requests.recent
         known_retries = self._retries.recent + self._other_retries.recent
         for_requests = self._ratio * known_requests
-        if known_retries + 1 > for_requests + self._slack:
+        others_ratio = 1.0 - 1.0 / max(routers, 1)
+        allowed = for_requests + self._slack
+        if known_retries + 1 > allowed * (1.0 - UNHEARD_RATIO * others_ratio):
             return False
         own_part = self._ratio * self._requests.recent + self._slack / max(routers, 1)
+        # What a router gives to the others is not its own any more.
+        own_part *= 1.0 - (SHARED_RATIO + UNHEARD_RATIO * others_ratio) * live_ratio
         shared = SHARED_RATIO * (for_requests + self._slack * live_ratio)
         if self._retries.recent >= own_part and known_retries + 1 > shared:
             return False
--- a/tests/forwarding/test_budget.py
+++ b/tests/forwarding/test_budget.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 
 from hypothesis import settings
@@ -117,6 +118,52 @@
         self.assertEqual(self.take_all(), 2)
 
 
+class TestStorm(unittest.TestCase):
+    """Many routers resend at once while engines of a data centre are gone."""
+
+    routers = 81
+    step_s = 0.1
+    news_delay_steps = 3
+
+    def setUp(self):
+        self.clock = Clock()
+        self.budgets = [
+            RetryBudget(self.clock, 0.8, 10.0, 150.0) for _ in range(self.routers)
+        ]
+        self.reports = []
+        self.requests = self.retries = 0
+
+    def play(self, steps, request_odds, retrying):
+        rng = random.Random(3)
+        for _ in range(steps):
+            for number, budget in enumerate(self.budgets):
+                if rng.random() < request_odds:
+                    budget.count_request()
+                    self.requests += 1
+                if number < retrying:
+                    self.retries += budget.take(self.routers, 1.0)
+            self.reports.append([budget.use() for budget in self.budgets])
+            self.tell()
+            self.clock.advance(self.step_s)
+
+    def tell(self):
+        if len(self.reports) <= self.news_delay_steps:
+            return
+        uses = self.reports.pop(0)
+        for number, budget in enumerate(self.budgets):
+            for other, use in enumerate(uses):
+                if other != number:
+                    budget.update(f"r{other}", 1, use)
+
+    def test_retries_of_which_nobody_has_heard_stay_inside_the_budget(self):
+        self.play(40, 0.05, retrying=0)
+        # Some routers use what is shared; then the others use their parts, all at once.
+        self.play(20, 0.05, retrying=20)
+        self.play(20, 0.05, retrying=self.routers)
+        self.assertGreater(self.retries, 0.8 * (0.8 * self.requests + 150))
+        self.assertLessEqual(self.retries, 0.8 * self.requests + 150)
+
+
 RATIO, WINDOW_S, SLACK = 0.8, 10.0, 20.0
 ROUTERS = 12
 
