Probe engines that answer less and less often, and at once when others suspect them

Ruled out: probes shared by the generations of one router (0.35 a second a router). Change: 0.5, 0.5, 1, 2, 2 s between answered probes; one at once when another request or router suspects the engine, or its data centre. Keep-alive of the connection stays. Figures: tests.forwarding.test_stall: at most 7 probes in 10 s (20 before), one within 0.6 s of a suspicion. Conclusion: which limit it loosens: an engine that nobody else suspects is found silent up to 2 s later if it had answered for long; dark ones are found by keep-alive as well.

--- a/src/sesamearch/forwarding/stall.py
+++ b/src/sesamearch/forwarding/stall.py
@@ -17,6 +17,9 @@
 GAP_SMOOTHING = 0.1
 # An engine sends nothing while it reads a prompt, so it is probed.
 PROBE_INTERVAL_S = 0.5
+# An engine that has answered is probed less and less often, since each probe costs a
+# connection. It is probed at once when another request or router suspects it.
+MAX_PROBE_INTERVAL_S = 2.0
 PROBE_TIMEOUT_S = 0.3
 RESUME_PROBE_DELAY_S = 0.2
 
@@ -72,12 +75,14 @@
     """
 
     __slots__ = (
+        "_doubted_due_s",
         "_events_at_stall",
         "_gap_goal_s",
         "_is_current",
         "_is_probing",
         "_paused_s",
         "_probe_due_s",
+        "_probes_answered",
         "_stalls",
         "_suspect",
         "_timing",
@@ -94,13 +99,16 @@
         self._trust = trust
         self._paused_s = 0.0
         self._probe_due_s = 0.0
+        self._doubted_due_s = 0.0
+        self._probes_answered = 0
         self._is_probing = False
         self._stalls = 0
         self._events_at_stall = 0
 
     def schedule_probe(self, delay_s):
         """Schedule the first probe of a new try."""
-        self._probe_due_s = self._tools.clock.seconds() + delay_s
+        self._probe_due_s = self._doubted_due_s = self._tools.clock.seconds() + delay_s
+        self._probes_answered = 0
 
     def check(self, attempt):
         """Check an engine for a stall; suspect the try or send a probe if needed.
@@ -130,7 +138,7 @@
             self._stalls += 1
             self._events_at_stall = self._timing.events
             self._suspect(attempt, "stalled")
-        elif now_s >= self._probe_due_s and not self._is_probing:
+        elif not self._is_probing and self._is_probe_due(attempt.endpoint):
             if not self._tools.pauses.is_paused(attempt.endpoint):
                 self._probe(attempt)
         return False
@@ -142,6 +150,21 @@
             limit_s = min(limit_s, self._gap_goal_s * MAX_STALL_GOAL_RATIO)
         return min(limit_s * 2**self._stalls, max(MAX_STALL_S, goal_s))
 
+    def _is_probe_due(self, endpoint):
+        now_s = self._tools.clock.seconds()
+        if now_s >= self._probe_due_s:
+            return True
+        return now_s >= self._doubted_due_s and self._is_doubted(endpoint)
+
+    def _is_doubted(self, endpoint):
+        """Return whether others suspect an engine, or its data centre."""
+        is_down = self._tools.health.is_down(endpoint.name)
+        return is_down or self._tools.outages.is_unreachable(endpoint.data_centre)
+
+    def _probe_interval_s(self):
+        doublings = max(0, self._probes_answered - 1)
+        return min(PROBE_INTERVAL_S * 2**doublings, MAX_PROBE_INTERVAL_S)
+
     def _probe(self, attempt):
         self._is_probing = True
         self._tools.counters.probes += 1
@@ -150,7 +173,10 @@
 
     def _handle_probe(self, is_alive, attempt):
         self._is_probing = False
-        self._probe_due_s = self._tools.clock.seconds() + PROBE_INTERVAL_S
+        self._probes_answered = self._probes_answered + 1 if is_alive else 0
+        now_s = self._tools.clock.seconds()
+        self._probe_due_s = now_s + self._probe_interval_s()
+        self._doubted_due_s = now_s + PROBE_INTERVAL_S
         if not self._is_current(attempt) or self._timing.has_event_of(attempt):
             return
         if is_alive is None:
--- a/tests/forwarding/test_stall.py
+++ b/tests/forwarding/test_stall.py
@@ -31,11 +31,14 @@
         self.abandoned = []
         self.trusted = []
         self.is_paused = False
+        self.is_doubted = False
         self.timing = EventTiming()
         tools = SimpleNamespace(
             clock=self.clock,
             counters=SimpleNamespace(probes=0),
             pauses=SimpleNamespace(is_paused=lambda endpoint: self.is_paused),
+            health=SimpleNamespace(is_down=lambda name: self.is_doubted),
+            outages=SimpleNamespace(is_unreachable=lambda data_centre: False),
         )
         self.detector = StallDetector(
             tools,
@@ -48,7 +51,7 @@
         self.attempt = SimpleNamespace(
             sent_s=10.0,
             answer=None,
-            endpoint="e1",
+            endpoint=SimpleNamespace(name="e1", data_centre="east"),
             is_paused=False,
             probe=lambda timeout_s: self.probe("e1", timeout_s),
         )
@@ -81,6 +84,25 @@
         self.assertEqual(self.abandoned, ["silent"])
         self.assertEqual(self.trusted, [self.attempt])
 
+    def answer_probes(self, seconds):
+        """Check as a router does for some time; return the number of probes."""
+        begun = len(self.probes)
+        for _ in range(round(seconds / 0.05)):
+            self.wait(0.05)
+            if self.probes and not self.probes[-1].called:
+                self.probes[-1].callback(True)
+        return len(self.probes) - begun
+
+    def test_engine_that_reads_for_long_is_probed_less_often(self):
+        # A burst makes engines read for seconds; all of them answer.
+        self.assertLessEqual(self.answer_probes(10), 7)
+        self.assertEqual(self.abandoned, [])
+
+    def test_engine_that_others_suspect_is_probed_soon(self):
+        self.answer_probes(6)
+        self.is_doubted = True
+        self.assertEqual(self.answer_probes(PROBE_INTERVAL_S + 0.1), 1)
+
     def test_engine_that_asked_for_a_pause_is_probed_after_it(self):
         self.is_paused = True
         for _ in range(3):
