Choose workers by what they state of their load, told among all routers

Cause: a router of 81 sends one or two plain calls a second and knew only its own; what workers state (running, waiting, slots) decided nothing, and a header with a fourth figure, how long work takes there, was dropped as malformed. Change: LoadStatements: statements weigh half after 0.4 s, are told with the updates that routers send anyway, restart with the listing; the odds of a worker fall with its pace and its load. Only where endpoints state their pace; other deployments are as before.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -37,6 +37,7 @@
 from sesamearch.forwarding.pauses import PauseTracker
 from sesamearch.forwarding.prompts import PromptLocations
 from sesamearch.forwarding.restarts import RestartDetector
+from sesamearch.forwarding.stated_load import LoadStatements
 from sesamearch.forwarding.tools import ForwardTools
 from sesamearch.membership.fleet import FleetLink
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
@@ -150,6 +151,8 @@
         self._metrics = PlatformMetrics(self.counters, self._gauges())
         self._health = HealthTracker(reactor)
         self._loads = LoadTracker(reactor)
+        self._statements = LoadStatements(reactor)
+        self.board.endpoints.listen(self._statements.discard_unlisted)
         self._prompts = PromptLocations(reactor)
         endpoint_index = EndpointIndex(self.board, self._health)
         self._endpoint_index = endpoint_index
@@ -211,9 +214,11 @@
                 self._limits,
                 self._permits,
                 rng,
+                self._statements,
             ),
             endpoint_index,
             self._loads,
+            self._statements,
             self._health,
             self._prompts,
             GenerationPace(),
@@ -304,6 +309,7 @@
         self._leaving.note_answer(endpoint, answer)
         self._pauses.note_answer(endpoint, answer)
         self._limits.note_answer(endpoint, answer, asked_s)
+        self._statements.note_answer(endpoint, answer)
 
     def _endpoints_to_probe(self):
         """Return the endpoints that may be probed for whether they can be reached."""
@@ -361,6 +367,7 @@
             self._prompts,
             self._budgets,
             self._reactor,
+            self._statements,
             self._is_witness,
         )
         self._leaving_gossip = LeavingGossip(self._leaving)
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -20,6 +20,7 @@
         "leaving": ["LeavingTracker"],
         "lifecycle": ["GenerationInputs", "make_lifecycle"],
         "limits": ["LimitStatement", "LimitTracker"],
+        "stated_load": ["LoadEstimate", "LoadStatements", "StatedLoad"],
         "load": ["EndpointLoad", "LoadTracker", "Work"],
         "meter": ["Meter", "NoMeter"],
         "outage": ["OutageDetector"],
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -80,6 +80,7 @@
             after_event=self.request.after_event,
         )
         self._runs += 1
+        self.tools.statements.note_sent(endpoint.name)
         self.send(options, self.tools.loads.begin(endpoint.name))
         if self._hedge_timer is None and not self.is_over:
             delay_s = self.route.latency_goal_s * HEDGE_DELAY_RATIO
--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -1,5 +1,6 @@
 """Choice of an endpoint for a request, by predicted waiting time."""
 
+import math
 import random
 from collections import Counter
 
@@ -28,6 +29,8 @@
 # The costs of a plain call are in running requests per slot of the endpoint.
 REMOTE_COST_REQUESTS = 0.3
 FAILURE_COST_REQUESTS = 40.0
+# A stated load above this is taken for this much: it is gone before news of it ages.
+MAX_STATED_REQUESTS = 2.0
 
 
 def _without(endpoints, names):
@@ -66,6 +69,7 @@
     limits : LimitTracker
     permits : PermitSource
     rng : random.Random, optional
+    statements : LoadStatements, optional
     """
 
     __slots__ = (
@@ -79,6 +83,7 @@
         "_pauses",
         "_permits",
         "_random",
+        "_statements",
     )
 
     def __init__(
@@ -93,7 +98,9 @@
         limits,
         permits,
         rng=None,
+        statements=None,
     ):
+        self._statements = statements
         self._outages = outages
         self._pauses = pauses
         self._limits = limits
@@ -223,17 +230,39 @@
             running = self._loads.total(endpoint.name).running
             return running < max(endpoint.slots, 1)
 
-        def cost(endpoint):
+        estimates = self._statements.estimates(endpoints) if self._statements else {}
+
+        def work_cost(endpoint):
+            if estimates:
+                estimate = estimates[endpoint.name]
+                occupancy = min(estimate.occupancy_ratio, MAX_STATED_REQUESTS)
+                return math.log(estimate.pace_ratio) + occupancy
             running = self._loads.total(endpoint.name).running
+            return running / max(endpoint.slots, 1)
+
+        def cost(endpoint):
             is_remote = endpoint.data_centre != self._data_centre
             excess = self._health.excess(endpoint.name, baseline)
             return (
-                running / max(endpoint.slots, 1)
+                work_cost(endpoint)
                 + REMOTE_COST_REQUESTS * is_remote
                 + FAILURE_COST_REQUESTS * excess
             )
 
-        return self._cheapest(self._within_limits(endpoints, has_room), cost)
+        usable = self._within_limits(endpoints, has_room)
+        return self._draw(usable, cost) if estimates else self._cheapest(usable, cost)
+
+    def _draw(self, endpoints, cost):
+        """Draw an endpoint, with odds in proportion to its speed at equal load.
+
+        Many routers read the same statements, so none may send all to the best one.
+        """
+        if not endpoints:
+            return None
+        costs = [cost(each) for each in endpoints]
+        least = min(costs)
+        odds = [math.exp(least - each) for each in costs]
+        return self._random.choices(endpoints, odds)[0]
 
     def for_generation(
         self,
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -129,11 +129,20 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Load that an endpoint reports in an answer."""
+    """Load that an endpoint reports in an answer.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+    pace_percent : int or None
+        How long work takes there at present, in percent of the usual time; None if it
+        does not say so.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace_percent: int | None = None
 
 
 class EndpointAnswer(msgspec.Struct, frozen=True):
--- a/src/sesamearch/forwarding/tools.py
+++ b/src/sesamearch/forwarding/tools.py
@@ -14,6 +14,7 @@
     chooser : Chooser
     endpoint_index : EndpointIndex
     loads : LoadTracker
+    statements : LoadStatements
     health : HealthTracker
     prompts : PromptLocations
     pace : GenerationPace
@@ -39,6 +40,7 @@
     chooser: object
     endpoint_index: object
     loads: object
+    statements: object
     health: object
     prompts: object
     pace: object
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -6,6 +6,7 @@
 from sesamearch.forwarding.budget import RetryUse
 from sesamearch.forwarding.health import Outcomes, Suspicion
 from sesamearch.forwarding.load import EndpointLoad
+from sesamearch.forwarding.stated_load import StatedLoad
 from sesamearch.membership.limit_message import (
     LimitReport,
     PermitReply,
@@ -169,6 +170,8 @@
         Distinguishes processes of the sender's name.
     retry_use : dict from str to RetryUse
         Requests and retries of the sender by service.
+    stated : dict from str to StatedLoad
+        Load that endpoints stated to the sender since its last update, by endpoint.
     """
 
     name: str
@@ -179,6 +182,7 @@
     outcomes: list[Outcomes] = []
     epoch: int = 0
     retry_use: dict[str, RetryUse] = {}
+    stated: dict[str, StatedLoad] = {}
 
 
 class EndpointRestarted(
--- a/src/sesamearch/membership/gossip.py
+++ b/src/sesamearch/membership/gossip.py
@@ -23,6 +23,7 @@
     prompts : PromptLocations
     budgets : RetryBudgets
     clock : twisted.internet.interfaces.IReactorTime
+    statements : LoadStatements
     is_witness : callable
         Called with the name of an endpoint; returns whether what this router sees of it
         tells of the endpoint, not of the path to it.
@@ -39,6 +40,7 @@
         "_peers",
         "_prompts",
         "_refresh_s",
+        "_statements",
         "_timer",
         "_was_empty",
     )
@@ -52,9 +54,11 @@
         prompts,
         budgets,
         clock,
+        statements,
         is_witness=lambda name: True,
     ):
         self._is_witness = is_witness
+        self._statements = statements
         self._budgets = budgets
         self._data_centre = data_centre
         self._clock = clock
@@ -97,7 +101,8 @@
         loads = self._loads.generations()
         suspicions = self._of_witness(self._health.suspicions())
         outcomes = self._of_witness(self._health.collect_unreported())
-        is_empty = not loads and not suspicions and not outcomes
+        stated = self._statements.collect_unsent()
+        is_empty = not (loads or suspicions or outcomes or stated)
         if is_empty and self._was_empty:
             return
         self._was_empty = is_empty
@@ -112,6 +117,7 @@
                 outcomes,
                 self._peers.member_list.own.incarnation,
                 self._budgets.use(),
+                stated,
             )
         )
 
@@ -120,6 +126,7 @@
 
     def _apply(self, message):
         self._loads.update(message.name, message.loads)
+        self._statements.update(message.stated)
         for suspicion in message.suspicions:
             self._health.update(suspicion)
         if message.data_centre == self._data_centre:
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -321,7 +321,8 @@
 
 def _load(text):
     numbers = [_integer(part.strip()) for part in text.split(",")]
-    if len(numbers) != 3 or None in numbers:
+    # The fourth figure, how long work takes, is optional.
+    if len(numbers) not in (3, 4) or None in numbers:
         return None
     return LoadReport(*numbers)
 
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -26,7 +26,7 @@
 class World:
     """Endpoints e0, e1, ... that alternate between two data centres."""
 
-    def __init__(self, count=4, service="models"):
+    def __init__(self, count=4, service="models", seed=1):
         self.clock = Clock()
         self.board = Blackboard()
         self.health = HealthTracker(self.clock)
@@ -46,7 +46,7 @@
             self.pauses,
             self.limits,
             self.permits,
-            random.Random(1),
+            random.Random(seed),
         )
         endpoints = [
             Endpoint(
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -150,8 +150,15 @@
     def test_load(self):
         load = self.decode(200, (b"X-Server-Load", b"3,0,8")).load
         self.assertEqual((load.running, load.waiting, load.slots), (3, 0, 8))
+        self.assertIsNone(load.pace_percent)
         self.assertIsNone(self.decode(200, (b"X-Server-Load", b"3,x")).load)
 
+    def test_load_with_the_pace_of_work(self):
+        load = self.decode(200, (b"X-Server-Load", b"3,1,8,250")).load
+        self.assertEqual((load.waiting, load.slots, load.pace_percent), (1, 8, 250))
+        for malformed in (b"3,1,8,", b"3,1,8,-5", b"3,1,8,2.5", b"1,2,3,4,5"):
+            self.assertIsNone(self.decode(200, (b"X-Server-Load", malformed)).load)
+
     def test_process_may_say_that_it_leaves(self):
         leaving = self.decode(200, (b"server-leaving", b" 1 "))
         self.assertTrue(leaving.is_leaving)
