Weigh the reading that a held prompt saves against the wait, for each request

Cause: an engine was taken to hold a prompt whole, for 10 s after any router had sent it there, by the prompt's last part alone, whatever memory was left. Ruled out: the engines' news of their caches (late, with gaps, calls that are priced). Change: HeldPrompts: parts of 256 tokens and more that engines have read, own and told by the other routers with the updates that are sent anyway; what is saved is the leading parts, less with age, nothing without free memory, after a loss or a restart. It counts in the same tokens as the wait, so that a queue outweighs it and a hot prompt spreads.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -29,6 +29,7 @@
 )
 from sesamearch.forwarding.endpoint_index import EndpointIndex
 from sesamearch.forwarding.health import HealthTracker
+from sesamearch.forwarding.held_prompts import HeldPrompts
 from sesamearch.forwarding.leaving import LeavingTracker
 from sesamearch.forwarding.limits import LimitTracker
 from sesamearch.forwarding.load import LoadTracker
@@ -152,6 +153,8 @@
         self._health = HealthTracker(reactor)
         self._loads = LoadTracker(reactor)
         self._statements = LoadStatements(reactor)
+        self._held_prompts = HeldPrompts(reactor)
+        self.board.endpoints.listen(self._held_prompts.discard_unlisted)
         self.board.endpoints.listen(self._statements.discard_unlisted)
         self._prompts = PromptLocations(reactor)
         endpoint_index = EndpointIndex(self.board, self._health)
@@ -215,12 +218,14 @@
                 self._permits,
                 rng,
                 self._statements,
+                self._held_prompts,
             ),
             endpoint_index,
             self._loads,
             self._statements,
             self._health,
             self._prompts,
+            self._held_prompts,
             GenerationPace(),
             self._budgets,
             self._rollout_controller,
@@ -368,6 +373,7 @@
             self._budgets,
             self._reactor,
             self._statements,
+            self._held_prompts,
             self._is_witness,
         )
         self._leaving_gossip = LeavingGossip(self._leaving)
@@ -542,6 +548,7 @@
         self._outages.check()
         self._proxying.update()
         self._prompts.drop_expired()
+        self._held_prompts.drop_expired()
         self._pauses.drop_expired()
         self._limits.drop_expired(self.board.endpoints.value)
         self._permits.refresh()
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -39,6 +39,7 @@
             "PermitDecision",
             "PermitSource",
         ],
+        "held_prompts": ["HeldPrompts"],
         "prompts": ["PromptLocations"],
         "request": [
             "CallerRequest",
--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -184,6 +184,7 @@
         """
         tools, endpoint = self._exchange.tools, self.endpoint
         tools.paths.note_failed(endpoint)
+        tools.held_prompts.forget(endpoint.name)
         if loss is Loss.NOT_CONNECTED:
             tools.health.note_unreachable(endpoint.name)
             if self._exchange.now_s - self.sent_s >= MIN_SILENCE_S:
--- a/src/sesamearch/forwarding/choice.py
+++ b/src/sesamearch/forwarding/choice.py
@@ -70,6 +70,7 @@
     permits : PermitSource
     rng : random.Random, optional
     statements : LoadStatements, optional
+    held : HeldPrompts, optional
     """
 
     __slots__ = (
@@ -77,6 +78,7 @@
         "_endpoint_index",
         "_gate",
         "_health",
+        "_held",
         "_limits",
         "_loads",
         "_outages",
@@ -99,7 +101,9 @@
         permits,
         rng=None,
         statements=None,
+        held=None,
     ):
+        self._held = held
         self._statements = statements
         self._outages = outages
         self._pauses = pauses
@@ -271,7 +275,7 @@
         need,
         request_id,
         excluded=frozenset(),
-        cached_at="",
+        parts=(),
         denied=frozenset(),
     ):
         """Choose an endpoint for a generation.
@@ -284,8 +288,8 @@
         request_id : str
         excluded : set of str
             Names of endpoints not to choose.
-        cached_at : str
-            Name of the endpoint that has the prompt cached; empty for none.
+        parts : list of PromptPart
+            The prompt's parts, which an engine may still hold.
         denied : set of str
             Names of limited endpoints that have no permit for the request.
 
@@ -307,13 +311,19 @@
         def has_room(endpoint):
             return not is_full_at(endpoint, self._loads.total(endpoint.name))
 
+        def saved_tokens(endpoint, load):
+            if self._held is None:
+                return 0.0
+            free_tokens = engine.memory_tokens - load.memory_tokens
+            saved = self._held.saved_tokens(parts, endpoint.name, free_tokens)
+            return min(saved, need.prompt_tokens)
+
         def cost(endpoint):
             load = self._loads.total(endpoint.name)
             is_remote = endpoint.data_centre != self._data_centre
             is_full = is_full_at(endpoint, load)
             excess = self._health.excess(endpoint.name, baseline)
-            is_cached = endpoint.name == cached_at
-            prompt_tokens = 0 if is_cached else need.prompt_tokens
+            prompt_tokens = need.prompt_tokens - saved_tokens(endpoint, load)
             ahead_tokens = load.unread_tokens + prompt_tokens
             delayed_tokens = DELAY_RATIO * prompt_tokens * load.running
             return (
--- a/src/sesamearch/forwarding/search.py
+++ b/src/sesamearch/forwarding/search.py
@@ -101,7 +101,7 @@
             self.need,
             self._request.request_id,
             self._excluded,
-            self._tools.prompts.find(self._request.last_part),
+            self._request.prompt_parts,
             self._permit.denied,
         )
 
--- a/src/sesamearch/forwarding/stream.py
+++ b/src/sesamearch/forwarding/stream.py
@@ -102,6 +102,7 @@
         self._note_progress(attempt)
         if not attempt.work.is_read:
             attempt.work.prompt_was_read()
+            self._note_prompt_read(attempt)
             attempt.observer.answered(is_failure=False)
         attempt.observer.received_events(len(events))
         if not self._has_head:
@@ -114,6 +115,11 @@
         self._timing.note(len(events), self.now_s)
         self.reply.write(b"".join(event.data for event in events))
 
+    def _note_prompt_read(self, attempt):
+        if not attempt.is_by_peer:
+            parts = self.request.prompt_parts
+            self.tools.held_prompts.note_read(parts, attempt.endpoint.name)
+
     def _start_answer(self, attempt):
         answer = attempt.answer
         self._has_head = True
--- a/src/sesamearch/forwarding/tools.py
+++ b/src/sesamearch/forwarding/tools.py
@@ -17,6 +17,7 @@
     statements : LoadStatements
     health : HealthTracker
     prompts : PromptLocations
+    held_prompts : HeldPrompts
     pace : GenerationPace
     budgets : RetryBudgets
     gate : VersionGate
@@ -43,6 +44,7 @@
     statements: object
     health: object
     prompts: object
+    held_prompts: object
     pace: object
     budgets: object
     gate: object
--- a/src/sesamearch/membership/fleet_message.py
+++ b/src/sesamearch/membership/fleet_message.py
@@ -172,6 +172,8 @@
         Requests and retries of the sender by service.
     stated : dict from str to StatedLoad
         Load that endpoints stated to the sender since its last update, by endpoint.
+    read_parts : dict from str to list of str
+        Parts of prompts that engines read for the sender since then, by engine.
     """
 
     name: str
@@ -183,6 +185,7 @@
     epoch: int = 0
     retry_use: dict[str, RetryUse] = {}
     stated: dict[str, StatedLoad] = {}
+    read_parts: dict[str, list[str]] = {}
 
 
 class EndpointRestarted(
--- a/src/sesamearch/membership/gossip.py
+++ b/src/sesamearch/membership/gossip.py
@@ -24,6 +24,7 @@
     budgets : RetryBudgets
     clock : twisted.internet.interfaces.IReactorTime
     statements : LoadStatements
+    held_prompts : HeldPrompts
     is_witness : callable
         Called with the name of an endpoint; returns whether what this router sees of it
         tells of the endpoint, not of the path to it.
@@ -34,6 +35,7 @@
         "_clock",
         "_data_centre",
         "_health",
+        "_held_prompts",
         "_is_witness",
         "_loads",
         "_name",
@@ -55,10 +57,12 @@
         budgets,
         clock,
         statements,
+        held_prompts,
         is_witness=lambda name: True,
     ):
         self._is_witness = is_witness
         self._statements = statements
+        self._held_prompts = held_prompts
         self._budgets = budgets
         self._data_centre = data_centre
         self._clock = clock
@@ -118,6 +122,7 @@
                 self._peers.member_list.own.incarnation,
                 self._budgets.use(),
                 stated,
+                self._held_prompts.collect_untold(),
             )
         )
 
@@ -127,6 +132,7 @@
     def _apply(self, message):
         self._loads.update(message.name, message.loads)
         self._statements.update(message.stated)
+        self._held_prompts.update(message.read_parts)
         for suspicion in message.suspicions:
             self._health.update(suspicion)
         if message.data_centre == self._data_centre:
