Part the callers' connection by job, and bound the pieces of all callers' bodies

Change: MovableTimer, BytesAhead, CallerLimits and the factory in modules of their own; the read budget that bounds endpoints bounds all callers' bodies too. Conclusion: which limit it loosens: none.

--- a/src/sesamearch/wire/__init__.py
+++ b/src/sesamearch/wire/__init__.py
@@ -6,7 +6,10 @@
     __name__,
     submod_attrs={
         "account": ["CallerAccount", "CallerBounds", "CallerHolding", "ShedReason"],
-        "caller": ["CallerConnection", "CallerFactory", "CallerLimits"],
+        "ahead": ["BytesAhead"],
+        "body": ["BodyBuffer"],
+        "caller": ["CallerConnection", "CallerFactory"],
+        "caller_limits": ["CallerLimits"],
         "endpoint": [
             "ResponseReceiver",
             "Loss",
@@ -30,5 +33,6 @@
         "pool": ["ConnectionPool"],
         "read_budget": ["BudgetedReader", "ReadBudget"],
         "reply": ["Reply", "ReplyListener"],
+        "timer": ["MovableTimer"],
     },
 )
--- a/src/sesamearch/wire/account.py
+++ b/src/sesamearch/wire/account.py
@@ -7,6 +7,7 @@
 
 from sesamearch.base.log import logger
 from sesamearch.base.record import CallersShed
+from sesamearch.wire.read_budget import ReadBudget
 
 __all__ = ["CallerAccount", "CallerBounds", "CallerHolding", "ShedReason"]
 
@@ -118,6 +119,8 @@
         Memory that all connections hold.
     shed_count : int
         Number of connections shed so far.
+    read_budget : ReadBudget
+        Work for the pieces of all bodies.
     """
 
     def __init__(self, clock, bounds=None):
@@ -128,6 +131,7 @@
         self._is_shedding = False
         self.held_bytes = 0
         self.shed_count = 0
+        self.read_budget = ReadBudget(clock)
 
     @property
     def connection_count(self):
--- a/tests/wire/test_account.py
+++ b/tests/wire/test_account.py
@@ -17,6 +17,7 @@
     CallerHolding,
 )
 from sesamearch.wire.caller import CallerFactory, CallerLimits
+from sesamearch.wire.read_budget import MAX_STEPS, STEPS_PER_S
 from tests.platform.world import RawClient
 
 ADDRESS = "10.0.0.1:80"
@@ -120,15 +121,24 @@
         self.network = MemoryNetwork()
         self.account = CallerAccount(self.network, bounds)
         self.replies = []
+        self.bodies = []
         self.factory = CallerFactory(
             self.network,
-            lambda head, body, reply: self.replies.append(reply),
+            self.handle,
             lambda: LIMITS,
             lambda status, detail: None,
             account=self.account,
         )
         self.network.listen(ADDRESS, self.factory)
 
+    def handle(self, head, body, reply):
+        self.bodies.append(body)
+        self.replies.append(reply)
+
+    def taken(self):
+        """Return the sizes of the bodies that are being received."""
+        return [each._body.size_bytes for each in self.factory.connections]
+
     def connect(self):
         factory = ClientFactory()
         client = RawClient()
@@ -207,6 +217,20 @@
         server.network.run(0.1)
         self.assertEqual(ordinary.status, 200)
 
+    def test_body_in_pieces_of_a_byte_leaves_the_processor_to_others(self):
+        server = Server(None)
+        flood, ordinary = server.connect(), server.connect()
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        flood.send(head + b"1\r\nx\r\n" * 20_000)
+        server.network.run(0.01)
+        self.assertLess(max(server.taken()), 2 * MAX_STEPS)
+        ordinary.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi")
+        server.network.run(0.1)
+        self.assertEqual(len(server.replies), 1)
+        flood.send(b"0\r\n\r\n")
+        server.network.run(20_000 / STEPS_PER_S + 1)
+        self.assertEqual(server.bodies, [b"hi", b"x" * 20_000])
+
     def test_body_that_trickles_is_refused_in_the_end(self):
         # A byte each 9 s is progress, but not a body that ends.
         server = Server(None)
