Do not repeat what other routers suspect

Change: a router reports what it found itself, until an answer ends it. Figures: tests.forwarding.test_health fails before (a heard suspicion was reported). Conclusion: which limit it loosens: a router that starts hears of a suspicion from those that found it, within 1.5 s as before.

--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -32,6 +32,7 @@
         "avoid_s",
         "avoid_until_s",
         "failures",
+        "found_until_s",
         "gap_s",
         "is_replaced",
         "outcomes",
@@ -44,6 +45,8 @@
         self.unreported_failures = 0.0
         self.avoid_s = 0.0
         self.avoid_until_s = 0.0
+        # End of the avoidance that this router began itself.
+        self.found_until_s = 0.0
         self.avoid_began_s = 0.0
         self.outcomes = 0.0
         self.failures = 0.0
@@ -154,7 +157,7 @@
         record.avoid_s = min(max(decayed_s * 2, MIN_AVOID_S), MAX_AVOID_S)
         record.avoid_began_s = now_s
         self._avoided.add(name)
-        record.avoid_until_s = now_s + record.avoid_s
+        record.avoid_until_s = record.found_until_s = now_s + record.avoid_s
         self._note_change()
         logger.info(
             EndpointSuspected(name, "unreachable", round(record.avoid_s * 1000))
@@ -170,6 +173,7 @@
         record = self._record(name)
         self._avoided.add(name)
         record.avoid_until_s = self._clock.seconds() + REPLACED_AVOID_S
+        record.found_until_s = record.avoid_until_s
         record.is_replaced = True
         self._note_change()
         logger.info(EndpointSuspected(name, "replaced", round(REPLACED_AVOID_S * 1000)))
@@ -191,7 +195,7 @@
         """Count an answer; a success ends the avoidance of the endpoint."""
         record = self._count(name, is_failure)
         if not is_failure:
-            record.avoid_until_s = 0.0
+            record.avoid_until_s = record.found_until_s = 0.0
 
     def note_alive(self, name):
         """End the avoidance of an endpoint that answers again.
@@ -201,7 +205,7 @@
         """
         record = self._records.get(name)
         if record is not None and not record.is_replaced:
-            record.avoid_until_s = 0.0
+            record.avoid_until_s = record.found_until_s = 0.0
 
     def note_failure(self, name):
         """Count a request without a complete answer as a failure."""
@@ -302,10 +306,17 @@
         return ratios[(len(ratios) - 1) // 2] if ratios else 0.0
 
     def suspicions(self):
-        """Return the list of :class:`Suspicion` to report to the other routers."""
+        """Return the list of :class:`Suspicion` to report to the other routers.
+
+        What another router reported is not repeated: it reaches all, and the repeats
+        of all would outlive the answer that ends it.
+        """
         now_s = self._clock.seconds()
-        return [
-            Suspicion(name, record.avoid_until_s - now_s)
+        found = [
+            (name, min(record.avoid_until_s, record.found_until_s))
             for name, record in self._records.items()
-            if record.avoid_until_s > now_s
+            if record.found_until_s > now_s
+        ]
+        return [
+            Suspicion(name, end_s - now_s) for name, end_s in found if end_s > now_s
         ]
