--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -65,8 +65,8 @@
     Attributes
     ----------
     number : int
-    readiness : str
-        Address of the readiness check, which is not proxied.
+    listen, readiness : str
+        Addresses for callers and of the readiness check, which are not proxied.
     address : str
         Address for callers, which is proxied.
     callers, store : soak.link.Link
@@ -79,6 +79,7 @@
     def __init__(self, deployment, number, addresses, seeds):
         self._deployment = deployment
         self.number = number
+        self.listen = addresses.own.listen
         self.readiness = addresses.own.readiness
         self.address = addresses.public
         reactor = deployment.reactor
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -46,6 +46,9 @@
 # plain service.
 ENDLESS_EVERY = 5
 ENDLESS_FROM_S = 1.0
+# Seeds in which callers take memory at all routers and never end their requests.
+CROWD_EVERY = 5
+CROWD_FROM_S = 1.0
 # Seeds in which another writer leaves odd entries among those of the endpoints.
 ODD_ENTRIES_EVERY = 4
 ODD_ENTRIES_FROM_S = 1.0
@@ -216,6 +219,8 @@
         for never.
     endless_from_s : float or None
         Time from which the first endpoint answers without end; None for never.
+    crowd_from_s : float or None
+        Time from which a crowd of callers takes memory at all routers; None for never.
     """
 
     seed: int
@@ -227,6 +232,7 @@
     fatal_requests_from_s: float | None = None
     odd_entries_from_s: float | None = None
     endless_from_s: float | None = None
+    crowd_from_s: float | None = None
 
     @property
     def is_planned_work(self):
@@ -284,9 +290,14 @@
         requests_from_s,
         odd_entries_from_s,
         ENDLESS_FROM_S if _has_endless_answers(seed) else None,
+        CROWD_FROM_S if _has_crowd(seed) else None,
     )
 
 
+def _has_crowd(seed):
+    return seed % PLANNED_WORK_EVERY != 0 and seed % CROWD_EVERY == 2
+
+
 def _has_endless_answers(seed):
     return seed % PLANNED_WORK_EVERY != 0 and seed % ENDLESS_EVERY == 1
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 from twisted.internet.task import LoopingCall, deferLater  # noqa: E402
 
 from soak.caller import RequestKind  # noqa: E402
+from soak.crowd import Crowd  # noqa: E402
 from soak.deployment import Deployment  # noqa: E402
 from soak.injector import Injector  # noqa: E402
 from soak.plan import EVENTS_PER_GENERATION, DeploymentSize, generate_plan  # noqa: E402
@@ -56,6 +57,7 @@
         rng = random.Random(plan.seed)
         self._traffic = Traffic(reactor, self.deployment, rng, REQUEST_RATES_PER_S)
         self._injector = Injector(reactor, self.deployment)
+        self._crowd = Crowd(reactor)
         self._probing = LoopingCall(self._traffic.probe)
         self._lag_check = LoopingCall(self._check_own_lag)
         self._lag_due_s = reactor.seconds()
@@ -128,6 +130,10 @@
             reactor.callLater(
                 self._plan.endless_from_s, self.deployment.begin_endless_answers
             )
+        if self._plan.crowd_from_s is not None:
+            reactor.callLater(
+                self._plan.crowd_from_s, self._crowd.begin, self.deployment.routers
+            )
         limits = self._plan.limits
         if limits is not None:
             reactor.callLater(limits.from_s, self.deployment.name_limits, limits)
@@ -139,6 +145,7 @@
         await deferLater(reactor, max(self._plan.faults_s, last_fault_end_s))
         self.deployment.end_limits()
         self.deployment.end_endless_answers()
+        self._crowd.end()
 
     async def _recover(self):
         """Wait until each router serves again, for at most ``RECOVERY_TIMEOUT_S``."""
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -7,15 +7,18 @@
 import json
 import selectors
 import socket
-import subprocess
-import sys
 import tempfile
 import time
 import unittest
 from pathlib import Path
 
 from tests.deployment import RouterAddresses, free_addresses
-from tests.platform.test_processes import ROOT, TIMEOUT_S, Router, exchange
+from tests.platform.router_process import (
+    TIMEOUT_S,
+    ProcessTestCase,
+    Router,
+    exchange,
+)
 from tests.platform.world import HOST, KEY, ROUTES, make_configuration
 
 MEMORY_MB = 96
@@ -133,7 +136,7 @@
             client.close()
 
 
-class TestCrowds(unittest.TestCase):
+class TestCrowds(ProcessTestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -142,16 +145,7 @@
         addresses = free_addresses(9)
         store, workers, own = addresses[0], addresses[1:4], addresses[4:]
         self.addresses = RouterAddresses(*own)
-        standins = subprocess.Popen(
-            [
-                *(sys.executable, "-m", "tests.platform.standins"),
-                *("--configuration", str(configuration), store, *workers),
-            ],
-            cwd=ROOT,
-            stdout=subprocess.PIPE,
-        )
-        self.addCleanup(self.end, standins)
-        standins.stdout.readline()
+        self.start_standins("--configuration", str(configuration), store, *workers)
         limits = {"limits.memory-mb": MEMORY_MB, "limits.max-fds": MAX_FDS}
         seeds = [self.addresses.control]
         self.router = Router(0, Path(folder.name), self.addresses, seeds, store, limits)
@@ -160,20 +154,6 @@
         self.addCleanup(self.crowd.close)
         self.wait_for(self.router.is_ready)
 
-    @staticmethod
-    def end(process):
-        if process.poll() is None:
-            process.kill()
-        process.wait()
-        if process.stdout:
-            process.stdout.close()
-
-    def wait_for(self, condition):
-        deadline_s = time.monotonic() + TIMEOUT_S
-        while not condition():
-            self.assertLess(time.monotonic(), deadline_s, "condition not met in time")
-            time.sleep(0.05)
-
     def has_metrics(self):
         try:
             answer = exchange(self.addresses.metrics, requests_ahead("/metrics", 1))
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -7,93 +7,37 @@
 import subprocess
 import sys
 import tempfile
-import time
-import unittest
 from pathlib import Path
 
-from tests.deployment import RouterAddresses, free_addresses, platform_settings
+from tests.deployment import RouterAddresses, free_addresses
+from tests.platform.router_process import (
+    ROOT,
+    TIMEOUT_S,
+    ProcessTestCase,
+    Router,
+    exchange,
+    is_complete,
+)
 from tests.platform.world import draft_bytes, request_bytes
 
-ROOT = Path(__file__).parents[2]
-# Generous, so that a loaded machine causes no false failures; no test checks speed.
-TIMEOUT_S = 20.0
 ROUTERS = 3
 WORKERS = 5
 EVENTS = 20
 
 
-class Router:
-    """One router process."""
-
-    def __init__(self, number, folder, addresses, seeds, store, more=None):
-        self.listen = addresses.listen
-        self.readiness = addresses.readiness
-        path = folder / f"settings-{number}.conf"
-        path.write_text(platform_settings(number, addresses, seeds, store, more))
-        self.log = folder / f"router-{number}.log"
-        self.start(path)
-
-    def start(self, path):
-        self.path = path
-        self.process = subprocess.Popen(
-            [sys.executable, "deploy/start.py"],
-            cwd=ROOT,
-            env={**os.environ, "SESAMEARCH_SETTINGS": str(path)},
-            stdout=self.log.open("ab"),
-            stderr=subprocess.STDOUT,
-        )
-
-    def is_ready(self):
-        try:
-            answer = exchange(self.readiness, b"GET / HTTP/1.1\r\nHost: r\r\n\r\n")
-        except OSError:
-            return False
-        return answer.startswith(b"HTTP/1.1 200")
-
-
-def exchange(address, data):
-    """Send a request and return the bytes received until the response is complete."""
-    host, _, port = address.rpartition(":")
-    with socket.create_connection((host, int(port)), timeout=TIMEOUT_S) as client:
-        client.sendall(data)
-        received = b""
-        while not is_complete(received):
-            part = client.recv(65536)
-            if not part:
-                break
-            received += part
-    return received
-
-
-def is_complete(received):
-    head, separator, body = received.partition(b"\r\n\r\n")
-    if not separator:
-        return False
-    for line in head.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            return len(body) >= int(line.partition(b":")[2])
-    return body.endswith(b"0\r\n\r\n")
-
-
 def event_ids(received):
     lines = received.split(b"\n")
     return [int(line[4:]) for line in lines if line.startswith(b"id: ")]
 
 
-class TestRouters(unittest.TestCase):
+class TestRouters(ProcessTestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         addresses = free_addresses(1 + WORKERS + 5 * ROUTERS)
         store, workers = addresses[0], addresses[1 : 1 + WORKERS]
         router_addresses = addresses[1 + WORKERS :]
-        self.standins = subprocess.Popen(
-            [sys.executable, "-m", "tests.platform.standins", store, *workers],
-            cwd=ROOT,
-            stdout=subprocess.PIPE,
-        )
-        self.addCleanup(self.kill, self.standins)
-        self.standins.stdout.readline()
+        self.start_standins(store, *workers)
         groups = [
             RouterAddresses(*router_addresses[5 * n : 5 * n + 5])
             for n in range(ROUTERS)
@@ -103,24 +47,10 @@
         for number, group in enumerate(groups):
             router = Router(number, Path(folder.name), group, seeds, store)
             self.routers.append(router)
-            self.addCleanup(lambda r=router: self.kill(r.process))
+            self.addCleanup(lambda r=router: self.end(r.process))
         for router in self.routers:
             self.wait_for(router.is_ready)
 
-    @staticmethod
-    def kill(process):
-        if process.poll() is None:
-            process.kill()
-        process.wait()
-        if process.stdout:
-            process.stdout.close()
-
-    def wait_for(self, condition):
-        deadline_s = time.monotonic() + TIMEOUT_S
-        while not condition():
-            self.assertLess(time.monotonic(), deadline_s, "condition not met in time")
-            time.sleep(0.05)
-
     def events(self, router, event):
         records = []
         for line in router.log.read_bytes().splitlines():
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -47,6 +47,12 @@
         self.assertEqual(endless, [1, 11, 16, 26])
         self.assertEqual(plans[4].faults[0].kind, FaultKind.ENDPOINT_LINK_DELAY)
 
+    def test_crowds_change_no_plan(self):
+        plans = [generate_plan(n, DeploymentSize(), SECONDS) for n in range(1, 31)]
+        crowds = [plan.seed for plan in plans if plan.crowd_from_s is not None]
+        self.assertEqual(crowds, [2, 7, 17, 22])
+        self.assertEqual(plans[4].faults[0].kind, FaultKind.ENDPOINT_LINK_DELAY)
+
     def test_limits_change_no_plan(self):
         plans = [generate_plan(n, DeploymentSize(), SECONDS) for n in range(1, 61)]
         limited = [plan.seed for plan in plans if plan.limits is not None]
