Serve generations of a service whose configuration states no engine

Change: ServiceSpec.traits: without the key, nothing but an endpoint's slots binds. Other optional keys were not tried.

--- a/src/sesamearch/forwarding/copies.py
+++ b/src/sesamearch/forwarding/copies.py
@@ -67,7 +67,7 @@
         """
         self._drop()
         self._run += 1
-        if not self._service.engine.supports_backups:
+        if not self._service.traits.supports_backups:
             return ""
         backup = self._choose(endpoint)
         if backup is None:
@@ -102,7 +102,7 @@
         the engine sends by itself is not requested.
         """
         now_s = self._tools.clock.seconds()
-        if not self._service.engine.supports_moves or self._is_copying:
+        if not self._service.traits.supports_moves or self._is_copying:
             return
         backup = self._usable_backup()
         if (backup is not None and not self._is_requested) or now_s < self._next_copy_s:
@@ -144,7 +144,7 @@
 
     def _choose(self, endpoint):
         return self._tools.chooser.for_backup(
-            endpoint, self._service.engine, self._need, self._request_id
+            endpoint, self._service.traits, self._need, self._request_id
         )
 
     def _set_copy(self, backup, copy, is_requested):
--- a/src/sesamearch/forwarding/search.py
+++ b/src/sesamearch/forwarding/search.py
@@ -97,7 +97,7 @@
     def _choose_any(self):
         return self._tools.chooser.for_generation(
             self._service.name,
-            self._service.engine,
+            self._service.traits,
             self.need,
             self._request.request_id,
             self._excluded,
--- a/src/sesamearch/routing/table.py
+++ b/src/sesamearch/routing/table.py
@@ -96,6 +96,10 @@
     supports_moves: bool = False
 
 
+# Traits of engines whose service states none: nothing but their slots binds them.
+UNSTATED_ENGINE = EngineTraits(slots=1 << 20, memory_tokens=1 << 60)
+
+
 class ServiceSpec(msgspec.Struct, frozen=True):
     """Properties of a service that are common to its endpoints.
 
@@ -115,6 +119,11 @@
     engine: EngineTraits | None = None
     health_path: str = ""
 
+    @property
+    def traits(self):
+        """EngineTraits : those to use for generations."""
+        return self.engine or UNSTATED_ENGINE
+
 
 class Organisation(msgspec.Struct, frozen=True):
     """An organisation and its API keys.
--- a/tests/platform/test_router.py
+++ b/tests/platform/test_router.py
@@ -42,6 +42,17 @@
         self.assertEqual(client.event_ids, list(range(20)))
         self.assertTrue(client.is_complete)
 
+    def test_generation_of_a_service_that_states_no_engine_is_answered(self):
+        # The configuration may leave the key out, as for any plain service.
+        configuration = make_configuration(version=8)
+        for service in configuration["services"]:
+            service.pop("engine", None)
+        self.world.store.put("op/config", configuration)
+        self.world.run(1)
+        client = self.world.send_request(draft_bytes(), wait_s=2)
+        self.assertEqual(client.status, 200)
+        self.assertEqual(client.event_ids, list(range(20)))
+
     def test_pipelined_requests_are_answered_in_order(self):
         client = self.world.connect()
         client.send(request_bytes("/look/1", "a"), request_bytes("/look/2", "b"))
