Add a command that tells where a request would go now, and why, without sending it

Cause: the operators' wish. Change: ObservedChooser makes the router's own choice among all endpoints, on random numbers of its own, and keeps what was compared; the metrics port answers /where; `sesamearch where` asks one or several routers, as a table or JSON. Ruled out: a copy of the costs (would drift from the choice).

--- a/src/sesamearch/command/main.py
+++ b/src/sesamearch/command/main.py
@@ -26,6 +26,7 @@
     show_faults,
     show_problem,
 )
+from sesamearch.command.where import add_where
 from sesamearch.configuration.settings import load_settings
 
 __all__ = ["main"]
@@ -58,6 +59,7 @@
     add_quarantine(commands)
     _add_ask(commands)
     add_explain(commands)
+    add_where(commands)
     _add_keys(commands)
     return parser
 
--- a/src/sesamearch/daemon/platform_ports.py
+++ b/src/sesamearch/daemon/platform_ports.py
@@ -1,10 +1,18 @@
 """Ports of a router on the platform: callers, readiness and metrics."""
 
+import urllib.parse
+
+import msgspec
 from twisted.internet.error import CannotListenError
 
 from sesamearch.base.log import logger
 from sesamearch.base.record import Lifecycle, RequestUnread, RequestUnreadable
-from sesamearch.platform.headers import decode_request, find_request_id
+from sesamearch.forwarding.where import WhereQuery
+from sesamearch.platform.headers import (
+    decode_prompt_parts,
+    decode_request,
+    find_request_id,
+)
 from sesamearch.wire.caller import CallerFactory
 
 __all__ = ["PlatformPorts"]
@@ -18,6 +26,8 @@
 METRICS_STEP_DELAY_S = 0.02
 # Calls that run at the end of the shutdown have so much longer than generations.
 LAST_CALLS_S = 0.15
+WHERE_PATH = b"/where"
+JSON_CONTENT_TYPE = b"application/json"
 METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 OK = 200
 UNAVAILABLE = 503
@@ -41,6 +51,8 @@
         Listens on an address; see :func:`listen_tcp`.
     account : CallerAccount
         Account of what all that connect to this process hold.
+    where : WhereFinder
+        Answers where a request would go.
     """
 
     # Number of claims and outcomes that the store has not confirmed, which Drain waits
@@ -49,9 +61,19 @@
     unsettled = 0
 
     def __init__(
-        self, reactor, settings, board, dispatcher, metrics, proxy_port, listen, account
+        self,
+        reactor,
+        settings,
+        board,
+        dispatcher,
+        metrics,
+        proxy_port,
+        listen,
+        account,
+        where,
     ):
         self._account = account
+        self._where = where
         self._proxy_port = proxy_port
         self._reactor = reactor
         self._settings = settings
@@ -191,5 +213,25 @@
             logger.error("cannot listen for metrics: {}", error)
 
     def _answer_metrics(self, head, body, reply):
+        path, _, query = head.target.partition(b"?")
+        if path == WHERE_PATH:
+            self._answer_where(query.decode("latin-1"), reply)
+            return
         headers = [(b"Content-Type", METRICS_CONTENT_TYPE)]
         reply.answer(OK, headers, self._metrics.render())
+
+    def _answer_where(self, query, reply):
+        """Tell an operator where a request would go; see ``sesamearch where``."""
+        fields = dict(urllib.parse.parse_qsl(query))
+        output_tokens = fields.get("output-tokens", "")
+        answer = self._where.find(
+            WhereQuery(
+                fields.get("host", ""),
+                fields.get("path", ""),
+                fields.get("organisation", ""),
+                decode_prompt_parts(fields.get("prompt", "")),
+                int(output_tokens) if output_tokens.isdecimal() else 0,
+            )
+        )
+        headers = [(b"Content-Type", JSON_CONTENT_TYPE)]
+        reply.answer(OK, headers, msgspec.json.encode(answer))
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -40,6 +40,7 @@
 from sesamearch.forwarding.restarts import RestartDetector
 from sesamearch.forwarding.stated_load import LoadStatements
 from sesamearch.forwarding.tools import ForwardTools
+from sesamearch.forwarding.where import ObservedChooser, WhereFinder
 from sesamearch.membership.fleet import FleetLink
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
 from sesamearch.membership.fleet_message import EndpointRestarted
@@ -143,6 +144,7 @@
             ),
             listen,
             self._account,
+            self._where,
         )
         self._drain = self._make_drain()
         self._loops = self._make_loops()
@@ -187,7 +189,6 @@
             self._handle_alive,
         )
         self.board.endpoints.listen(self._restart_detector.discard_unlisted)
-        data_centre = self._settings.data_centre
         rng = random.Random(self._settings.name)
         self._pauses = PauseTracker(reactor, self.counters, rng)
         self._client.is_paused = self._pauses.is_paused
@@ -206,20 +207,7 @@
         self._make_proxying()
         tools = ForwardTools(
             self._client,
-            Chooser(
-                endpoint_index,
-                self._loads,
-                self._health,
-                data_centre,
-                self._rollout_controller,
-                self._outages,
-                self._pauses,
-                self._limits,
-                self._permits,
-                rng,
-                self._statements,
-                self._held_prompts,
-            ),
+            self._make_chooser(Chooser, rng),
             endpoint_index,
             self._loads,
             self._statements,
@@ -244,6 +232,25 @@
             self._metrics,
         )
         self.dispatcher = Dispatcher(self.board, tools)
+        where_rng = random.Random(f"{self._settings.name} where")
+        chooser = self._make_chooser(ObservedChooser, where_rng)
+        self._where = WhereFinder(self._settings.name, self.board, tools, chooser)
+
+    def _make_chooser(self, chooser_type, rng):
+        return chooser_type(
+            self._endpoint_index,
+            self._loads,
+            self._health,
+            self._settings.data_centre,
+            self._rollout_controller,
+            self._outages,
+            self._pauses,
+            self._limits,
+            self._permits,
+            rng,
+            self._statements,
+            self._held_prompts,
+        )
 
     def _make_proxying(self):
         """Make what serves requests by way of other routers, and theirs here."""
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -63,6 +63,13 @@
         ],
         "stream": ["StreamExchange"],
         "suspicion": ["Obstacle", "TrySuspicion"],
+        "where": [
+            "EndpointView",
+            "ObservedChooser",
+            "WhereAnswer",
+            "WhereFinder",
+            "WhereQuery",
+        ],
         "tools": ["ForwardTools"],
     },
 )
--- a/src/sesamearch/platform/headers.py
+++ b/src/sesamearch/platform/headers.py
@@ -15,6 +15,7 @@
     "MAX_LIMIT_PER_S",
     "MAX_PAUSE_S",
     "decode_answer",
+    "decode_prompt_parts",
     "decode_request",
     "encode_for_router",
     "encode_request",
@@ -161,7 +162,7 @@
         after_event=_integer(_text(headers, _AFTER_EVENT)),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
-        prompt_parts=_parts(_text(headers, _PROMPT)),
+        prompt_parts=decode_prompt_parts(_text(headers, _PROMPT)),
     )
 
 
@@ -175,7 +176,8 @@
     return min(_integer(text) or 0, MAX_TOKENS)
 
 
-def _parts(text):
+def decode_prompt_parts(text):
+    """Return the list of :class:`PromptPart` of a prompt, ``ID:TOKENS,...``."""
     return [
         PromptPart(name, _token_count(tokens))
         for name, tokens in _PROMPT_PART.findall(text)
--- a/tests/platform/router_process.py
+++ b/tests/platform/router_process.py
@@ -21,6 +21,7 @@
     def __init__(self, number, folder, addresses, seeds, store, more=None):
         self.listen = addresses.listen
         self.readiness = addresses.readiness
+        self.metrics = addresses.metrics
         path = folder / f"settings-{number}.conf"
         path.write_text(platform_settings(number, addresses, seeds, store, more))
         self.log = folder / f"router-{number}.log"
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -18,7 +18,7 @@
     exchange,
     is_complete,
 )
-from tests.platform.world import draft_bytes, request_bytes
+from tests.platform.world import HOST, draft_bytes, request_bytes
 
 ROUTERS = 3
 WORKERS = 5
@@ -66,6 +66,25 @@
             answer = exchange(router.listen, draft_bytes(f"g{number}"))
             self.assertEqual(event_ids(answer), list(range(EVENTS)))
 
+    def test_command_tells_where_a_request_would_go_at_several_routers(self):
+        metrics = [router.metrics for router in self.routers]
+        request = ["--host", HOST, "--path", "/draft/1", "--format", "json"]
+        command = [sys.executable, "-m", "sesamearch", "where", *metrics, *request]
+        answers = []
+
+        def answered():
+            # Routers serve metrics some seconds after their start.
+            result = subprocess.run(command, cwd=ROOT, capture_output=True)
+            if result.returncode == 0:
+                answers.extend(json.loads(result.stdout))
+            return bool(answers)
+
+        self.wait_for(answered)
+        names = [answer["router"] for answer in answers]
+        self.assertEqual(names, ["edge-0", "edge-1", "edge-2"])
+        self.assertTrue(all(answer["chosen"] for answer in answers))
+        self.assertEqual(self.events(self.routers[0], "try_sent"), [])
+
     def test_routers_join_each_other_over_encrypted_links(self):
         def all_joined():
             joined = [
