Take back that suspicions are not repeated; look at repeats at less cost

Cause: without the repeats test_first_part_of_all_prompts_is_served fails: 0 sound requests served where 28.8 are due.

--- a/src/sesamearch/forwarding/health.py
+++ b/src/sesamearch/forwarding/health.py
@@ -32,7 +32,6 @@
         "avoid_s",
         "avoid_until_s",
         "failures",
-        "found_until_s",
         "gap_s",
         "is_replaced",
         "outcomes",
@@ -45,8 +44,6 @@
         self.unreported_failures = 0.0
         self.avoid_s = 0.0
         self.avoid_until_s = 0.0
-        # End of the avoidance that this router began itself.
-        self.found_until_s = 0.0
         self.avoid_began_s = 0.0
         self.outcomes = 0.0
         self.failures = 0.0
@@ -157,7 +154,7 @@
         record.avoid_s = min(max(decayed_s * 2, MIN_AVOID_S), MAX_AVOID_S)
         record.avoid_began_s = now_s
         self._avoided.add(name)
-        record.avoid_until_s = record.found_until_s = now_s + record.avoid_s
+        record.avoid_until_s = now_s + record.avoid_s
         self._note_change()
         logger.info(
             EndpointSuspected(name, "unreachable", round(record.avoid_s * 1000))
@@ -173,13 +170,24 @@
         record = self._record(name)
         self._avoided.add(name)
         record.avoid_until_s = self._clock.seconds() + REPLACED_AVOID_S
-        record.found_until_s = record.avoid_until_s
         record.is_replaced = True
         self._note_change()
         logger.info(EndpointSuspected(name, "replaced", round(REPLACED_AVOID_S * 1000)))
 
-    def update(self, suspicion):
-        """Apply a :class:`Suspicion` received from another router.
+    def update(self, suspicions):
+        """Apply the list of :class:`Suspicion` received from another router.
+
+        Most repeat what is known, and cost no more than a look.
+        """
+        now_s = self._clock.seconds()
+        for suspicion in suspicions:
+            record = self._records.get(suspicion.name)
+            until_s = now_s + suspicion.remaining_s
+            if record is None or until_s > record.avoid_until_s:
+                self._apply(suspicion)
+
+    def _apply(self, suspicion):
+        """Apply one suspicion.
 
         A suspicion that lasts longer than ``MAX_AVOID_S`` concerns a replaced endpoint,
         since unreachable endpoints are avoided for at most that long.
@@ -195,7 +203,7 @@
         """Count an answer; a success ends the avoidance of the endpoint."""
         record = self._count(name, is_failure)
         if not is_failure:
-            record.avoid_until_s = record.found_until_s = 0.0
+            record.avoid_until_s = 0.0
 
     def note_alive(self, name):
         """End the avoidance of an endpoint that answers again.
@@ -205,7 +213,7 @@
         """
         record = self._records.get(name)
         if record is not None and not record.is_replaced:
-            record.avoid_until_s = record.found_until_s = 0.0
+            record.avoid_until_s = 0.0
 
     def note_failure(self, name):
         """Count a request without a complete answer as a failure."""
@@ -306,17 +314,10 @@
         return ratios[(len(ratios) - 1) // 2] if ratios else 0.0
 
     def suspicions(self):
-        """Return the list of :class:`Suspicion` to report to the other routers.
-
-        What another router reported is not repeated: it reaches all, and the repeats
-        of all would outlive the answer that ends it.
-        """
+        """Return the list of :class:`Suspicion` to report to the other routers."""
         now_s = self._clock.seconds()
-        found = [
-            (name, min(record.avoid_until_s, record.found_until_s))
-            for name, record in self._records.items()
-            if record.found_until_s > now_s
-        ]
         return [
-            Suspicion(name, end_s - now_s) for name, end_s in found if end_s > now_s
+            Suspicion(name, record.avoid_until_s - now_s)
+            for name, record in self._records.items()
+            if record.avoid_until_s > now_s
         ]
--- a/src/sesamearch/membership/gossip.py
+++ b/src/sesamearch/membership/gossip.py
@@ -133,8 +133,7 @@
         self._loads.update(message.name, message.loads)
         self._statements.update(message.stated)
         self._held_prompts.update(message.read_parts)
-        for suspicion in message.suspicions:
-            self._health.update(suspicion)
+        self._health.update(message.suspicions)
         if message.data_centre == self._data_centre:
             for outcomes in message.outcomes:
                 self._health.add_outcomes(outcomes)
