--- a/tests/command/test_where.py
+++ b/tests/command/test_where.py
@@ -1,12 +1,13 @@
 """The where command: its URL, its table and unreachable routers."""
 
 import argparse
+import subprocess
+import sys
 import unittest
 from urllib.parse import parse_qs, urlsplit
 
 from sesamearch.command.where import to_text, where_url
 from sesamearch.forwarding.where import EndpointView, WhereAnswer
-from tests.command.test_main import run
 
 ANSWER = WhereAnswer(
     "edge-1",
@@ -37,9 +38,13 @@
         self.assertTrue(lines[2].endswith("leaves"))
 
     def test_router_that_cannot_be_reached_is_named(self):
-        code, _, err = run("where", "127.0.0.1:1", "--host", "h", "--path", "/")
-        self.assertNotEqual(code, 0)
-        self.assertIn("127.0.0.1:1", err)
+        # The reactor of this process cannot run twice.
+        command = [sys.executable, "-m", "sesamearch", "where", "127.0.0.1:1"]
+        result = subprocess.run(
+            [*command, "--host", "h", "--path", "/"], capture_output=True, text=True
+        )
+        self.assertNotEqual(result.returncode, 0)
+        self.assertIn("127.0.0.1:1", result.stderr)
 
 
 if __name__ == "__main__":
