--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,12 @@
 """A version raises a limit; connections that were open before refuse what it allows."""
 
+import os
 import sys
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
+# With TROUBLE=0 the script does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(CASE.parent))
 
 from lib2.world import (  # noqa: E402
@@ -145,4 +148,4 @@
 
 
 if __name__ == "__main__":
-    run(World(CASE), main)
+    run(World(CASE, TROUBLE), main)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,12 @@
 """The store loses its answers to the waiting watches once; a later change is missed."""
 
+import os
 import sys
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
+# With TROUBLE=0 the script does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(CASE.parent))
 
 from lib2.world import (  # noqa: E402
@@ -139,4 +142,4 @@
 
 
 if __name__ == "__main__":
-    run(World(CASE, LosingStore(reactor)), main)
+    run(World(CASE, TROUBLE, LosingStore(reactor)), main)
--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -397,11 +397,11 @@
 class World:
     """The store, the routers and a record of what happened."""
 
-    def __init__(self, case, store=None):
+    def __init__(self, case, trouble, store=None):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record_path = Path(case) / "record.txt"
         self.lines = []
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = trouble
         self.store = store or PlatformStoreStandin(reactor)
         self.store_address = free_address()
         self.routers = []
