Log and measure how long a watch of the store has had no answer

Three hypotheses could not be told apart from a router's log: the watch never answered, a change arrived and was not applied, or a peer brought an older version. `store_knowledge_changed` says "fresh" in all three.

Change: each watch keeps when it was last answered (metric store_watch_silence_ms), and logs `store_watch_changed` when a call ends without an answer and when there is one again. Nothing decides by it yet.

Tests of the store, records and pages pass; the whole suite was not run for this commit.

--- a/src/sesamearch/base/record.py
+++ b/src/sesamearch/base/record.py
@@ -49,6 +49,7 @@
     "ServicePathChanged",
     "StoreKnowledgeChanged",
     "StoreRestored",
+    "StoreWatchChanged",
     "TryLost",
     "TrySent",
     "TrySuspected",
@@ -348,6 +349,30 @@
     is_watching: bool
 
 
+class StoreWatchChanged(Record, frozen=True, tag="store_watch_changed"):
+    """A call that waits for changes in the store ended without an answer, or has one.
+
+    Parameters
+    ----------
+    prefix : str
+        Prefix of the keys that are watched.
+    state : str
+        ``lost`` or ``regained``.
+    revision : int
+        Store revision up to which changes are known.
+    silent_ms : int
+        Time since the last answer to this watch.
+    cause : str
+        Why there was no answer.
+    """
+
+    prefix: str
+    state: str
+    revision: int
+    silent_ms: int
+    cause: str = ""
+
+
 class ServicePathChanged(Record, frozen=True, tag="service_path_changed"):
     """The path to all endpoints of a service was lost, or there is one again.
 
@@ -470,6 +495,7 @@
     VersionStandingChanged,
     QuarantineChanged,
     StoreKnowledgeChanged,
+    StoreWatchChanged,
     StoreRestored,
     CallersShed,
     Lifecycle,
--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -342,6 +342,7 @@
             "members": lambda: len(board.members.value),
             "is_relay": lambda: int(self._peers is not None and self._peers.is_relay),
             "store_knowledge_age_ms": self._store_age_ms,
+            "store_watch_silence_ms": lambda: self._store.watch_silence_s * 1000,
             "limited_endpoints": lambda: self._limits.active_count,
             "quarantined_prompts": lambda: self._quarantine.active_count,
             "withheld_versions": self._count_withheld_versions,
--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -323,6 +323,12 @@
             self._next_ping = self.clock.callLater(FIRST_PING_DELAY_S, self._ping)
         return watch
 
+    @property
+    def watch_silence_s(self):
+        """Float : longest time since an answer to a watch, zero without watches."""
+        now_s = self.clock.seconds()
+        return max((now_s - watch.answered_s for watch in self._watches), default=0.0)
+
     def remove_watch(self, watch):
         """Remove a watch that ended; pings stop with the last watch."""
         self._watches.discard(watch)
--- a/src/sesamearch/platform/watch.py
+++ b/src/sesamearch/platform/watch.py
@@ -3,6 +3,7 @@
 from urllib.parse import quote
 
 from sesamearch.base.log import logger
+from sesamearch.base.record import StoreWatchChanged
 from sesamearch.platform.store_message import StoreEvents, decode_body, decode_events
 from sesamearch.store.store import Watch
 
@@ -28,21 +29,33 @@
     revision : int
         Store revision after which changes are reported.
     receiver : WatchReceiver
+
+    Attributes
+    ----------
+    is_complete : bool
+        Whether the store answered the last call that ended. After a call without an
+        answer, changes may have been missed.
+    answered_s : float
+        Time of the last answer, on the store's clock; that of the start before it.
     """
 
     __slots__ = (
         "_call",
         "_is_stopped",
         "_path",
+        "_prefix",
         "_receiver",
         "_retry",
         "_retry_delay_s",
         "_revision",
         "_store",
+        "answered_s",
+        "is_complete",
     )
 
     def __init__(self, store, prefix, revision, receiver):
         self._store = store
+        self._prefix = prefix
         self._path = b"/sesamearch/kv-watch?prefix=" + quote(prefix, safe="/").encode()
         self._revision = revision
         self._receiver = receiver
@@ -50,6 +63,8 @@
         self._retry = None
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._is_stopped = False
+        self.is_complete = True
+        self.answered_s = store.clock.seconds()
         self._send_call()
 
     def cancel(self):
@@ -92,8 +107,24 @@
         elif status == OK and not self._store.is_outdated(result.unwrap()):
             self._handle_events(decode_body(result.unwrap().body, StoreEvents))
         else:
+            failed = result.is_err()
+            cause = result.unwrap_err().detail if failed else f"status {status}"
+            self._set_complete(False, cause)
             self._retry_later()
 
+    def _set_complete(self, is_complete, cause=""):
+        """Note whether a call was answered; log a change."""
+        now_s = self._store.clock.seconds()
+        if is_complete != self.is_complete:
+            self.is_complete = is_complete
+            state = "regained" if is_complete else "lost"
+            prefix = self._prefix.decode()
+            silent_ms = round((now_s - self.answered_s) * MS_PER_S)
+            changed = StoreWatchChanged(prefix, state, self._revision, silent_ms, cause)
+            logger.info(changed)
+        if is_complete:
+            self.answered_s = now_s
+
     def _retry_later(self):
         self._retry = self._store.clock.callLater(self._retry_delay_s, self._send_call)
         self._retry_delay_s = min(self._retry_delay_s * 2, MAX_RETRY_DELAY_S)
@@ -103,9 +134,11 @@
             logger.error(
                 "cannot decode watch response: {}", decoded.unwrap_err().detail
             )
+            self._set_complete(False, "cannot decode")
             self._retry_later()
             return
         reply = decoded.unwrap()
+        self._set_complete(True)
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._revision = reply.store_revision
         if not reply.events:
