Ask whether the store is there before a failed call is taken for its outage

Cause: each call wrote the one flag of the store. A cut watch meant "the store is lost", the next served call "it is back", and after an outage the list keeps removed endpoints as lapsed ones.

Change: a call without an answer only sends a ping at once; the store is lost when a ping has no answer, or when a call is refused. Ruled out by reading: a list that is late (a cut watch is renewed after 0.2 s).

Loosened: an outage that shows first in an unanswered call other than a ping is known one ping later, 0.7 s at most.

--- a/src/sesamearch/platform/store.py
+++ b/src/sesamearch/platform/store.py
@@ -127,7 +127,8 @@
     ----------
     clock : twisted.internet.interfaces.IReactorTime
     is_reachable : bool
-        Whether the store responded to the last call without refusing it.
+        Whether the store serves calls: false after a refusal or an unanswered ping,
+        until the next call is served.
     regained_s : float
         Time of the store's last recovery from an outage, on `clock`; negative
         infinity if there was none.
@@ -155,6 +156,7 @@
         self._has_responded = False
         self._watches = set()
         self._next_ping = None
+        self._is_pinging = False
         self._has_missed_ping = False
         self._host = address.encode()
         self._pool = ConnectionPool(
@@ -186,13 +188,16 @@
             timer.cancel()
         if result.is_err() and result.unwrap_err().detail == _CANCELLED:
             return result
-        is_served = result.is_ok() and result.unwrap().status not in REFUSALS
-        if is_served != self.is_reachable:
-            self._set_reachable(is_served, result)
+        if result.is_err():
+            # One call without an answer says little of the store: its connection may
+            # have been cut, or its answer lost.
+            self._ping_now()
+            return result
+        is_served = result.unwrap().status not in REFUSALS
+        self._set_reachable(is_served, "refused")
         if is_served:
             self.confirmed_s = max(self.confirmed_s, sent_s)
-        if result.is_ok():
-            self._note_era(result.unwrap().era)
+        self._note_era(result.unwrap().era)
         return result
 
     def _note_era(self, era):
@@ -211,14 +216,16 @@
         """Return whether a response is from before the store's last restore."""
         return response.era is not None and response.era < self.era
 
-    def _set_reachable(self, is_served, result):
-        self.is_reachable = is_served
-        if is_served:
+    def _set_reachable(self, is_reachable, cause):
+        """Note whether the store serves calls; log a change, with its cause if not."""
+        if is_reachable == self.is_reachable:
+            return
+        self.is_reachable = is_reachable
+        if is_reachable:
             self.regained_s = self.clock.seconds()
             logger.info(Dependency("store", "regained"))
-            return
-        cause = result.unwrap_err().detail if result.is_err() else "refused"
-        logger.warning(Dependency("store", "lost", cause))
+        else:
+            logger.warning(Dependency("store", "lost", cause))
 
     async def _checked_call(self, method, path, content=None):
         """Send a call; return its response, or an error if the store refused it."""
@@ -340,12 +347,25 @@
     def _ping(self):
         self._next_ping = None
         if self._watches:
-            called = self.call(b"GET", PING_PATH, timeout_s=PING_TIMEOUT_S)
-            called.addCallback(self._handle_ping)
+            self._ping_now()
+
+    def _ping_now(self):
+        """Ask whether the store is there, unless that is being asked."""
+        if self._is_pinging:
+            return
+        self._is_pinging = True
+        if self._next_ping is not None:
+            self._next_ping.cancel()
+            self._next_ping = None
+        called = self.call(b"GET", PING_PATH, timeout_s=PING_TIMEOUT_S)
+        called.addCallback(self._handle_ping)
 
     def _handle_ping(self, result):
+        self._is_pinging = False
         is_served = result.is_ok() and result.unwrap().status not in REFUSALS
-        if is_served and self._has_missed_ping:
+        if result.is_err():
+            self._set_reachable(False, result.unwrap_err().detail)
+        elif is_served and self._has_missed_ping:
             for watch in list(self._watches):
                 watch.restart()
         self._has_missed_ping = not is_served
--- a/src/sesamearch/standin/platform_store.py
+++ b/src/sesamearch/standin/platform_store.py
@@ -48,9 +48,10 @@
 
 
 class _PendingWatch(WatchReceiver):
-    """A watch request (long poll) that waits for its first event."""
+    """A watch request (long poll) that waits for its first event below a prefix."""
 
-    def __init__(self, standin, reply):
+    def __init__(self, standin, prefix, reply):
+        self.prefix = prefix
         self._standin = standin
         self._reply = reply
         self.watch = None
@@ -191,14 +192,24 @@
         for pending in list(self.pending):
             pending.ended()
 
+    def lose_watch_answers(self, prefix=""):
+        """Never answer the watch requests below a prefix that wait now."""
+        for pending in list(self.pending):
+            if pending.prefix.startswith(prefix):
+                pending.drop()
+
+    def cut_watches(self):
+        """Reset the connections of all watch requests that wait now."""
+        for pending in list(self.pending):
+            pending.cut()
+
     def restore(self, seconds_back, away_s=0.0):
         """Go away for a time, and come back with the content of `seconds_back` ago.
 
         Revisions and leases that were given out since are given out again.
         """
         self.is_away = True
-        for pending in list(self.pending):
-            pending.cut()
+        self.cut_watches()
         time_s = self._clock.seconds() - seconds_back
         if away_s:
             self._clock.callLater(away_s, self._come_back, time_s)
@@ -272,7 +283,7 @@
             content = {"events": past, "store-revision": self.state.revision}
             self.answer(reply, 200, content)
             return
-        pending = _PendingWatch(self, reply)
+        pending = _PendingWatch(self, prefix.decode(), reply)
         reply.listener = pending
         self.pending.add(pending)
         pending.watch = self.state.watch(prefix, self.state.revision, pending)
