Judge a request by the limits in force, and by those of its first byte

Cause: a connection made the reader of its next head when it opened or as an answer ended, and the reader copied the limit. A value of the configuration was copied when an object was made, and used under another configuration. The same class: the time for a head was set with its first byte; and a body that began under a larger limit met the lowered one halfway (413). Ruled out: a version that was not in force (new connections are served, in the script).

Change: the reader keeps no limit. A request is allowed what was allowed when its first byte arrived or is allowed now, whichever is larger; bytes sent ahead keep the limits of their arrival. The log line of a refusal names the limit applied.

Tests of wire, processes and hostile callers pass.

Loosened: a request that began before a limit was lowered may use the old one; its time and what all callers hold are bounded as before.

--- a/src/sesamearch/wire/ahead.py
+++ b/src/sesamearch/wire/ahead.py
@@ -12,15 +12,18 @@
         Size of what the codec of the present request has read beyond its end.
     since_s : float
         Arrival of the oldest bytes here.
+    limits : CallerLimits or None
+        Limits in force at that arrival.
     """
 
-    __slots__ = ("_pieces", "_size_bytes", "since_s", "trailing_bytes")
+    __slots__ = ("_pieces", "_size_bytes", "limits", "since_s", "trailing_bytes")
 
     def __init__(self):
         self._pieces = []
         self._size_bytes = 0
         self.trailing_bytes = 0
         self.since_s = 0.0
+        self.limits = None
 
     def __bool__(self):
         return bool(self._pieces)
@@ -30,17 +33,29 @@
         """Int : size of all that was sent ahead."""
         return self._size_bytes + self.trailing_bytes
 
-    def add(self, data, now_s):
+    def add(self, data, now_s, limits):
         """Append bytes that arrive now."""
         if not self._pieces:
             self.since_s = now_s
+            self.limits = limits
         self._pieces.append(data)
         self._size_bytes += len(data)
 
-    def put_back(self, data):
-        """Put back what the codec read beyond the end of a request that is over."""
+    def put_back(self, data, since_s, limits):
+        """Put back what the codec read beyond the end of a request that is over.
+
+        Parameters
+        ----------
+        data : bytes
+        since_s : float
+            Arrival of the end of that request.
+        limits : CallerLimits
+            Limits in force at that arrival.
+        """
         self.trailing_bytes = 0
         if data:
+            self.since_s = since_s
+            self.limits = limits
             self._pieces.insert(0, data)
             self._size_bytes += len(data)
 
--- a/src/sesamearch/wire/caller_connection.py
+++ b/src/sesamearch/wire/caller_connection.py
@@ -9,6 +9,7 @@
 from sesamearch.wire.account import CallerHolding
 from sesamearch.wire.ahead import BytesAhead
 from sesamearch.wire.body import BodyBuffer
+from sesamearch.wire.caller_limits import larger_limits
 from sesamearch.wire.framing import check_framing, content_length
 from sesamearch.wire.head import HeadError, HeadReader, RequestHead
 from sesamearch.wire.outlet import Outlet, OutletListener
@@ -54,7 +55,7 @@
         self._body = BodyBuffer()
         self._is_head_only = False
         self._reply = None
-        self._reader = self._new_reader()
+        self._reader = HeadReader()
         self._outlet = None
         self._handled_bytes = 0
         self._ahead = BytesAhead()
@@ -65,16 +66,25 @@
         self._unread_bytes = 0
         self._is_aborted = False
         # Arrival of the bytes that are read, and of the first byte of the present
-        # request.
+        # request, each with the limits in force then.
         self._read_s = 0.0
+        self._read_limits = factory.limits()
         self._begun_s = 0.0
+        self._begun_limits = self._read_limits
         self._is_resuming = False
         self._timer = MovableTimer(self._clock, self._timed_out)
         self._idle_since_s = self._clock.seconds()
+        self._head_since_s = self._idle_since_s
         self._is_closing = False
 
-    def _new_reader(self):
-        return HeadReader(self.factory.limits().header_bytes)
+    @property
+    def _limits(self):
+        """CallerLimits : what holds for the present request.
+
+        Limits that change while it arrives refuse nothing that was allowed when it
+        began, or is allowed now.
+        """
+        return larger_limits(self._begun_limits, self.factory.limits())
 
     def connectionMade(self):
         """Register the connection and wait for the first request."""
@@ -119,11 +129,9 @@
         if self._is_closing or self._outlet.is_blocked:
             self._check_unread()
             return
-        remaining_s = self._timer.remaining_s
-        if self.is_idle:
-            # The limit may have been raised since this connection became idle.
-            until_s = self._idle_since_s + self.factory.limits().idle_timeout_s
-            remaining_s = max(remaining_s, until_s - self._clock.seconds())
+        # The limit may have been raised since the timer was set.
+        until_s = max(self._timer.deadline_s, self._deadline_by_present_limits_s())
+        remaining_s = until_s - self._clock.seconds()
         if remaining_s > 0:
             self._timer.wait(remaining_s)
         elif self.is_idle:
@@ -131,6 +139,14 @@
         else:
             self._refuse(408, "request sent too slowly")
 
+    def _deadline_by_present_limits_s(self):
+        limits = self.factory.limits()
+        if self.is_idle:
+            return self._idle_since_s + limits.idle_timeout_s
+        if self._codec is None:
+            return self._head_since_s + limits.header_timeout_s
+        return self._timer.deadline_s
+
     def _check_unread(self):
         """Disconnect a caller that has not read anything since the last check."""
         unread_bytes = self._outlet.unsent_bytes
@@ -196,11 +212,12 @@
             self._buffer_pipelined(data)
         else:
             self._read_s = self.progress_s
+            self._read_limits = self.factory.limits()
             self._advance(data)
         self._note_held()
 
     def _buffer_pipelined(self, data):
-        self._ahead.add(data, self._clock.seconds())
+        self._ahead.add(data, self._clock.seconds(), self.factory.limits())
         self._update_reading()
 
     def _update_reading(self):
@@ -244,13 +261,15 @@
     def _read_head(self, data):
         if not self._reader.has_begun and data:
             self._begun_s = self._read_s
+            self._begun_limits = self._read_limits
+            self._head_since_s = self._clock.seconds()
             self._timer.arm(self.factory.limits().header_timeout_s)
-        complete = self._reader.feed(data)
+        complete = self._reader.feed(data, self._limits.header_bytes)
         if complete is None:
             return
         head, rest = complete
         self._codec = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.factory.limits().header_bytes
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._codec.receive_data(head)
         if rest:
@@ -312,8 +331,9 @@
         self._check_size(int(content_length(event)))
 
     def _check_size(self, size_bytes):
-        if size_bytes > self.factory.limits().body_bytes:
-            raise HeadError(413, "body too large")
+        limit_bytes = self._limits.body_bytes
+        if size_bytes > limit_bytes:
+            raise HeadError(413, f"body larger than {limit_bytes} bytes")
 
     def _handle_data(self, data):
         self._body.add(data)
@@ -429,10 +449,8 @@
     def _next_request(self):
         rest, _ = self._codec.trailing_data
         self._codec = None
-        if not rest:
-            self._read_s = self._ahead.since_s
-        self._ahead.put_back(bytes(rest))
-        self._reader = self._new_reader()
+        self._ahead.put_back(bytes(rest), self._read_s, self._read_limits)
+        self._reader = HeadReader()
         self._wait_idle()
         self._schedule_pending()
         self._update_reading()
@@ -448,6 +466,7 @@
         self._is_resuming = False
         if self._is_closing or self._outlet.is_blocked:
             return
+        self._read_s, self._read_limits = self._ahead.since_s, self._ahead.limits
         self._advance(self._ahead.take())
         if not self._is_closing:
             self._update_reading()
--- a/src/sesamearch/wire/caller_limits.py
+++ b/src/sesamearch/wire/caller_limits.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["CallerLimits"]
+__all__ = ["CallerLimits", "larger_limits"]
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -22,3 +22,21 @@
     body_bytes: int = 4 << 20
     header_timeout_s: float = 5.0
     idle_timeout_s: float = 30.0
+
+
+def larger_limits(one, other):
+    """Return the larger of each of two limits.
+
+    Parameters
+    ----------
+    one, other : CallerLimits
+        Or objects with the same attributes.
+    """
+    if one is other:
+        return one
+    return CallerLimits(
+        max(one.header_bytes, other.header_bytes),
+        max(one.body_bytes, other.body_bytes),
+        max(one.header_timeout_s, other.header_timeout_s),
+        max(one.idle_timeout_s, other.idle_timeout_s),
+    )
--- a/src/sesamearch/wire/head.py
+++ b/src/sesamearch/wire/head.py
@@ -114,17 +114,11 @@
 
     Parsers disagree on folded header lines, bare carriage returns or line feeds and
     NUL bytes, which makes request smuggling possible.
-
-    Parameters
-    ----------
-    limit_bytes : int
-        Size of the largest accepted head.
     """
 
-    __slots__ = ("_buffer", "_limit_bytes")
+    __slots__ = ("_buffer",)
 
-    def __init__(self, limit_bytes):
-        self._limit_bytes = limit_bytes
+    def __init__(self):
         self._buffer = bytearray()
 
     @property
@@ -137,9 +131,15 @@
         """Int : size of the incomplete head."""
         return len(self._buffer)
 
-    def feed(self, data):
+    def feed(self, data, limit_bytes):
         """Add bytes; return the head and the bytes after it once it is complete.
 
+        Parameters
+        ----------
+        data : bytes
+        limit_bytes : int
+            Size of the largest accepted head, which may change between two calls.
+
         Returns
         -------
         tuple of bytes or None
@@ -156,11 +156,11 @@
             del self._buffer[: blank.end()]
         end = self._buffer.find(HEAD_END)
         if end < 0:
-            self._check_partial()
+            self._check_partial(limit_bytes)
             return None
         length = end + len(HEAD_END)
-        if length > self._limit_bytes:
-            raise HeadError(431, "head too large")
+        if length > limit_bytes:
+            raise HeadError(431, f"head larger than {limit_bytes} bytes")
         head = bytes(self._buffer[:length])
         rest = bytes(self._buffer[length:])
         self._buffer.clear()
@@ -168,9 +168,9 @@
             raise HeadError(400, "folded line, bare line end or NUL in the head")
         return head, rest
 
-    def _check_partial(self):
-        if len(self._buffer) > self._limit_bytes:
-            raise HeadError(431, "head too large")
+    def _check_partial(self, limit_bytes):
+        if len(self._buffer) > limit_bytes:
+            raise HeadError(431, f"head larger than {limit_bytes} bytes")
         # A trailing carriage return may be the first half of a line end.
         if _FOLDED_LINE_OR_BARE_LINE_END.search(self._buffer.removesuffix(b"\r")):
             raise HeadError(400, "folded line, bare line end or NUL in the head")
--- a/tests/wire/test_caller.py
+++ b/tests/wire/test_caller.py
@@ -52,6 +52,150 @@
         return client
 
 
+def padded(size_bytes, path=b"/a"):
+    """Return a request whose head has a size."""
+    head = b"GET %s HTTP/1.1\r\nHost: h\r\nX-Note: " % path
+    return head + b"n" * (size_bytes - len(head) - 4) + b"\r\n\r\n"
+
+
+def with_body(size_bytes):
+    """Return the head and the body of a request."""
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size_bytes
+    return head, b"b" * size_bytes
+
+
+class TestChangedLimits(unittest.TestCase):
+    # Guards against: a limit that is copied when a connection opens, or when a request
+    # begins, and refuses what the limits in force allow.
+
+    def setUp(self):
+        self.server = Server()
+        self.client = self.server.connect()
+
+    def change(self, header_bytes=1000, body_bytes=500, header_s=3, idle_s=10):
+        self.server.limits = CallerLimits(header_bytes, body_bytes, header_s, idle_s)
+
+    def send(self, *parts, wait_s=0.1):
+        for part in parts:
+            self.client.send(part)
+            self.server.network.run(wait_s)
+
+    def test_raised_head_on_a_connection_that_was_open(self):
+        self.change(header_bytes=4000)
+        self.send(padded(3000))
+        self.assertEqual(self.client.statuses, [200])
+
+    def test_raised_head_on_a_connection_that_had_an_answer(self):
+        self.send(padded(200))
+        self.change(header_bytes=4000)
+        self.send(padded(3000))
+        self.assertEqual(self.client.statuses, [200, 200])
+
+    def test_raised_head_of_which_some_bytes_had_come(self):
+        head = padded(3000)
+        self.send(head[:500])
+        self.change(header_bytes=4000)
+        self.send(head[500:])
+        self.assertEqual(self.client.statuses, [200])
+
+    def test_raised_head_sent_ahead(self):
+        self.server.is_answering = False
+        self.send(padded(200), padded(800))
+        self.change(header_bytes=4000)
+        self.send(padded(3000))
+        for reply in (0, 1, 2):
+            self.server.replies[reply].answer(200, [], b"")
+            self.server.network.run(0.1)
+        self.assertEqual(self.client.statuses, [200, 200, 200])
+
+    def test_head_above_the_raised_limit_is_refused(self):
+        self.change(header_bytes=4000)
+        self.send(padded(4001))
+        self.assertEqual(self.client.statuses, [431])
+
+    def test_lowered_head_holds_for_the_next_request(self):
+        self.send(padded(900))
+        self.change(header_bytes=300)
+        self.send(padded(900))
+        self.assertEqual(self.client.statuses, [200, 431])
+
+    def test_lowered_head_of_which_some_bytes_had_come(self):
+        head = padded(900)
+        self.send(head[:500])
+        self.change(header_bytes=300)
+        self.send(head[500:])
+        self.assertEqual(self.client.statuses, [200])
+
+    def test_lowered_head_that_was_sent_ahead(self):
+        self.server.is_answering = False
+        self.send(padded(200), padded(900))
+        self.change(header_bytes=300)
+        self.server.replies[0].answer(200, [], b"")
+        self.server.network.run(0.1)
+        self.server.replies[1].answer(200, [], b"")
+        self.server.network.run(0.1)
+        self.assertEqual(self.client.statuses, [200, 200])
+
+    def test_lowered_head_holds_for_what_is_sent_ahead_later(self):
+        self.server.is_answering = False
+        self.send(padded(200))
+        self.change(header_bytes=300)
+        self.send(padded(900))
+        self.server.replies[0].answer(200, [], b"")
+        self.server.network.run(0.1)
+        self.assertEqual(self.client.statuses, [200, 431])
+
+    def test_raised_body_of_which_some_bytes_had_come(self):
+        head, body = with_body(900)
+        self.send(head[:20])
+        self.change(body_bytes=2000)
+        self.send(head[20:], body)
+        self.assertEqual(self.client.statuses, [200])
+
+    def test_lowered_body_of_which_some_bytes_had_come(self):
+        head, body = with_body(400)
+        self.send(head, body[:200])
+        self.change(body_bytes=100)
+        self.send(body[200:])
+        self.assertEqual(self.client.statuses, [200])
+
+    def test_lowered_body_in_chunks_of_which_some_had_come(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunk = b"c8\r\n" + b"b" * 200 + b"\r\n"
+        self.send(head, chunk)
+        self.change(body_bytes=100)
+        self.send(chunk, b"0\r\n\r\n")
+        self.assertEqual(self.client.statuses, [200])
+
+    def test_lowered_body_holds_for_the_next_request(self):
+        self.send(*with_body(400))
+        self.change(body_bytes=100)
+        self.send(with_body(400)[0])
+        self.assertEqual(self.client.statuses, [200, 413])
+
+    def test_raised_time_for_a_head_that_had_begun(self):
+        head = padded(200)
+        self.send(head[:50], wait_s=1.0)
+        self.change(header_s=6)
+        self.server.network.run(4)
+        self.send(head[50:])
+        self.assertEqual(self.client.statuses, [200])
+
+    def test_head_that_takes_longer_than_the_raised_time_is_refused(self):
+        self.send(padded(200)[:50], wait_s=1.0)
+        self.change(header_s=6)
+        self.server.network.run(5.1)
+        self.assertEqual(self.client.statuses, [408])
+
+    def test_lowered_time_does_not_end_what_had_begun(self):
+        head = padded(200)
+        self.send(head[:50], wait_s=1.0)
+        self.change(header_s=0.5, idle_s=0.5)
+        self.server.network.run(1)
+        self.send(head[50:])
+        self.assertEqual(self.client.statuses, [200])
+
+
 class TestRequests(unittest.TestCase):
     def setUp(self):
         self.server = Server()
