Let the port for other routers take what the sending router has accepted

What callers would see: a router that reaches no endpoint sends its requests by way of another one. That one applied limits of its own: 64 KB for a head, whatever the configuration allows, and the body limit of the version that it had. A request above them got an answer without the port's own headers, which the sender takes for bytes of no request: 502, 'may have run', for a booking that had not.

Change: the port allows the configuration's head and 64 KB of routers' own headers, and 64 MB of body; the envelope's check of the revision then refuses a request by a newer configuration as one that has not run, and it goes by way of a third router.

Loosened: the port's body limit. What all who connect to the process hold is bounded by the account, as before (test_hostile_callers passes).

--- a/src/sesamearch/platform/proxy.py
+++ b/src/sesamearch/platform/proxy.py
@@ -31,8 +31,10 @@
 _CONTENT_LENGTH = b"content-length"
 OK = 200
 IDLE_TIMEOUT_S = 4.0
-# The other router has read the head within the limits for callers, and adds its own.
-MAX_HEAD_BYTES = 64 << 10
+# The other router has read the request within the limits for callers, perhaps those of
+# a newer configuration, and adds its own headers. The account bounds what all hold.
+MAX_OWN_HEAD_BYTES = 64 << 10
+MAX_BODY_BYTES = 64 << 20
 MAX_LOAD_DIGITS = 6
 MAX_RETRY_AFTER_S = 3600.0
 # Statuses of refusals after which the request is sent by way of another router.
@@ -250,8 +252,11 @@
         return sum(not each.is_idle for each in self._factory.connections)
 
     def _limits(self):
-        body_bytes = self._board.configuration.value.limits.body_bytes
-        return CallerLimits(MAX_HEAD_BYTES, body_bytes)
+        limits = self._board.configuration.value.limits
+        return CallerLimits(
+            limits.header_bytes + MAX_OWN_HEAD_BYTES,
+            max(limits.body_bytes, MAX_BODY_BYTES),
+        )
 
     def _note_unreadable(self, status, detail):
         logger.warning(ProxyRefused("", status, detail))
--- a/tests/platform/test_proxied_requests.py
+++ b/tests/platform/test_proxied_requests.py
@@ -3,6 +3,7 @@
 import unittest
 
 from sesamearch.standin.network import PathFault
+from sesamearch.wire.caller import CallerLimits
 from tests.platform.path_storm import PathStorm
 from tests.platform.world import draft_bytes, make_configuration, request_bytes
 
@@ -56,6 +57,38 @@
         self.assertEqual((run.body, run.path), (body, "/post/7?a=b"))
         self.assertEqual(run.organisation, "bench")
 
+    # Guards against: the other router applies a limit of its own to what the first one
+    # has accepted.
+    def test_head_within_a_raised_limit_is_sent_by_way_of_another_router(self):
+        storm = make_storm()
+        configuration = make_configuration(8)
+        configuration["limits"]["max-header-bytes"] = 200_000
+        storm.store.put("op/config", configuration)
+        for desk in storm.desks:
+            desk.factory.limits = lambda: CallerLimits(header_bytes=200_000)
+        cut_and_settle(storm)
+        data = request_bytes("/post/1", "long", "POST", X_Note="n" * 100_000)
+        self.assertEqual(storm.send_request(data, 0).status, 200)
+
+    def test_body_is_sent_on_while_another_router_has_an_older_limit(self):
+        storm = make_storm()
+        cut_and_settle(storm)
+        storm.cut_store(1, PathFault.SILENT)
+        storm.sockets[storm.routers[1]._settings.peer.listen].is_cut = True
+        configuration = make_configuration(8)
+        configuration["limits"]["max-body-bytes"] = 400_000
+        storm.store.put("op/config", configuration)
+        storm.run(0.3)
+        body = b"x" * 200_000
+        clients = [
+            storm.connect(0).send(request_bytes("/post/1", f"l{n}", "POST", body))
+            for n in range(4)
+        ]
+        storm.run(1)
+        revisions = [r.board.configuration.value.revision for r in storm.routers]
+        self.assertEqual(revisions, [8, 7, 8])
+        self.assertEqual([client.status for client in clients], [200] * 4)
+
     # Guards against: a caller pretends to be a router.
     def test_request_without_a_genuine_envelope_runs_nothing(self):
         storm = make_storm()
