Count reads apart from renewed watches after the history of the store is lost

The test now counts what it is about, reads: 12 exactly, and none by the other eight routers (checks of the keys left out, which the count of watches left out too). The watches stay exact: 12 begun again, 8 renewals, and 4 that second relays send again while the first one does not follow.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -1,5 +1,6 @@
 import unittest
 
+from sesamearch.membership.fleet_keys import FLEET_KEYS_KEY
 from tests.platform.world import World, request_bytes
 
 ODD_KEY = "servers/odd"
@@ -95,8 +96,19 @@
         world.run(6)
         watchers = sum(router._follows_store() for router in world.routers)
         before = world.store.calls["kv-watch"]
+        prefixes, read = [], world.store._kv_range
+
+        def note_read(query, body, reply):
+            prefixes.append(query["prefix"])
+            read(query, body, reply)
+
+        world.store._kv_range = note_read
         world.store.discard_history()
         world.run(5)
         watches = world.store.calls["kv-watch"] - before
-        # Each watches the operators' keys, the endpoints and the quarantines.
-        self.assertEqual((watchers, watches), (4, 3 * 4))
+        # Each reads and watches the operators' keys, the endpoints and the quarantines.
+        reads = [each for each in prefixes if each != FLEET_KEYS_KEY.decode()]
+        self.assertEqual((watchers, len(reads)), (4, 3 * 4))
+        # The first relay of each data centre renews two watches each two seconds; the
+        # second one sends its two again, while the first one does not follow the store.
+        self.assertEqual(watches, 3 * 4 + 2 * 2 * 2 + 2 * 2)
