Stop only when the kernel has taken the end of each answer

Cause: the drain counted connections that are not idle, and a connection is idle once its answer is handed to the transport. Ruled out: an answer that ends before the router refuses (its connection is closing by then, and counts until it is gone; the test covers it).

Change: the drain counts connections that are not settled: not idle, or with unsent bytes. The port for other routers counts the same way.

The stand-in of a network learned to hold writes.

Loosened: a caller that reads nothing keeps a stopped process until it is killed at the end of the grace.

Open, by reading: the product's own role counts requests, not what its transports hold.

--- a/src/sesamearch/daemon/platform_ports.py
+++ b/src/sesamearch/daemon/platform_ports.py
@@ -164,9 +164,8 @@
 
     @property
     def in_flight(self):
-        """Int : number of connections with a request being received or answered."""
-        callers = sum(not each.is_idle for each in self._callers.connections)
-        return callers + self._proxy_port.in_flight
+        """Int : number of connections on which a request or an answer is on its way."""
+        return self._callers.unsettled_count + self._proxy_port.in_flight
 
     def hand_over(self):
         """End the generations, so that their callers resume them at another router.
--- a/src/sesamearch/platform/proxy.py
+++ b/src/sesamearch/platform/proxy.py
@@ -248,8 +248,8 @@
 
     @property
     def in_flight(self):
-        """Int : number of connections with a request being received or answered."""
-        return sum(not each.is_idle for each in self._factory.connections)
+        """Int : number of connections on which a request or an answer is on its way."""
+        return self._factory.unsettled_count
 
     def _limits(self):
         limits = self._board.configuration.value.limits
--- a/src/sesamearch/standin/network.py
+++ b/src/sesamearch/standin/network.py
@@ -62,17 +62,18 @@
     written_bytes : int
         Number of bytes that the protocol wrote to this end.
     unsent_bytes : int
-        Always zero, because writes never block.
+        Size of what was written and waits; zero unless writes are held.
     """
 
-    unsent_bytes = 0
-
     def __init__(self, network, address, source=""):
         self._network = network
         self.address = address
         self.source = source
         self._is_paused = False
         self._buffered = []
+        self._is_held = False
+        self._unsent = []
+        self._end_reason = None
         self.protocol = None
         self.peer = None
         self.is_open = True
@@ -89,9 +90,29 @@
         """Send bytes to the other end."""
         if self.is_open and data:
             self.written_bytes += len(data)
-            if not self.is_silent:
+            if self._is_held:
+                self._unsent.append(data)
+            elif not self.is_silent:
                 self._send(self.peer.deliver, data)
 
+    @property
+    def unsent_bytes(self):
+        """Int : size of what was written while writes are held."""
+        return sum(len(data) for data in self._unsent)
+
+    def hold_writes(self):
+        """Keep what is written from now on, as if the other end did not read."""
+        self._is_held = True
+
+    def release_writes(self):
+        """Send what was kept, and close the connection if that was asked for."""
+        self._is_held = False
+        unsent, self._unsent = self._unsent, []
+        for data in unsent:
+            self._send(self.peer.deliver, data)
+        if self._end_reason is not None:
+            self._end(self._end_reason)
+
     def writeSequence(self, parts):
         """Send several pieces of data."""
         self.write(b"".join(parts))
@@ -116,7 +137,10 @@
 
     def loseConnection(self):
         """Close the connection after the written data was sent."""
-        self._end(ConnectionDone())
+        if self._unsent:
+            self._end_reason = ConnectionDone()
+        else:
+            self._end(ConnectionDone())
 
     def loseWriteConnection(self):
         """Close the connection for writing."""
--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -59,6 +59,11 @@
         """Return the protocol for a new connection."""
         return CallerConnection(self)
 
+    @property
+    def unsettled_count(self):
+        """Int : number of connections that lose something if the process ends now."""
+        return sum(not each.is_settled for each in self.connections)
+
     def close_idle(self):
         """Close all idle connections."""
         for connection in list(self.connections):
--- a/src/sesamearch/wire/caller_connection.py
+++ b/src/sesamearch/wire/caller_connection.py
@@ -171,6 +171,14 @@
             or self._outlet.is_blocked
         )
 
+    @property
+    def is_settled(self):
+        """Bool : whether the connection loses nothing if the process ends now.
+
+        An idle connection may still have the end of its last answer to send.
+        """
+        return self.is_idle and not self._outlet.unsent_bytes
+
     # Room for the callers of the whole process.
 
     @property
--- a/tests/platform/test_stop_under_load.py
+++ b/tests/platform/test_stop_under_load.py
@@ -122,6 +122,42 @@
         self.assertEqual(len(client.statuses), 6)
         self.assertLessEqual(set(client.statuses), {200, 503})
 
+    # Guards against: a router that is stopped takes an answer for sent whose end still
+    # lies in its own buffer, and ends.
+    def test_end_of_an_answer_that_is_read_slowly_is_not_lost(self):
+        # The generation ends 3.7 s after its start: before and after the router begins
+        # to refuse requests.
+        for stop_s in (0.2, 2.0, 3.0):
+            with self.subTest(stop_s=stop_s):
+                self.setUp()
+                for engine in self.world.engines:
+                    engine.events = 100
+                client = self.world.connect().send(draft_bytes())
+                self.world.run(stop_s)
+                self.router.shut_down()
+                client.transport.peer.hold_writes()
+                self.world.run(6)
+                self.assertEqual(self.stopped_s, [])
+                client.transport.peer.release_writes()
+                self.world.run(0.5)
+                self.assertTrue(client.is_complete)
+                self.assertEqual(len(self.stopped_s), 1)
+
+    def test_answer_of_a_call_that_is_read_slowly_is_not_lost(self):
+        for desk in self.world.desks:
+            desk.work_s = 0.7
+        self.router.shut_down()
+        self.world.run(2.3)
+        client = self.world.connect()
+        client.transport.peer.hold_writes()
+        client.send(LOOK)
+        self.world.run(3)
+        self.assertEqual(self.stopped_s, [])
+        client.transport.peer.release_writes()
+        self.world.run(0.5)
+        self.assertEqual(client.status, 200)
+        self.assertEqual(len(self.stopped_s), 1)
+
     def test_second_signal_cuts_nothing(self):
         client = self.start_long_generation()
         self.router.shut_down()
