Use no entry in which a field that endpoints write is missing

Cause: the decoder had a default for slots and did not know the other two. A missing field of a foreign message was taken for one with a default.

The stand-ins of the soak and of the process tests, and the odd entries of the tests, which are to be odd in one field only, have the two fields now.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -59,6 +59,7 @@
     "version": "v1",
     "slots": 6,
     "state": "ready",
+    "cold-left-ms": 0,
     "sequence": 1,
 }
 ODD_ENTRIES = (
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -160,6 +160,8 @@
             "version": "v1",
             "slots": SLOTS,
             "state": state,
+            "cold-left-ms": 0,
+            "sequence": 1,
         }
         key = f"servers/{self._endpoint.name}".encode()
         put = Put(key, msgspec.json.encode(entry), self._lease)
--- a/src/sesamearch/platform/endpoints.py
+++ b/src/sesamearch/platform/endpoints.py
@@ -23,13 +23,22 @@
 
 
 class _Entry(msgspec.Struct, rename="kebab"):
+    """Fields that each endpoint writes; an entry without one is no endpoint's.
+
+    Some of them are only checked, not used.
+    """
+
     service: _Text
     # ip:port
     address: _Text
     zone: _Text
     version: _Text
     state: _Text
-    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = 0
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+    # Time for which the endpoint is still slow after its start.
+    cold_left_ms: float
+    # Number of the endpoint's change of its own state.
+    sequence: int
     # Start time of the process in Unix ms; a process may restart under the same id.
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)] = 0
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -58,6 +58,8 @@
             "version": "v1",
             "slots": 12,
             "state": "ready",
+            "cold-left-ms": 0,
+            "sequence": 1,
         }
         store.put(f"servers/{worker.name}", entry)
     reactor.callWhenRunning(lambda: print("listening", flush=True))
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -40,7 +40,16 @@
         for name in ("service", "address", "zone", "version", "state"):
             self.assertTrue(decode(**{name: None}).is_err(), name)
             self.assertTrue(decode(**{name: 7}).is_err(), name)
-        self.assertTrue(decode(slots="six").is_err())
+        for name in ("slots", "cold-left-ms", "sequence"):
+            self.assertTrue(decode(**{name: None}).is_err(), name)
+            self.assertTrue(decode(**{name: "six"}).is_err(), name)
+
+    def test_start_time_and_fields_of_engines_may_be_missing(self):
+        self.assertEqual(decode(born=None).unwrap().born_ms, 0)
+        self.assertTrue(decode(stage="unified", models=[{"name": "m"}]).is_ok())
+
+    def test_time_that_is_left_may_be_a_fraction(self):
+        self.assertTrue(decode(**{"cold-left-ms": 812.5}).is_ok())
 
     def test_invalid_value_is_an_error(self):
         for changes in (
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -11,6 +11,7 @@
     "version": "v1",
     "slots": 6,
     "state": "ready",
+    "cold-left-ms": 0,
     "sequence": 1,
 }
 # What another writer may leave in place of an entry that can be used.
@@ -77,6 +78,23 @@
             seen[name] = (*found, world.failed_requests())
         self.assertEqual(seen, dict.fromkeys(ODD_ENTRIES, (12, 0, 0)))
 
+    # Guards against: an entry of another writer under the id of a live endpoint, with
+    # fields missing, sends it requests of a service that is not its own.
+    def test_entry_with_fields_missing_sends_no_request_to_its_address(self):
+        world = World(3, 2, 1)
+        other = world.add_desk(7)
+        world.update_entry(other, "invoices", 7)
+        world.run(1)
+        fields = ("service", "address", "zone", "version", "state")
+        entry = {**ENTRY, "address": other.address}
+        world.store.put(f"servers/{other.name}", {f: entry[f] for f in fields})
+        world.run(1)
+        for number in range(30):
+            data = request_bytes("/post/1", f"r{number}", "POST")
+            client = world.send_request(data, number % 3, wait_s=0.1)
+            self.assertEqual(client.status, 200)
+        self.assertEqual(other.runs, [])
+
     # Guards against: an entry that can't be decoded is logged each time it is read.
     def test_odd_entry_is_logged_once(self):
         world = _World(b"[")
