Show what crowds of callers still take: unread answers, returning callers, own interface

- Callers that read nothing hold the slots of all endpoints: an ordinary request gets 429.
Bodies short of their end hold.

Known red until mended.

--- a/src/sesamearch/standin/platform_worker.py
+++ b/src/sesamearch/standin/platform_worker.py
@@ -1,6 +1,8 @@
 """Stand-ins for the platform's workers: plain services and model engines."""
 
 import msgspec
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
 
 from sesamearch.wire.head import first_value
 from sesamearch.wire.reply import ReplyListener
@@ -19,6 +21,7 @@
 # Body without end: so many pieces of a byte, once in each interval.
 ENDLESS_PIECES = 200
 ENDLESS_INTERVAL_S = 0.01
+LARGE_PIECE_BYTES = 64 << 10
 # A request that ends its worker does so this long after the worker began to run it.
 FATAL_DELAY_S = 0.05
 OK = 200
@@ -100,6 +103,9 @@
         Number of requests in progress.
     status : int
         Status code of its responses.
+    answer_bytes : dict from str to int
+        Size of the answer to requests for a path, whose slot stays in use until all of
+        it is taken; others are short.
     arrivals : list of WorkerArrival
         All requests that reached it, in order.
     is_leaving : bool
@@ -132,6 +138,7 @@
         self.runs = []
         self.running = 0
         self.status = OK
+        self.answer_bytes = {}
         self.fault = ""
         self.is_healthy = True
         self.arrivals = []
@@ -262,8 +269,12 @@
         worker = self._worker
         if self._run.ended or self._run.body in worker.fatal_bodies:
             return
-        worker.ended(self._run, "whole")
         headers = [*self._headers, *worker.notices(worker.status)]
+        if self._run.path in worker.answer_bytes:
+            self._reply.start(worker.status, headers)
+            _LargeAnswer(worker, self._run, self._reply)
+            return
+        worker.ended(self._run, "whole")
         body = f"answer of {worker.name} to {self._run.request_id}".encode()
         if worker.fault == "mute":
             return
@@ -292,6 +303,36 @@
         self._worker.ended(self._run, "left")
 
 
+@implementer(IPushProducer)
+class _LargeAnswer:
+    """Writes a large answer as it is taken, and ends the request with it."""
+
+    def __init__(self, worker, run, reply):
+        self._worker = worker
+        self._run = run
+        self._reply = reply
+        self._unsent_bytes = worker.answer_bytes[run.path]
+        self._is_paused = False
+        reply.set_producer(self)
+        self.resumeProducing()
+
+    def pauseProducing(self):
+        self._is_paused = True
+
+    def resumeProducing(self):
+        self._is_paused = False
+        while self._unsent_bytes and not self._is_paused and self._reply.is_open:
+            size_bytes = min(self._unsent_bytes, LARGE_PIECE_BYTES)
+            self._unsent_bytes -= size_bytes
+            self._reply.write(b"." * size_bytes)
+        if not self._unsent_bytes and self._reply.is_open:
+            self._worker.ended(self._run, "whole")
+            self._reply.finish()
+
+    def stopProducing(self):
+        """Stop; the processor of the request is notified as well."""
+
+
 class PlatformEngineStandin(PlatformServiceStandin):
     """A model engine, which streams events and can resume a stream after an event.
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment of real processes on loopback, for failure tests."""
 
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -123,9 +124,16 @@
 
 
 class Deployment:
-    """Two routers, two engines, a service and the store, as processes."""
+    """Two routers, two engines, a service and the store, as processes.
 
-    def __init__(self):
+    Parameters
+    ----------
+    router_fds : int or None
+        Descriptors that each router may open; None for as many as this process.
+    """
+
+    def __init__(self, router_fds=None):
+        self._router_fds = router_fds
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self.processes = {}
@@ -142,7 +150,8 @@
         for name, kind in (("e1", "engine"), ("e2", "engine"), ("s1", "service")):
             self._spawn(name, "standin", kind, "--listen", self.addresses[name])
         for name in ("r1", "r2"):
-            self._spawn(name, "router", "--settings", self._write_settings(name))
+            path = self._write_settings(name)
+            self._spawn(name, "router", "--settings", path, max_fds=self._router_fds)
         await wait_until(lambda: responds(f"http://{self.addresses['e1']}/v1/load"))
         await wait_until(lambda: responds(f"http://{self.addresses['e2']}/v1/load"))
         await wait_until(
@@ -190,10 +199,17 @@
         path.write_text(yaml.safe_dump(settings))
         return str(path)
 
-    def _spawn(self, name, *arguments):
+    def _spawn(self, name, *arguments, max_fds=None):
+        def limit_fds():
+            if max_fds is not None:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (max_fds, max_fds))
+
         log = open(self.folder / f"{name}.log", "wb")
         self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "sesamearch", *arguments], stdout=log, stderr=log
+            [sys.executable, "-m", "sesamearch", *arguments],
+            stdout=log,
+            stderr=log,
+            preexec_fn=limit_fds,
         )
         log.close()
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -1,8 +1,9 @@
 """Stand-ins of the platform on loopback: the store, two plain workers, and engines.
 
-Run as ``python -m tests.platform.standins [--configuration FILE] STORE DESK DESK ENGINE
-...``, where every argument is an address. Prints a line once it listens. The file holds
-the operators' configuration as JSON.
+Run as ``python -m tests.platform.standins [--configuration FILE] [--slots SLOTS]
+[--large PATH=BYTES] STORE DESK DESK ENGINE ...``, where every argument is an address.
+Prints a line once it listens. The file holds the operators' configuration as JSON; the
+plain workers answer requests for PATH with so many bytes.
 """
 
 import argparse
@@ -23,6 +24,7 @@
 from tests.platform.world import make_configuration  # noqa: E402
 
 DESKS = 2
+DEFAULT_SLOTS = 12
 
 
 def serve(address, handler):
@@ -34,7 +36,12 @@
     return json.loads(Path(path).read_text()) if path else make_configuration()
 
 
-def main(addresses, configuration):
+def read_answer_bytes(text):
+    path, _, size = text.rpartition("=")
+    return {path: int(size)} if path else {}
+
+
+def main(addresses, configuration, slots, answer_bytes):
     store = PlatformStoreStandin(reactor)
     serve(addresses[0], store)
     store.put("op/config", configuration)
@@ -46,8 +53,10 @@
             if is_desk
             else (PlatformEngineStandin, "models")
         )
-        worker = kind(reactor, f"worker-{number}", slots=12)
-        if not is_desk:
+        worker = kind(reactor, f"worker-{number}", slots=slots)
+        if is_desk:
+            worker.answer_bytes = answer_bytes
+        else:
             worker.neighbours = neighbours
             neighbours[address] = worker
         serve(address, worker)
@@ -56,7 +65,7 @@
             "address": address,
             "zone": "east" if number % 2 == 0 else "west",
             "version": "v1",
-            "slots": 12,
+            "slots": slots,
             "state": "ready",
             "cold-left-ms": 0,
             "sequence": 1,
@@ -69,6 +78,13 @@
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
     parser.add_argument("--configuration", default="")
+    parser.add_argument("--slots", type=int, default=DEFAULT_SLOTS)
+    parser.add_argument("--large", default="", metavar="PATH=BYTES")
     parser.add_argument("addresses", nargs="+")
     arguments = parser.parse_args()
-    main(arguments.addresses, read_configuration(arguments.configuration))
+    main(
+        arguments.addresses,
+        read_configuration(arguments.configuration),
+        arguments.slots,
+        read_answer_bytes(arguments.large),
+    )
