Measure a connection only once it can be measured

Cause: a connection joins the account before its outlet is made. If the account is above its bound at that moment, it measures all connections, that one too: AttributeError. The connection stays in the account for good, and from then on no look at the account succeeds, so nothing is shed any more.

Evidence: the log of the router repeats the error at each read; test_connection_that_opens_above_the_bound_is_measured fails with it before. Ruled out: bodies that are handled (the same with bodies that never end).

Change: the outlet is made first; the flag that stops nested shedding is reset also after an error, so that no error can end shedding for good.

Loosens no limit.

--- a/src/sesamearch/wire/account.py
+++ b/src/sesamearch/wire/account.py
@@ -209,12 +209,14 @@
     def _shed_for_memory(self, kept=None):
         if self._is_shedding:
             return
-        for each in self._holdings:
-            self._record(each, each.measure())
         self._is_shedding = True
-        if self._is_above():
-            self._shed_heaviest(kept)
-        self._is_shedding = False
+        try:
+            for each in self._holdings:
+                self._record(each, each.measure())
+            if self._is_above():
+                self._shed_heaviest(kept)
+        finally:
+            self._is_shedding = False
 
     def _shed_heaviest(self, kept):
         now_s = self._clock.seconds()
--- a/src/sesamearch/wire/caller_connection.py
+++ b/src/sesamearch/wire/caller_connection.py
@@ -89,11 +89,11 @@
     def connectionMade(self):
         """Register the connection and wait for the first request."""
         self.transport.setTcpNoDelay(True)
+        # The account measures the connection as soon as it is open.
+        self._outlet = Outlet(self.transport, self)
         if not self.factory.account.open(self):
-            self._is_closing = True
             self._abort()
             return
-        self._outlet = Outlet(self.transport, self)
         self.factory.connections.add(self)
         self._wait_idle()
 
--- a/tests/wire/test_account.py
+++ b/tests/wire/test_account.py
@@ -191,6 +191,18 @@
         elif action == "close":
             client.transport.abortConnection()
 
+    # Guards against a connection that can't be measured, so that nothing is shed more.
+    def test_connection_that_opens_above_the_bound_is_measured(self):
+        server = Server(CallerBounds(2 * CONNECTION_BYTES, 50))
+        clients = [server.connect() for _ in range(6)]
+        server.network.run(0.1)
+        self.assertLessEqual(server.account.held_bytes, 3 * CONNECTION_BYTES)
+        self.assertGreater(server.account.shed_count, 0)
+        for client in clients:
+            client.transport.abortConnection()
+        server.network.run(1)
+        self.assertEqual(server.account.connection_count, 0)
+
     def test_connection_counts_before_its_first_byte(self):
         server = Server(None)
         server.connect()
