Drop what a refused connection has sent as soon as it is refused

Cause: a refusal cleared the body, but not the codec (up to 64 KB while its reader waits for its turn), the head and what was sent ahead. A refused connection lingers for a second, so callers that come again at once leave hundreds of them; none of these bytes were in the account.

The new test fails before. Bytes of a further request are reported first, as before.

Loosens no limit: nothing of a refused request is used any more.

--- a/src/sesamearch/wire/caller_connection.py
+++ b/src/sesamearch/wire/caller_connection.py
@@ -379,13 +379,21 @@
     def _refuse(self, status, detail, header=b""):
         """Answer a request that is not handled with an error status, and close."""
         self._is_closing = True
-        self._body.clear()
-        self._handled_bytes = 0
+        self._report_unread()
+        self._forget_request()
         self.factory.refused(status, detail)
         framing = b"Connection: close\r\nContent-Length: 0\r\n\r\n"
         self.transport.write(b"HTTP/1.1 %d \r\n" % status + header + framing)
         self._close_gracefully()
 
+    def _forget_request(self):
+        """Drop all that was read, since no more of it will be used."""
+        self._codec = None
+        self._reader = HeadReader()
+        self._body.clear()
+        self._ahead.take()
+        self._handled_bytes = 0
+
     def _close_gracefully(self):
         """Close the write side first, and reset the connection after a delay.
 
--- a/tests/wire/test_account.py
+++ b/tests/wire/test_account.py
@@ -229,6 +229,20 @@
         server.network.run(0.1)
         self.assertEqual(ordinary.status, 200)
 
+    # Guards against what a refused connection keeps in the time in which it is closed.
+    def test_refused_connection_keeps_nothing_that_was_read(self):
+        server = Server(None)
+        client = server.connect()
+        client.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\nxx")
+        client.send(b"x" * 100)
+        server.network.run(0.01)
+        (connection,) = server.factory.connections
+        connection.shed()
+        self.assertEqual(connection.measure(), 0)
+        self.assertIsNone(connection._codec)
+        server.network.run(0.1)
+        self.assertEqual(client.status, 503)
+
     def test_body_in_pieces_of_a_byte_leaves_the_processor_to_others(self):
         server = Server(None)
         flood, ordinary = server.connect(), server.connect()
