Let those bodies wait that cause most work, and nobody for callers that left

What callers saw: after 60 callers had sent bodies in pieces of a byte for 10 s and had closed their connections, an ordinary body of 4 MiB was unanswered 20 s later (10.9 s after 10 callers, 17.9 after 24; one run each).

Cause: one budget for the work of all bodies, and one queue in order of arrival. Each read of a large body waited behind a piece of each other body. Callers that had left stayed in the queue, since nothing is read from a connection that waits, so its end is not seen; refused ones too: 10,740 of them after 5 s of 200 callers that come again at once, with all that they held. The first piece of each body was read even while the budget was used up, so it was overdrawn without end (-29,432 steps there). And a body that waited for its turn for 10 s was refused as sent too slowly.

Ruled out: the work itself (the router was idle between turns), memory (held).

Change: the queue is ordered by the work that a reader caused lately and by what it has left to do; a connection that is closed or refused leaves the queue; a body begins only while there is budget; what waits in the codec counts in the account; who waits for the router is not refused as slow (the 60 s for the whole body stay).

Three new tests in test_account failed before, test_bodies_in_single_bytes with a time-out.

Which limit it loosens: the stall time of a body holds no more while the router makes it wait; such a body holds at most one read (64 KB), counted, and is shed for memory like others.

--- a/src/sesamearch/wire/__init__.py
+++ b/src/sesamearch/wire/__init__.py
@@ -19,7 +19,7 @@
             "enable_keepalive",
         ],
         "events": ["EventError", "EventSplitter", "StreamEvent"],
-        "framing": ["check_framing", "content_length"],
+        "framing": ["check_framing", "content_length", "has_chunks"],
         "head": [
             "HOP_BY_HOP",
             "ResponseHead",
@@ -31,7 +31,7 @@
         ],
         "outlet": ["Outlet", "OutletListener"],
         "pool": ["ConnectionPool"],
-        "read_budget": ["BudgetedReader", "ReadBudget"],
+        "read_budget": ["BudgetedReader", "ReadBudget", "ReadShare"],
         "reply": ["Reply", "ReplyListener"],
         "timer": ["MovableTimer"],
     },
--- a/src/sesamearch/wire/caller_connection.py
+++ b/src/sesamearch/wire/caller_connection.py
@@ -10,10 +10,10 @@
 from sesamearch.wire.ahead import BytesAhead
 from sesamearch.wire.body import BodyBuffer
 from sesamearch.wire.caller_limits import larger_limits
-from sesamearch.wire.framing import check_framing, content_length
+from sesamearch.wire.framing import check_framing, content_length, has_chunks
 from sesamearch.wire.head import HeadError, HeadReader, RequestHead
 from sesamearch.wire.outlet import Outlet, OutletListener
-from sesamearch.wire.read_budget import BudgetedReader
+from sesamearch.wire.read_budget import BudgetedReader, ReadShare
 from sesamearch.wire.reply import Reply
 from sesamearch.wire.timer import MovableTimer
 
@@ -53,6 +53,7 @@
         self._codec = None
         self._head = None
         self._body = BodyBuffer()
+        self._is_body_due = False
         self._is_head_only = False
         self._reply = None
         self._reader = HeadReader()
@@ -62,6 +63,9 @@
         self._is_reading = True
         # Whether the rest of what was read waits for the read budget.
         self._is_waiting = False
+        # Size of what the codec was given and may not have handled yet.
+        self._unhandled_bytes = 0
+        self.read_share = ReadShare(self.progress_s)
         self._body_by_s = 0.0
         self._unread_bytes = 0
         self._is_aborted = False
@@ -101,6 +105,7 @@
         """Notify the handler of a pending request that the caller disconnected."""
         self.factory.connections.discard(self)
         self.factory.account.close(self)
+        self.factory.account.read_budget.leave(self)
         self._timer.cancel()
         reply, self._reply = self._reply, None
         self._is_closing = True
@@ -129,6 +134,10 @@
         if self._is_closing or self._outlet.is_blocked:
             self._check_unread()
             return
+        if self._is_waiting and self._clock.seconds() < self._body_by_s:
+            # It is not the caller that is slow.
+            self._timer.arm(BODY_STALL_TIMEOUT_S)
+            return
         # The limit may have been raised since the timer was set.
         until_s = max(self._timer.deadline_s, self._deadline_by_present_limits_s())
         remaining_s = until_s - self._clock.seconds()
@@ -194,6 +203,7 @@
     def measure(self):
         """Return the memory that the connection holds now, in bytes."""
         received_bytes = self._reader.size_bytes + self._body.size_bytes
+        received_bytes += self._unhandled_bytes
         waiting_bytes = self._ahead.size_bytes + self._outlet.unsent_bytes
         return received_bytes + self._handled_bytes + waiting_bytes
 
@@ -258,6 +268,7 @@
             if self._codec is None:
                 self._read_head(data)
             elif data:
+                self._unhandled_bytes += len(data)
                 self._codec.receive_data(data)
             if self._codec is not None:
                 self._read_events()
@@ -280,43 +291,54 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._codec.receive_data(head)
+        self._unhandled_bytes = len(rest)
         if rest:
             self._codec.receive_data(rest)
         self._body_by_s = self._clock.seconds() + MAX_BODY_S
         self._timer.arm(BODY_STALL_TIMEOUT_S)
 
     def _read_events(self):
+        budget = self.factory.account.read_budget
+        budget.refresh()
         while True:
+            if self._has_body and budget.is_spent:
+                self._wait(budget)
+                return
             event = self._codec.next_event()
             if event is h11.NEED_DATA:
+                self._unhandled_bytes = 0
                 self._send_continue()
                 return
             if isinstance(event, h11.Request):
                 self._handle_head(event)
             elif isinstance(event, h11.Data):
+                budget.take(self, 1.0 + len(event.data) / STEP_BYTES)
                 self._handle_data(event.data)
-                if self._is_budget_spent(event.data):
-                    return
             elif isinstance(event, h11.EndOfMessage):
+                self._unhandled_bytes = 0
                 self._handle_request()
                 return
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
-    def _is_budget_spent(self, data):
-        """Count a piece of a body; return whether the rest of what was read waits.
+    @property
+    def _has_body(self):
+        """Bool : whether the codec has read a head that a body follows."""
+        return self._head is not None and self._is_body_due
+
+    def _wait(self, budget):
+        """Leave the rest of what was read for a later turn.
 
         A body in pieces of a byte would otherwise take all of the processor.
         """
-        budget = self.factory.account.read_budget
-        budget.refresh()
-        budget.take(1.0 + len(data) / STEP_BYTES)
-        if not budget.is_spent:
-            return False
         self._is_waiting = True
         self._update_reading()
         budget.wait(self)
-        return True
+
+    @property
+    def pending_steps(self):
+        """Float : least work for the rest of what was read."""
+        return 1.0 + self._unhandled_bytes / STEP_BYTES
 
     def read_on(self):
         """Read on after a wait for the read budget."""
@@ -336,7 +358,9 @@
         headers = list(event.headers.raw_items())
         check_framing(event)
         self._head = RequestHead(event.method, event.target, headers)
-        self._check_size(int(content_length(event)))
+        size_bytes = int(content_length(event))
+        self._is_body_due = size_bytes > 0 or has_chunks(event)
+        self._check_size(size_bytes)
 
     def _check_size(self, size_bytes):
         limit_bytes = self._limits.body_bytes
@@ -388,6 +412,8 @@
 
     def _forget_request(self):
         """Drop all that was read, since no more of it will be used."""
+        self.factory.account.read_budget.leave(self)
+        self._unhandled_bytes = 0
         self._codec = None
         self._reader = HeadReader()
         self._body.clear()
--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import Protocol
 
 from sesamearch.wire.head import ResponseHead
-from sesamearch.wire.read_budget import BudgetedReader
+from sesamearch.wire.read_budget import BudgetedReader, ReadShare
 
 __all__ = [
     "ResponseReceiver",
@@ -185,6 +185,7 @@
         self.is_paused = False
         # Whether the rest of what was read waits for the read budget.
         self._is_waiting = False
+        self.read_share = ReadShare(pool.now_s)
         # Why the connection was lost, if that is to be handled after the rest.
         self._lost_reason = None
 
@@ -302,7 +303,7 @@
     def take_steps(self, steps):
         """Count work towards the read budget."""
         if self._pool.budget is not None:
-            self._pool.budget.take(steps)
+            self._pool.budget.take(self, steps)
 
     def _steps_of(self, event):
         if not isinstance(event, h11.Data):
@@ -315,6 +316,11 @@
         self._update_reading()
         self._pool.budget.wait(self)
 
+    @property
+    def pending_steps(self):
+        """Float : least work for the rest of what was read."""
+        return 1.0
+
     def read_on(self):
         """Read on after a wait for the read budget."""
         self._is_waiting = False
--- a/src/sesamearch/wire/framing.py
+++ b/src/sesamearch/wire/framing.py
@@ -2,7 +2,7 @@
 
 from sesamearch.wire.head import HeadError
 
-__all__ = ["check_framing", "content_length"]
+__all__ = ["check_framing", "content_length", "has_chunks"]
 
 
 def check_framing(event):
@@ -14,10 +14,10 @@
         If the body length is ambiguous or there is not exactly one ``Host``.
     """
     names = [name for name, _ in event.headers]
-    has_chunks = b"transfer-encoding" in names
-    if has_chunks and b"content-length" in names:
+    is_chunked = has_chunks(event)
+    if is_chunked and b"content-length" in names:
         raise HeadError(400, "both Content-Length and Transfer-Encoding")
-    if has_chunks and event.http_version < b"1.1":
+    if is_chunked and event.http_version < b"1.1":
         raise HeadError(400, "Transfer-Encoding in an HTTP/1.0 request")
     if names.count(b"host") != 1:
         raise HeadError(400, "not exactly one Host header")
@@ -29,3 +29,8 @@
         if name == b"content-length":
             return value
     return 0
+
+
+def has_chunks(event):
+    """Return whether the body of a request arrives in chunks."""
+    return any(name == b"transfer-encoding" for name, _ in event.headers)
--- a/src/sesamearch/wire/pool.py
+++ b/src/sesamearch/wire/pool.py
@@ -101,6 +101,11 @@
         self._idle = []
         self.opened = 0
 
+    @property
+    def now_s(self):
+        """Float : current time on this process's clock."""
+        return self._reactor.seconds()
+
     def send(
         self,
         request,
--- a/tests/wire/test_account.py
+++ b/tests/wire/test_account.py
@@ -257,6 +257,47 @@
         server.network.run(20_000 / STEPS_PER_S + 1)
         self.assertEqual(server.bodies, [b"hi", b"x" * 20_000])
 
+    # Guards against a body that waits behind those whose pieces cause the work.
+    def test_body_in_large_pieces_goes_before_those_in_pieces_of_a_byte(self):
+        server = Server(None)
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for _ in range(100):
+            server.connect().send(head + b"1\r\nx\r\n" * 2000)
+        server.network.run(0.1)
+        ordinary = server.connect()
+        ordinary.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n")
+        for _ in range(9):
+            ordinary.send(b"y" * 10_000)
+            server.network.run(0.05)
+        self.assertEqual([len(body) for body in server.bodies], [90_000])
+
+    # Guards against callers that left and keep others waiting.
+    def test_caller_that_left_does_not_wait(self):
+        server = Server(None)
+        budget = server.account.read_budget
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        crowd = [server.connect() for _ in range(5)]
+        for client in crowd:
+            client.send(head + b"1\r\nx\r\n" * 20_000)
+        server.network.run(0.1)
+        self.assertGreater(budget.waiting_count, 0)
+        for client in crowd:
+            client.transport.abortConnection()
+        server.network.run(0.01)
+        self.assertEqual(budget.waiting_count, 0)
+
+    # Guards against a caller that is called slow while the router makes it wait.
+    def test_caller_that_waits_is_not_refused_as_slow(self):
+        server = Server(None)
+        server.account.read_budget._steps = -12 * STEPS_PER_S
+        ordinary = server.connect()
+        ordinary.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n")
+        ordinary.send(b"h")
+        ordinary.send(b"i")
+        server.network.run(13, step_s=0.05)
+        self.assertEqual(ordinary.status, 0)
+        self.assertEqual(server.bodies, [b"hi"])
+
     def test_body_that_trickles_is_refused_in_the_end(self):
         # A byte each 9 s is progress, but not a body that ends.
         server = Server(None)
