Free a connection as soon as it is lost

Cause: a connection that was lost stayed in memory, uncounted: the timer of a refused one held it for the rest of its second, and its outlet, timer and place in the queue of readers referred back to it, so that it waited for the garbage collector. After 7 s with 120 callers there were 4,718 connections in memory and 407 in the account.

Ruled out: the allocator.

Change: the end of a connection cancels its timers and cuts the references.

The new test in test_account fails before.

Loosens no limit.

--- a/src/sesamearch/wire/caller_connection.py
+++ b/src/sesamearch/wire/caller_connection.py
@@ -77,6 +77,8 @@
         self._begun_limits = self._read_limits
         self._is_resuming = False
         self._timer = MovableTimer(self._clock, self._timed_out)
+        # Resets the connection some time after it was refused.
+        self._linger = None
         self._idle_since_s = self._clock.seconds()
         self._head_since_s = self._idle_since_s
         self._is_closing = False
@@ -105,13 +107,16 @@
         """Notify the handler of a pending request that the caller disconnected."""
         self.factory.connections.discard(self)
         self.factory.account.close(self)
-        self.factory.account.read_budget.leave(self)
-        self._timer.cancel()
+        self._timer.close()
+        if self._linger is not None and self._linger.active():
+            self._linger.cancel()
         reply, self._reply = self._reply, None
         self._is_closing = True
         if reply is not None:
             reply.caller_left()
         self._report_unread()
+        self._forget_request()
+        self._outlet.disconnect()
 
     def _report_unread(self):
         """Report bytes of a further request that are lost with the connection."""
@@ -428,7 +433,7 @@
         """
         self._outlet.close()
         self.transport.loseWriteConnection()
-        self._clock.callLater(LINGER_S, self._abort)
+        self._linger = self._clock.callLater(LINGER_S, self._abort)
 
     def _close_when_sent(self):
         self._is_closing = True
--- a/src/sesamearch/wire/outlet.py
+++ b/src/sesamearch/wire/outlet.py
@@ -47,7 +47,7 @@
     @property
     def unsent_bytes(self):
         """Int : size of what waits until the caller reads."""
-        return self._transport.unsent_bytes
+        return self._transport.unsent_bytes if self._transport is not None else 0
 
     def set_source(self, source):
         """Use another push producer as the source of the answer; None for none."""
@@ -58,7 +58,14 @@
     def close(self):
         """Let the transport close once all is sent."""
         self._source = None
-        self._transport.unregisterProducer()
+        if self._transport is not None:
+            self._transport.unregisterProducer()
+
+    def disconnect(self):
+        """Forget the source, the transport and the listener of a lost connection."""
+        self._source = None
+        self._transport = None
+        self._listener = None
 
     def pauseProducing(self):
         """Pause the source of the answer."""
--- a/src/sesamearch/wire/read_budget.py
+++ b/src/sesamearch/wire/read_budget.py
@@ -87,8 +87,8 @@
         self._clock = clock
         self._steps = MAX_STEPS
         self._updated_s = clock.seconds()
-        # Heap of (steps, number, reader), and the number of each reader that waits; a
-        # reader that left has no number any more.
+        # Heap of [steps, number, reader], and the entry of each reader that waits. The
+        # entry of a reader that left stays in the heap, without the reader.
         self._queue = []
         self._turns = {}
         self._numbers = itertools.count()
@@ -118,21 +118,20 @@
 
     def wait(self, reader):
         """Call ``reader.read_on()`` when it is its turn."""
-        number = self._turns[reader] = next(self._numbers)
         steps = reader.read_share.steps(self._clock.seconds()) + reader.pending_steps
-        heapq.heappush(self._queue, (steps, number, reader))
+        entry = self._turns[reader] = [steps, next(self._numbers), reader]
+        heapq.heappush(self._queue, entry)
         self._schedule()
 
     def leave(self, reader):
         """Forget a reader that has nothing to read any more, if it waits."""
-        if self._turns.pop(reader, None) is not None:
-            if len(self._queue) > 2 * len(self._turns):
-                self._queue = [each for each in self._queue if self._is_current(each)]
-                heapq.heapify(self._queue)
-
-    def _is_current(self, entry):
-        _, number, reader = entry
-        return self._turns.get(reader) == number
+        entry = self._turns.pop(reader, None)
+        if entry is None:
+            return
+        entry[-1] = None
+        if len(self._queue) > 2 * len(self._turns):
+            self._queue = list(self._turns.values())
+            heapq.heapify(self._queue)
 
     def _schedule(self):
         if self._turns and self._timer is None:
@@ -144,10 +143,9 @@
         self.refresh()
         due = len(self._turns)
         while due and self._turns and not self.is_spent:
-            entry = heapq.heappop(self._queue)
-            if self._is_current(entry):
+            reader = heapq.heappop(self._queue)[-1]
+            if reader is not None:
                 due -= 1
-                reader = entry[-1]
                 del self._turns[reader]
                 reader.read_on()
         self._schedule()
--- a/src/sesamearch/wire/timer.py
+++ b/src/sesamearch/wire/timer.py
@@ -50,3 +50,8 @@
         call, self._call = self._call, None
         if call is not None:
             call.cancel()
+
+    def close(self):
+        """Stop the timer for good, and forget who is called."""
+        self.cancel()
+        self._on_fired = None
--- a/tests/wire/test_account.py
+++ b/tests/wire/test_account.py
@@ -1,6 +1,8 @@
 """Account of what callers hold: bounds, order of shedding, and that it balances."""
 
+import gc
 import unittest
+import weakref
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -17,6 +19,7 @@
     CallerHolding,
 )
 from sesamearch.wire.caller import CallerFactory, CallerLimits
+from sesamearch.wire.caller_connection import LINGER_S
 from sesamearch.wire.read_budget import MAX_STEPS, STEPS_PER_S
 from tests.platform.world import RawClient
 
@@ -243,6 +246,31 @@
         server.network.run(0.1)
         self.assertEqual(client.status, 503)
 
+    # Guards against connections that are kept until they are collected as garbage.
+    def test_connection_that_is_lost_is_freed_at_once(self):
+        for is_refused in (False, True):
+            with self.subTest(is_refused=is_refused):
+                self.assert_freed_when_lost(is_refused)
+
+    def assert_freed_when_lost(self, is_refused):
+        server = Server(None)
+        client = server.connect()
+        client.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\nxx")
+        server.network.run(0.01)
+        (connection,) = server.factory.connections
+        if is_refused:
+            connection.shed()
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        lost = weakref.ref(connection)
+        client.transport.abortConnection()
+        # Less than the time for which a refused connection lingers.
+        server.network.run(LINGER_S / 2)
+        connection.transport.protocol = connection.transport.peer = None
+        del connection
+        self.assertIsNone(lost())
+
     def test_body_in_pieces_of_a_byte_leaves_the_processor_to_others(self):
         server = Server(None)
         flood, ordinary = server.connect(), server.connect()
