Count what a handled request holds, and cut off answers that nobody reads

Cause: the account knew the body of a handled request, twice, and what its transport had not sent. Not in it: the first 64 KB of an answer, which the try kept to its end, what the connection to the endpoint has read and waits to hand on, what lies in the socket of an endpoint that is not read, and copies of a large body in the endpoint's connection (12 MB on the way of 4). And a connection whose request is handled was never shed, also if its caller reads nothing.

Ruled out: the endpoints' answers themselves (the kernel holds them, the router reads on only as the caller does).

Change: a request tells what it holds (Exchange.held_bytes, through its tries down to the connections), measured when the account is; what a try has buffered is dropped once it is passed on; large bodies go to endpoints in pieces of 64 KB, as the socket takes them. A caller that has taken nothing of its answer for 30 s is disconnected also while the answer is not complete; so far only after it.

Which limit it loosens: a large answer on its way was never cut off for memory. It can be now, only above the bound of all callers, after what is unread or idle for longer; the process ended in its place before. No refusal is involved: the connection is closed, which promises nothing.

--- a/src/sesamearch/forwarding/attempt.py
+++ b/src/sesamearch/forwarding/attempt.py
@@ -114,6 +114,21 @@
         """Bytes : the buffered part of the body."""
         return bytes(self._body)
 
+    def take_body(self):
+        """Return the buffered part of the body, and forget it."""
+        body, self._body = bytes(self._body), bytearray()
+        return body
+
+    @property
+    def held_bytes(self):
+        """Int : memory held for the answer and for sending the request."""
+        held_bytes = len(self._body)
+        if self.events is not None:
+            held_bytes += self.events.size_bytes
+        if self.pending_request is not None:
+            held_bytes += self.pending_request.held_bytes
+        return held_bytes
+
     def answer_began(self, answer):
         """Handle the head of the answer."""
         self.answer = answer
--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -181,7 +181,7 @@
         if self._streamed_try is attempt:
             self.reply.write(data)
         elif attempt.buffer(data):
-            return
+            self.reply.note_held()
         elif attempt.answer.is_success:
             self._start_streaming(attempt)
         else:
@@ -195,7 +195,7 @@
         answer = attempt.answer
         self.note_head_sent(answer.status)
         self.reply.start(answer.status, answer.headers, answer.reason)
-        self.reply.write(attempt.body)
+        self.reply.write(attempt.take_body())
         self.reply.set_producer(attempt.pending_request.producer)
 
     def try_ended(self, attempt):
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -133,6 +133,12 @@
     def try_lost(self, attempt, loss):
         """Handle the loss of an answer."""
 
+    @property
+    def held_bytes(self):
+        """Int : memory held for the request; see :class:`ReplyListener`."""
+        tries_bytes = sum(attempt.held_bytes for attempt in self.tries)
+        return len(self.request.body) + tries_bytes
+
     # Tries.
 
     @property
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -290,8 +290,8 @@
 
         Returns
         -------
-        object with ``cancel()``, ``is_first``, ``is_sent``, ``producer`` and
-        ``take_steps(steps)``
+        object with ``cancel()``, ``held_bytes``, ``is_first``, ``is_sent``,
+        ``producer`` and ``take_steps(steps)``
         """
 
     @abc.abstractmethod
--- a/src/sesamearch/proxy/reply.py
+++ b/src/sesamearch/proxy/reply.py
@@ -36,6 +36,15 @@
     def listener(self, listener):
         self._reply.listener = listener
 
+    def note_held(self):
+        """Count what is held for the request; see ``Reply``."""
+        self._reply.note_held()
+
+    @property
+    def untaken_bytes(self):
+        """Int : size of what waits for a router that does not read; see ``Reply``."""
+        return self._reply.untaken_bytes
+
     def answer(self, status, headers, body, reason=b""):
         """Send a complete response; see ``Reply``."""
         headers = [*_without_own(headers), *self._headers(None)]
--- a/src/sesamearch/standin/network.py
+++ b/src/sesamearch/standin/network.py
@@ -14,6 +14,8 @@
 __all__ = ["HostNetwork", "MemoryNetwork", "MemoryTransport", "PathFault"]
 
 LATENCY_S = 0.0005
+# A push producer is paused once more than this is held.
+BUFFER_BYTES = 64 << 10
 # TCP keep-alive: two probes, one second apart, after one second without traffic.
 KEEPALIVE_TIMEOUT_S = 3.0
 
@@ -74,6 +76,9 @@
         self._is_held = False
         self._unsent = []
         self._end_reason = None
+        self._producer = None
+        self._is_push = False
+        self._is_producer_paused = False
         self.protocol = None
         self.peer = None
         self.is_open = True
@@ -92,6 +97,7 @@
             self.written_bytes += len(data)
             if self._is_held:
                 self._unsent.append(data)
+                self._pause_producer()
             elif not self.is_silent:
                 self._send(self.peer.deliver, data)
 
@@ -100,6 +106,13 @@
         """Int : size of what was written while writes are held."""
         return sum(len(data) for data in self._unsent)
 
+    def _pause_producer(self):
+        is_push = self._producer is not None and self._is_push
+        if is_push and self.unsent_bytes > BUFFER_BYTES:
+            if not self._is_producer_paused:
+                self._is_producer_paused = True
+                self._producer.pauseProducing()
+
     def hold_writes(self):
         """Keep what is written from now on, as if the other end did not read."""
         self._is_held = True
@@ -110,6 +123,10 @@
         unsent, self._unsent = self._unsent, []
         for data in unsent:
             self._send(self.peer.deliver, data)
+        if self._is_producer_paused and self._producer is not None:
+            self._is_producer_paused = False
+            self._producer.resumeProducing()
+        self._pull()
         if self._end_reason is not None:
             self._end(self._end_reason)
 
@@ -188,10 +205,18 @@
         return _Handle()
 
     def registerProducer(self, producer, streaming):
-        """Ignore the producer, because writes never block."""
+        """Pause a push producer while much is held; have a pull producer write."""
+        self._producer = producer
+        self._is_push = streaming
+        self._pull()
+
+    def _pull(self):
+        while self._producer is not None and not self._is_push and not self._unsent:
+            self._producer.resumeProducing()
 
     def unregisterProducer(self):
-        """Ignore the producer."""
+        """Forget the producer."""
+        self._producer = None
 
 
 class _Connector:
--- a/src/sesamearch/wire/__init__.py
+++ b/src/sesamearch/wire/__init__.py
@@ -34,5 +34,6 @@
         "read_budget": ["BudgetedReader", "ReadBudget", "ReadShare"],
         "reply": ["Reply", "ReplyListener"],
         "timer": ["MovableTimer"],
+        "upload": ["UPLOAD_PIECE_BYTES", "Upload"],
     },
 )
--- a/src/sesamearch/wire/account.py
+++ b/src/sesamearch/wire/account.py
@@ -28,6 +28,8 @@
 # Requests with a larger body leave this share of the memory to the other callers.
 SMALL_BODY_BYTES = 64 << 10
 SMALL_BODY_RATIO = 0.25
+# Connections that hold less are closed for memory only when no others are left.
+LIGHT_BYTES = 2 * CONNECTION_BYTES
 # Once the bound is reached, connections are closed until so much of it is in use.
 SHED_TO_RATIO = 0.9
 # Progress within this time does not tell a connection from one that makes progress now.
@@ -83,7 +85,7 @@
     @property
     @abc.abstractmethod
     def may_be_shed(self):
-        """Bool : whether no request of the connection is being handled."""
+        """Bool : whether the connection may be closed to make room."""
 
     @property
     @abc.abstractmethod
@@ -103,9 +105,10 @@
     """Counts what callers hold, and sheds connections when that reaches a bound.
 
     At the bound of the memory, the connections go first that hold most for longest
-    without progress. At the bound of the connections, those go first that are being
-    closed, then those that have not sent a complete request, and among them those
-    without progress for longest. A connection whose request is being handled stays.
+    without progress, and last those that hold next to nothing. At the bound of the
+    connections, those go first that are being closed, then those that have not sent a
+    complete request, and among them those without progress for longest. A connection
+    stays whose request is being handled, until its answer is large or unread.
 
     Parameters
     ----------
@@ -222,7 +225,9 @@
         now_s = self._clock.seconds()
 
         def weight(holding):
-            return holding.held_bytes * (now_s - holding.progress_s + MIN_AGE_S)
+            is_heavy = holding.held_bytes > LIGHT_BYTES
+            age_s = now_s - holding.progress_s + MIN_AGE_S
+            return is_heavy, holding.held_bytes * age_s
 
         target_bytes = self._bounds.memory_bytes * SHED_TO_RATIO
         for each in sorted(self._holdings, key=weight, reverse=True):
--- a/src/sesamearch/wire/caller_connection.py
+++ b/src/sesamearch/wire/caller_connection.py
@@ -16,6 +16,7 @@
 from sesamearch.wire.read_budget import BudgetedReader, ReadShare
 from sesamearch.wire.reply import Reply
 from sesamearch.wire.timer import MovableTimer
+from sesamearch.wire.upload import UPLOAD_PIECE_BYTES
 
 __all__ = ["CallerConnection"]
 
@@ -27,9 +28,8 @@
 UNREAD_TIMEOUT_S = 30.0
 # A caller that was refused for want of room may come back after this time.
 SHED_RETRY_AFTER_S = 1.0
-# The body of a request that is handled is held twice: by the request, and by the
-# connection to an endpoint.
-HANDLED_COPIES = 2
+# An answer that holds more on its way may be cut off for want of memory.
+LARGE_ANSWER_BYTES = 64 << 10
 # Bytes of a body that are taken as they are, for one step of the read budget.
 STEP_BYTES = 16 << 10
 CONTINUE = 100
@@ -76,6 +76,7 @@
         self._begun_s = 0.0
         self._begun_limits = self._read_limits
         self._is_resuming = False
+        self._is_noting = False
         self._timer = MovableTimer(self._clock, self._timed_out)
         # Resets the connection some time after it was refused.
         self._linger = None
@@ -134,7 +135,7 @@
         self._timer.arm(self.factory.limits().idle_timeout_s)
 
     def _timed_out(self):
-        if self._reply is not None:
+        if self._reply is not None and not self._outlet.is_blocked:
             return
         if self._is_closing or self._outlet.is_blocked:
             self._check_unread()
@@ -202,27 +203,64 @@
 
     @property
     def may_be_shed(self):
-        """Bool : whether no request is being handled."""
-        return self._reply is None and not self._is_aborted
+        """Bool : whether no request is handled whose caller still needs its answer.
+
+        An answer that its caller does not read may be cut off, and so may a large one.
+        """
+        if self._is_aborted:
+            return False
+        if self._reply is None or self._outlet.is_blocked:
+            return True
+        return self._reply.has_begun and self.held_bytes > LARGE_ANSWER_BYTES
 
     def measure(self):
         """Return the memory that the connection holds now, in bytes."""
+        if self._is_aborted:
+            return 0
         received_bytes = self._reader.size_bytes + self._body.size_bytes
         received_bytes += self._unhandled_bytes
+        handled_bytes = self._handled_bytes
+        if self._reply is not None:
+            handled_bytes = self._reply.held_bytes
         waiting_bytes = self._ahead.size_bytes + self._outlet.unsent_bytes
-        return received_bytes + self._handled_bytes + waiting_bytes
+        return received_bytes + handled_bytes + waiting_bytes
 
     def shed(self):
         """Refuse what is being received, or close the connection."""
         if self.is_idle:
             self.close_if_idle()
-        elif self._is_closing or self._outlet.is_blocked or self._is_resuming:
+        elif (
+            self._is_closing
+            or self._reply is not None
+            or self._outlet.is_blocked
+            or self._is_resuming
+        ):
             self._abort()
         else:
             self._refuse_for_room()
 
-    def _note_held(self):
-        self.factory.account.note(self, self.measure())
+    def note_held(self):
+        """Count what the connection holds now."""
+        if not self._is_aborted:
+            self.factory.account.note(self, self.measure())
+
+    def _note_soon(self):
+        """Count what the connection holds, but after what is being done for it.
+
+        It may be shed then, and with it the request that is being answered.
+        """
+        if not self._is_noting:
+            self._is_noting = True
+            self._clock.callLater(0, self._note_now)
+
+    def _note_now(self):
+        self._is_noting = False
+        self.note_held()
+
+    @property
+    def untaken_bytes(self):
+        """Int : size of what waits for a caller that does not read; zero otherwise."""
+        return self._outlet.unsent_bytes if self._outlet.is_blocked else 0
 
     # Reading.
 
@@ -237,7 +275,7 @@
             self._read_s = self.progress_s
             self._read_limits = self.factory.limits()
             self._advance(data)
-        self._note_held()
+        self.note_held()
 
     def _buffer_pipelined(self, data):
         self._ahead.add(data, self._clock.seconds(), self.factory.limits())
@@ -260,7 +298,7 @@
         self.progress_s = self._clock.seconds()
         if self._is_closing:
             return
-        self._note_held()
+        self._note_soon()
         if self._outlet.is_blocked:
             self._timer.arm(UNREAD_TIMEOUT_S)
         elif self._reply is None:
@@ -352,7 +390,7 @@
             return
         self._advance(b"")
         self._update_reading()
-        self._note_held()
+        self.note_held()
 
     def _send_continue(self):
         if self._codec.they_are_waiting_for_100_continue:
@@ -384,7 +422,7 @@
         head, self._head = self._head, None
         body = self._body.take()
         self.has_asked = True
-        self._handled_bytes = HANDLED_COPIES * len(body)
+        self._handled_bytes = len(body) + UPLOAD_PIECE_BYTES * (len(body) > 0)
         self._ahead.trailing_bytes = len(self._codec.trailing_data[0])
         if not self.factory.account.admits(self, self.measure(), len(body)):
             self._refuse_for_room()
@@ -446,6 +484,9 @@
     def _abort(self):
         self._is_closing = True
         self._is_aborted = True
+        reply, self._reply = self._reply, None
+        if reply is not None:
+            reply.caller_left()
         self.transport.abortConnection()
 
     def send_head(self, status, reason, headers):
@@ -476,6 +517,10 @@
             return
         if data:
             self.transport.write(data)
+            if self._outlet.unsent_bytes:
+                self._note_soon()
+            else:
+                self.progress_s = self._clock.seconds()
 
     def finish(self):
         """End the response and process the requests buffered in the meantime."""
@@ -491,7 +536,7 @@
             self._close_when_sent()
             return
         self._next_request()
-        self._note_held()
+        self.note_held()
 
     def _next_request(self):
         rest, _ = self._codec.trailing_data
--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -11,6 +11,7 @@
 
 from sesamearch.wire.head import ResponseHead
 from sesamearch.wire.read_budget import BudgetedReader, ReadShare
+from sesamearch.wire.upload import UPLOAD_PIECE_BYTES, Upload
 
 __all__ = [
     "ResponseReceiver",
@@ -30,6 +31,8 @@
 # Some peers respond before they have read a long body and go on reading it
 # afterwards, so a connection that sent a longer body is not reused.
 MAX_REUSE_BODY_BYTES = 32 << 10
+# What a socket may hold that is not read at present.
+UNREAD_SOCKET_BYTES = 64 << 10
 # Bytes of a body that are passed on as they are, for one step of the read budget.
 STEP_BYTES = 16 << 10
 # A connection that has answered more requests with a failure is not reused.
@@ -136,6 +139,11 @@
         if self._connection is not None:
             self._connection.take_steps(steps)
 
+    @property
+    def held_bytes(self):
+        """Int : memory that its connection holds for it."""
+        return self._connection.held_bytes if self._connection is not None else 0
+
     @property
     def is_sent(self):
         """Bool : whether the request was written, so that the endpoint may get it."""
@@ -178,6 +186,10 @@
         self._is_matching = False
         self._unmatched_bytes = 0
         self._head = None
+        # What writes the body of the present request, if that is large.
+        self._upload = None
+        # Size of what the codec was given and may not have handled yet.
+        self._unhandled_bytes = 0
         # Ids of the requests that this connection has answered with a failure.
         self._failed_ids = set()
         self.idle_until_s = 0.0
@@ -207,10 +219,16 @@
         self._pending_request = pending_request
         self._unmatched_bytes = 0
         pending_request.bind(connection=self)
-        self.transport.write(self._begin_codec())
+        head = self._begin_codec()
+        if len(request.body) <= MAX_REUSE_BODY_BYTES:
+            self.transport.write(head + request.body)
+        else:
+            self.transport.write(head)
+            self._upload = Upload(self.transport, request.body)
+            self._upload.start()
 
     def _begin_codec(self):
-        """Start a codec for one request and response; return the request's bytes."""
+        """Start a codec for one request and response; return the request's head."""
         request = self._request
         headers = list(request.headers)
         if request.body:
@@ -224,11 +242,21 @@
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
-        parts = [self._codec.send(head)]
+        head_bytes = self._codec.send(head)
         if request.body:
-            parts.append(self._codec.send(h11.Data(data=request.body)))
-        parts.append(self._codec.send(h11.EndOfMessage()))
-        return b"".join(parts)
+            self._codec.send(h11.Data(data=request.body))
+        self._codec.send(h11.EndOfMessage())
+        return head_bytes
+
+    @property
+    def held_bytes(self):
+        """Int : memory that the connection holds, beside the body of the request."""
+        upload_bytes = socket_bytes = 0
+        if self._upload is not None and not self._upload.is_written:
+            upload_bytes = UPLOAD_PIECE_BYTES
+        if self.is_paused or self._is_waiting:
+            socket_bytes = UNREAD_SOCKET_BYTES
+        return upload_bytes + self._unhandled_bytes + socket_bytes
 
     # Push producer of the caller's transport.
 
@@ -265,6 +293,7 @@
             return
         if not self._is_matching:
             self._unmatched_bytes += len(data)
+        self._unhandled_bytes += len(data)
         self._codec.receive_data(data)
         if not self._is_waiting:
             self._read()
@@ -288,6 +317,7 @@
                 return
             event = self._codec.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                self._unhandled_bytes = 0
                 return
             self.take_steps(self._steps_of(event))
             if isinstance(event, h11.Response):
--- a/src/sesamearch/wire/events.py
+++ b/src/sesamearch/wire/events.py
@@ -50,6 +50,11 @@
         self._block_start = 0
         self._searched = 0
 
+    @property
+    def size_bytes(self):
+        """Int : size of what is buffered."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self):
         """Bool : whether an incomplete event is buffered."""
--- a/src/sesamearch/wire/reply.py
+++ b/src/sesamearch/wire/reply.py
@@ -10,6 +10,9 @@
 class ReplyListener(abc.ABC):
     """Is notified if the caller disconnects while its request is being handled."""
 
+    # Memory held for the request, beside what its connection holds itself, in bytes.
+    held_bytes = 0
+
     @abc.abstractmethod
     def caller_left(self):
         """Handle the disconnect: no response can be sent any more."""
@@ -34,6 +37,27 @@
         self.is_open = True
         self.listener = None
 
+    @property
+    def has_begun(self):
+        """Bool : whether a part of the response was sent."""
+        return self._has_begun
+
+    @property
+    def held_bytes(self):
+        """Int : memory that is held for the request beside its connection."""
+        # A listener that holds nothing need not say so.
+        return getattr(self.listener, "held_bytes", 0)
+
+    def note_held(self):
+        """Count what is held for the request, after that has changed."""
+        if self.is_open:
+            self._connection.note_held()
+
+    @property
+    def untaken_bytes(self):
+        """Int : size of what waits for a caller that does not read; zero otherwise."""
+        return self._connection.untaken_bytes if self.is_open else 0
+
     def answer(self, status, headers, body, reason=b""):
         """Send a complete response."""
         if not self.is_open:
@@ -65,24 +89,28 @@
         """End the response."""
         if self.is_open:
             self.is_open = False
+            # The listener refers to this response as well.
+            self.listener = None
             self._connection.finish()
 
     def abort(self):
         """Reset the connection, so that the response cannot be taken for complete."""
         if self.is_open:
             self.is_open = False
+            self.listener = None
             self._connection.abort()
 
     def fail(self):
         """Answer a request whose handler failed, and stop the work for it."""
         if not self.is_open:
             return
+        listener = self.listener
         if self._has_begun:
             self.abort()
         else:
             self.answer(INTERNAL_ERROR, [], b"")
-        if self.listener is not None:
-            self.listener.caller_left()
+        if listener is not None:
+            listener.caller_left()
 
     def set_producer(self, source):
         """Register `source`, a push producer to pause while the caller reads slowly.
@@ -95,5 +123,6 @@
         """Notify the listener that the connection was closed."""
         if self.is_open:
             self.is_open = False
-            if self.listener is not None:
-                self.listener.caller_left()
+            listener, self.listener = self.listener, None
+            if listener is not None:
+                listener.caller_left()
--- a/tests/wire/test_account.py
+++ b/tests/wire/test_account.py
@@ -21,6 +21,7 @@
 from sesamearch.wire.caller import CallerFactory, CallerLimits
 from sesamearch.wire.caller_connection import LINGER_S
 from sesamearch.wire.read_budget import MAX_STEPS, STEPS_PER_S
+from sesamearch.wire.reply import ReplyListener
 from tests.platform.world import RawClient
 
 ADDRESS = "10.0.0.1:80"
@@ -87,6 +88,13 @@
             [True, False, False, False],
         )
 
+    # Guards against idle callers that are closed for what answers on their way hold.
+    def test_connections_that_hold_next_to_nothing_go_last(self):
+        light = self.add(size=100, progress_s=0.0)
+        heavy = [self.add(size=400_000, progress_s=100.0) for _ in range(3)]
+        self.assertFalse(light.is_shed)
+        self.assertTrue(any(each.is_shed for each in heavy))
+
     def test_handled_requests_stay(self):
         handled = self.add(size=900_000, progress_s=0.0, is_handled=True)
         other = self.add(size=500_000, progress_s=100.0)
@@ -117,6 +125,17 @@
         self.assertEqual(self.account.connection_count, 4)
 
 
+class Listener(ReplyListener):
+    """Notes in a list that its caller left."""
+
+    def __init__(self, left, number):
+        self._left = left
+        self._number = number
+
+    def caller_left(self):
+        self._left.append(self._number)
+
+
 class Server:
     """A listener that keeps its replies open until it is told to answer."""
 
@@ -271,6 +290,43 @@
         del connection
         self.assertIsNone(lost())
 
+    # Guards against answers that are held for callers that read nothing.
+    def test_answers_that_nobody_reads_are_cut_off_to_make_room(self):
+        server = Server(CallerBounds(600_000, 50))
+        left = []
+        for number in range(6):
+            client = server.connect()
+            client.transport.peer.hold_writes()
+            client.send(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            server.network.run(0.1)
+            reply = server.replies[-1]
+            reply.listener = Listener(left, number)
+            reply.start(200, [])
+            reply.write(b"y" * 150_000)
+            server.network.run(0.1)
+        self.assertLessEqual(server.account.held_bytes, 600_000)
+        self.assertEqual(left, [0, 1, 2])
+        ordinary = server.connect()
+        ordinary.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi")
+        server.network.run(0.1)
+        server.replies[-1].answer(200, [], b"")
+        server.network.run(0.1)
+        self.assertEqual(ordinary.status, 200)
+
+    # Guards against memory that a request holds on its way and that nobody counts.
+    def test_what_a_handled_request_holds_is_counted(self):
+        server = Server(None)
+        client = server.connect()
+        client.send(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        server.network.run(0.1)
+        reply = server.replies[-1]
+        reply.listener = Listener([], 0)
+        reply.listener.held_bytes = 70_000
+        reply.note_held()
+        self.assertEqual(server.account.held_bytes, 70_000 + CONNECTION_BYTES)
+        reply.answer(200, [], b"")
+        self.assertEqual(server.account.held_bytes, CONNECTION_BYTES)
+
     def test_body_in_pieces_of_a_byte_leaves_the_processor_to_others(self):
         server = Server(None)
         flood, ordinary = server.connect(), server.connect()
--- a/tests/wire/test_endpoint.py
+++ b/tests/wire/test_endpoint.py
@@ -12,6 +12,7 @@
     ResponseReceiver,
 )
 from sesamearch.wire.pool import ConnectionPool
+from sesamearch.wire.upload import UPLOAD_PIECE_BYTES
 
 ADDRESS = "10.0.0.2:80"
 
@@ -87,6 +88,27 @@
         return len(self.factory.protocols)
 
 
+class TestUploads(ResponseTestCase):
+    # Guards against a transport that holds a body once more while its endpoint is slow.
+    def test_large_body_is_written_as_the_endpoint_takes_it(self):
+        receiver = self.send_request(1)
+        self.send_bytes(response(1))
+        body = b"x" * (3 * UPLOAD_PIECE_BYTES + 5)
+        (connection,) = self.pool._idle
+        connection.transport.hold_writes()
+        receiver = self.send_request(2, body, b"POST")
+        most_bytes = 0
+        while connection.transport.unsent_bytes:
+            most_bytes = max(most_bytes, connection.transport.unsent_bytes)
+            connection.transport.release_writes()
+            connection.transport.hold_writes()
+        self.network.run(0.02)
+        self.assertLessEqual(most_bytes, UPLOAD_PIECE_BYTES)
+        self.assertTrue(self.factory.protocols[0].received.endswith(body))
+        self.send_bytes(response(2))
+        self.assertEqual(receiver.outcome, "complete")
+
+
 class TestResponses(ResponseTestCase):
     def test_connection_is_reused_after_a_complete_response(self):
         first = self.send_request(1)
