Let answers that nobody takes make room at endpoints where others are refused

Cause: an endpoint works on a request until its answer is taken, so its slot, and its connection, are held by whoever does not read. The router bounded that by the route's timeout alone.

Ruled out: the account (2.4 of 12 MB), the router's own wait (refused at once, with the endpoints' word).

Change: forwarding/untaken.py, no network: while requests of a service are refused for want of room (and for 10 s after), an answer of that service of which its caller takes nothing for 1 s is cut off, and its endpoint is told. Nobody is cut off while no one is refused, nor a caller that takes a part. Outcome untaken in log and metrics.

Which limit it loosens: none. Who feels it: a caller that stops reading for a second, with more than 64 KB of its answer waiting, at a service that has no room. Not covered: a caller that takes a byte each second keeps its slot until the route's timeout.

--- a/src/sesamearch/daemon/platform_router.py
+++ b/src/sesamearch/daemon/platform_router.py
@@ -40,6 +40,7 @@
 from sesamearch.forwarding.restarts import RestartDetector
 from sesamearch.forwarding.stated_load import LoadStatements
 from sesamearch.forwarding.tools import ForwardTools
+from sesamearch.forwarding.untaken import UntakenAnswers
 from sesamearch.forwarding.where import ObservedChooser, WhereFinder
 from sesamearch.membership.fleet import FleetLink
 from sesamearch.membership.fleet_keys import obtain_fleet_keys
@@ -230,6 +231,7 @@
             self._limits,
             self._permits,
             self._quarantine,
+            UntakenAnswers(reactor),
             reactor,
             rng,
             self.counters,
@@ -558,6 +560,7 @@
     def _update(self):
         self._loads.drop_silent_peers()
         self._outages.check()
+        self.dispatcher.give_up_untaken()
         self._proxying.update()
         self._prompts.drop_expired()
         self._held_prompts.drop_expired()
--- a/src/sesamearch/forwarding/__init__.py
+++ b/src/sesamearch/forwarding/__init__.py
@@ -63,6 +63,7 @@
         ],
         "stream": ["StreamExchange"],
         "suspicion": ["Obstacle", "TrySuspicion"],
+        "untaken": ["UntakenAnswers"],
         "where": [
             "EndpointView",
             "ObservedChooser",
--- a/src/sesamearch/forwarding/dispatcher.py
+++ b/src/sesamearch/forwarding/dispatcher.py
@@ -256,6 +256,11 @@
         for exchange in list(self._exchanges):
             exchange.note_path_lost(service)
 
+    def give_up_untaken(self):
+        """Cut off the answers that nobody takes, where others are refused meanwhile."""
+        for exchange in self._tools.untaken.find(self._exchanges):
+            exchange.give_up_untaken()
+
     def _refuse_quarantined(self):
         """Refuse the generations in flight that a new quarantine concerns."""
         for stream in list(self._streams):
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -33,6 +33,8 @@
 # A request waits for a permit for this share of its time, so that enough is left for
 # the endpoint.
 PERMIT_WAIT_RATIO = 0.5
+# Refusals of requests that some endpoint would have taken if it had had room.
+NO_ROOM_KINDS = frozenset((ErrorKind.OVERLOADED, ErrorKind.NO_ENDPOINT))
 # Routers by way of which one request is sent at most.
 MAX_PEERS = 3
 # A refused caller is told to wait for up to so many times the time until a permit.
@@ -139,6 +141,17 @@
         tries_bytes = sum(attempt.held_bytes for attempt in self.tries)
         return len(self.request.body) + tries_bytes
 
+    @property
+    def untaken_bytes(self):
+        """Int : size of what waits for a caller that does not read; zero otherwise."""
+        return self.reply.untaken_bytes
+
+    def give_up_untaken(self):
+        """Cut off an answer that its caller does not take."""
+        self.log_end("untaken", None, self._sent_status)
+        self.reply.abort()
+        self.close()
+
     # Tries.
 
     @property
@@ -390,6 +403,8 @@
         """
         if self.is_over:
             return
+        if kind in NO_ROOM_KINDS:
+            self.tools.untaken.note_refused(self.service.name)
         problem = Problem(kind, detail)
         retry_delay_s = problem.retry_delay_s if advice_s is None else advice_s
         headers = list(PROBLEM_HEADERS)
--- a/src/sesamearch/forwarding/tools.py
+++ b/src/sesamearch/forwarding/tools.py
@@ -31,6 +31,7 @@
     limits : LimitTracker
     permits : PermitSource
     quarantine : QuarantineController
+    untaken : UntakenAnswers
     clock : twisted.internet.interfaces.IReactorTime
     rng : random.Random
     counters : ForwardCounters
@@ -57,6 +58,7 @@
     limits: object
     permits: object
     quarantine: object
+    untaken: object
     clock: object
     rng: object
     counters: object
