Serve the product's own interface over the connections that bound what callers hold

What callers saw: 60 callers of the own interface with requests sent ahead and unread, at a path without a route, without a key, or at the operators' port: 96.9, 96.4 and 96.1 of 96 MB (stopped there; 100 to 173 MB in the users' facts); 900 half heads took all 700 descriptors, and an ordinary request's connection was closed unanswered.

Cause: Twisted's web connections. They work off what was sent ahead while the answers before lie unread, in a buffer without a bound; their number has no bound; nothing counts them together.

Weighed: a second account around Twisted's channel (two codes for one job, and its buffer can't be paused from outside), or one listener for both roles. The second: callers/site.py hands whole requests from CallerConnection to the same klein resources. LimitedSite goes. The account's bounds are settings: limits.memory_mb (256) and limits.descriptors (the system's).

After: the six tests of tests/daemon/test_hostile_callers hold, three runs of three. Bodies lay in temporary files before and lie in memory now, inside the account; so their test, which held before (76 MB in the users' facts), needs the new setting: the tests run their routers with memory_mb: 96, crowd and bound are as they were. Without it (256) it took 98.2 MB, as allowed.

Changed tests: the gateway's in-memory transport has the calls of a socket that the connections use; no check was changed. One status changes: a caller without room gets 429 overloaded (not run).

Which limit it loosens: heads may take 30 s (120 before for an idle connection, so it is tighter); the whole-body time stays limits.receive_timeout_s.

--- a/src/sesamearch/callers/__init__.py
+++ b/src/sesamearch/callers/__init__.py
@@ -7,5 +7,6 @@
     submod_attrs={
         "client": ["Answer", "CompletionClient"],
         "gateway": ["Gateway"],
+        "site": ["ResourceFactory"],
     },
 )
--- a/src/sesamearch/configuration/__init__.py
+++ b/src/sesamearch/configuration/__init__.py
@@ -61,6 +61,5 @@
             "TlsSettings",
             "load_settings",
         ],
-        "site": ["LimitedSite"],
     },
 )
--- a/src/sesamearch/configuration/settings.py
+++ b/src/sesamearch/configuration/settings.py
@@ -87,12 +87,19 @@
         Timeout for receiving a request body.
     generations, operations : int
         Maximum number of generations and of operations in flight.
+    memory_mb : int
+        Memory that the process may use, in MiB; bounds what all callers hold.
+    descriptors : int or None
+        Descriptors that the process may open; bounds the connections of all callers.
+        None for the limit that the system sets for the process.
     """
 
     body_bytes: Annotated[int, msgspec.Meta(gt=0)] = 1 << 20
     receive_timeout_s: Positive = 10.0
     generations: Annotated[int, msgspec.Meta(gt=0)] = 2000
     operations: Annotated[int, msgspec.Meta(gt=0)] = 500
+    memory_mb: Annotated[int, msgspec.Meta(gt=0)] = 256
+    descriptors: Annotated[int, msgspec.Meta(gt=0)] | None = None
 
 
 class DrainSettings(_Section):
--- a/src/sesamearch/daemon/router.py
+++ b/src/sesamearch/daemon/router.py
@@ -1,21 +1,23 @@
 """The router daemon: assembles its components and runs them."""
 
+import resource
 import signal
 from pathlib import Path
 
 from result import Err, Ok
+from twisted.internet.address import IPv4Address
 from twisted.internet.defer import gatherResults, maybeDeferred
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
 from sesamearch.base.errors import ErrorKind, Problem
-from sesamearch.base.listener import LISTEN_BACKLOG, listen_tcp
+from sesamearch.base.listener import listen_tcp
 from sesamearch.base.log import logger
 from sesamearch.callers.gateway import SWEEP_INTERVAL_S, Gateway
+from sesamearch.callers.site import ResourceFactory
 from sesamearch.configuration.blackboard import Blackboard
 from sesamearch.configuration.directory import ServiceDirectory
 from sesamearch.configuration.follower import ConfigurationFollower, EndpointFollower
-from sesamearch.configuration.site import LimitedSite
 from sesamearch.daemon.drain import Drain
 from sesamearch.daemon.metrics import MetricsExport
 from sesamearch.daemon.operators_port import OperatorsPort
@@ -32,11 +34,13 @@
 from sesamearch.rollout.move_controller import MoveController, MoveFollower
 from sesamearch.routing.placement import Placement
 from sesamearch.store.etcd import EtcdStore
+from sesamearch.wire.account import CallerAccount, CallerBounds
 
 __all__ = ["Router"]
 
 # Time for the connections to send responses that are still buffered.
 STOP_DELAY_S = 0.3
+MIB_BYTES = 1 << 20
 
 
 class Router:
@@ -98,6 +102,7 @@
             self._stop_listening,
             self._stop,
         )
+        self._account = CallerAccount(reactor, _bounds_of(settings.limits))
         self._listeners = []
         self._operators = []
         self._sweeper = LoopingCall(self.gateway.sweep)
@@ -170,29 +175,27 @@
             self._metrics,
             self._reactor,
         )
-        site = LimitedSite(port.app.resource(), self._settings.limits, self._reactor)
-        host, number = _split(self._settings.operators_listen)
-        listener = self._reactor.listenTCP(number, site, interface=host)
-        self._operators.append(listener)
+        address = self._settings.operators_listen
+        factory = self._make_factory(port.app, address)
+        self._operators.append(listen_tcp(self._reactor, address, factory))
 
     def _listen_for_callers(self):
-        resource = self.gateway.app.resource()
-        site = LimitedSite(resource, self._settings.limits, self._reactor)
-        tls = self._settings.tls
-        if tls is None:
-            listener = listen_tcp(self._reactor, self._settings.listen, site)
-        else:
-            # Imported only if used, since TLS takes additional memory.
-            from twisted.internet import ssl
-
-            context = ssl.DefaultOpenSSLContextFactory(
-                tls.private_key_file, tls.certificate_file
-            )
-            host, number = _split(self._settings.listen)
-            listener = self._reactor.listenSSL(
-                number, site, context, backlog=LISTEN_BACKLOG, interface=host
-            )
-        self._listeners.append(listener)
+        address, tls = self._settings.listen, self._settings.tls
+        factory = self._make_factory(self.gateway.app, address, tls is not None)
+        if tls is not None:
+            factory = _encrypt(factory, tls)
+        self._listeners.append(listen_tcp(self._reactor, address, factory))
+
+    def _make_factory(self, app, address, is_secure=False):
+        host, _, port = address.rpartition(":")
+        return ResourceFactory(
+            app.resource(),
+            self._settings.limits,
+            self._reactor,
+            self._account,
+            IPv4Address("TCP", host, int(port)),
+            is_secure,
+        )
 
     def handle_signals(self):
         """Shut down on SIGTERM or SIGINT; hand generations over on a second signal."""
@@ -229,6 +232,21 @@
         self._reactor.callLater(STOP_DELAY_S, self._reactor.stop)
 
 
-def _split(address):
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+def _bounds_of(limits):
+    """Return the :class:`CallerBounds` for the callers of a process."""
+    descriptors = limits.descriptors
+    if descriptors is None:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return CallerBounds.of_vm(limits.memory_mb * MIB_BYTES, descriptors)
+
+
+def _encrypt(factory, tls):
+    """Return a factory whose connections are encrypted with a certificate."""
+    # Imported only if used, since TLS takes additional memory.
+    from twisted.internet import ssl
+    from twisted.protocols.tls import TLSMemoryBIOFactory
+
+    context = ssl.DefaultOpenSSLContextFactory(
+        tls.private_key_file, tls.certificate_file
+    )
+    return TLSMemoryBIOFactory(context, False, factory)
--- a/src/sesamearch/wire/caller.py
+++ b/src/sesamearch/wire/caller.py
@@ -8,6 +8,9 @@
 
 __all__ = ["CallerConnection", "CallerFactory", "CallerLimits"]
 
+# A caller that was refused for want of room may come back after this time.
+SHED_RETRY_AFTER_S = 1.0
+
 
 class CallerFactory(Factory):
     """Creates the connections of one listener.
@@ -36,6 +39,10 @@
     """
 
     noisy = False
+    # Status of a refusal for want of room.
+    no_room_status = 503
+    # A body that still arrives piece by piece after this time is refused.
+    body_timeout_s = 60.0
 
     def __init__(
         self,
@@ -59,6 +66,21 @@
         """Return the protocol for a new connection."""
         return CallerConnection(self)
 
+    def refusal(self, status):
+        """Return the headers and the body of a refusal before a request is handled.
+
+        Parameters
+        ----------
+        status : int
+
+        Returns
+        -------
+        list of tuple of bytes, bytes
+        """
+        if status == self.no_room_status:
+            return [(b"Retry-After", b"%.3f" % SHED_RETRY_AFTER_S)], b""
+        return [], b""
+
     @property
     def unsettled_count(self):
         """Int : number of connections that lose something if the process ends now."""
--- a/src/sesamearch/wire/caller_connection.py
+++ b/src/sesamearch/wire/caller_connection.py
@@ -22,18 +22,13 @@
 
 LINGER_S = 1.0
 BODY_STALL_TIMEOUT_S = 10.0
-# A body that still arrives piece by piece after this time is refused.
-MAX_BODY_S = 60.0
 # A caller that takes no byte of its answers for so long is disconnected.
 UNREAD_TIMEOUT_S = 30.0
-# A caller that was refused for want of room may come back after this time.
-SHED_RETRY_AFTER_S = 1.0
 # An answer that holds more on its way may be cut off for want of memory.
 LARGE_ANSWER_BYTES = 64 << 10
 # Bytes of a body that are taken as they are, for one step of the read budget.
 STEP_BYTES = 16 << 10
 CONTINUE = 100
-UNAVAILABLE = 503
 
 
 class CallerConnection(Protocol, CallerHolding, OutletListener, BudgetedReader):
@@ -337,8 +332,9 @@
         self._unhandled_bytes = len(rest)
         if rest:
             self._codec.receive_data(rest)
-        self._body_by_s = self._clock.seconds() + MAX_BODY_S
-        self._timer.arm(BODY_STALL_TIMEOUT_S)
+        body_timeout_s = self.factory.body_timeout_s
+        self._body_by_s = self._clock.seconds() + body_timeout_s
+        self._timer.arm(min(BODY_STALL_TIMEOUT_S, body_timeout_s))
 
     def _read_events(self):
         budget = self.factory.account.read_budget
@@ -440,17 +436,19 @@
     # Writing.
 
     def _refuse_for_room(self):
-        retry_after = b"Retry-After: %.3f\r\n" % SHED_RETRY_AFTER_S
-        self._refuse(UNAVAILABLE, "no room for further requests", retry_after)
+        self._refuse(self.factory.no_room_status, "no room for further requests")
 
-    def _refuse(self, status, detail, header=b""):
+    def _refuse(self, status, detail):
         """Answer a request that is not handled with an error status, and close."""
         self._is_closing = True
         self._report_unread()
         self._forget_request()
         self.factory.refused(status, detail)
-        framing = b"Connection: close\r\nContent-Length: 0\r\n\r\n"
-        self.transport.write(b"HTTP/1.1 %d \r\n" % status + header + framing)
+        headers, body = self.factory.refusal(status)
+        lines = [b"HTTP/1.1 %d " % status]
+        lines += [name + b": " + value for name, value in headers]
+        lines += [b"Connection: close", b"Content-Length: %d" % len(body)]
+        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
         self._close_gracefully()
 
     def _forget_request(self):
--- a/src/sesamearch/wire/reply.py
+++ b/src/sesamearch/wire/reply.py
@@ -2,6 +2,8 @@
 
 import abc
 
+from sesamearch.wire.head import first_value
+
 __all__ = ["Reply", "ReplyListener"]
 
 INTERNAL_ERROR = 500
@@ -74,11 +76,15 @@
         self.answer(problem.answer.status, headers, problem.to_json())
 
     def start(self, status, headers, reason=b""):
-        """Send the head of a response with a body of unknown length."""
+        """Send the head of a response whose body follows in parts.
+
+        The body goes in chunks unless the headers state its length.
+        """
         if self.is_open:
             self._has_begun = True
-            chunked = (b"Transfer-Encoding", b"chunked")
-            self._connection.send_head(status, reason, [*headers, chunked])
+            if first_value(headers, b"content-length") is None:
+                headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+            self._connection.send_head(status, reason, headers)
 
     def write(self, data):
         """Send a part of the body."""
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -12,6 +12,7 @@
 from twisted.python.failure import Failure
 
 from sesamearch.callers.gateway import Gateway
+from sesamearch.callers.site import ResourceFactory
 from sesamearch.configuration.blackboard import Blackboard, DrainPhase, Endpoint
 from sesamearch.configuration.configuration import (
     Configuration,
@@ -20,7 +21,6 @@
 )
 from sesamearch.configuration.directory import ServiceDirectory
 from sesamearch.configuration.settings import LimitSettings
-from sesamearch.configuration.site import LimitedSite
 from sesamearch.generation.attempt import GenerationTools
 from sesamearch.generation.cursor import CursorSigner
 from sesamearch.generation.engine import StreamEnd
@@ -31,6 +31,7 @@
 from sesamearch.replay.process import Process
 from sesamearch.replay.store import FakeStore, StoreFaults
 from sesamearch.routing.placement import Placement
+from sesamearch.wire.account import CallerAccount
 from tests.generation.recorded import RecordedOutcomes, RecordingEngines
 from tests.support import DRAFTING, TICKETING
 
@@ -49,12 +50,26 @@
         return self.calls[-1][2]
 
 
+class Transport(StringTransport):
+    """Takes all that is written at once."""
+
+    unsent_bytes = 0
+
+    def setTcpNoDelay(self, enabled):
+        """Ignore the option."""
+
+    def loseWriteConnection(self):
+        self.loseConnection()
+
+    def abortConnection(self):
+        self.loseConnection()
+
+
 class Connection:
     """An in-memory connection of a caller."""
 
     def __init__(self, site):
-        self.transport = StringTransport()
-        self.transport.abortConnection = self.transport.loseConnection
+        self.transport = Transport()
         self.protocol = site.buildProtocol(None)
         self.protocol.makeConnection(self.transport)
 
@@ -67,7 +82,7 @@
     @property
     def received(self):
         # First runs the calls scheduled for the end of this reactor iteration.
-        self.protocol.site.reactor.advance(0)
+        self.protocol.factory.clock.advance(0)
         return self.transport.value()
 
     @property
@@ -114,7 +129,9 @@
             OperationRunner(operation_tools, store),
             LIMITS,
         )
-        self.site = LimitedSite(self.gateway.app.resource(), LIMITS, self.clock)
+        self.site = ResourceFactory(
+            self.gateway.app.resource(), LIMITS, self.clock, CallerAccount(self.clock)
+        )
         self.configure()
 
     def configure(self):
--- a/tests/daemon/test_hostile_callers.py
+++ b/tests/daemon/test_hostile_callers.py
@@ -1,7 +1,7 @@
 """Crowds of callers at the product's own interface, against real processes.
 
-The descriptors of the routers are lowered, so that a small crowd is enough. Nothing
-checked here depends on the speed of the machine.
+The descriptors and the memory of the routers are lowered, so that a small crowd is
+enough. Nothing checked here depends on the speed of the machine.
 """
 
 from twisted.trial import unittest
@@ -34,7 +34,7 @@
     timeout = 110
 
     async def setUp(self):
-        self.deployment = Deployment(router_fds=MAX_FDS)
+        self.deployment = Deployment(MAX_FDS, MEMORY_MB)
         self.addCleanup(self.deployment.stop)
         await self.deployment.start()
         self.router = self.deployment.processes["r1"]
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -130,10 +130,13 @@
     ----------
     router_fds : int or None
         Descriptors that each router may open; None for as many as this process.
+    router_memory_mb : int or None
+        Memory that each router may use, None for the default.
     """
 
-    def __init__(self, router_fds=None):
+    def __init__(self, router_fds=None, router_memory_mb=None):
         self._router_fds = router_fds
+        self._router_memory_mb = router_memory_mb
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self.processes = {}
@@ -195,6 +198,8 @@
             "cursor_key_file": "cursor.key",
             "drain": {"balancer_grace_s": 0.3, "timeout_s": 60},
         }
+        if self._router_memory_mb is not None:
+            settings["limits"] = {"memory_mb": self._router_memory_mb}
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         return str(path)
