Take no end of a connection for the end of an answer while the request is being written

Cause: an answer with neither length nor chunks ends with its connection, and a clean close was taken for that end whatever the state of the request.

Change: such an end proves nothing while a part of the request has not been accepted by the socket; the answer is then lost midway (a call that may not run twice: 502; others are sent again, a generation goes on). Framed answers are whole as before. Bodies over 8 KB are now written piece by piece, so that the connection knows; a connection isn't used again before the body of its last request is written.

Evidence: test_answer_without_a_length_that_ends_before_the_request_is_lost failed before (complete, with the part); its two neighbours, and the reuse, hold.

Which limit it loosens: none. Who relied on it: an endpoint that rejects a long upload early, without a length, and closes: its caller gets 502 now. Seen in the connection's code, not on real sockets.

--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -31,6 +31,8 @@
 # Some peers respond before they have read a long body and go on reading it
 # afterwards, so a connection that sent a longer body is not reused.
 MAX_REUSE_BODY_BYTES = 32 << 10
+# A new connection accepts a body of this size at once.
+MAX_DIRECT_BODY_BYTES = 8 << 10
 # What a socket may hold that is not read at present.
 UNREAD_SOCKET_BYTES = 64 << 10
 # Bytes of a body that are passed on as they are, for one step of the read budget.
@@ -220,7 +222,8 @@
         self._unmatched_bytes = 0
         pending_request.bind(connection=self)
         head = self._begin_codec()
-        if len(request.body) <= MAX_REUSE_BODY_BYTES:
+        self._upload = None
+        if len(request.body) <= MAX_DIRECT_BODY_BYTES:
             self.transport.write(head + request.body)
         else:
             self.transport.write(head)
@@ -252,7 +255,7 @@
     def held_bytes(self):
         """Int : memory that the connection holds, beside the body of the request."""
         upload_bytes = socket_bytes = 0
-        if self._upload is not None and not self._upload.is_written:
+        if self._is_writing:
             upload_bytes = UPLOAD_PIECE_BYTES
         if self.is_paused or self._is_waiting:
             socket_bytes = UNREAD_SOCKET_BYTES
@@ -376,6 +379,9 @@
         if not self._is_matching:
             self._skip_response()
             return
+        if self._is_cut_short():
+            self._fail(Loss.CLOSED_MIDWAY)
+            return
         pending_request, self._pending_request = self._pending_request, None
         if pending_request.is_over:
             return
@@ -387,6 +393,19 @@
             # next response, or the close of the idle connection, would not be read.
             self.resumeProducing()
 
+    def _is_cut_short(self):
+        """Return whether the end of a response may be that of the endpoint itself.
+
+        The close of the connection proves that a response without a length is whole
+        only once the endpoint could read the whole request.
+        """
+        return self._is_writing and self._head.ends_with_connection
+
+    @property
+    def _is_writing(self):
+        """Bool : whether a part of the request was not accepted by the socket."""
+        return self._upload is not None and not self._upload.is_written
+
     def _skip_response(self):
         """Skip a response that belongs to another request, and read the next one."""
         if self._codec.their_state is not h11.DONE:
@@ -407,7 +426,8 @@
         if not self._head.is_success:
             self._failed_ids.add(self._request.request_id)
         has_room = len(self._failed_ids) <= MAX_FAILED_REQUESTS
-        is_usable = is_done and not has_more and has_room and not self.is_closed
+        is_over = is_done and not has_more and not self._is_writing
+        is_usable = is_over and has_room and not self.is_closed
         if is_usable and is_short:
             self._pool.release(self, self._head)
         else:
--- a/src/sesamearch/wire/head.py
+++ b/src/sesamearch/wire/head.py
@@ -68,6 +68,13 @@
         """Bool : whether the status is a 2xx."""
         return 200 <= self.status < 300
 
+    @property
+    def ends_with_connection(self):
+        """Bool : whether only the end of the connection ends the body."""
+        names = {name.lower() for name, _ in self.headers}
+        has_no_body = self.status in (204, 304)
+        return not has_no_body and not names & {b"content-length", b"transfer-encoding"}
+
 
 class HeadError(Exception):
     """A request that cannot be accepted, with the HTTP status to send."""
--- a/tests/wire/test_endpoint.py
+++ b/tests/wire/test_endpoint.py
@@ -7,6 +7,7 @@
 from sesamearch.standin.network import MemoryNetwork
 from sesamearch.wire.endpoint import (
     MAX_FAILED_REQUESTS,
+    MAX_REUSE_BODY_BYTES,
     Loss,
     OutgoingRequest,
     ResponseReceiver,
@@ -109,6 +110,52 @@
         self.assertEqual(receiver.outcome, "complete")
 
 
+class TestEarlyResponses(ResponseTestCase):
+    """An endpoint answers while the body of the request is still being written."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nX-Id: 2\r\n"
+
+    def send_held(self, body=b"x" * (4 << 20)):
+        """Send a request whose body the endpoint does not take."""
+        self.send_request(1)
+        self.send_bytes(response(1))
+        (connection,) = self.pool._idle
+        connection.transport.hold_writes()
+        self.held = connection.transport
+        return self.send_request(2, body, b"POST")
+
+    def close(self):
+        self.factory.protocols[0].transport.loseConnection()
+        self.network.run(0.02)
+
+    # Guards against a part of an answer that is taken for all of it: the endpoint may
+    # have ended, and a close proves nothing while it should still be reading.
+    def test_answer_without_a_length_that_ends_before_the_request_is_lost(self):
+        receiver = self.send_held()
+        self.send_bytes(self.HEAD + b"\r\npart")
+        self.close()
+        self.assertEqual(receiver.outcome, Loss.CLOSED_MIDWAY)
+
+    def test_answer_without_a_length_that_ends_after_the_request_is_whole(self):
+        receiver = self.send_held()
+        self.held.release_writes()
+        self.send_bytes(self.HEAD + b"\r\nwhole")
+        self.close()
+        self.assertEqual((receiver.outcome, receiver.body), ("complete", b"whole"))
+
+    # Guards against a next request that is written into the rest of a body.
+    def test_connection_is_not_reused_while_the_body_is_written(self):
+        self.send_held(body=b"x" * MAX_REUSE_BODY_BYTES)
+        self.send_bytes(response(2))
+        self.send_request(3)
+        self.assertEqual(self.connection_count, 2)
+
+    def test_framed_answer_that_ends_before_the_request_is_whole(self):
+        receiver = self.send_held()
+        self.send_bytes(response(2))
+        self.assertEqual((receiver.outcome, receiver.body), ("complete", b"body"))
+
+
 class TestResponses(ResponseTestCase):
     def test_connection_is_reused_after_a_complete_response(self):
         first = self.send_request(1)
