Cut off no answer for the size of its request, and give each wait for a reader its whole time

An answer that holds over 64 KB on its way may be cut off for memory; the body of its own request counted towards that, so that a generation with a long prompt, whose caller reads, could go before others. And the time for a caller that takes nothing began with what an earlier wait had left.

--- a/src/sesamearch/wire/caller_connection.py
+++ b/src/sesamearch/wire/caller_connection.py
@@ -53,6 +53,7 @@
         self._reply = None
         self._reader = HeadReader()
         self._outlet = None
+        # Estimate for the body of the request that is handled.
         self._handled_bytes = 0
         self._ahead = BytesAhead()
         self._is_reading = True
@@ -206,7 +207,8 @@
             return False
         if self._reply is None or self._outlet.is_blocked:
             return True
-        return self._reply.has_begun and self.held_bytes > LARGE_ANSWER_BYTES
+        answer_bytes = self.held_bytes - self._handled_bytes
+        return self._reply.has_begun and answer_bytes > LARGE_ANSWER_BYTES
 
     def measure(self):
         """Return the memory that the connection holds now, in bytes."""
@@ -295,6 +297,7 @@
             return
         self._note_soon()
         if self._outlet.is_blocked:
+            self._unread_bytes = 0
             self._timer.arm(UNREAD_TIMEOUT_S)
         elif self._reply is None:
             self._unread_bytes = 0
--- a/tests/wire/test_account.py
+++ b/tests/wire/test_account.py
@@ -313,6 +313,24 @@
         server.network.run(0.1)
         self.assertEqual(ordinary.status, 200)
 
+    # Guards against an answer that is cut off since its request was large.
+    def test_answer_to_a_large_request_stays_while_its_caller_reads(self):
+        server = Server(CallerBounds(400_000, 50))
+        reader, left = server.connect(), []
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n"
+        reader.send(head + b"x" * 90_000)
+        server.network.run(0.1)
+        reply = server.replies[-1]
+        reply.listener = Listener(left, 0)
+        reply.listener.held_bytes = 90_000
+        reply.start(200, [])
+        reply.write(b"id: 0\n\n")
+        for _ in range(5):
+            server.connect().send(head + b"x" * 89_000)
+            server.network.run(0.1)
+        self.assertGreater(server.account.shed_count, 0)
+        self.assertEqual(left, [])
+
     # Guards against memory that a request holds on its way and that nobody counts.
     def test_what_a_handled_request_holds_is_counted(self):
         server = Server(None)
