Free the body of a request when the request ends

Cause: a request that has ended was kept, with its body, until garbage is collected: the handle of a sent request refers to its receiver, this to the try, this to the handle; the factory of a connection keeps its first request, a closed connection its last one; an empty rest of an upload is a view of the whole body; an exchange keeps the try that it answered with. None of it is in the account. Found by counting what lives on while garbage collection is off.

Change: the handle forgets its receiver at its end, the factory, the connection and the upload what they have sent, an exchange its tries and the body; what outlives a generation's own cycles gets the request without its body.

Loosens no limit.

--- a/src/sesamearch/forwarding/call.py
+++ b/src/sesamearch/forwarding/call.py
@@ -285,3 +285,5 @@
         if self._hedge_timer is not None and self._hedge_timer.active():
             self._hedge_timer.cancel()
         super().close()
+        # They refer to this exchange as well.
+        self._failure = self._streamed_try = None
--- a/src/sesamearch/forwarding/exchange.py
+++ b/src/sesamearch/forwarding/exchange.py
@@ -377,6 +377,8 @@
         self.permit.withdraw()
         self.quarantine.note_over()
         self.cancel_tries()
+        # Parts of an exchange refer back to it, so that it is freed later.
+        self.request = self.request.without_body()
         self._on_end(self)
 
     def _left_ms(self):
--- a/src/sesamearch/forwarding/request.py
+++ b/src/sesamearch/forwarding/request.py
@@ -68,6 +68,10 @@
     output_tokens: int = 0
     prompt_parts: list[PromptPart] = []
 
+    def without_body(self):
+        """Return the same request, for those that must not keep its body."""
+        return msgspec.structs.replace(self, body=b"")
+
     @property
     def shared_parts(self):
         """List of str : names of the prompt's parts that other requests may share."""
--- a/src/sesamearch/forwarding/request_quarantine.py
+++ b/src/sesamearch/forwarding/request_quarantine.py
@@ -101,5 +101,6 @@
         self._has_run = True
 
     def note_over(self):
-        """Record the end of the request."""
+        """Record the end of the request; its body is not needed any more."""
         self._tools.quarantine.note_over(self._request.request_id)
+        self._request = self._request.without_body()
--- a/src/sesamearch/forwarding/runs.py
+++ b/src/sesamearch/forwarding/runs.py
@@ -60,7 +60,11 @@
         self._cause = ErrorKind.NO_ENDPOINT
         self._retry_timer = None
         self._search = EngineSearch(
-            self.tools, self.service, self.request, self.excluded, self.permit
+            self.tools,
+            self.service,
+            self.request.without_body(),
+            self.excluded,
+            self.permit,
         )
         self._copies = self._search.copies
         if self.terms is not None and self.terms.copy is not None:
--- a/src/sesamearch/wire/endpoint.py
+++ b/src/sesamearch/wire/endpoint.py
@@ -126,11 +126,20 @@
         self._connection = connection
         self._connector = connector
 
+    def close(self):
+        """Return the receiver, which is called once more, and forget it.
+
+        It refers to this handle as well.
+        """
+        self.is_over = True
+        receiver, self.receiver = self.receiver, None
+        return receiver
+
     def cancel(self):
         """Close the connection without calling the receiver again."""
         if self.is_over:
             return
-        self.is_over = True
+        self.close()
         if self._connection is not None:
             self._connection.abort()
         elif self._connector is not None:
@@ -385,9 +394,9 @@
         pending_request, self._pending_request = self._pending_request, None
         if pending_request.is_over:
             return
-        pending_request.is_over = True
+        receiver = pending_request.close()
         self._release_or_abort()
-        pending_request.receiver.ended()
+        receiver.ended()
         if not self.is_closed:
             # A slow reader of this response may have paused the connection, and the
             # next response, or the close of the idle connection, would not be read.
@@ -428,6 +437,7 @@
         has_room = len(self._failed_ids) <= MAX_FAILED_REQUESTS
         is_over = is_done and not has_more and not self._is_writing
         is_usable = is_over and has_room and not self.is_closed
+        self._request = self._upload = None
         if is_usable and is_short:
             self._pool.release(self, self._head)
         else:
@@ -437,8 +447,7 @@
         pending_request, self._pending_request = self._pending_request, None
         self.abort()
         if pending_request is not None and not pending_request.is_over:
-            pending_request.is_over = True
-            pending_request.receiver.lost(loss)
+            pending_request.close().lost(loss)
 
     def connectionLost(self, reason):
         """End a response that is delimited by the close, or report the loss."""
@@ -474,5 +483,6 @@
         """Reset the connection."""
         if not self.is_closed:
             self.is_closed = True
+            self._request = None
             self._pool.discard(self)
             self.transport.abortConnection()
--- a/src/sesamearch/wire/pool.py
+++ b/src/sesamearch/wire/pool.py
@@ -24,12 +24,18 @@
         self._pending_request = pending_request
 
     def buildProtocol(self, address):
-        return _FirstRequestConnection(self._pool, self._request, self._pending_request)
+        return _FirstRequestConnection(self._pool, *self._take_first())
 
     def clientConnectionFailed(self, connector, reason):
-        if not self._pending_request.is_over:
-            self._pending_request.is_over = True
-            self._pending_request.receiver.lost(Loss.NOT_CONNECTED)
+        _, pending_request = self._take_first()
+        if not pending_request.is_over:
+            pending_request.close().lost(Loss.NOT_CONNECTED)
+
+    def _take_first(self):
+        """Return the request, and forget it: the factory lives as its connection."""
+        first = self._request, self._pending_request
+        self._request = self._pending_request = None
+        return first
 
 
 class _FirstRequestConnection(EndpointConnection):
--- a/src/sesamearch/wire/upload.py
+++ b/src/sesamearch/wire/upload.py
@@ -43,7 +43,12 @@
         else:
             self.is_written = True
             self._transport.unregisterProducer()
+            self._forget()
 
     def stopProducing(self):
         """Forget the rest, because the connection is lost."""
+        self._forget()
+
+    def _forget(self):
+        # Even an empty view would keep the whole body.
         self._rest = memoryview(b"")
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -28,6 +28,7 @@
 RETURNING_CROWD = 120
 SINGLE_BYTE_CROWD = 60
 SINGLE_BYTES = 700_000
+SEQUENTIAL_BODIES = 40
 
 
 class TestCrowds(CrowdTestCase):
@@ -102,6 +103,14 @@
         self.crowd.close()
         self.check()
 
+    # Guards against bodies that stay in memory after their requests have ended.
+    def test_large_bodies_one_after_the_other(self):
+        for number in range(SEQUENTIAL_BODIES):
+            self.check_process()
+            answer = exchange(self.router.listen, whole_body(f"large-{number}"))
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer[:200])
+        self.check()
+
     # Guards against memory that is not free yet when the next caller brings as much.
     def test_callers_that_come_again_at_once(self):
         self.crowd.push_again(
